--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,369 @@
+// Package wire reads batches of events and writes replies in the line protocol
+// of the forwarders' test bench, and turns them into the terms of package
+// aspenshift. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"aspenshift"
+)
+
+// What an Input does to its instance.
+const (
+	Start Op = iota // Settings hold what it starts with
+	Stop            // the instance is killed
+	Tell            // Event is told to it
+)
+
+// Op is what an Input does to its instance.
+type Op int
+
+// Input is one line of a batch that concerns one instance.
+type Input struct {
+	Instance string
+	Op       Op
+	Settings aspenshift.Settings
+	Event    aspenshift.Event
+}
+
+// Batch is all that happens at one clock time.
+type Batch struct {
+	Now    time.Duration
+	Turn   string
+	Inputs []Input
+}
+
+// Reader reads batches.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	lists map[int][]aspenshift.Target
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]aspenshift.Target{}}
+}
+
+// Next returns the next batch, or io.EOF at a clean end of input. Any other
+// error names the batch, the line and, where there is one, the field.
+func (r *Reader) Next() (*Batch, error) {
+	text, err := r.readLine()
+	for err == nil && text == "" {
+		text, err = r.readLine()
+	}
+	if err != nil {
+		return nil, err
+	}
+	b := &Batch{}
+	f := fieldsOf(text)
+	if f.verb != "BEGIN_BATCH" {
+		return nil, fmt.Errorf("line %d: %q where BEGIN_BATCH was expected", r.line, f.verb)
+	}
+	b.Now = f.duration("T", true)
+	b.Turn = f.text("turn", true)
+	if _, err := strconv.ParseInt(b.Turn, 10, 64); err != nil && f.err == nil {
+		f.err = fmt.Errorf("field turn: bad number %q", b.Turn)
+	}
+	if f.err != nil {
+		return nil, fmt.Errorf("batch %q, line %d: %w", b.Turn, r.line, f.err)
+	}
+	for {
+		text, err := r.readLine()
+		if errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("batch %s, line %d: input ends inside the batch", b.Turn, r.line)
+		}
+		if err == nil && text == "FLUSH" {
+			return b, nil
+		}
+		if err == nil {
+			err = r.event(b, text)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("batch %s, line %d: %w", b.Turn, r.line, err)
+		}
+	}
+}
+
+func (r *Reader) readLine() (string, error) {
+	text, err := r.in.ReadString('\n')
+	if err != nil && !(errors.Is(err, io.EOF) && text != "") {
+		if errors.Is(err, io.EOF) {
+			return "", io.EOF
+		}
+		return "", fmt.Errorf("reading input: %w", err)
+	}
+	r.line++
+	return strings.TrimRight(text, "\r\n"), nil
+}
+
+// event reads one line inside a batch, and the entries that follow a list.
+func (r *Reader) event(b *Batch, text string) error {
+	f := fieldsOf(text)
+	if f.verb == "DIRECTORY" {
+		return r.list(f)
+	}
+	in := Input{Instance: f.text("ForwarderId", true), Op: Tell}
+	switch f.verb {
+	case "PROVISION":
+		in.Op = Start
+		in.Settings = settings(f)
+	case "DETACH":
+		in.Op = Stop
+	case "PEERS_KNOWN":
+		in.Event = r.known(f)
+	case "ACCEPT":
+		in.Event = aspenshift.Message{
+			ID: f.text("Tid", true), Class: f.text("Qos", true), Destination: f.integer("CalledNode", true),
+			Key: f.text("PathKey", false), Tenant: f.text("Customer", false), Left: f.duration("Left", true),
+			Again: f.boolean("Again"), Repeat: f.boolean("Repeat"),
+		}
+		f.boolean("Update")
+		f.number("Effort", false)
+	case "FINISHED":
+		wait := f.integer("Note", false)
+		o := aspenshift.Outcome{
+			Message: f.text("Tid", true), Attempt: f.integer("Try", false), Target: f.text("Target", true),
+			Result: f.result("Ending"), Took: f.duration("Lag", false), Over: f.boolean("NoMore"),
+			Allowance: f.allowance("Load"),
+		}
+		switch o.Result {
+		case aspenshift.Full:
+			o.Wait = time.Duration(wait) * time.Millisecond
+		case aspenshift.NotSent:
+			o.NoSlot = wait == 1
+		}
+		in.Event = o
+	case "STATUS_BACK":
+		in.Event = aspenshift.ProbeResult{
+			Target: f.text("Target", true), Result: f.result("Ending"), Took: f.duration("Lag", false),
+			Allowance: f.allowance("Load"),
+		}
+	case "DROPPED":
+		in.Event = aspenshift.Withdrawn{Message: f.text("Tid", true)}
+	case "DEADLINE_HIT":
+		f.text("Mark", true)
+		in.Event = aspenshift.Woken{}
+	case "OPENED": // streams: no class here has one, and nothing is decided on it
+		f.text("Tid", true)
+		f.integer("Try", false)
+		return f.err
+	case "NEIGHBOUR_SAYS": // forwarders share nothing
+		if _, err := base64.StdEncoding.DecodeString(strings.TrimPrefix(f.text("Body", true), "-")); err != nil {
+			return fmt.Errorf("field Body: bad base64: %w", err)
+		}
+		f.integer("SrcPeer", false)
+		return f.err
+	default:
+		return fmt.Errorf("unknown event %q", f.verb)
+	}
+	if f.err != nil {
+		return fmt.Errorf("%s: %w", f.verb, f.err)
+	}
+	b.Inputs = append(b.Inputs, in)
+	return nil
+}
+
+func (r *Reader) list(f *fields) error {
+	table, n := f.integer("Table", true), f.integer("Records", true)
+	if f.err == nil && (table < 0 || table > 15) {
+		f.err = fmt.Errorf("field Table: %d is not from 0 to 15", table)
+	}
+	if f.err == nil && n < 0 {
+		f.err = fmt.Errorf("field Records: %d is negative", n)
+	}
+	if f.err != nil {
+		return fmt.Errorf("DIRECTORY: %w", f.err)
+	}
+	var targets []aspenshift.Target
+	for range n {
+		text, err := r.readLine()
+		if errors.Is(err, io.EOF) {
+			return errors.New("input ends inside the batch")
+		}
+		if err != nil {
+			return err
+		}
+		e := fieldsOf(text)
+		if e.verb != "TARGET" {
+			return fmt.Errorf("%q where TARGET was expected", e.verb)
+		}
+		t := aspenshift.Target{
+			ID: e.text("Target", true), Destination: e.integer("OwnerNo", true), Kind: e.text("Type", false),
+			Zone: e.text("Zone", false), Weight: e.number("Nominal", false),
+		}
+		e.number("Born", false)
+		switch state := e.text("Lifecycle", true); state {
+		case "active":
+			t.State = aspenshift.Active
+		case "leaving":
+			t.State = aspenshift.Draining
+		case "left":
+			t.State = aspenshift.Gone
+		default:
+			e.fail("Lifecycle", "unknown state", state)
+		}
+		if e.err != nil {
+			return fmt.Errorf("TARGET: %w", e.err)
+		}
+		targets = append(targets, t)
+	}
+	r.lists[table] = targets
+	return nil
+}
+
+func (r *Reader) known(f *fields) aspenshift.Event {
+	var l aspenshift.TargetList
+	switch scope := f.text("Scope", true); scope {
+	case "update":
+		l.Scope = aspenshift.Changes
+	case "replace":
+		l.Scope = aspenshift.Whole
+	case "restored":
+		l.Scope = aspenshift.Restored
+	case "unavailable":
+		l.Scope = aspenshift.Unavailable
+		return l
+	default:
+		f.fail("Scope", "unknown scope", scope)
+	}
+	f.integer("Revision", false)
+	table := f.integer("Table", true)
+	targets, ok := r.lists[table]
+	if !ok {
+		f.fail("Table", "a list never declared:", strconv.Itoa(table))
+	}
+	l.Targets = targets
+	return l
+}
+
+// results names the endings of an attempt.
+var results = map[string]aspenshift.Result{
+	"done": aspenshift.Done, "err": aspenshift.Errored, "busy": aspenshift.Full,
+	"etimedout": aspenshift.TimedOut, "econnrefused": aspenshift.ConnectFailed,
+	"econnreset": aspenshift.Reset, "ecanceled": aspenshift.Cancelled, "skipped": aspenshift.NotSent,
+}
+
+// fields are the parts of one line; the first error met is kept.
+type fields struct {
+	verb  string
+	pairs map[string]string
+	err   error
+}
+
+func fieldsOf(text string) *fields {
+	verb, rest, _ := strings.Cut(text, " ")
+	f := &fields{verb: verb, pairs: make(map[string]string, 12)}
+	for rest != "" {
+		var part string
+		part, rest, _ = strings.Cut(rest, " ")
+		name, value, ok := strings.Cut(part, "=")
+		if !ok || name == "" {
+			f.fail(part, "not a name=value pair:", part)
+			continue
+		}
+		f.pairs[name] = value
+	}
+	return f
+}
+
+func (f *fields) fail(field, what, value string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("field %s: %s %q", field, what, value)
+	}
+}
+
+func (f *fields) text(name string, required bool) string {
+	v, ok := f.pairs[name]
+	if required && (!ok || v == "") {
+		f.fail(name, "missing", v)
+	}
+	return v
+}
+
+func (f *fields) number(name string, required bool) float64 {
+	s := f.text(name, required)
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		f.fail(name, "bad number", s)
+		return 0
+	}
+	return v
+}
+
+func (f *fields) integer(name string, required bool) int {
+	s := f.text(name, required)
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.Atoi(s)
+	if err != nil {
+		f.fail(name, "bad number", s)
+	}
+	return v
+}
+
+func (f *fields) duration(name string, required bool) time.Duration {
+	ms := f.number(name, required)
+	if math.Abs(ms) > 1e12 {
+		f.fail(name, "out of range:", f.pairs[name])
+		return 0
+	}
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+func (f *fields) boolean(name string) bool {
+	switch s := f.pairs[name]; s {
+	case "", "0", "false":
+		return false
+	case "1", "true":
+		return true
+	default:
+		f.fail(name, "bad bool", s)
+		return false
+	}
+}
+
+func (f *fields) result(name string) aspenshift.Result {
+	s := f.text(name, true)
+	v, ok := results[s]
+	if !ok {
+		f.fail(name, "unknown ending", s)
+	}
+	return v
+}
+
+func (f *fields) allowance(name string) aspenshift.Allowance {
+	var a aspenshift.Allowance
+	s := f.pairs[name]
+	if s == "" || s == "-" {
+		return a
+	}
+	for _, part := range strings.Split(s, ",") {
+		key, value, ok := strings.Cut(part, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			f.fail(name, "bad load report", s)
+			return a
+		}
+		switch key {
+		case "x0":
+			a.Told, a.Left = true, v
+		case "x1":
+			a.Told, a.Rate = true, v
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,911 @@
+package aspenshift
+
+// The decision module. Its interface - settings, events, actions - is in aspenshift.go; the
+// structs that it remembers things in, and their making, are in state.go. All else is decided
+// here, in the order in which a message lives: taken, held, sent, outcome, again or answered;
+// then route health, the retry budget and pace. docs/design.md tells what comes from the design.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// The design's own figures.
+	startRatio   = 0.2  // retry budget at the start, and its cap
+	floorRatio   = 0.01 // its floor
+	adjustEvery  = time.Second
+	highFailure  = 0.3 // above this share of failures the budget halves
+	lowFailure   = 0.05
+	growth       = 0.1
+	firstBackoff = 100 * time.Millisecond
+	maxFurther   = 3   // further tries for one message
+	nearlySpent  = 0.1 // an allowance with less left than this stops further tries
+
+	// Extensions.
+	refusedBackoff = 2 * adjustEvery // first backoff after a refusal that tells no wait
+
+	enoughSeen  = 10                     // outcomes to judge a failure rate by
+	memory      = 10 * time.Second       // span over which tries are counted, and doubt fades
+	forget      = 60 * time.Second       // a route not used for so long starts afresh; losses fade over it
+	answerEarly = 15 * time.Millisecond  // held messages are answered so long before their time is up
+	keyMargin   = 300 * time.Millisecond // a keyed repeat keeps this far from the end of its window
+	guessTime   = 400 * time.Millisecond // time to answer, before any was seen
+	minPatience = 600 * time.Millisecond // no call is overdue before this
+	lateFactor  = 4                      // times the usual time: overdue if others are too
+	lostFactor  = 7                      // overdue on its own
+	minTimeout  = 1500 * time.Millisecond
+	timeFactor  = 10 // time-out of a call that may be repeated, over the usual time
+
+	idleSteps = 7 // steps of the time that a connection was idle
+	firstIdle = 250 * time.Millisecond
+	lossShare = 1.0 / 8 // weight of one call in the share lost
+	staleLoss = 0.25    // above this share, connections idle for so long are not used
+	roomCost  = 0.1     // price of a connection that idles at a target
+	tableRoom = 20.0    // connections that a small table takes: fewer senders than that can't fill it
+
+	fullsPerFail  = 2.0 // so many refusals in a row say as much of an outage as one failure
+	trialShare    = 0.5 // of what a cold route may be sent: trial calls of all senders together
+	halfFailing   = 0.5 // share of outcomes in doubt that opens a route and lets unsafe messages wait
+	firstTrial    = 300 * time.Millisecond
+	longestTrial  = 1500 * time.Millisecond
+	fewSenders    = 4.0  // so many may each make trial calls so far apart; more leave each other room
+	proofOfOutage = 3    // failures in a row, at most, that open a route; what comes back then is cold
+	goodsToClose  = 2    // good trial calls that close a route
+	warmShare     = 0.75 // of what the rule on return allows
+	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
+	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
+
+	minRate    = 1.0 // calls a second that all senders together may make at least, whatever is refused
+	leastPart  = 0.5 // of the own part: refusals don't cut the pace below
+	littleRoom = 0.2 // with less of an allowance left, a sender keeps to its fair part
+	muchRoom   = 0.7 // with more, it may use it all
+	cutTo      = 0.7 // of what was sent, after a refusal
+	paceUp     = 1.4
+	rateSpan   = 3 * time.Second
+	slotShare  = 0.5 // of the slots that one route may hold
+	fullHold   = 0.9 // of the hold: from here on the least worth is shed
+)
+
+// Step takes the clock and what happened since the last Step, and returns what to do, in order.
+func (f *Forwarder) Step(now time.Duration, events []Event) []Action {
+	f.now = max(f.now, now)
+	if f.begun == never {
+		f.begun = f.now
+	}
+	f.actions, f.next = nil, never
+	for _, e := range events {
+		switch e := e.(type) {
+		case TargetList:
+			f.list(e)
+		case Message:
+			f.take(e)
+		case Outcome:
+			f.outcome(e)
+		case Withdrawn:
+			f.withdraw(e)
+		case Woken:
+			f.wakeAt = f.now // the host may have rounded the time: ask again for what is still to come
+		}
+	}
+	f.askForList()
+	f.answerInTime()
+	f.watchCalls()
+	f.sendWaiting()
+	f.freeSlots()
+	f.setWake()
+	return f.actions
+}
+
+func (f *Forwarder) do(a Action) { f.actions = append(f.actions, a) }
+
+// before tells whether a time is still to come; the host is then asked for a Step at that time.
+func (f *Forwarder) before(t time.Duration) bool {
+	if f.now < t {
+		f.next = min(f.next, t)
+		return true
+	}
+	return false
+}
+
+// ---- The list of targets.
+
+func (f *Forwarder) list(l TargetList) {
+	if l.Scope == Unavailable {
+		f.asked = false
+		f.askAt = f.now + f.jitter(f.set.AskEvery)
+		return
+	}
+	if l.Scope != Changes { // a target missing from a whole list is gone
+		for _, t := range f.targets {
+			t.state = Gone
+		}
+	}
+	for _, e := range l.Targets {
+		t := f.target(e)
+		t.state, t.zone, t.weight = e.State, e.Zone, e.Weight
+	}
+}
+
+func (f *Forwarder) askForList() {
+	if f.set.MustAsk && !f.asked && !f.before(f.askAt) {
+		f.asked = true
+		f.do(Subscribe{})
+	}
+}
+
+// ---- A message is taken.
+
+func (f *Forwarder) take(e Message) {
+	if f.msgs[e.ID] != nil {
+		return
+	}
+	c := f.classes[e.Class]
+	if c == nil || e.Left <= 0 {
+		f.do(Refuse{Message: e.ID})
+		return
+	}
+	m := &message{id: e.ID, class: c, dest: f.destination(e.Destination), worth: c.Worth,
+		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left}
+	if f.overShare(e.Tenant) {
+		m.worth *= f.set.OverShareWorth
+	}
+	if c.KeepsOrder && e.Key != "" {
+		f.queue(m, e.Key)
+	}
+	f.msgs[m.id] = m
+	f.held = append(f.held, m)
+	for _, r := range m.dest.routes {
+		f.age(r)
+	}
+	m.dest.taken.add(f.now, forget)
+	f.hold(m)
+	f.shed()
+}
+
+// overShare tells whether a tenant has used up this forwarder's part of its quota.
+func (f *Forwarder) overShare(name string) bool {
+	t := f.tenants[name]
+	if t == nil || t.quota <= 0 {
+		return false
+	}
+	t.tokens = min(2*t.quota, t.tokens+t.quota*(f.now-t.filled).Seconds())
+	t.filled = f.now
+	if t.tokens < 1 {
+		return true
+	}
+	t.tokens--
+	return false
+}
+
+// shed makes room in an almost full hold by refusing what is worth least, so that messages
+// for destinations in trouble don't keep out those for the others.
+func (f *Forwarder) shed() {
+	if f.set.MaxHeld == 0 || float64(len(f.held)) < fullHold*float64(f.set.MaxHeld) {
+		return
+	}
+	var least *message
+	lowest := math.Inf(1)
+	for _, m := range f.held {
+		if m.out > 0 || !f.refusable(m) {
+			continue
+		}
+		wait := time.Duration(len(m.dest.waiting)) * f.usualTime(m.dest.routes)
+		v := m.worth * f.share(m, f.now+wait)
+		if v < lowest {
+			least, lowest = m, v
+		}
+	}
+	if least != nil {
+		f.answer(least)
+	}
+}
+
+// share is the share of its worth that a message has at a time.
+func (f *Forwarder) share(m *message, at time.Duration) float64 {
+	c, age := m.class, at-m.born
+	if age <= c.Aim || c.Aim <= 0 {
+		return 1
+	}
+	if age >= c.Deadline {
+		return 0
+	}
+	if f.set.Decay == Halves {
+		return max(c.LateShare, math.Pow(0.5, float64(age-c.Aim)/float64(c.Aim)))
+	}
+	return 1 - (1-c.LateShare)*float64(age-c.Aim)/float64(c.Deadline-c.Aim)
+}
+
+// ---- Sending. Free slots go in turns over the waiting destinations.
+
+func (f *Forwarder) sendWaiting() {
+	turns := slices.Clone(f.turns)
+	for len(turns) > 0 && len(f.calls) < f.set.Slots {
+		d := slices.MinFunc(turns, func(a, b *dest) int { // fewest calls out first
+			return cmp.Or(cmp.Compare(callsOut(a), callsOut(b)), cmp.Compare(a.served, b.served))
+		})
+		if f.sendOne(d) {
+			d.served = f.now
+		} else {
+			turns = without(turns, d)
+		}
+	}
+}
+
+// sendOne makes one call to a destination, if any message there may go.
+func (f *Forwarder) sendOne(d *dest) bool {
+	var ready []*route
+	for _, r := range d.routes {
+		if f.routeReady(r) {
+			ready = append(ready, r)
+		}
+	}
+	if len(ready) == 0 {
+		return false
+	}
+	trial := allOpen(ready)
+	m, to := f.choose(d, ready, trial, nil)
+	if m == nil {
+		return false
+	}
+	if f.idle(to) > 0 && f.stale(idleStep(f.now-to.used)) {
+		f.closeIdle(to)
+	}
+	c := f.startCall(to)
+	f.send(m, c)
+	for n := 1; n < to.kind.PerCall && !trial; n++ { // what goes in one turn is one call
+		if m, _ = f.choose(d, ready, trial, to); m == nil {
+			break
+		}
+		f.send(m, c)
+	}
+	f.silent(to.route) // so that a Step comes when the call is overdue
+	return true
+}
+
+// choose picks what is sent next: the message that is most urgent and the target that is best for
+// it. A trial call risks its message: the least worth goes, if it may be repeated.
+func (f *Forwarder) choose(d *dest, ready []*route, trial bool, only *target) (best *message, to *target) {
+	bestScore := math.Inf(-1)
+	for _, m := range d.waiting {
+		score := f.urgency(m)
+		if trial {
+			score = -m.worth*f.share(m, f.now) - 100*float64(m.class.Effect)
+		}
+		if score > bestScore {
+			if t := f.chooseTarget(m, ready, only); t != nil {
+				best, to, bestScore = m, t, score
+			}
+		}
+	}
+	return best, to
+}
+
+// urgency ranks messages by what they lose if they wait a little longer. Those that lose nothing
+// yet come next, by worth and then by age; those that have no more to lose come last.
+func (f *Forwarder) urgency(m *message) float64 {
+	soon := f.now + f.usualTime(m.dest.routes)
+	loss := m.worth * (f.share(m, soon) - f.share(m, soon+time.Second))
+	age := (f.now - m.born).Seconds()
+	switch {
+	case loss > 0:
+		return 1e6 * loss
+	case f.now-m.born < m.class.Aim:
+		return 1e3*m.worth + age
+	}
+	return m.worth + age/1e3
+}
+
+// routeReady is the part of the gate that is the same for all messages of a route.
+func (f *Forwarder) routeReady(r *route) bool {
+	f.adjust(r)
+	if f.before(r.told) || len(f.calls) >= f.set.Slots {
+		return false
+	}
+	if r.open {
+		return !f.before(f.nextTrial(r)) && !trialOut(r)
+	}
+	if len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))) {
+		return false
+	}
+	f.refill(r)
+	if r.tokens < 1 {
+		r.bound = true
+		f.before(r.interval + adjustEvery) // the pace may rise then
+		wait := min(memory.Seconds(), (1-r.tokens)/f.pace(r))
+		return !f.before(f.now + time.Duration(wait*float64(time.Second)))
+	}
+	return true
+}
+
+// mayGo is the part of the gate that looks at one message and one target; no send passes
+// without it.
+func (f *Forwarder) mayGo(m *message, t *target) bool {
+	r, c := t.route, m.class
+	switch {
+	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest || f.before(m.after):
+		return false
+	case f.usedUp(m), f.now >= m.ends(), m.mayRan && !repeatable(m, t):
+		return false
+	case m.line != nil && (m.line.queue[0] != m || m.tries == 0 && f.before(m.line.rests)):
+		return false
+	case m.tries > 0 && !r.open && (f.before(r.spent) || m.granted == nil && !f.budgetRoom(r)):
+		return false
+	case c.Effect == Unsafe && f.before(r.doubt.until(f.now, memory, halfFailing)):
+		return false // an unsafe message that meets doubt is lost: it waits for better times
+	case r.open && c.Effect == Unsafe && f.before(f.nextTrial(r)+longestTrial):
+		return false // trial calls are for messages that may be repeated, if there are any
+	}
+	return true
+}
+
+func (f *Forwarder) usedUp(m *message) bool {
+	return m.tries > maxFurther || f.set.MaxAttempts > 0 && m.attempts >= f.set.MaxAttempts
+}
+
+// repeatable tells whether a message that may have run may be sent to a target again in its time.
+func repeatable(m *message, t *target) bool {
+	e := m.class.Effect
+	return e == Pure || e == Keyed && (!m.class.ZoneGroup || t.zone == m.ranZone)
+}
+
+// chooseTarget picks the cheapest target that a message may go to: not one that fails while
+// others work, of the own zone where that costs less, with an idle connection, least busy. Between
+// equals chance decides, or else all senders that seldom call would call the same one.
+func (f *Forwarder) chooseTarget(m *message, ready []*route, only *target) (best *target) {
+	lowest := math.Inf(1)
+	for _, r := range ready {
+		for _, t := range r.targets {
+			if only != nil && t != only || !f.mayGo(m, t) {
+				continue
+			}
+			cost := float64(t.out) + failCost*t.failing.get(f.now, forget) + evenOut*f.rng.Float64()
+			if f.now < t.avoidTil {
+				cost += 1e6
+			}
+			if t.zone != f.set.Zone {
+				cost += 100 * f.set.CrossPrice
+			}
+			if t.kind.Apart {
+				cost += 100 * f.set.ZoneFee[t.zone]
+			}
+			if f.idle(t) == 0 {
+				cost += 0.5
+			}
+			if cost < lowest {
+				best, lowest = t, cost
+			}
+		}
+	}
+	return best
+}
+
+func (f *Forwarder) send(m *message, c *call) {
+	r := c.route
+	r.all++
+	if m.tries == 0 {
+		r.allFirst++
+		r.firsts.add(f.now, memory)
+	} else {
+		r.further.add(f.now, memory)
+	}
+	if m.granted != nil {
+		m.granted.reserved--
+		m.granted = nil
+	}
+	a := &attempt{n: m.attempts, m: m, call: c}
+	f.attempts[m.id] = append(f.attempts[m.id], a)
+	c.parts = append(c.parts, a)
+	m.attempts++
+	m.tries++
+	m.out++
+	c.left++
+	f.unhold(m)
+	f.do(Send{Message: m.id, Target: c.target.id, Timeout: f.timeout(m, c)})
+}
+
+// timeout is how long to wait for an answer: what may be repeated is given up well after its
+// usual time; what may not is lost by giving up, so it waits as long as its time lasts.
+func (f *Forwarder) timeout(m *message, c *call) time.Duration {
+	left := m.deadline - f.now
+	if m.class.Effect == Unsafe {
+		return left
+	}
+	own := time.Duration(f.pacing(m.class) * float64(f.usualTime(m.dest.routes)))
+	return min(left, max(minTimeout, timeFactor*own))
+}
+
+func (f *Forwarder) usualTime(routes []*route) (t time.Duration) {
+	for _, r := range routes {
+		t = max(t, r.mean)
+	}
+	if t == 0 {
+		return guessTime
+	}
+	return t
+}
+
+// ---- Outcomes.
+
+func (f *Forwarder) outcome(o Outcome) {
+	a := f.takeAttempt(o)
+	if a == nil {
+		return
+	}
+	m, r := a.m, a.call.route
+	r.told = max(r.told, f.now+o.Wait) // told to any one message of a call, it holds all
+	m.out--
+	a.call.left--
+	last := a.call.left == 0
+	if last {
+		r.calls = without(r.calls, a.call)
+		f.calls = without(f.calls, a.call)
+		a.call.target.out--
+	}
+	if o.Result == NotSent {
+		m.tries--
+	} else if last {
+		f.learn(r, a.call, o)
+	}
+	f.leave(a.call.target)
+	doubtful := o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled
+	if doubtful && m.line != nil {
+		m.line.rests = max(m.line.rests, f.now+f.set.KeyRest)
+	}
+	if (doubtful || o.Result == Errored || o.Result == Done) && !m.mayRan {
+		m.mayRan, m.ranZone, m.ranSent = true, a.call.target.zone, a.call.sent
+	}
+	if o.Over || m.over {
+		f.forget(m)
+		return
+	}
+	f.again(m, r, o)
+}
+
+// again decides whether a message whose attempt failed waits for a further try or is answered.
+func (f *Forwarder) again(m *message, r *route, o Outcome) {
+	notSent := o.Result == NotSent
+	if f.usedUp(m) || m.mayRan && m.class.Effect == Unsafe || f.now >= m.ends() {
+		f.answer(m)
+		return
+	}
+	// On an open route nothing but trial calls is sent, so there is nothing to budget: the
+	// message is held like the first tries there, and asks again when it is to go.
+	if !notSent && !r.open {
+		if !f.budgetRoom(r) {
+			f.answer(m)
+			return
+		}
+		m.granted = r
+		r.reserved++
+	}
+	first := firstBackoff
+	if o.Result == Full && o.Wait == 0 { // it is full now, and still will be in a tenth of a second
+		first = refusedBackoff
+	}
+	if !notSent {
+		m.after = f.now + f.jitter(first<<max(0, m.tries-1))
+	}
+	f.hold(m)
+}
+
+// ---- Final answers.
+
+// ends is when a message that waits must be answered: its time, or that for a keyed repeat, is up.
+func (m *message) ends() time.Duration {
+	if m.mayRan && m.class.Effect == Keyed {
+		return min(m.deadline-answerEarly, m.ranSent+m.class.Window-keyMargin)
+	}
+	return m.deadline - answerEarly
+}
+
+func (f *Forwarder) answerInTime() {
+	if f.before(f.due) {
+		return
+	}
+	f.due = never
+	for _, m := range slices.Clone(f.held) {
+		if m.out == 0 && f.now >= m.ends() { // with an attempt out, its time-out comes first
+			f.answer(m)
+		} else if m.out == 0 {
+			f.due = min(f.due, m.ends())
+		}
+	}
+	f.before(f.due)
+}
+
+// refusable tells whether the client may be told that handing the message in again is harmless.
+func (f *Forwarder) refusable(m *message) bool {
+	if !m.mayRan && m.out == 0 || m.class.Effect == Pure {
+		return true
+	}
+	return m.class.Effect == Keyed && !m.class.ZoneGroup
+}
+
+// answer gives the one final answer.
+func (f *Forwarder) answer(m *message) {
+	if f.refusable(m) {
+		f.do(Refuse{Message: m.id, Wait: f.advice(m.dest)})
+	} else {
+		f.do(Fail{Message: m.id})
+	}
+	f.forget(m)
+}
+
+// advice is how long a client should stay away: until a told wait or the next trial is over.
+func (f *Forwarder) advice(d *dest) time.Duration {
+	wait := f.set.AdviceLimit
+	for _, r := range d.routes {
+		w := max(0, r.told-f.now)
+		if r.open {
+			w = max(w, f.nextTrial(r)-f.now)
+		}
+		wait = min(wait, w)
+	}
+	return wait
+}
+
+// ---- Route health.
+
+// learn takes what the outcome of a call tells of its route and target.
+func (f *Forwarder) learn(r *route, c *call, o Outcome) {
+	if o.Result == Reset || o.Result == TimedOut {
+		f.noteLoss(c)
+	} else if !c.missed && o.Result != ConnectFailed {
+		f.idleLoss[c.idle].put(f.now, forget, lossShare, 0)
+	}
+	good := o.Result == Done
+	if o.Result == Cancelled {
+		return
+	}
+	if o.Allowance.Told {
+		r.limit, r.heard = o.Allowance.Rate, f.now
+		r.room = min(1, max(0, (o.Allowance.Left-littleRoom)/(muchRoom-littleRoom)))
+		r.spent = 0
+		if o.Allowance.Rate > 0 && o.Allowance.Left < nearlySpent {
+			r.spent = f.now + rateSpan
+		}
+	}
+	f.adjust(r)
+	r.seen++
+	doubtful := share(!good && o.Result != Full && o.Result != ConnectFailed)
+	r.doubt.put(f.now, memory, 0.2, doubtful)
+	if o.Result != TimedOut { // that is the route's trouble more often than the endpoint's
+		c.target.failing.put(f.now, forget, lossShare, doubtful)
+	}
+	if good {
+		f.learnGood(r, c, o.Took)
+		return
+	}
+	r.bad++
+	if r.fails == 0 {
+		r.failing = c.sent
+	}
+	r.fails++
+	if c.sent > r.okSent {
+		r.proof++
+	}
+	if o.Result == ConnectFailed {
+		c.target.conns = c.target.out
+	}
+	if f.targetAlone(r, c.target, o.Result) {
+		return
+	}
+	if c.trial || r.open {
+		f.trialFailed(r)
+		return
+	}
+	switch {
+	case o.Wait > 0 && o.Wait >= f.set.Fall && f.set.Fall > 0:
+		f.openRoute(r, "shut")
+	case float64(r.fails) >= fullsPerFail*f.proof(r), o.Result != Full && float64(r.fails) >= f.proof(r):
+		f.openRoute(r, "failing")
+	case r.doubt.get(f.now, memory) > halfFailing:
+		r.cold = true // that some are answered makes it no less of an outage
+		f.openRoute(r, "half failing")
+	case o.Result == Full:
+		f.refusedAtPace(r)
+	}
+}
+
+func (f *Forwarder) learnGood(r *route, c *call, took time.Duration) {
+	r.good++
+	r.oks.add(f.now, memory)
+	r.fails = 0
+	c.target.failed, c.target.avoidTil = 0, 0
+	r.lastOK, r.okSent = f.now, max(r.okSent, c.sent)
+	if !r.open {
+		r.proof = 0
+	}
+	for _, a := range c.parts {
+		p := f.pacing(a.m.class)
+		if r.mean > 0 {
+			p += (min(lateFactor, float64(took)/float64(r.mean)) - p) / 64
+		}
+		f.longer[a.m.class] = p
+	}
+	if r.mean == 0 {
+		r.mean = took
+	} else {
+		r.mean += (took - r.mean) / 8
+	}
+	if !r.open {
+		return
+	}
+	if c.trial {
+		r.goods++
+		r.tried, r.draw = f.now, 0
+	}
+	if !r.cold || r.goods >= goodsToClose { // calls lost one by one, or late, were no outage
+		f.closeRoute(r)
+	}
+}
+
+// proof is how many calls in a row without a good answer make an outage: half as many as were
+// answered well of late, and one more. A sender that seldom calls a route can't wait for many.
+func (f *Forwarder) proof(r *route) float64 {
+	return min(proofOfOutage, 1+r.oks.get(f.now, memory)/2)
+}
+
+// targetAlone tells whether one target fails while others of its route work: then it is
+// avoided for a while, and the route is not judged by it.
+func (f *Forwarder) targetAlone(r *route, t *target, res Result) bool {
+	t.failed++
+	if res == Full || t.failed < 2 {
+		return false
+	}
+	for _, other := range r.targets {
+		if other != t && other.state == Active && other.failed == 0 && r.lastOK > f.now-memory && !r.open {
+			t.avoidTil = f.now + min(firstTrial<<min(t.failed, 4), 4*longestTrial)
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Forwarder) openRoute(r *route, why string) {
+	r.open, r.why, r.warming = true, why, false
+	if r.gap == 0 || f.now-r.closed > memory { // soon after the last time it goes on where it was
+		r.gap = firstTrial / 2
+	}
+	if r.fails == 0 {
+		r.failing = f.now
+	}
+	f.trialFailed(r)
+	for _, t := range r.targets {
+		if t.state == Active && t.conns > t.out { // a new connection tells a dead target from a busy one
+			f.closeIdle(t)
+		}
+	}
+}
+
+func (f *Forwarder) trialFailed(r *route) {
+	r.gap = min(2*r.gap, longestTrial)
+	r.cold = r.cold || float64(r.proof) >= f.proof(r)
+	r.goods, r.tried, r.draw = 0, f.now, 0.5+f.rng.Float64()
+}
+
+// nextTrial is when an open route may get its next trial call. All who hold messages for it try it:
+// so that together they don't push it over on its return, each tries as often as its own messages have
+// come since the outage began, times the part of its capacity that a cold route may be sent in trials.
+// The same goes from the end of a told wait on: all were told the same.
+func (f *Forwarder) nextTrial(r *route) time.Duration {
+	cold := max(trialShare*f.set.TipMultiple*f.set.StartCapacity, floorRatio)
+	from := max(r.tried, r.told)
+	own := float64(from-r.failing) / (cold * float64(max(1, len(r.dest.waiting))))
+	gap := max(float64(r.gap), min(own, float64(longestTrial)*float64(f.set.Forwarders)/fewSenders))
+	return from + time.Duration(r.draw*gap)
+}
+
+func (f *Forwarder) closeRoute(r *route) {
+	r.open, r.why, r.fails, r.closed = false, "", 0, f.now
+	r.doubt.value = 0
+	r.warming, r.warm0, r.cold = r.cold, f.now, false
+	r.tokens, r.filled, r.cutAt = 0, f.now, f.now
+}
+
+// age starts a quiet entry afresh, but never a wait or an outage.
+func (f *Forwarder) age(r *route) {
+	idle := len(r.calls) == 0 && len(r.dest.waiting) == 0 && !r.open && f.now >= r.told
+	if idle && f.now-r.touched > forget {
+		targets := r.targets
+		*r = *f.freshRoute(r.name, r.dest)
+		r.targets = targets
+	}
+}
+
+// watchCalls looks for what no outcome tells: silence.
+func (f *Forwarder) watchCalls() {
+	for _, c := range f.calls {
+		if r := c.route; c == r.calls[0] && !r.open && f.silent(r) {
+			f.openRoute(r, "silent")
+		}
+	}
+}
+
+// silent tells whether calls are out for far longer than usual while none sent later came back.
+func (f *Forwarder) silent(r *route) bool {
+	usual := f.usualTime([]*route{r})
+	late, overdue := 0, 0
+	for _, c := range r.calls {
+		if f.before(c.sent + max(minPatience, lateFactor*usual)) {
+			continue
+		}
+		f.noteLoss(c)
+		if c.sent <= r.okSent {
+			continue // a later call was answered: this one is lost or slow, the route is not silent
+		}
+		late++
+		overdue++
+		if !f.before(c.sent + max(2*minPatience, lostFactor*usual)) {
+			late++
+		}
+	}
+	if late >= 2 {
+		r.proof = max(r.proof, overdue)
+	}
+	return late >= 2
+}
+
+// leave closes the idle connections to a target unless the new ones that they are likely to save
+// are worth the room that they take there: idle ones of very many senders fill a target's table.
+func (f *Forwarder) leave(t *target) {
+	room := roomCost * min(1, float64(f.set.Forwarders)/tableRoom)
+	saved := f.set.ConnectPrice * t.uses.get(f.now, max(f.set.ConnIdle, 1))
+	if saved < room && f.idle(t) > 0 && len(t.route.dest.waiting) == 0 {
+		f.closeIdle(t)
+	}
+}
+
+// stale tells whether connections idle for so long have been losing calls that newer ones don't:
+// something on the way has forgotten them. They are closed before a send, at the price of a new one.
+func (f *Forwarder) stale(step int) bool {
+	fresh := f.idleLoss[0].get(f.now, forget)
+	for s := 1; s <= step; s++ {
+		if loss := f.idleLoss[s].get(f.now, forget); loss > staleLoss && loss > 2*fresh {
+			return true
+		}
+	}
+	return false
+}
+
+// patience is how long a call is left out when slots are short. What could not be refused after
+// that is given longer, but a keyed message is left time for a repeat within its window.
+func (f *Forwarder) patience(m *message, usual time.Duration) time.Duration {
+	own := time.Duration(float64(usual) * f.pacing(m.class))
+	short, long := lateFactor*own, max(2*minPatience, lostFactor*own)
+	switch {
+	case m.class.Effect == Unsafe:
+		return long
+	case m.class.Effect == Keyed && m.class.ZoneGroup:
+		return max(short, min(long, m.class.Window/4))
+	}
+	return short
+}
+
+// freeSlots calls off the call that is most overdue when slots run out, so that calls that were
+// swallowed don't keep out the others. A call with a message that may not be repeated is given
+// longer, since that message is lost.
+func (f *Forwarder) freeSlots() {
+	if !f.set.MayCancel || len(f.calls) < f.set.Slots {
+		return
+	}
+	var worst *call
+	most := 1.0
+	for _, c := range f.calls {
+		usual, limit := f.usualTime(c.route.dest.routes), minPatience
+		for _, a := range c.parts {
+			limit = max(limit, f.patience(a.m, usual))
+		}
+		over := float64(f.now-c.sent) / float64(limit)
+		if !c.called && !f.before(c.sent+limit) && over >= most {
+			worst, most = c, over
+		}
+	}
+	if worst != nil {
+		worst.called = true
+		for _, a := range worst.parts {
+			f.do(Cancel{Message: a.m.id, Attempt: a.n})
+		}
+	}
+}
+
+// ---- The retry budget.
+
+// adjust closes an interval that is over: the budget halves when many fail, and grows when few do. An
+// interval with too few outcomes to judge by goes on: else the budget lurches where a route is
+// called only a few times a second.
+func (f *Forwarder) adjust(r *route) {
+	if f.now-r.interval < adjustEvery {
+		return
+	}
+	if r.bound && r.fulls == 0 && r.good > 0 && !r.open && !r.warming {
+		r.rate *= paceUp
+	}
+	r.fulls, r.good, r.bound, r.interval = 0, 0, false, f.now
+	if r.seen < enoughSeen {
+		return
+	}
+	switch rate := float64(r.bad) / float64(r.seen); {
+	case rate > highFailure:
+		r.ratio = max(floorRatio, r.ratio/2)
+	case rate < lowFailure:
+		r.ratio = min(startRatio, r.ratio*(1+growth))
+	}
+	r.seen, r.bad = 0, 0
+}
+
+// budgetRoom tells whether one more further try fits the budget: those of the last seconds, and
+// those granted, stay under the ratio of the first tries. One is in hand where none was made.
+func (f *Forwarder) budgetRoom(r *route) bool {
+	return r.further.get(f.now, memory)+float64(r.reserved) <= r.ratio*r.firsts.get(f.now, memory)
+}
+
+// ---- Pace.
+
+// pace is the rate in calls a second at which this sender may call a route.
+func (f *Forwarder) pace(r *route) float64 {
+	p := r.rate
+	if fair := f.fairPart(r); fair > 0 { // more than the own part only while others leave room
+		old := min(1, (f.now-r.heard).Seconds()/rateSpan.Seconds())
+		room := r.room + (1-r.room)*old // what was told a while ago says little of now
+		p = min(p, max(f.part(r), fair*float64(f.set.Forwarders)*room))
+	}
+	r.warming = r.warming && f.now-r.warm0 < f.set.Cold
+	if r.warming {
+		t := float64(f.now-r.warm0) / float64(f.set.Cold)
+		present := f.set.StartCapacity + (1-f.set.StartCapacity)*t
+		p = min(p, warmShare*f.set.TipMultiple*present*f.part(r))
+	}
+	return p
+}
+
+// part is this sender's part of what a route can take, as far as it knows: its equal part, or the
+// part that its own messages make up, over the last minute.
+func (f *Forwarder) part(r *route) float64 {
+	span := min(forget, max(f.now-f.begun, rateSpan))
+	own := r.dest.taken.get(f.now, forget) / span.Seconds() / float64(len(r.dest.routes))
+	return max(f.fairPart(r), own)
+}
+
+// fairPart is an equal part of the limit of a route, where that is told; else 0.
+func (f *Forwarder) fairPart(r *route) float64 {
+	w := r.limit
+	if w <= 0 && f.set.Weights == ExactWeights {
+		w = f.weight(r)
+	}
+	return w / float64(f.set.Forwarders)
+}
+
+func (f *Forwarder) refill(r *route) {
+	p := f.pace(r)
+	if math.IsInf(p, 1) {
+		r.tokens = 1e9
+	} else {
+		r.tokens = min(1, r.tokens+p*(f.now-r.filled).Seconds())
+	}
+	r.filled = f.now
+}
+
+// refusedAtPace slows a route down after a refusal, once for each lot of refusals.
+func (f *Forwarder) refusedAtPace(r *route) {
+	r.fulls++
+	if f.now < r.cutAt {
+		return
+	}
+	r.cutAt = f.now + adjustEvery
+	sent := r.sent.get(f.now, rateSpan) / rateSpan.Seconds()
+	r.rate = max(minRate/float64(f.set.Forwarders), leastPart*f.part(r), min(r.rate, sent)*cutTo)
+}
+
+// ---- For the host.
+
+// setWake asks for a Step when the next thing falls due, unless one is coming before that.
+func (f *Forwarder) setWake() {
+	if f.next < never && (f.wakeAt <= f.now || f.next < f.wakeAt) {
+		f.wakeAt = f.next
+		f.do(Wake{After: f.next - f.now})
+	}
+}
--- /dev/null
+++ b/policy_test.go
@@ -0,0 +1,543 @@
+package aspenshift
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// testSettings are made up for the tests.
+func testSettings() Settings {
+	return Settings{
+		Seed: 7, Slots: 10, MaxHeld: 100, MaxAttempts: 6, MayCancel: true, Forwarders: 2, Zone: "a",
+		Classes: []Class{
+			{Name: "pure", Effect: Pure, Aim: time.Second, Deadline: 10 * time.Second, Worth: 1, LateShare: .4},
+			{Name: "unsafe", Effect: Unsafe, Aim: time.Second, Deadline: 10 * time.Second, Worth: 3, LateShare: .4},
+			{Name: "keyed", Effect: Keyed, ZoneGroup: true, Window: 3 * time.Second, Aim: time.Second,
+				Deadline: 10 * time.Second, Worth: 1, LateShare: .4, KeepsOrder: true},
+		},
+		Kinds:        []Kind{{Name: "plain", PerCall: 1}, {Name: "apart", Apart: true, PerCall: 3}},
+		ConnectPrice: .06, ConnIdle: 10 * time.Second, ConnectLimit: time.Second, AdviceLimit: 2 * time.Second,
+		Slack: 20 * ms, DrainGrace: time.Second, KeyRest: 100 * ms,
+		StartCapacity: .2, Cold: 10 * time.Second, TipMultiple: 2, Fall: 3 * time.Second,
+	}
+}
+
+func newForwarder(t *testing.T, targets ...Target) *Forwarder {
+	t.Helper()
+	f, err := New(testSettings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Step(0, []Event{TargetList{Scope: Restored, Targets: targets}})
+	return f
+}
+
+func plain(id string) Target { return Target{ID: id, Destination: 1, Kind: "plain", Zone: "a"} }
+
+func msg(id, class, key string) Message {
+	return Message{ID: id, Class: class, Destination: 1, Key: key, Left: 10 * time.Second}
+}
+
+func sends(actions []Action) (ids []string) {
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			ids = append(ids, s.Message)
+		}
+	}
+	return ids
+}
+
+func TestPolicyFits(t *testing.T) {
+	file, err := os.Open("policy.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	lines := 0
+	for s := bufio.NewScanner(file); s.Scan(); {
+		if strings.TrimSpace(s.Text()) != "" {
+			lines++
+		}
+		if n := len(strings.ReplaceAll(s.Text(), "\t", "    ")); n > 110 {
+			t.Errorf("%d characters: %s", n, s.Text())
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines that are not blank, 850 allowed", lines)
+	}
+}
+
+func TestToldWaitHoldsAll(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	if got := sends(f.Step(0, []Event{msg("m1", "pure", "")})); len(got) != 1 {
+		t.Fatalf("sent %v", got)
+	}
+	f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: Full, Wait: 500 * ms}})
+	for at := 100 * ms; at < 600*ms; at += 20 * ms {
+		if got := sends(f.Step(at, []Event{msg("n"+at.String(), "unsafe", "")})); len(got) > 0 {
+			t.Fatalf("sent %v at %v", got, at)
+		}
+	}
+	if got := sends(f.Step(600*ms, nil)); len(got) == 0 {
+		t.Error("nothing sent at the end of the wait")
+	}
+}
+
+func TestOneKeyAtATimeAndRest(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	f.order[0].routes[0].oks.value = 9 // one time-out must not open the route
+	got := sends(f.Step(0, []Event{msg("m1", "keyed", "k"), msg("m2", "keyed", "k"), msg("m3", "keyed", "j")}))
+	if strings.Join(got, " ") != "m1 m3" {
+		t.Fatalf("sent %v", got)
+	}
+	f.Step(50*ms, []Event{Withdrawn{"m1"}})
+	if got := sends(f.Step(60*ms, nil)); len(got) > 0 {
+		t.Fatalf("sent %v while an attempt of the key was out", got)
+	}
+	f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: TimedOut, Over: true}})
+	if got := sends(f.Step(199*ms, nil)); len(got) > 0 {
+		t.Fatalf("sent %v while the key rested", got)
+	}
+	if got := sends(f.Step(200*ms, nil)); len(got) != 1 {
+		t.Errorf("sent %v after the rest", got)
+	}
+}
+
+func TestUnsafeDoubtIsFailed(t *testing.T) {
+	for _, result := range []Result{Errored, TimedOut, Reset} {
+		f := newForwarder(t, plain("x"))
+		f.Step(0, []Event{msg("m1", "unsafe", "")})
+		got := f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: result}})
+		if !slices.Contains(got, Action(Fail{"m1"})) {
+			t.Errorf("result %v: %v", result, got)
+		}
+	}
+}
+
+func TestDrainingGetsNothing(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	x := plain("x")
+	x.State = Draining
+	got := f.Step(0, []Event{TargetList{Scope: Changes, Targets: []Target{x}}, msg("m1", "pure", "")})
+	if s := sends(got); len(s) > 0 {
+		t.Errorf("sent %v", s)
+	}
+}
+
+// A call of several messages may end for one of them first; a wait told then holds the route.
+func TestWaitToldWithinSharedCall(t *testing.T) {
+	x := Target{ID: "x", Destination: 1, Kind: "apart", Zone: "a"}
+	f := newForwarder(t, x)
+	if got := sends(f.Step(0, []Event{msg("m1", "pure", ""), msg("m2", "pure", "")})); len(got) != 2 {
+		t.Fatalf("sent %v", got)
+	}
+	f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: Full, Wait: time.Second}})
+	f.Step(110*ms, []Event{Outcome{Message: "m2", Target: "x", Result: TimedOut}})
+	if got := sends(f.Step(500*ms, []Event{msg("m3", "pure", "")})); len(got) > 0 {
+		t.Errorf("sent %v during the wait", got)
+	}
+}
+
+// A call lost while later ones are answered says nothing of its route (incident 001).
+func TestLostCallDoesNotOpenRoute(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	f.Step(0, []Event{msg("lost", "pure", "")})
+	f.Step(100*ms, []Event{msg("m2", "pure", "")})
+	f.Step(300*ms, []Event{Outcome{Message: "m2", Target: "x", Result: Done, Took: 200 * ms, Over: true}})
+	f.Step(1400*ms, nil)
+	if r := f.Routes()[0]; r.Open {
+		t.Errorf("route is held as %q", r.Why)
+	}
+	if got := sends(f.Step(3*time.Second, []Event{msg("m3", "pure", "")})); len(got) != 1 {
+		t.Errorf("sent %v", got)
+	}
+}
+
+// Swallowed calls must not keep all slots (incident 001).
+func TestOverdueCallFreesSlot(t *testing.T) {
+	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"},
+		Target{ID: "z", Destination: 3, Kind: "plain", Zone: "a"})
+	var events []Event
+	for i := range 5 {
+		for d := 1; d <= 2; d++ {
+			m := msg("m"+string(rune('0'+i))+string(rune('0'+d)), "unsafe", "")
+			m.Destination = d
+			events = append(events, m)
+		}
+	}
+	if got := sends(f.Step(0, events)); len(got) != 10 {
+		t.Fatalf("sent %v", got)
+	}
+	m := msg("m", "pure", "")
+	m.Destination = 3
+	cancels := 0
+	for _, a := range f.Step(4*time.Second, []Event{m}) {
+		if _, ok := a.(Cancel); ok {
+			cancels++
+		}
+	}
+	if cancels != 1 {
+		t.Errorf("%d calls called off, 1 wanted", cancels)
+	}
+}
+
+// Two outcomes a second say little: the budget must not lurch on them (incident 003).
+func TestBudgetJudgesFromEnoughOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		seen, bad  int
+		start, end float64
+	}{
+		{"too few", 3, 2, .2, .2},
+		{"many fail", 10, 4, .2, .1},
+		{"floor", 10, 10, .012, .01},
+		{"between", 10, 2, .1, .1},
+		{"few fail", 40, 1, .1, .11},
+		{"cap", 40, 0, .19, .2},
+	} {
+		f := newForwarder(t, plain("x"))
+		r := f.order[0].routes[0]
+		r.seen, r.bad, r.ratio = c.seen, c.bad, c.start
+		f.Step(time.Second, nil)
+		f.adjust(r)
+		if d := r.ratio - c.end; d > 1e-9 || d < -1e-9 {
+			t.Errorf("%s: %v, want %v", c.name, r.ratio, c.end)
+		}
+	}
+}
+
+// Calls on connections that were idle for long go unanswered, those on new ones do not: idle
+// connections are then closed before a send (incident 004).
+func TestStaleConnectionsAreClosed(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	now, open := time.Duration(0), false // open: the one connection that an idle one would be
+	step := func(at time.Duration, events ...Event) {
+		for _, a := range f.Step(at, events) {
+			if _, ok := a.(CloseIdle); ok {
+				open = false
+			}
+		}
+	}
+	for i := range 24 { // at this pace a few losses open the route, and its trials use new connections
+		id := "m" + time.Duration(i).String()
+		step(now, msg(id, "pure", ""))
+		if open {
+			step(now + 900*ms)
+			step(now+1500*ms, Outcome{Message: id, Target: "x", Result: TimedOut}, Withdrawn{id})
+		} else {
+			step(now+100*ms, Outcome{Message: id, Target: "x", Result: Done, Took: 100 * ms, Over: true})
+		}
+		open = true
+		now += 4 * time.Second
+	}
+	if !f.stale(idleStep(4 * time.Second)) {
+		t.Error("connections idle for 4 s are still trusted")
+	}
+	if f.stale(idleStep(100 * ms)) {
+		t.Error("connections used just now are not trusted")
+	}
+}
+
+// One endpoint resets calls now and then, the other does not: the other is preferred (incident 005).
+func TestPrefersEndpointThatFailsLess(t *testing.T) {
+	f := newForwarder(t, plain("x"), plain("y"))
+	now := time.Duration(0)
+	last := map[string]int{}
+	for i := range 60 {
+		id := "m" + time.Duration(i).String()
+		for _, a := range f.Step(now, []Event{msg(id, "pure", "")}) {
+			if s, ok := a.(Send); ok && s.Message == id {
+				o := Outcome{Message: id, Target: s.Target, Result: Done, Took: 50 * ms, Over: true}
+				if s.Target == "x" && i%4 == 1 {
+					o.Result, o.Over = Reset, false
+				}
+				f.Step(now+50*ms, []Event{o, Withdrawn{id}})
+				if i >= 40 {
+					last[s.Target]++
+				}
+			}
+		}
+		now += 300 * ms
+	}
+	if last["y"] < 10 || last["y"] < 3*last["x"] {
+		t.Errorf("sends of the last third: %v", last)
+	}
+}
+
+// When slots are short, a keyed call that could not be refused after it is left out longer than a
+// safe one, yet leaves time for a repeat in its window.
+func TestPatience(t *testing.T) {
+	f := newForwarder(t)
+	usual := 250 * ms
+	for _, c := range []struct {
+		class  string
+		window time.Duration
+		want   time.Duration
+	}{{"pure", 0, 1000 * ms}, {"unsafe", 0, 1750 * ms}, {"keyed", 20 * time.Second, 1750 * ms}, {"keyed", 5 * time.Second, 1250 * ms}} {
+		class := *f.classes[c.class]
+		class.Window = c.window
+		if got := f.patience(&message{class: &class}, usual); got != c.want {
+			t.Errorf("%s, window %v: %v, want %v", c.class, c.window, got, c.want)
+		}
+	}
+}
+
+// A quiet route starts afresh, but a told wait outlives its quiet: ageing out must not end it.
+func TestAgeingOutKeepsWait(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	f.Step(0, []Event{msg("m1", "pure", "")})
+	f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: Full, Wait: 2 * time.Minute}, Withdrawn{"m1"}})
+	f.Step(61*time.Second, nil)
+	f.Step(62*time.Second, nil)
+	if got := sends(f.Step(63*time.Second, []Event{msg("m2", "pure", "")})); len(got) > 0 {
+		t.Errorf("sent %v during the wait", got)
+	}
+}
+
+// What is woken for is what falls due next, not a fixed poll, and a Step scans no quiet route.
+func TestWakesForWhatFallsDue(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	f.Step(0, []Event{msg("m1", "pure", "")})
+	got := f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: Full, Wait: 700 * ms}})
+	if !slices.Contains(got, Action(Wake{700 * ms})) {
+		t.Errorf("got %v, want one wake at the end of the told wait", got)
+	}
+}
+
+// BenchmarkStep reports how many Steps a held message costs and the time of a Step with many
+// listed routes and held messages.
+func BenchmarkStep(b *testing.B) {
+	for _, routes := range []int{10, 1000} {
+		for _, held := range []int{1, 100} {
+			b.Run(fmt.Sprintf("routes=%d/held=%d", routes, held), func(b *testing.B) {
+				s := testSettings()
+				s.Slots, s.MaxHeld = 1, 0
+				f, _ := New(s)
+				var list []Target
+				for i := range routes {
+					list = append(list, Target{ID: fmt.Sprint("t", i), Destination: i, Kind: "plain", Zone: "a"})
+				}
+				events := []Event{TargetList{Scope: Whole, Targets: list}}
+				for i := range held {
+					m := msg(fmt.Sprint("m", i), "pure", "")
+					m.Destination, m.Left = i%routes, 10*time.Second
+					events = append(events, m)
+				}
+				f.Step(0, events)
+				now := time.Duration(0)
+				b.ResetTimer()
+				for range b.N {
+					now += time.Nanosecond
+					f.Step(now, []Event{Woken{}})
+				}
+			})
+		}
+	}
+}
+
+// All who saw a partner fail try it again: the more of them there are, and the fewer messages each
+// has for it, the rarer its trial calls. A single refused connection is enough to hold a route of
+// which nothing good was heard lately.
+func TestTrialCallsOfManyAreRare(t *testing.T) {
+	for _, c := range []struct {
+		forwarders, waiting, most int
+	}{{2, 1, 20}, {500, 1, 5}, {500, 20, 20}} {
+		f := newForwarder(t, plain("x"))
+		f.set.Forwarders = c.forwarders
+		sent, now := 0, time.Duration(0)
+		var events []Event
+		for i := range c.waiting {
+			events = append(events, Message{ID: fmt.Sprint("m", i), Class: "pure", Destination: 1, Left: 10 * time.Second})
+		}
+		for ; now < 9*time.Second; now += 5 * ms {
+			var failed []Event
+			for _, a := range f.Step(now, events) {
+				if s, ok := a.(Send); ok {
+					sent++
+					n := f.msgs[s.Message].attempts - 1
+					failed = append(failed, Outcome{Message: s.Message, Attempt: n, Target: "x", Result: ConnectFailed})
+				}
+			}
+			if events = failed; now == 5*ms && !f.Routes()[0].Open {
+				t.Errorf("%+v: the route was not opened", c)
+			}
+		}
+		if sent > c.most || sent < 2 {
+			t.Errorf("%+v: %d calls", c, sent)
+		}
+	}
+}
+
+// Very many senders that each leave an idle connection behind fill a partner's table: a connection
+// is kept only if it is used so often that the new ones saved are worth its room.
+func TestSeldomUsedConnectionsAreClosed(t *testing.T) {
+	for _, c := range []struct {
+		forwarders int
+		price      float64
+		every      time.Duration
+		kept       bool
+	}{
+		{100, .06, 20 * time.Second, false}, {100, .06, 3 * time.Second, true}, {100, .02, 3 * time.Second, false},
+		{100, .02, 500 * ms, true}, {3, .02, 3 * time.Second, true},
+	} {
+		f := newForwarder(t, plain("x"))
+		f.set.ConnectPrice, f.set.Forwarders = c.price, c.forwarders
+		now, kept := time.Duration(0), false
+		for i := range 30 {
+			id := fmt.Sprint("m", i)
+			f.Step(now, []Event{msg(id, "pure", "")})
+			done := Outcome{Message: id, Target: "x", Result: Done, Took: 50 * ms, Over: true}
+			kept = !slices.Contains(f.Step(now+50*ms, []Event{done}), Action(CloseIdle{"x"}))
+			now += c.every
+		}
+		if kept != c.kept {
+			t.Errorf("%+v: kept %v", c, kept)
+		}
+	}
+}
+
+// A sender that seldom calls a route must not keep to next to nothing, nor withhold further tries,
+// because its last answer, some time ago, told of little room.
+func TestToldRoomAges(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	f.set.Forwarders = 500
+	f.Step(0, []Event{msg("m1", "pure", "")})
+	f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: Done, Took: 100 * ms, Over: true,
+		Allowance: Allowance{Told: true, Rate: 6, Left: .01}}})
+	for _, at := range []time.Duration{4 * time.Second, 4200 * ms} {
+		if got := sends(f.Step(at, []Event{msg("m"+at.String(), "pure", "")})); len(got) != 1 {
+			t.Errorf("%v: sent %v", at, got)
+		}
+	}
+}
+
+// A host that rounds the time of a Wake down wakes a little early: what falls due a moment later,
+// here the answer that rule 1 asks for, must not be left to the next event.
+func TestWokenALittleEarlyAsksAgain(t *testing.T) {
+	f := newForwarder(t)
+	m := msg("m1", "pure", "")
+	m.Left += 300 * time.Nanosecond
+	got := f.Step(0, []Event{m})
+	due := got[len(got)-1].(Wake).After
+	got = f.Step(due-300*time.Nanosecond, []Event{Woken{}})
+	if !slices.Contains(got, Action(Wake{300})) {
+		t.Errorf("got %v, want a wake for the rest", got)
+	}
+}
+
+// Senders that seldom call find all endpoints of a partner equal: together they must not all call the
+// one that is listed first.
+func TestSendersSpreadOverEqualEndpoints(t *testing.T) {
+	calls := map[string]int{}
+	for seed := range uint64(60) {
+		s := testSettings()
+		s.Seed = seed
+		f, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range f.Step(0, []Event{TargetList{Targets: []Target{plain("x"), plain("y"), plain("z")}}, msg("m", "pure", "")}) {
+			if send, ok := a.(Send); ok {
+				calls[send.Target]++
+			}
+		}
+	}
+	if calls["x"] < 10 || calls["y"] < 10 || calls["z"] < 10 {
+		t.Errorf("calls %v", calls)
+	}
+}
+
+// A partner that failed half of the calls comes back as cold as one that failed all: a good trial
+// call must not end the outage at once, without the slow return.
+func TestHalfFailingIsFollowedBySlowReturn(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	now := time.Duration(0)
+	for i := 0; i < 60 && !f.Routes()[0].Open; i++ {
+		id := fmt.Sprint("m", i)
+		if len(sends(f.Step(now, []Event{msg(id, "pure", "")}))) == 1 {
+			result := Done
+			if i >= 15 && i%3 > 0 { // never three in a row
+				result = Errored
+			}
+			f.Step(now+50*ms, []Event{Outcome{Message: id, Target: "x", Result: result, Over: result == Done}, Withdrawn{id}})
+		}
+		now += 200 * ms
+	}
+	r := f.order[0].routes[0]
+	if r.why != "half failing" {
+		t.Fatalf("the route is held as %q", r.why)
+	}
+	for i := 0; i < 20 && r.open; i++ {
+		id := fmt.Sprint("t", i)
+		now += time.Second
+		f.Step(now, []Event{msg(id, "pure", "")})
+		f.Step(now+50*ms, []Event{Outcome{Message: id, Target: "x", Result: Done, Took: 50 * ms, Over: true}})
+	}
+	if r.open || !r.warming {
+		t.Errorf("open %v, slow return %v", r.open, r.warming)
+	}
+}
+
+// All who were told that a partner is shut were told the same time: they must not all call it then.
+func TestEndOfALongWaitIsSpread(t *testing.T) {
+	soon := 0
+	for seed := range uint64(50) {
+		s := testSettings()
+		s.Seed, s.Forwarders = seed, 50
+		f, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Step(0, []Event{TargetList{Targets: []Target{plain("x")}}, msg("m", "pure", "")})
+		f.Step(100*ms, []Event{Outcome{Message: "m", Target: "x", Result: Full, Wait: 5 * time.Second}})
+		if got := sends(f.Step(5200*ms, nil)); len(got) > 0 {
+			soon++
+		}
+	}
+	if soon > 10 {
+		t.Errorf("%d of 50 called at once when the wait was over", soon)
+	}
+}
+
+// A partner that is shut and tells no wait refuses every call: for a sender that seldom calls, two
+// refusals with nothing good of late must do to hold the route, or all senders push its return.
+func TestRefusalsInARowOpenASparseRoute(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	for i := range 2 {
+		id, now := fmt.Sprint("m", i), time.Duration(i)*15*time.Second
+		f.Step(now, []Event{msg(id, "pure", "")})
+		f.Step(now+50*ms, []Event{Outcome{Message: id, Target: "x", Result: Full}, Withdrawn{id}})
+		if open := f.Routes()[0].Open; open != (i == 1) {
+			t.Errorf("after %d refusals: open %v", i+1, open)
+		}
+	}
+}
+
+// A partner that is full is still full a tenth of a second later: the further try must not be spent
+// then.
+func TestUntoldRefusalBacksOffLonger(t *testing.T) {
+	late := 0
+	for seed := range uint64(40) {
+		s := testSettings()
+		s.Seed = seed
+		f, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Step(0, []Event{TargetList{Targets: []Target{plain("x")}}, msg("m", "pure", "")})
+		f.Step(10*ms, []Event{Outcome{Message: "m", Target: "x", Result: Full}})
+		if len(sends(f.Step(200*ms, nil))) == 0 {
+			late++
+		}
+	}
+	if late < 25 {
+		t.Errorf("only %d of 40 waited for longer than the first backoff of other failures", late)
+	}
+}
