Test the forwarder over loopback, and make restarts safer

Found by reading, with the lines to blame: - policy.go take: recovered messages counted as traffic, which raised the part that paces a route after a restart, and only routes of messages already sent were entered slowly. Messages wait unsent just where there is an outage. - node.go: the first Step used the list as last known, which may be older than what was told before the restart: a recovered message could go to a drained target. The whole list is now fetched first, for 0.5 s at most. - clients.go close: the read deadline also cut requests half read. - node.go: existing connections are now served until calls can't be started any more (2.4 s), new ones are taken for 0.5 s.

--- /dev/null
+++ b/cmd/scaleroute/main_test.go
@@ -0,0 +1,311 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program, so that the tests
+// can kill a real process.
+func TestMain(m *testing.M) {
+	if os.Getenv("SCALEROUTE_TEST_MAIN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const patience = time.Minute // for whatever must come in the end
+
+// world is discovery, the platform and one target.
+type world struct {
+	t         *testing.T
+	discovery *httptest.Server
+	target    *httptest.Server
+	state     string
+
+	mu      sync.Mutex
+	calls   map[string]int
+	dead    bool // the platform takes no notices
+	notices chan string
+	called  chan string
+	answer  func(w http.ResponseWriter, id string)
+}
+
+func newWorld(t *testing.T, answer func(http.ResponseWriter, string)) *world {
+	w := &world{t: t, state: t.TempDir(), calls: map[string]int{}, answer: answer,
+		notices: make(chan string, 100), called: make(chan string, 100)}
+	over := make(chan bool)
+	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("Req-Id")
+		w.mu.Lock()
+		w.calls[id]++
+		w.mu.Unlock()
+		w.called <- id
+		w.answer(rw, id)
+	}))
+	w.discovery = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/v2/finals":
+			w.finals(rw, r)
+		case r.URL.Query().Has("from"):
+			select {
+			case <-over:
+			case <-r.Context().Done():
+			}
+		default:
+			rw.Write(w.list())
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		w.discovery.Close()
+		w.target.Close()
+	})
+	return w
+}
+
+func (w *world) list() []byte {
+	return fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":%q,"zone":"a","type":"std","group":7,"status":"SERVING","weight":50}]}`,
+		w.target.Listener.Addr())
+}
+
+func (w *world) finals(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for d := json.NewDecoder(r.Body); ; {
+		var n struct {
+			Ref, Result string
+			Wait        int `json:"wait_ms"`
+		}
+		if d.Decode(&n) != nil {
+			break
+		}
+		select {
+		case w.notices <- n.Ref + " " + n.Result:
+		default: // repeated while nothing is taken
+		}
+	}
+	if w.dead {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+func (w *world) count(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls[id]
+}
+
+// await waits for a line on a channel, passing over others.
+func (w *world) await(ch chan string, want string) {
+	w.t.Helper()
+	for limit := time.After(patience); ; {
+		select {
+		case got := <-ch:
+			if got == want {
+				return
+			}
+		case <-limit:
+			w.t.Fatalf("%q did not come", want)
+		}
+	}
+}
+
+// process is one run of the program.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+}
+
+// start runs the program and returns once it answers PING.
+func (w *world) start() *process {
+	w.t.Helper()
+	config := filepath.Join(w.t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,
+		"settings":{"Azs":["a"],"Kinds":["std"],"Siblings":1,"Weights":"nominal","Discovery":"automatic","Tenants":[],
+		"FamilyInfo":{"Workers":8,"Late":"line","PerCall":[1],"SeparateRoutes":[false],"Carriage":[0.0]},
+		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":1500.0,"Cancel":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
+		"Invariants":{"Cold":100.0,"DrainGrace":1000.0,"Fall":3000.0,"StartCapacity":0.9,"TipMultiple":2.0},
+		"Classes":[{"Name":"harmless","Effect":"pure","OnTime":60000.0,"Deadline":300000.0,"Worth":1.0,"LateShare":0.4},
+		{"Name":"unsafe","Effect":"side_effect","OnTime":60000.0,"Deadline":300000.0,"Worth":3.0,"LateShare":0.4}]}}`,
+		w.discovery.Listener.Addr(), w.list())
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "SCALEROUTE_TEST_MAIN=1", "NODE_CONFIG="+config, "NODE_STATE="+w.state)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	p := &process{t: w.t, cmd: cmd}
+	lines := bufio.NewScanner(log)
+	for p.address == "" && lines.Scan() {
+		_, p.address, _ = strings.Cut(lines.Text(), "msg=serving name=n0 address=")
+	}
+	go io.Copy(io.Discard, log)
+	if got := p.client().say("PING"); got != "+PONG" {
+		w.t.Fatalf("PING got %q", got)
+	}
+	return p
+}
+
+func (p *process) kill() {
+	p.cmd.Process.Kill()
+	p.cmd.Wait()
+}
+
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (p *process) client() *client {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.address)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &client{p.t, conn, bufio.NewReader(conn)}
+}
+
+func (c *client) say(args ...string) string {
+	c.t.Helper()
+	fmt.Fprintf(c.conn, "*%d\r\n", len(args))
+	for _, a := range args {
+		fmt.Fprintf(c.conn, "$%d\r\n%s\r\n", len(a), a)
+	}
+	got, err := c.r.ReadString('\n')
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return strings.TrimSpace(got)
+}
+
+func (c *client) enqueue(id, class string, ms int) {
+	c.t.Helper()
+	if got := c.say("ENQUEUE", "0", id, fmt.Sprintf("c=%s,d=%d,dest=7", class, ms), "body of "+id); got != "+OK" {
+		c.t.Fatalf("%s: %q", id, got)
+	}
+}
+
+// TestKilledWithCallsOut kills the process while calls are out. A message that
+// may not be repeated ends as dead and is never sent again; a harmless one is
+// sent again; one that was delivered is not.
+func TestKilledWithCallsOut(t *testing.T) {
+	restarted, over := make(chan bool), make(chan bool)
+	w := newWorld(t, func(rw http.ResponseWriter, id string) {
+		if id == "done" {
+			return
+		}
+		select {
+		case <-restarted:
+		default:
+			<-over // silent until the end
+		}
+	})
+	t.Cleanup(func() { close(over) })
+	p := w.start()
+	c := p.client()
+	c.enqueue("done", "unsafe", 200000)
+	w.await(w.called, "done")
+	c.enqueue("once", "unsafe", 200000)
+	w.await(w.called, "once")
+	c.enqueue("again", "harmless", 200000)
+	w.await(w.called, "again")
+	p.kill()
+	close(restarted)
+
+	p = w.start()
+	w.await(w.notices, "once dead")
+	w.await(w.called, "again")
+	p.client().enqueue("new", "unsafe", 200000)
+	w.await(w.called, "new")
+	p.kill()
+	p = w.start() // and the end of it outlasts one more
+	p.client().enqueue("last", "unsafe", 200000)
+	w.await(w.called, "last")
+	if n := w.count("once"); n != 1 {
+		t.Errorf("the unsafe message was sent %d times", n)
+	}
+	if n := w.count("done"); n != 1 {
+		t.Errorf("the delivered message was sent %d times", n)
+	}
+}
+
+// TestEndsAreToldAgain: notices that the platform has not taken when the
+// process is killed are sent by the next one, and the calls stay over.
+func TestEndsAreToldAgain(t *testing.T) {
+	w := newWorld(t, func(rw http.ResponseWriter, id string) { rw.WriteHeader(http.StatusInternalServerError) })
+	w.dead = true
+	p := w.start()
+	p.client().enqueue("failed", "unsafe", 200000) // an error leaves doubt: it ends at once
+	w.await(w.notices, "failed dead")
+	p.kill()
+	for len(w.notices) > 0 {
+		<-w.notices
+	}
+	w.mu.Lock()
+	w.dead = false
+	w.mu.Unlock()
+	w.start()
+	w.await(w.notices, "failed dead")
+	if n := w.count("failed"); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// TestTerm ends the process in order: the call that is out gets its outcome,
+// the exit code is 0, and nothing is left over for the next start.
+func TestTerm(t *testing.T) {
+	release := make(chan bool)
+	w := newWorld(t, func(rw http.ResponseWriter, id string) { <-release })
+	p := w.start()
+	p.client().enqueue("out", "unsafe", 200000)
+	w.await(w.called, "out")
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("SIGTERM: %v", err)
+	}
+	p = w.start()
+	p.client().enqueue("next", "unsafe", 200000)
+	w.await(w.called, "next")
+	if n := w.count("out"); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+	if len(w.notices) > 0 {
+		t.Errorf("a notice for what was delivered: %s", <-w.notices)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,6 +23,8 @@
 	maxIDLen = 128
 	// A client that stops in the middle of a request must not hold its connection for good.
 	requestTime = 10 * time.Second
+	// A request that crosses the closing of its connection is still read.
+	lastLook = 10 * time.Millisecond
 )
 
 // request is one ENQUEUE.
@@ -39,7 +41,7 @@
 
 // intake takes a request on or turns it away: it returns what to answer and,
 // if the message was taken on, a function to tell whether the answer was written.
-type intake func(context.Context, *request) (answer string, written func(ok bool))
+type intake func(*request) (answer string, written func(ok bool))
 
 // clients serves RESP2. The commands are read here and not by
 // github.com/tidwall/redcon, whose reader (v1.6.4) panics in a goroutine of its
@@ -50,7 +52,7 @@
 	take intake
 
 	mu      sync.Mutex
-	conns   map[net.Conn]bool
+	conns   map[net.Conn]bool // whether it is between requests
 	closing bool
 	wg      sync.WaitGroup
 }
@@ -76,42 +78,64 @@
 			continue
 		}
 		c.mu.Lock()
-		c.conns[conn] = true
-		if c.closing {
-			conn.SetReadDeadline(time.Now())
-		}
+		c.conns[conn] = false
 		c.wg.Add(1)
 		c.mu.Unlock()
 		go func() {
 			defer c.wg.Done()
-			c.handle(ctx, conn)
+			c.handle(conn)
 		}()
 	}
 }
 
+// stopAccepting stops listening; the connections there are go on.
+func (c *clients) stopAccepting() { c.ln.Close() }
+
 // close stops listening and closes each connection once no request is read or
 // answered on it: a request that is not answered would count as lost.
 func (c *clients) close() {
 	c.mu.Lock()
 	c.closing = true
-	for conn := range c.conns {
-		conn.SetReadDeadline(time.Now())
+	for conn, idle := range c.conns {
+		if idle {
+			conn.SetReadDeadline(time.Now().Add(lastLook))
+		}
 	}
 	c.mu.Unlock()
 	c.ln.Close()
 }
 
-// deadline sets when a wait for the next request ends, unless all connections are to be closed.
-func (c *clients) deadline(conn net.Conn, t time.Time) bool {
+// wait waits until the connections have ended, for so long at most.
+func (c *clients) wait(limit time.Duration) {
+	ended := make(chan struct{})
+	go func() {
+		c.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(limit):
+	}
+}
+
+// between notes that a connection waits for its next request, or has one in
+// hand. It tells whether the connection is to go on.
+func (c *clients) between(conn net.Conn, idle bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing {
-		conn.SetReadDeadline(t)
+	c.conns[conn] = idle
+	switch {
+	case !idle: // what has begun is read to its end
+		conn.SetReadDeadline(time.Now().Add(requestTime))
+	case c.closing:
+		return false
+	default:
+		conn.SetReadDeadline(time.Time{})
 	}
-	return !c.closing
+	return true
 }
 
-func (c *clients) handle(ctx context.Context, conn net.Conn) {
+func (c *clients) handle(conn net.Conn) {
 	defer func() {
 		conn.Close()
 		c.mu.Lock()
@@ -120,13 +144,13 @@
 	}()
 	r := bufio.NewReaderSize(conn, 4096)
 	for {
-		if r.Buffered() == 0 && !c.deadline(conn, time.Time{}) {
+		if r.Buffered() == 0 && !c.between(conn, true) {
 			return
 		}
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
-		conn.SetReadDeadline(time.Now().Add(requestTime)) // what has begun is read to its end
+		c.between(conn, false)
 		args, err := readCommand(r)
 		var bad protocolError
 		if errors.As(err, &bad) { // where the next request begins is not known any more
@@ -136,7 +160,7 @@
 		if err != nil {
 			return
 		}
-		answer, written := c.answer(ctx, args)
+		answer, written := c.answer(args)
 		conn.SetWriteDeadline(time.Now().Add(requestTime))
 		_, err = io.WriteString(conn, answer)
 		if written != nil {
@@ -148,7 +172,7 @@
 	}
 }
 
-func (c *clients) answer(ctx context.Context, args [][]byte) (string, func(bool)) {
+func (c *clients) answer(args [][]byte) (string, func(bool)) {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
 		if len(args) == 2 {
@@ -160,7 +184,7 @@
 		if err != nil {
 			return "-ERR " + err.Error() + "\r\n", nil
 		}
-		return c.take(ctx, req)
+		return c.take(req)
 	}
 	return "-ERR unknown command\r\n", nil
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -87,10 +87,21 @@
 	}
 }
 
-// watch tells the whole list and then each change, until ctx ends. A call that
-// fails is made again from where the last one ended.
-func (p *platform) watch(ctx context.Context, tell func(*List)) {
-	for from := int64(-1); ctx.Err() == nil; {
+// first fetches the whole list, if it comes in so short a time.
+func (p *platform) first(limit time.Duration) (*List, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return p.list(ctx, -1)
+}
+
+// watch tells each change after the list known - or the whole list, if none
+// is - until ctx ends. A call that fails is made again from where the last one ended.
+func (p *platform) watch(ctx context.Context, known *List, tell func(*List)) {
+	from := int64(-1)
+	if known != nil {
+		from = known.Index
+	}
+	for ctx.Err() == nil {
 		l, err := p.list(ctx, from)
 		if err != nil {
 			slog.Warn("discovery", "err", err)
--- /dev/null
+++ b/internal/node/journal_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+func mustJournal(t *testing.T, dir string, limit int64) *journal {
+	t.Helper()
+	j, err := openJournal(dir, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.close() })
+	return j
+}
+
+func accept(t *testing.T, j *journal, id string, body []byte) bool {
+	t.Helper()
+	ok, err := j.reserve(len(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ok {
+		j.accepted(&saved{id: id, class: "note", dest: 7, deadline: time.UnixMilli(1_700_000_000_123), body: body})
+	}
+	return ok
+}
+
+func flush(t *testing.T, j *journal) {
+	t.Helper()
+	if err := j.flush(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestJournalReplay takes one message through each state and reads the file
+// again, as written and as compacted.
+func TestJournalReplay(t *testing.T) {
+	dir := t.TempDir()
+	j := mustJournal(t, dir, 3e6)
+	for _, id := range []string{"new", "open", "notrun", "ran", "twice", "dead", "bounced", "closed"} {
+		if !accept(t, j, id, []byte("body \x00 of "+id)) {
+			t.Fatal("no room")
+		}
+	}
+	for _, id := range []string{"open", "notrun", "ran", "twice", "dead"} {
+		j.sending(id)
+	}
+	j.outcome("notrun", false)
+	j.outcome("ran", true)
+	j.sending("twice") // the first has no outcome: it may have run whatever comes of the second
+	j.outcome("twice", false)
+	j.outcome("dead", true)
+	j.ended("dead", 'd', 0)
+	j.ended("bounced", 'b', 1500*time.Millisecond)
+	j.closed("closed")
+	flush(t, j)
+
+	want := []saved{
+		{id: "new"},
+		{id: "open", attempts: 1, open: true},
+		{id: "notrun", attempts: 1},
+		{id: "ran", attempts: 1, mayHaveRun: true},
+		{id: "twice", attempts: 2, mayHaveRun: true},
+		{id: "dead", attempts: 1, mayHaveRun: true, end: 'd'},
+		{id: "bounced", end: 'b', wait: 1500 * time.Millisecond},
+	}
+	verify := func(name string) {
+		held := mustJournal(t, dir, 3e6).held()
+		if len(held) != len(want) {
+			t.Fatalf("%s: %d messages, want %d", name, len(held), len(want))
+		}
+		for i, w := range want {
+			g := *held[i]
+			if g.class != "note" || g.dest != 7 || g.deadline.UnixMilli() != 1_700_000_000_123 ||
+				string(g.body) != "body \x00 of "+w.id {
+				t.Errorf("%s: acceptance of %s: %+v", name, w.id, g)
+			}
+			if g.id != w.id || g.attempts != w.attempts || g.open != w.open || g.mayHaveRun != w.mayHaveRun ||
+				g.end != w.end || g.wait != w.wait {
+				t.Errorf("%s: got %+v, want %+v", name, g, w)
+			}
+		}
+	}
+	verify("as written")
+	if err := j.compact(); err != nil {
+		t.Fatal(err)
+	}
+	verify("compacted")
+}
+
+// TestJournalTornTail cuts the file at every byte, as a kill inside a write
+// does: what was whole before stays, and what is written after it is read again.
+func TestJournalTornTail(t *testing.T) {
+	dir := t.TempDir()
+	j := mustJournal(t, dir, 3e6)
+	accept(t, j, "first", []byte("one"))
+	flush(t, j)
+	whole := j.size
+	accept(t, j, "second", []byte("two"))
+	flush(t, j)
+	text, err := os.ReadFile(j.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := whole; cut < int64(len(text)); cut++ {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, journalName), text[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		j, err := openJournal(dir, 3e6)
+		if err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		if len(j.live) != 1 || j.live["first"] == nil {
+			t.Fatalf("cut at %d: %d messages", cut, len(j.live))
+		}
+		accept(t, j, "third", []byte("three"))
+		flush(t, j)
+		j.close()
+		if again := mustJournal(t, dir, 3e6); len(again.live) != 2 || again.live["third"] == nil {
+			t.Fatalf("cut at %d: what was written after it is not read", cut)
+		}
+	}
+	text[whole+headerSize+4] ^= 1
+	if err := os.WriteFile(filepath.Join(dir, journalName), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if again := mustJournal(t, dir, 3e6); len(again.live) != 1 {
+		t.Errorf("a record with a wrong checksum was taken")
+	}
+}
+
+// TestJournalKeepsToDisk fills the folder with the largest bodies and turns
+// them over: the files together stay under the limit, also while one replaces
+// the other, new work is refused, and room comes back.
+func TestJournalKeepsToDisk(t *testing.T) {
+	const limit = 1_000_000
+	dir := t.TempDir()
+	j := mustJournal(t, dir, limit)
+	body := bytes.Repeat([]byte{'x'}, maxBody)
+	var held []string
+	refused, compactions, most := 0, 0, int64(0)
+	for n := range 400 {
+		before := j.size
+		id := fmt.Sprint("m", n)
+		if accept(t, j, id, body) {
+			held = append(held, id)
+		} else {
+			refused++
+			for range 3 {
+				j.closed(held[0])
+				held = held[1:]
+			}
+		}
+		for range 6 { // all the attempts that a message may have
+			if len(held) > 0 {
+				j.sending(held[len(held)-1])
+				j.outcome(held[len(held)-1], false)
+			}
+		}
+		flush(t, j)
+		if j.size < before {
+			compactions++
+			most = max(most, before+j.size) // the old file and the new one, side by side
+		}
+		most = max(most, j.size)
+	}
+	if most > limit {
+		t.Errorf("%d bytes on disk, limit %d", most, limit)
+	}
+	if refused == 0 || compactions == 0 {
+		t.Errorf("%d refused, %d compactions: the limit was not reached", refused, compactions)
+	}
+	if again := mustJournal(t, dir, limit); len(again.live) != len(held) {
+		t.Errorf("%d messages read again, %d held", len(again.live), len(held))
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -28,6 +28,7 @@
 	}
 	callEnded struct{ outcome aspenshift.Outcome }
 	noticed   struct{ refs []string }
+	finish    struct{} // no client comes any more
 )
 
 // entry is a message that the loop holds.
@@ -52,14 +53,14 @@
 	inbox    chan any
 	done     chan struct{}
 
-	entries  map[string]*entry
-	events   []aspenshift.Event
-	arrived  []*entry // in this round
-	effects  []func() // after the journal has been written
-	wake     *time.Timer
-	stopping bool
-	empty    bool
-	idle     chan struct{} // closed when stopping with nothing left
+	entries   map[string]*entry
+	events    []aspenshift.Event
+	arrived   []*entry // in this round
+	effects   []func() // after the journal has been written
+	wake      *time.Timer
+	finishing bool
+	empty     bool
+	idle      chan struct{} // closed when finishing with nothing left
 }
 
 func newLoop(c *Config, j *journal, p *platform) (*loop, error) {
@@ -81,7 +82,7 @@
 }
 
 // take is the intake of the client server.
-func (l *loop) take(ctx context.Context, req *request) (string, func(bool)) {
+func (l *loop) take(req *request) (string, func(bool)) {
 	answer := make(chan string, 1)
 	l.tell(arrival{req, answer})
 	select {
@@ -97,10 +98,14 @@
 
 const answerOK = "+OK\r\n"
 
-// recover hands the module the list as last known and what the journal held.
-func (l *loop) recover(known *List) {
+// recover hands the module the list as last known, the present one if there is
+// one, and what the journal held.
+func (l *loop) recover(known, present *List) {
 	l.targets.list(known)
 	l.events = append(l.events, known.event(aspenshift.Restored))
+	if present != nil {
+		l.list(present)
+	}
 	now := time.Now()
 	for _, s := range l.journal.held() {
 		e := &entry{saved: s, acked: true}
@@ -128,7 +133,7 @@
 		if len(l.events) > 0 {
 			continue // what could not be carried out is told at once
 		}
-		if l.stopping && len(l.entries) == 0 && !l.empty {
+		if l.finishing && len(l.entries) == 0 && !l.empty {
 			l.empty = true
 			close(l.idle)
 		}
@@ -177,19 +182,24 @@
 	case noticed:
 		l.noticed(v)
 	case *List:
-		l.targets.list(v)
-		scope := aspenshift.Changes
-		if v.Snapshot {
-			scope = aspenshift.Whole
-		}
-		l.events = append(l.events, v.event(scope))
+		l.list(v)
+	case finish:
+		l.finishing = true
 	case aspenshift.Stopping:
-		l.stopping = true
 		l.events = append(l.events, v)
 	}
 	return nil
 }
 
+func (l *loop) list(v *List) {
+	l.targets.list(v)
+	scope := aspenshift.Changes
+	if v.Snapshot {
+		scope = aspenshift.Whole
+	}
+	l.events = append(l.events, v.event(scope))
+}
+
 func (l *loop) arrive(a arrival) error {
 	req := a.req
 	if e := l.entries[req.id]; e != nil { // handed in twice: it is held already
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,12 +12,14 @@
 	"aspenshift"
 )
 
-// How a planned stop goes, counted from SIGTERM: clients are served for a
-// while, what is held goes on being delivered, and the process ends before
-// SIGKILL can come, 3.7 s after SIGTERM.
+// How a planned stop goes, counted from SIGTERM. SIGKILL can come 3.7 s after it.
 const (
-	serveOn = 500 * time.Millisecond
-	lastEnd = 3400 * time.Millisecond
+	acceptOn  = 500 * time.Millisecond  // new connections are taken for so long
+	serveOn   = 2400 * time.Millisecond // and those there are served while calls can still be started
+	lastCall  = 3400 * time.Millisecond // calls are to end by then
+	lastEnd   = 3600 * time.Millisecond // what is still out then is left to the journal
+	lastWrite = 50 * time.Millisecond   // for answers still to be written
+	listWait  = 500 * time.Millisecond  // for the first list, at a start
 )
 
 // Run runs the forwarder until stop is closed and the planned stop is over. An
@@ -35,7 +37,13 @@
 	if err != nil {
 		return err
 	}
-	l.recover(&c.Known) // before any PING is answered
+	// The list that a forwarder is started with may be older than what it was last told: recovered
+	// messages must not go to targets that drain since. Without an answer it has to do.
+	first, err := p.first(listWait)
+	if err != nil {
+		slog.Warn("starting with the list as last known", "err", err)
+	}
+	l.recover(&c.Known, first) // before any PING is answered
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
@@ -44,16 +52,17 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	defer clients.wait(lastWrite)
 	defer wg.Wait()
-	defer clients.close()
 	defer cancel()
+	defer clients.close()
 	failed := make(chan error, 1)
 	wg.Go(func() {
 		if err := l.run(ctx); err != nil {
 			failed <- err
 		}
 	})
-	wg.Go(func() { p.watch(ctx, func(list *List) { l.tell(list) }) })
+	wg.Go(func() { p.watch(ctx, first, func(list *List) { l.tell(list) }) })
 	wg.Go(func() { p.deliver(ctx, func(refs []string) { l.tell(noticed{refs}) }) })
 	wg.Go(func() { clients.serve(ctx) })
 	slog.Info("serving", "name", c.Name, "address", ln.Addr())
@@ -64,19 +73,24 @@
 	case <-stop:
 	}
 	slog.Info("stopping")
-	end := time.NewTimer(lastEnd)
-	l.tell(aspenshift.Stopping{Left: lastEnd})
-	select {
-	case err := <-failed:
-		return err
-	case <-time.After(serveOn):
+	l.tell(aspenshift.Stopping{Left: lastCall})
+	began := time.Now()
+	for _, step := range []struct {
+		at time.Duration
+		do func()
+	}{{acceptOn, clients.stopAccepting}, {serveOn, clients.close}, {serveOn + 2*lastLook, func() { l.tell(finish{}) }}} {
+		select {
+		case err := <-failed:
+			return err
+		case <-time.After(time.Until(began.Add(step.at))):
+			step.do()
+		}
 	}
-	clients.close()
 	select {
 	case err := <-failed:
 		return err
 	case <-l.idle:
-	case <-end.C:
+	case <-time.After(time.Until(began.Add(lastEnd))):
 	}
 	slog.Info("stopped")
 	return nil
--- a/policy.go
+++ b/policy.go
@@ -171,17 +171,18 @@
 	for _, r := range m.dest.routes {
 		f.age(r)
 	}
-	m.dest.taken.add(f.now, forget)
 	f.hold(m)
 	if e.Recovered {
 		f.recover(m, e)
+		return
 	}
+	m.dest.taken.add(f.now, forget)
 	f.shed()
 }
 
 // recover goes on with a message from before a restart. A try that the restart cut off is no
 // failure of its destination, so the next one is not a further try. What was known of outages is
-// gone: the routes of messages that had been sent are entered like ones that have just returned.
+// gone, and what waited may have waited for one to end: its routes are entered like returning ones.
 func (f *Forwarder) recover(m *message, e Message) {
 	m.attempts, m.tries, m.mayRan = e.Attempts, e.Attempts, e.MayHaveRun
 	if e.Open {
@@ -192,7 +193,7 @@
 		return
 	}
 	for _, r := range m.dest.routes {
-		if m.attempts > 0 && r.okSent < 0 && !r.warming {
+		if r.okSent < 0 && !r.warming {
 			r.warming, r.warm0 = true, f.now
 		}
 	}
