--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -37,6 +37,7 @@
 	discovery *httptest.Server
 	target    *httptest.Server
 	state     string
+	diskMB    float64
 
 	mu      sync.Mutex
 	calls   map[string]int
@@ -47,7 +48,7 @@
 }
 
 func newWorld(t *testing.T, answer func(http.ResponseWriter, string)) *world {
-	w := &world{t: t, state: t.TempDir(), calls: map[string]int{}, answer: answer,
+	w := &world{t: t, state: t.TempDir(), diskMB: 3, calls: map[string]int{}, answer: answer,
 		notices: make(chan string, 100), called: make(chan string, 100)}
 	over := make(chan bool)
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -145,14 +146,14 @@
 	w.t.Helper()
 	config := filepath.Join(w.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%v},"known":%s,
 		"settings":{"Azs":["a"],"Kinds":["std"],"Siblings":1,"Weights":"nominal","Discovery":"automatic","Tenants":[],
 		"FamilyInfo":{"Workers":8,"Late":"line","PerCall":[1],"SeparateRoutes":[false],"Carriage":[0.0]},
 		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":1500.0,"Cancel":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
 		"Invariants":{"Cold":100.0,"DrainGrace":1000.0,"Fall":3000.0,"StartCapacity":0.9,"TipMultiple":2.0},
 		"Classes":[{"Name":"harmless","Effect":"pure","OnTime":60000.0,"Deadline":300000.0,"Worth":1.0,"LateShare":0.4},
 		{"Name":"unsafe","Effect":"side_effect","OnTime":60000.0,"Deadline":300000.0,"Worth":3.0,"LateShare":0.4}]}}`,
-		w.discovery.Listener.Addr(), w.list())
+		w.discovery.Listener.Addr(), w.diskMB, w.list())
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -323,6 +324,23 @@
 	}
 }
 
+// folderSize counts each file in whole 512 bytes.
+func folderSize(t *testing.T, dir string) (size int64) {
+	t.Helper()
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		info, err := f.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += (info.Size() + 511) / 512 * 512
+	}
+	return size
+}
+
 // TestKilledAgainAndAgain kills the process at odd moments under traffic, with
 // a target that answers in every way. Whatever was taken on is delivered or ended
 // by a notice, and nothing unsafe is sent again after a call that may have run.
@@ -367,6 +385,8 @@
 			rw.WriteHeader(http.StatusInternalServerError)
 		}
 	}
+	w.diskMB = 0.2 // so that the journal is compacted every few hundred messages
+	body := strings.Repeat("x", 1000)
 	ended := make(chan bool, 1)
 	go func() {
 		for {
@@ -396,7 +416,7 @@
 			mu.Lock()
 			fates[id] = &fate{}
 			mu.Unlock()
-			if c.try("ENQUEUE", "0", id, fmt.Sprintf("c=%s,d=8000,dest=7", strings.Split(id, "-")[0]), id) == "+OK" {
+			if c.try("ENQUEUE", "0", id, fmt.Sprintf("c=%s,d=8000,dest=7", strings.Split(id, "-")[0]), body) == "+OK" {
 				accepted = append(accepted, id)
 			}
 			if n == 20+10*round {
@@ -415,6 +435,9 @@
 			})
 		}
 		p.kill()
+		if size := folderSize(t, w.state); size > 200_000 {
+			t.Errorf("%d bytes in the folder that lasts, 200,000 allowed", size)
+		}
 	}
 	if len(accepted) < 60 {
 		t.Fatalf("only %d messages were taken on", len(accepted))
