--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -85,15 +85,22 @@
 func (l *loop) take(req *request) (string, func(bool)) {
 	answer := make(chan string, 1)
 	l.tell(arrival{req, answer})
+	var a string
 	select {
-	case a := <-answer:
-		if a != answerOK {
-			return a, nil
-		}
-		return a, func(ok bool) { l.tell(ackWritten{req.id, ok}) }
+	case a = <-answer:
 	case <-l.done:
-		return "-BUSY\r\n", nil
+		// The loop may have taken the message on just before it ended. To refuse it then would let the
+		// client hand it in again beside the copy that the next start takes from the journal.
+		select {
+		case a = <-answer:
+		default:
+			a = busy(0)
+		}
+	}
+	if a != answerOK {
+		return a, nil
 	}
+	return a, func(ok bool) { l.tell(ackWritten{req.id, ok}) }
 }
 
 const answerOK = "+OK\r\n"
@@ -165,7 +172,7 @@
 		case noticed:
 			l.noticed(v)
 		case arrival:
-			v.answer <- "-BUSY\r\n"
+			v.answer <- busy(0)
 		}
 	}
 }
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -90,6 +90,27 @@
 	}
 }
 
+// TestTakenOnAtTheEnd: a message that the loop takes on as its last one is not
+// refused to its client, since the next start will deliver it.
+func TestTakenOnAtTheEnd(t *testing.T) {
+	for range 100 {
+		l := &loop{inbox: make(chan any), done: make(chan struct{})}
+		go func() {
+			a := (<-l.inbox).(arrival)
+			a.answer <- answerOK
+			close(l.done)
+		}()
+		if got, _ := l.take(note("m")); got != answerOK {
+			t.Fatalf("got %q", got)
+		}
+	}
+	l := &loop{inbox: make(chan any), done: make(chan struct{})}
+	close(l.done)
+	if got, _ := l.take(note("m")); got != "-BUSY\r\n" {
+		t.Errorf("after the end, got %q", got)
+	}
+}
+
 // TestHandedInTwice: the same id is taken on once.
 func TestHandedInTwice(t *testing.T) {
 	n := startLoop(t, func(c *Config) { c.Known.Endpoints = nil }) // nothing can be sent
