Number attempts as the module does when a send is not carried out

Found by reading loop.go unsent, callOff and send: a send called off before its client had +OK counted as an attempt in the module and not in the loop, so the outcome of the next call would have had a number that the module passes over: a slot and a message that never come free. A test covers both ways there.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -252,7 +252,7 @@
 	switch {
 	case !a.ok: // the client will hand it in again: nothing is owed
 		if e.pending != nil {
-			l.events = append(l.events, l.unsent(e, e.pending.Target))
+			l.unsent(e, e.pending.Target)
 		}
 		l.events = append(l.events, aspenshift.Withdrawn{Message: a.id})
 		l.forget(e)
@@ -265,9 +265,14 @@
 	}
 }
 
-// unsent is the outcome of a send that was not carried out.
-func (l *loop) unsent(e *entry, target string) aspenshift.Outcome {
-	return aspenshift.Outcome{Message: e.saved.id, Attempt: e.attempt, Target: target, Result: aspenshift.NotSent}
+// unsent tells the module that a send was not carried out. It counts as an
+// attempt there, and so it must here: an outcome with another number than the
+// module's would be passed over, and its slot and message never come free.
+func (l *loop) unsent(e *entry, target string) {
+	l.events = append(l.events, aspenshift.Outcome{Message: e.saved.id, Attempt: e.saved.attempts, Target: target,
+		Result: aspenshift.NotSent})
+	l.journal.sending(e.saved.id)
+	l.journal.outcome(e.saved.id, false)
 }
 
 // callEnded notes an outcome in the journal.
@@ -362,13 +367,13 @@
 		e.pending, e.attempt = &s, e.saved.attempts
 		return
 	}
-	e.attempt = e.saved.attempts
 	t := l.targets.byName[s.Target]
 	if t == nil || e.cancel != nil || e.ended {
 		slog.Error("a send that can't be made", "id", s.Message, "target", s.Target, "out", e.cancel != nil)
-		l.events = append(l.events, l.unsent(e, s.Target))
+		l.unsent(e, s.Target)
 		return
 	}
+	e.attempt = e.saved.attempts
 	l.journal.sending(s.Message)
 	call, cancel := context.WithCancelCause(ctx)
 	e.cancel = cancel
@@ -390,7 +395,7 @@
 		cancel := e.cancel
 		l.effects = append(l.effects, func() { cancel(errCancelled) })
 	case e.pending != nil:
-		l.events = append(l.events, l.unsent(e, e.pending.Target))
+		l.unsent(e, e.pending.Target)
 		e.pending = nil
 	}
 }
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -111,6 +112,28 @@
 	}
 }
 
+// TestUnsentCountsAsAttempt: a send called off before its client had +OK gets
+// its outcome, and the next one has the next number, as in the module.
+func TestUnsentCountsAsAttempt(t *testing.T) {
+	j := mustJournal(t, t.TempDir(), 3e6)
+	accept(t, j, "m", nil)
+	l := &loop{journal: j, targets: testTargets(), entries: map[string]*entry{"m": {saved: j.live["m"]}}}
+	l.send(t.Context(), aspenshift.Send{Message: "m", Target: "s1"})
+	l.callOff(aspenshift.Cancel{Message: "m", Attempt: 0})
+	l.acked(t.Context(), ackWritten{"m", true})
+	l.send(t.Context(), aspenshift.Send{Message: "m", Target: "gone"})
+	want := []aspenshift.Event{
+		aspenshift.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: aspenshift.NotSent},
+		aspenshift.Outcome{Message: "m", Attempt: 1, Target: "gone", Result: aspenshift.NotSent},
+	}
+	if !slices.Equal(l.events, want) {
+		t.Errorf("told %+v", l.events)
+	}
+	if s := j.live["m"]; s.attempts != 2 || s.ran() {
+		t.Errorf("in the journal: %+v", s)
+	}
+}
+
 // TestHandedInTwice: the same id is taken on once.
 func TestHandedInTwice(t *testing.T) {
 	n := startLoop(t, func(c *Config) { c.Known.Endpoints = nil }) // nothing can be sent
