Read the configuration again on SIGHUP and move to its discovery

Cause: main registered SIGTERM and SIGINT only; LoadConfig prefers NODE_DISCOVERY, which stays old in the environment, so a reload must read the file alone. Change: SIGHUP is registered first; a goroutine reads the file (again until it can be read), the platform moves: calls out at the old address are given up, the whole list is fetched from the new one, and notices without an answer are sent again there.

--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -1,7 +1,8 @@
 // Command scaleroute is one forwarder: it takes messages from clients over
 // RESP2 and delivers them by calls to the targets of their destinations. It
 // reads its configuration from the file that NODE_CONFIG names, keeps its state
-// in the folder NODE_STATE, and ends in order on SIGTERM.
+// in the folder NODE_STATE, reads the file again on SIGHUP, and ends in order
+// on SIGTERM.
 package main
 
 import (
@@ -14,6 +15,8 @@
 )
 
 func main() {
+	hup := make(chan os.Signal, 1) // before all else: unhandled, it ends the process
+	signal.Notify(hup, syscall.SIGHUP)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
@@ -24,7 +27,7 @@
 	}()
 	c, err := node.LoadConfig(os.Getenv)
 	if err == nil {
-		err = node.Run(c, stop)
+		err = node.Run(c, stop, hup)
 	}
 	if err != nil {
 		slog.Error("scaleroute", "err", err)
--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -139,6 +139,7 @@
 	cmd     *exec.Cmd
 	once    sync.Once
 	address string
+	config  string
 }
 
 // start runs the program and returns once it answers PING.
@@ -158,7 +159,8 @@
 		w.t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "SCALEROUTE_TEST_MAIN=1", "NODE_CONFIG="+config, "NODE_STATE="+w.state)
+	cmd.Env = append(os.Environ(), "SCALEROUTE_TEST_MAIN=1", "NODE_CONFIG="+config, "NODE_STATE="+w.state,
+		"NODE_DISCOVERY="+w.discovery.Listener.Addr().String())
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		w.t.Fatal(err)
@@ -166,11 +168,12 @@
 	if err := cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
-	p := &process{t: w.t, cmd: cmd}
+	p := &process{t: w.t, cmd: cmd, config: config}
 	w.t.Cleanup(p.kill)
 	lines := bufio.NewScanner(log)
 	for p.address == "" && lines.Scan() {
 		_, p.address, _ = strings.Cut(lines.Text(), "msg=serving name=n0 address=")
+		p.address, _, _ = strings.Cut(p.address, " ")
 	}
 	go io.Copy(io.Discard, log)
 	if got := p.client().say("PING"); got != "+PONG" {
@@ -464,3 +467,67 @@
 		}
 	}
 }
+
+// TestReload: SIGHUP does not end the process. The address of discovery in the
+// replaced file counts, and not the variable of the start; what can't be read
+// leaves all as it is until it can; and what has no answer at the old address
+// is told at the new one.
+func TestReload(t *testing.T) {
+	w := newWorld(t, func(rw http.ResponseWriter, id string) { rw.WriteHeader(http.StatusInternalServerError) })
+	w.dead = true // the old address takes no notice
+	p := w.start()
+	p.client().enqueue("failed", "unsafe", 200000)
+	w.await(w.notices, "failed dead")
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, text[:len(text)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.client().enqueue("second", "unsafe", 200000)
+	w.await(w.called, "second")
+
+	lists, notices := make(chan string, 100), make(chan string, 100)
+	over := make(chan bool)
+	moved := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/v2/finals":
+			body, _ := io.ReadAll(r.Body)
+			for _, line := range strings.Split(strings.TrimSpace(string(body)), "\n") {
+				notices <- line
+			}
+			rw.WriteHeader(http.StatusNoContent)
+		case r.URL.Query().Has("from"):
+			lists <- "watch"
+			<-over
+		default:
+			lists <- "whole"
+			rw.Write(w.list())
+		}
+	}))
+	t.Cleanup(moved.Close)
+	t.Cleanup(func() { close(over) })
+	text = []byte(strings.ReplaceAll(string(text), w.discovery.Listener.Addr().String(), moved.Listener.Addr().String()))
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	w.await(lists, "whole")
+	w.await(lists, "watch")
+	w.await(notices, `{"ref":"failed","result":"dead"}`)
+	w.await(notices, `{"ref":"second","result":"dead"}`)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP) // as it stops
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("SIGHUP in a stop: %v", err)
+	}
+	if len(lists) > 0 {
+		t.Errorf("asked again, though nothing changed: %s", <-lists)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -23,6 +24,7 @@
 	Limits    Limits `json:"limits"`
 	Known     List   `json:"known"`
 
+	File     string              `json:"-"` // where it was read
 	State    string              `json:"-"` // the folder that lasts
 	Settings aspenshift.Settings `json:"-"`
 }
@@ -46,6 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
+	c.File = getenv("NODE_CONFIG")
 	for name, field := range map[string]*string{"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen,
 		"NODE_DISCOVERY": &c.Discovery, "NODE_STATE": &c.State} {
 		if v := getenv(name); v != "" {
@@ -58,6 +61,25 @@
 	return c, nil
 }
 
+// discoveryIn reads the address of discovery from a configuration file that was
+// replaced. The variables are those of the start and say nothing of it.
+func discoveryIn(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	var c struct {
+		Discovery string `json:"discovery"`
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return "", err
+	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	return c.Discovery, nil
+}
+
 func parseConfig(text []byte) (*Config, error) {
 	var raw struct {
 		Config
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -64,14 +64,20 @@
 
 // platform speaks to discovery and takes notices to the platform.
 type platform struct {
-	base   string
-	client *http.Client
-
 	mu      sync.Mutex
+	agent   *agent
 	pending []notice
 	wake    chan struct{}
 }
 
+// agent is one address of discovery, until move names another.
+type agent struct {
+	base   string
+	client *http.Client
+	left   context.Context // ends when another address is used
+	leave  context.CancelFunc
+}
+
 // notice is the end of a message that was not delivered.
 type notice struct {
 	Ref    string `json:"ref"`
@@ -80,32 +86,80 @@
 }
 
 func newPlatform(address string) *platform {
-	return &platform{
-		base:   "http://" + address,
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
-		wake:   make(chan struct{}, 1),
+	return &platform{agent: newAgent(address), wake: make(chan struct{}, 1)}
+}
+
+func newAgent(address string) *agent {
+	a := &agent{base: "http://" + address, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	a.left, a.leave = context.WithCancel(context.Background())
+	return a
+}
+
+// current is the agent to speak to now.
+func (p *platform) current() *agent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.agent
+}
+
+// move goes on at another address: calls that are out at the old one are given
+// up, so that a held watch ends and notices without an answer are sent again there.
+func (p *platform) move(address string) {
+	p.mu.Lock()
+	old := p.agent
+	if old.base == "http://"+address {
+		p.mu.Unlock()
+		return
+	}
+	p.agent = newAgent(address)
+	p.mu.Unlock()
+	slog.Info("discovery has moved", "address", address)
+	old.leave()
+	old.client.CloseIdleConnections()
+}
+
+// do makes one call; the context ends with limit and when the agent is left.
+func (a *agent) do(ctx context.Context, limit time.Duration, method, path string, body []byte) (status int, text []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	defer context.AfterFunc(a.left, cancel)()
+	req, err := http.NewRequestWithContext(ctx, method, a.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
 	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	text, err = io.ReadAll(io.LimitReader(resp.Body, maxList))
+	return resp.StatusCode, text, err
 }
 
 // first fetches the whole list, if it comes in so short a time.
 func (p *platform) first(limit time.Duration) (*List, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	return p.list(ctx, -1)
+	return p.current().list(context.Background(), -1, limit)
 }
 
 // watch tells each change after the list known - or the whole list, if none
-// is - until ctx ends. A call that fails is made again from where the last one ended.
+// is or discovery has moved - until ctx ends. A call that fails is made again
+// from where the last one ended.
 func (p *platform) watch(ctx context.Context, known *List, tell func(*List)) {
-	from := int64(-1)
+	from, last := int64(-1), p.current()
 	if known != nil {
 		from = known.Index
 	}
 	for ctx.Err() == nil {
-		l, err := p.list(ctx, from)
+		a := p.current()
+		if a != last {
+			from, last = -1, a
+		}
+		l, err := a.list(ctx, from, listTime)
 		if err != nil {
-			slog.Warn("discovery", "err", err)
-			pause(ctx, retryPause)
+			if a.left.Err() == nil {
+				slog.Warn("discovery", "err", err)
+				pause(ctx, retryPause)
+			}
 			continue
 		}
 		from = l.Index
@@ -113,29 +167,19 @@
 	}
 }
 
-func (p *platform) list(ctx context.Context, from int64) (*List, error) {
-	url, limit := p.base+"/v1/servers", listTime
+// list asks for the whole list, within the limit, or from a version on for changes.
+func (a *agent) list(ctx context.Context, from int64, limit time.Duration) (*List, error) {
+	path := "/v1/servers"
 	if from >= 0 {
-		url += fmt.Sprintf("?from=%d&hold_ms=%d", from, holdTime.Milliseconds())
+		path += fmt.Sprintf("?from=%d&hold_ms=%d", from, holdTime.Milliseconds())
 		limit = holdTime + holdMargin
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	status, text, err := a.do(ctx, limit, http.MethodGet, path, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("list: %s", resp.Status)
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("list: %d", status)
 	}
 	l := &List{}
 	if err := json.Unmarshal(text, l); err != nil {
@@ -189,7 +233,8 @@
 		refs = append(refs, n.Ref)
 	}
 	for ctx.Err() == nil {
-		status, err := p.postOnce(ctx, lines.Bytes())
+		a := p.current()
+		status, _, err := a.do(ctx, noticeTime, http.MethodPost, "/v2/finals", lines.Bytes())
 		switch {
 		case err == nil && status == http.StatusNoContent:
 			arrived(refs)
@@ -205,27 +250,14 @@
 			slog.Error("a notice can't be read", "ref", batch[0].Ref)
 			return
 		}
+		if a.left.Err() != nil {
+			continue // at once at the new address
+		}
 		slog.Warn("notices not taken", "status", status, "err", err, "first", batch[0].Ref, "count", len(batch))
 		pause(ctx, retryPause)
 	}
 }
 
-func (p *platform) postOnce(ctx context.Context, lines []byte) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, noticeTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+"/v2/finals", bytes.NewReader(lines))
-	if err != nil {
-		return 0, err
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	io.CopyN(io.Discard, resp.Body, drainBytes)
-	resp.Body.Close()
-	return resp.StatusCode, nil
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// agent stands in for discovery's address.
-func agent(t *testing.T, h http.HandlerFunc) *platform {
+// testPlatform stands in for discovery's address.
+func testPlatform(t *testing.T, h http.HandlerFunc) *platform {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
@@ -200,7 +200,7 @@
 		`{"index":44,"snapshot":false,"endpoints":[{"name":"a","group":3,"status":"DELETED"}]}`,
 	}
 	over := make(chan struct{})
-	p := agent(t, func(w http.ResponseWriter, r *http.Request) {
+	p := testPlatform(t, func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		n := len(asked)
 		asked = append(asked, r.URL.Query().Get("from"))
@@ -247,7 +247,7 @@
 	var mu sync.Mutex
 	taken := map[string]notice{}
 	failures := 0
-	p := agent(t, func(w http.ResponseWriter, r *http.Request) {
+	p := testPlatform(t, func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
 		var batch []notice
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -20,11 +21,14 @@
 	lastEnd   = 3600 * time.Millisecond // what is still out then is left to the journal
 	lastWrite = 50 * time.Millisecond   // for answers still to be written
 	listWait  = 500 * time.Millisecond  // for the first list, at a start
+
+	reloadPause = 100 * time.Millisecond // until a configuration that can't be read is read again
 )
 
-// Run runs the forwarder until stop is closed and the planned stop is over. An
-// error means that it could not start or can't go on.
-func Run(c *Config, stop <-chan struct{}) error {
+// Run runs the forwarder until stop is closed and the planned stop is over. On
+// each value from hup it reads its configuration again. An error means that it
+// could not start or can't go on.
+func Run(c *Config, stop <-chan struct{}, hup <-chan os.Signal) error {
 	// The journal's file counts as memory too; connections and the runtime need some.
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
 	j, err := openJournal(c.State, int64(c.Limits.DiskMB*1e6))
@@ -64,8 +68,9 @@
 	})
 	wg.Go(func() { p.watch(ctx, first, func(list *List) { l.tell(list) }) })
 	wg.Go(func() { p.deliver(ctx, func(refs []string) { l.tell(noticed{refs}) }) })
+	wg.Go(func() { reload(ctx, hup, c.File, p) })
 	wg.Go(func() { clients.serve(ctx) })
-	slog.Info("serving", "name", c.Name, "address", ln.Addr())
+	slog.Info("serving", "name", c.Name, "address", ln.Addr(), "discovery", c.Discovery)
 
 	select {
 	case err := <-failed:
@@ -95,3 +100,25 @@
 	slog.Info("stopped")
 	return nil
 }
+
+// reload moves to the discovery that the configuration names, each time that it
+// is told to read it again, also in a stop. Until it can be read the old address stays.
+func reload(ctx context.Context, hup <-chan os.Signal, file string, p *platform) {
+	var again <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-again:
+		}
+		address, err := discoveryIn(file)
+		if err != nil {
+			slog.Warn("the configuration stays as it was", "err", err)
+			again = time.After(reloadPause)
+			continue
+		}
+		again = nil
+		p.move(address)
+	}
+}
