Let idle clients make room, bound what they send, and turn away what can't be delivered

Causes: netutil.LimitListener (sockets/4) leaves whoever comes next in the backlog for ever while 1152 clients that asked once keep theirs; a connection without a word had no time-out, half a request one of 10 s; an unknown class got -BUSY and an unknown destination +OK; a value of 128 KiB was set aside 16 times on the word of its length; an error line behind which data came was lost to a reset. Ruled out: the intake itself (CPU at most 0.08 s in a second, no lateness). Also by test: a second client's answer could confirm or withdraw the first one's message. Change: own admission (two fifths of the descriptors), idle 2 s or never used 0.1 s make room, longest first; 2.5 s for a request and for a first word; -ERR for what can't be delivered.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -12,19 +12,26 @@
 	"strings"
 	"sync"
 	"time"
-
-	"golang.org/x/net/netutil"
 )
 
 const (
-	maxBody  = 64 << 10
-	maxArgs  = 16
-	maxArg   = maxBody + 64<<10 // read whole, so that a body somewhat too long gets an answer
-	maxIDLen = 128
-	// A client that stops in the middle of a request must not hold its connection for good.
-	requestTime = 10 * time.Second
+	maxBody    = 64 << 10
+	maxArgs    = 16
+	maxCommand = maxBody + 16<<10 // read whole, so that a body somewhat too long gets an answer
+	firstRead  = 4 << 10          // set aside before any of a value has come
+	maxIDLen   = 128
+	// Nobody holds a connection without a word, or stops in the middle of a request, for good.
+	requestTime = 2500 * time.Millisecond
 	// A request that crosses the closing of its connection is still read.
 	lastLook = 10 * time.Millisecond
+
+	keepIdle  = 2 * time.Second        // a client may count on its connection for so long
+	keepNew   = 100 * time.Millisecond // and on one that it has not used yet for so long
+	roomPause = 5 * time.Millisecond   // until one of those ends
+	// What a client still sends is read for so long after an error: to close on
+	// it at once would reset the connection, and might lose the error.
+	lingerTime  = 300 * time.Millisecond
+	lingerBytes = 256 << 10
 )
 
 // request is one ENQUEUE.
@@ -49,19 +56,29 @@
 // any client could end the process.
 type clients struct {
 	ln   net.Listener
+	most int // connections
 	take intake
 
 	mu      sync.Mutex
-	conns   map[net.Conn]bool // whether it is between requests
+	conns   map[net.Conn]*clientState
 	closing bool
 	wg      sync.WaitGroup
 }
 
+// clientState is what a connection is at.
+type clientState struct {
+	idle  bool      // between requests
+	since time.Time // when that began
+	used  bool      // a request was answered on it
+	shed  bool      // closed to make room
+}
+
 func newClients(ln net.Listener, most int, take intake) *clients {
-	return &clients{ln: netutil.LimitListener(ln, most), take: take, conns: map[net.Conn]bool{}}
+	return &clients{ln: ln, most: most, take: take, conns: map[net.Conn]*clientState{}}
 }
 
-// serve accepts connections until close is called.
+// serve accepts connections until close is called. When there are as many as
+// may be, idle ones make room: no client is left waiting for those that say nothing.
 func (c *clients) serve(ctx context.Context) error {
 	for {
 		conn, err := c.ln.Accept()
@@ -70,17 +87,15 @@
 		}
 		if err != nil { // out of descriptors, say: that passes
 			slog.Warn("accepting a client", "err", err)
-			select {
-			case <-ctx.Done():
+			pause(ctx, 4*roomPause)
+			continue
+		}
+		for !c.admit(conn) {
+			if pause(ctx, roomPause); ctx.Err() != nil {
+				conn.Close()
 				return nil
-			case <-time.After(20 * time.Millisecond):
 			}
-			continue
 		}
-		c.mu.Lock()
-		c.conns[conn] = false
-		c.wg.Add(1)
-		c.mu.Unlock()
 		go func() {
 			defer c.wg.Done()
 			c.handle(conn)
@@ -88,6 +103,38 @@
 	}
 }
 
+// admit counts a connection in if there is room, and makes some if not.
+func (c *clients) admit(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.conns) >= c.most {
+		c.makeRoom(time.Now())
+		return false
+	}
+	c.conns[conn] = &clientState{idle: true, since: time.Now()}
+	c.wg.Add(1)
+	return true
+}
+
+// makeRoom ends the connection that has been idle longest, of those that may be closed.
+func (c *clients) makeRoom(now time.Time) {
+	var longest net.Conn
+	var most time.Duration
+	for conn, s := range c.conns {
+		over := now.Sub(s.since) - keepIdle
+		if !s.used {
+			over = now.Sub(s.since) - keepNew
+		}
+		if s.idle && !s.shed && over >= most {
+			longest, most = conn, over
+		}
+	}
+	if longest != nil {
+		c.conns[longest].shed = true
+		longest.SetReadDeadline(now) // its own goroutine closes it, unless a request has just come
+	}
+}
+
 // stopAccepting stops listening; the connections there are go on.
 func (c *clients) stopAccepting() { c.ln.Close() }
 
@@ -96,8 +143,8 @@
 func (c *clients) close() {
 	c.mu.Lock()
 	c.closing = true
-	for conn, idle := range c.conns {
-		if idle {
+	for conn, s := range c.conns {
+		if s.idle {
 			conn.SetReadDeadline(time.Now().Add(lastLook))
 		}
 	}
@@ -118,21 +165,23 @@
 	}
 }
 
-// between notes that a connection waits for its next request, or has one in
-// hand. It tells whether the connection is to go on.
-func (c *clients) between(conn net.Conn, idle bool) bool {
+// next notes that a connection waits for its next request. It tells whether the
+// connection is to go on.
+func (c *clients) next(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[conn] = idle
-	switch {
-	case !idle: // what has begun is read to its end
-		conn.SetReadDeadline(time.Now().Add(requestTime))
-	case c.closing:
-		return false
-	default:
-		conn.SetReadDeadline(time.Time{})
-	}
-	return true
+	s := c.conns[conn]
+	s.idle, s.used, s.since = true, true, time.Now()
+	conn.SetReadDeadline(time.Time{})
+	return !c.closing
+}
+
+// begun notes that a request has begun: it is read to its end.
+func (c *clients) begun(conn net.Conn, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns[conn].idle, c.conns[conn].shed = false, false
+	conn.SetReadDeadline(until)
 }
 
 func (c *clients) handle(conn net.Conn) {
@@ -143,18 +192,28 @@
 		c.mu.Unlock()
 	}()
 	r := bufio.NewReaderSize(conn, 4096)
+	until := time.Now().Add(requestTime) // for the first request, from the connect on
+	c.mu.Lock()
+	if c.closing {
+		conn.SetReadDeadline(time.Now().Add(lastLook))
+	} else {
+		conn.SetReadDeadline(until)
+	}
+	c.mu.Unlock()
 	for {
-		if r.Buffered() == 0 && !c.between(conn, true) {
-			return
-		}
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
-		c.between(conn, false)
+		if until.IsZero() {
+			until = time.Now().Add(requestTime)
+		}
+		c.begun(conn, until)
 		args, err := readCommand(r)
 		var bad protocolError
 		if errors.As(err, &bad) { // where the next request begins is not known any more
+			conn.SetWriteDeadline(time.Now().Add(lingerTime))
 			fmt.Fprintf(conn, "-ERR %s\r\n", bad)
+			linger(conn)
 			return
 		}
 		if err != nil {
@@ -166,12 +225,22 @@
 		if written != nil {
 			written(err == nil)
 		}
-		if err != nil {
+		if err != nil || r.Buffered() == 0 && !c.next(conn) {
 			return
 		}
+		until = time.Time{}
 	}
 }
 
+// linger ends our side of a connection and reads what still comes, within bounds.
+func linger(conn net.Conn) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	conn.SetReadDeadline(time.Now().Add(lingerTime))
+	io.CopyN(io.Discard, conn, lingerBytes)
+}
+
 func (c *clients) answer(args [][]byte) (string, func(bool)) {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
@@ -250,8 +319,7 @@
 
 func (e protocolError) Error() string { return string(e) }
 
-// readCommand reads one array of bulk strings. Lengths are checked before
-// anything is set aside for them.
+// readCommand reads one array of bulk strings, of bounded size as a whole.
 func readCommand(r *bufio.Reader) ([][]byte, error) {
 	n, err := readLength(r, '*', maxArgs)
 	if err != nil {
@@ -261,13 +329,15 @@
 		return nil, protocolError("empty command")
 	}
 	args := make([][]byte, n)
+	left := maxCommand
 	for i := range args {
-		size, err := readLength(r, '$', maxArg)
+		size, err := readLength(r, '$', left)
 		if err != nil {
 			return nil, err
 		}
-		arg := make([]byte, size+2)
-		if _, err := io.ReadFull(r, arg); err != nil {
+		left -= size
+		arg, err := readValue(r, size+2)
+		if err != nil {
 			return nil, err
 		}
 		if string(arg[size:]) != "\r\n" {
@@ -278,6 +348,23 @@
 	return args, nil
 }
 
+// readValue reads so many bytes. Memory is set aside as they come, not because
+// they were announced.
+func readValue(r io.Reader, size int) ([]byte, error) {
+	value := make([]byte, 0, min(size, firstRead))
+	for {
+		n, err := io.ReadFull(r, value[len(value):cap(value)])
+		value = value[:len(value)+n]
+		if err != nil {
+			return nil, err
+		}
+		if len(value) == size {
+			return value, nil
+		}
+		value = append(make([]byte, 0, min(size, 4*cap(value))), value...)
+	}
+}
+
 func readLength(r *bufio.Reader, kind byte, most int) (int, error) {
 	line, err := r.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -2,21 +2,24 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 )
 
 // startClients serves an intake on a loopback port.
-func startClients(t *testing.T, take intake) (*clients, string) {
+func startClients(t *testing.T, most int, take intake) (*clients, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(ln, 100, take)
+	c := newClients(ln, most, take)
 	served := make(chan error, 1)
 	go func() { served <- c.serve(t.Context()) }()
 	t.Cleanup(func() {
@@ -61,7 +64,7 @@
 // TestClientRequests sends what clients may and may not send. Whatever comes,
 // the next connection is served: a bad request must not end the process.
 func TestClientRequests(t *testing.T) {
-	_, address := startClients(t, func(r *request) (string, func(bool)) {
+	_, address := startClients(t, 100, func(r *request) (string, func(bool)) {
 		return fmt.Sprintf("+%s %s %v %d %v %d\r\n", r.id, r.class, r.left, r.dest, r.again, len(r.body)), func(bool) {}
 	})
 	for _, c := range []struct{ name, send, want string }{
@@ -84,6 +87,8 @@
 		{"huge array", "*9223372036854775807\r\n", "-ERR bad length"},
 		{"huge bulk", "*1\r\n$9223372036854775807\r\n", "-ERR bad length"},
 		{"bulk without end", "*1\r\n$4\r\nPINGxx", "-ERR bulk string"},
+		{"bulks too long together", "*2\r\n$70000\r\n" + strings.Repeat("x", 70000) + "\r\n$70000\r\n", "-ERR bad length"},
+		{"60 MB, and they come", "*5\r\n$60000000\r\n" + strings.Repeat("x", 200000), "-ERR bad length"}, // no reset may outrun the error
 		{"endless line", "*" + strings.Repeat("1", 5000), "-ERR line too long"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -107,7 +112,7 @@
 // server closes gets its answer; an idle connection ends.
 func TestClientsCloseBetweenRequests(t *testing.T) {
 	taken, finish := make(chan bool), make(chan bool)
-	c, address := startClients(t, func(*request) (string, func(bool)) {
+	c, address := startClients(t, 100, func(*request) (string, func(bool)) {
 		taken <- true
 		<-finish
 		return answerOK, nil
@@ -127,3 +132,96 @@
 		}
 	}
 }
+
+// ends waits until the other side closes, and returns what came before.
+func ends(t *testing.T, r *bufio.Reader) string {
+	t.Helper()
+	text, err := io.ReadAll(r)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("still open after %q", text)
+	}
+	return string(text)
+}
+
+// TestSilentClients: whoever says nothing, or half of something, is closed on in
+// its time; who has asked once may stay.
+func TestSilentClients(t *testing.T) {
+	_, address := startClients(t, 100, nil)
+	user, asked := dial(t, address)
+	fmt.Fprint(user, resp("PING"))
+	line(t, asked)
+	began := time.Now()
+	readers := map[string]*bufio.Reader{}
+	for _, half := range []string{"", "*", "*5\r\n$7\r\nENQ", "*1\r\n$60000\r\nxx"} {
+		conn, r := dial(t, address)
+		fmt.Fprint(conn, half)
+		readers[half] = r
+	}
+	for half, r := range readers {
+		if got := ends(t, r); got != "" || time.Since(began) < requestTime/2 {
+			t.Errorf("after %q: %q in %v", half, got, time.Since(began))
+		}
+	}
+	fmt.Fprint(user, resp("PING"))
+	if got := line(t, asked); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// TestRoomForClients: when all connections are taken, those without a request
+// make room for the next, the longest idle first, and one with a request stays.
+func TestRoomForClients(t *testing.T) {
+	finish := make(chan bool)
+	_, address := startClients(t, 3, func(*request) (string, func(bool)) {
+		<-finish
+		return answerOK, nil
+	})
+	busy, answer := dial(t, address)
+	fmt.Fprint(busy, resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3", "x"))
+	var readers []*bufio.Reader
+	for range 20 { // more than there is room for, none of which says a word
+		_, r := dial(t, address)
+		readers = append(readers, r)
+	}
+	user, r := dial(t, address)
+	fmt.Fprint(user, resp("PING"))
+	if got := line(t, r); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+	for _, r := range readers[:18] {
+		ends(t, r)
+	}
+	close(finish)
+	if got := line(t, answer); got != "+OK" {
+		t.Errorf("the request in hand got %q", got)
+	}
+}
+
+// TestIdleMakesRoom: of connections that have been used the one idle longest goes, and not before its time.
+func TestIdleMakesRoom(t *testing.T) {
+	c := newClients(nil, 2, nil)
+	now := time.Now()
+	a, b := &closed{}, &closed{}
+	c.conns[a] = &clientState{idle: true, used: true, since: now.Add(-keepIdle)}
+	c.conns[b] = &clientState{idle: true, used: true, since: now.Add(-keepIdle - 1)}
+	c.makeRoom(now.Add(-2))
+	if a.shed || b.shed {
+		t.Error("closed before its time")
+	}
+	c.makeRoom(now)
+	if a.shed || !b.shed {
+		t.Errorf("shed: %v, %v", a.shed, b.shed)
+	}
+	c.makeRoom(now)
+	if !a.shed {
+		t.Error("the next one stays")
+	}
+}
+
+// closed is a connection that notes when it is told to end.
+type closed struct {
+	net.Conn
+	shed bool
+}
+
+func (c *closed) SetReadDeadline(time.Time) error { c.shed = true; return nil }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -37,6 +37,14 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// Of the descriptors clients get two fifths (they use a third for requests), calls and idle
+// connections to targets the rest, but for these: the listener, the journal and its successor,
+// discovery, notices, the runtime's own, and a client that waits for room.
+const ownDescriptors = 24
+
+func (l Limits) clients() int { return l.Sockets * 2 / 5 }
+func (l Limits) targets() int { return l.Sockets - l.clients() - ownDescriptors }
+
 // LoadConfig reads the file that NODE_CONFIG names. The other variables, where
 // set, go before what the file says.
 func LoadConfig(getenv func(string) string) (*Config, error) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -20,21 +20,27 @@
 type (
 	arrival struct { // a client handed a message in
 		req    *request
-		answer chan<- string
+		answer chan<- reply
 	}
 	ackWritten struct { // its +OK was written, or could not be
-		id string
-		ok bool
+		entry *entry
+		ok    bool
 	}
 	callEnded struct{ outcome aspenshift.Outcome }
 	noticed   struct{ refs []string }
 	finish    struct{} // no client comes any more
 )
 
+// reply is the answer to a request, and the entry that it took on, if any.
+type reply struct {
+	text  string
+	entry *entry
+}
+
 // entry is a message that the loop holds.
 type entry struct {
 	saved   *saved
-	answer  chan<- string           // its client waits for an answer; nil after that
+	answer  chan<- reply            // its client waits for an answer; nil after that
 	acked   bool                    // the client has its +OK
 	pending *aspenshift.Send        // decided before that
 	attempt int                     // number of the call that is out
@@ -53,6 +59,8 @@
 	inbox    chan any
 	done     chan struct{}
 
+	classes   map[string]aspenshift.Class
+	dests     map[int]bool // those that discovery has ever named: one exists while its targets are away
 	entries   map[string]*entry
 	events    []aspenshift.Event
 	arrived   []*entry // in this round
@@ -68,9 +76,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &loop{module: m, journal: j, targets: newTargets(c), platform: p, clock: time.Now(),
+	l := &loop{module: m, journal: j, targets: newTargets(c), platform: p, clock: time.Now(),
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
-		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}, nil
+		classes: map[string]aspenshift.Class{}, dests: map[int]bool{},
+		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
+	for _, class := range c.Settings.Classes {
+		l.classes[class.Name] = class
+	}
+	return l, nil
 }
 
 // tell hands the loop something, unless it has ended.
@@ -83,9 +96,9 @@
 
 // take is the intake of the client server.
 func (l *loop) take(req *request) (string, func(bool)) {
-	answer := make(chan string, 1)
+	answer := make(chan reply, 1)
 	l.tell(arrival{req, answer})
-	var a string
+	var a reply
 	select {
 	case a = <-answer:
 	case <-l.done:
@@ -94,13 +107,13 @@
 		select {
 		case a = <-answer:
 		default:
-			a = busy(0)
+			a = reply{text: busy(0)}
 		}
 	}
-	if a != answerOK {
-		return a, nil
+	if a.entry == nil {
+		return a.text, nil
 	}
-	return a, func(ok bool) { l.tell(ackWritten{req.id, ok}) }
+	return a.text, func(ok bool) { l.tell(ackWritten{a.entry, ok}) }
 }
 
 const answerOK = "+OK\r\n"
@@ -108,10 +121,9 @@
 // recover hands the module the list as last known, the present one if there is
 // one, and what the journal held.
 func (l *loop) recover(known, present *List) {
-	l.targets.list(known)
-	l.events = append(l.events, known.event(aspenshift.Restored))
+	l.list(known, aspenshift.Restored)
 	if present != nil {
-		l.list(present)
+		l.list(present, aspenshift.Whole)
 	}
 	now := time.Now()
 	for _, s := range l.journal.held() {
@@ -172,7 +184,7 @@
 		case noticed:
 			l.noticed(v)
 		case arrival:
-			v.answer <- busy(0)
+			v.answer <- reply{text: busy(0)}
 		}
 	}
 }
@@ -189,7 +201,11 @@
 	case noticed:
 		l.noticed(v)
 	case *List:
-		l.list(v)
+		scope := aspenshift.Changes
+		if v.Snapshot {
+			scope = aspenshift.Whole
+		}
+		l.list(v, scope)
 	case finish:
 		l.finishing = true
 	case aspenshift.Stopping:
@@ -198,23 +214,31 @@
 	return nil
 }
 
-func (l *loop) list(v *List) {
+func (l *loop) list(v *List, scope aspenshift.ListScope) {
 	l.targets.list(v)
-	scope := aspenshift.Changes
-	if v.Snapshot {
-		scope = aspenshift.Whole
+	for _, e := range v.Endpoints {
+		l.dests[e.Group] = true
 	}
 	l.events = append(l.events, v.event(scope))
 }
 
 func (l *loop) arrive(a arrival) error {
 	req := a.req
-	if e := l.entries[req.id]; e != nil { // handed in twice: it is held already
-		if e.answer == nil {
-			a.answer <- answerOK
-		} else {
-			a.answer <- "-ERR handed in twice at once\r\n"
-		}
+	turnAway := func(text string) { a.answer <- reply{text: text} }
+	class, known := l.classes[req.class]
+	switch e := l.entries[req.id]; {
+	case e != nil && e.acked: // handed in twice: it is held already
+		turnAway(answerOK)
+		return nil
+	case e != nil: // whether that one is taken on is still open, and not for this client to say
+		turnAway("-ERR handed in twice at once\r\n")
+		return nil
+	// What can't be delivered is no -BUSY: that asks the client to come again.
+	case !known:
+		turnAway("-ERR unknown class\r\n")
+		return nil
+	case !l.dests[req.dest]:
+		turnAway("-ERR unknown destination\r\n")
 		return nil
 	}
 	room, err := l.journal.reserve(len(req.body))
@@ -222,10 +246,10 @@
 		return err
 	}
 	if !room {
-		a.answer <- busy(diskWait)
+		turnAway(busy(diskWait))
 		return nil
 	}
-	deadline := req.read.Add(req.left - intakeSlack)
+	deadline := req.read.Add(min(req.left, class.Deadline) - intakeSlack)
 	e := &entry{answer: a.answer, saved: &saved{id: req.id, class: req.class, dest: req.dest, body: req.body,
 		deadline: deadline}}
 	l.entries[req.id] = e
@@ -244,8 +268,8 @@
 
 // acked goes on with what waited until the client had its +OK.
 func (l *loop) acked(ctx context.Context, a ackWritten) {
-	e := l.entries[a.id]
-	if e == nil || e.acked {
+	e := a.entry
+	if e.acked || l.entries[e.saved.id] != e {
 		return
 	}
 	e.acked = true
@@ -254,7 +278,7 @@
 		if e.pending != nil {
 			l.unsent(e, e.pending.Target)
 		}
-		l.events = append(l.events, aspenshift.Withdrawn{Message: a.id})
+		l.events = append(l.events, aspenshift.Withdrawn{Message: e.saved.id})
 		l.forget(e)
 	case e.saved.end != 0:
 		l.notify(e)
@@ -321,8 +345,9 @@
 		l.journal.accepted(e.saved)
 		answer := e.answer
 		e.answer = nil
-		l.effects = append(l.effects, func() { answer <- answerOK })
+		l.effects = append(l.effects, func() { answer <- reply{answerOK, e} })
 	}
+	clear(l.arrived)
 	l.arrived = l.arrived[:0]
 	if err := l.journal.flush(); err != nil {
 		return err
@@ -417,7 +442,7 @@
 		e.answer = nil
 		l.journal.release(len(e.saved.body))
 		delete(l.entries, id)
-		l.effects = append(l.effects, func() { answer <- text })
+		l.effects = append(l.effects, func() { answer <- reply{text: text} })
 		return
 	}
 	e.saved.end, e.saved.wait = how, wait
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -98,7 +98,7 @@
 		l := &loop{inbox: make(chan any), done: make(chan struct{})}
 		go func() {
 			a := (<-l.inbox).(arrival)
-			a.answer <- answerOK
+			a.answer <- reply{text: answerOK}
 			close(l.done)
 		}()
 		if got, _ := l.take(note("m")); got != answerOK {
@@ -117,10 +117,11 @@
 func TestUnsentCountsAsAttempt(t *testing.T) {
 	j := mustJournal(t, t.TempDir(), 3e6)
 	accept(t, j, "m", nil)
-	l := &loop{journal: j, targets: testTargets(), entries: map[string]*entry{"m": {saved: j.live["m"]}}}
+	e := &entry{saved: j.live["m"]}
+	l := &loop{journal: j, targets: testTargets(), entries: map[string]*entry{"m": e}}
 	l.send(t.Context(), aspenshift.Send{Message: "m", Target: "s1"})
 	l.callOff(aspenshift.Cancel{Message: "m", Attempt: 0})
-	l.acked(t.Context(), ackWritten{"m", true})
+	l.acked(t.Context(), ackWritten{e, true})
 	l.send(t.Context(), aspenshift.Send{Message: "m", Target: "gone"})
 	want := []aspenshift.Event{
 		aspenshift.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: aspenshift.NotSent},
@@ -134,15 +135,31 @@
 	}
 }
 
-// TestHandedInTwice: the same id is taken on once.
+// TestHandedInTwice: the same id is taken on once, and another client that hands
+// it in can neither confirm the first one's message nor withdraw it.
 func TestHandedInTwice(t *testing.T) {
-	n := startLoop(t, func(c *Config) { c.Known.Endpoints = nil }) // nothing can be sent
-	for range 2 {
-		answer, written := n.loop.take(note("m"))
-		if answer != answerOK {
-			t.Fatal(answer)
-		}
-		written(true)
+	n := startLoop(t, nil)
+	answer, written := n.loop.take(note("m"))
+	if answer != answerOK {
+		t.Fatal(answer)
+	}
+	if got, w := n.loop.take(note("m")); !strings.HasPrefix(got, "-ERR") || w != nil {
+		t.Errorf("before the first client has its +OK, the second got %q", got)
+	}
+	if len(n.calls) > 0 {
+		t.Error("sent before its client has its +OK")
+	}
+	written(true)
+	if got := <-n.calls; got != "m" {
+		t.Errorf("%s was sent", got)
+	}
+
+	n = startLoop(t, func(c *Config) { c.Known.Endpoints[0].Status = statusDraining }) // nothing can be sent
+	_, written = n.loop.take(note("m"))
+	written(true)
+	got, w := n.loop.take(note("m"))
+	if got != answerOK || w != nil {
+		t.Errorf("held already: got %q", got)
 	}
 	if live := onDisk(t, n.loop); len(live) != 1 {
 		t.Errorf("%d messages held", len(live))
@@ -158,7 +175,8 @@
 		req  func(*request)
 		want string
 	}{
-		{"unknown class", nil, func(r *request) { r.class = "other" }, "-BUSY"},
+		{"unknown class", nil, func(r *request) { r.class = "other" }, "-ERR unknown class"},
+		{"unknown destination", nil, func(r *request) { r.dest = 8 }, "-ERR unknown destination"},
 		{"no time left", nil, func(r *request) { r.left = 0 }, "-BUSY"},
 		{"hold full", func(c *Config) { c.Settings.MaxHeld = 1 }, nil, "-BUSY"},
 		{"disk full", func(c *Config) { c.Limits.DiskMB = 0.017 }, nil, "-BUSY 1000"},
@@ -179,6 +197,23 @@
 	}
 }
 
+// TestIntakeBounds: a destination exists while its targets are away, and a message
+// is not held for longer than its class allows, whatever its client says.
+func TestIntakeBounds(t *testing.T) {
+	n := startLoop(t, nil)
+	n.loop.tell(&List{Endpoints: []Endpoint{{Name: "s1", Group: 7, Status: statusDeleted}}})
+	r := note("m")
+	r.left = 1e6 * time.Second
+	answer, written := n.loop.take(r)
+	if answer != answerOK {
+		t.Fatalf("with its targets away, got %q", answer)
+	}
+	written(true)
+	if left := time.Until(onDisk(t, n.loop)["m"].deadline); left > 5*time.Minute {
+		t.Errorf("held for %v", left)
+	}
+}
+
 // testPlatform stands in for discovery's address.
 func testPlatform(t *testing.T, h http.HandlerFunc) *platform {
 	t.Helper()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	clients := newClients(ln, c.Limits.Sockets/4, l.take)
+	clients := newClients(ln, c.Limits.clients(), l.take)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
