Keep connections to targets ourselves, and tell a spoilt answer from one that never ran

Seen by test: a 503, 429, 504 or 410 with a spoilt body counted as never ran (an unsafe message could run twice) or as over; a 200 with an unreadable head was lost; a 101 ahead hid the answer. By probe: of 3000 answers with a second copy behind, without a body, http.Transport took one copy for the answer to the next call, which loses a message. Cause: call ignored the error of the body; Transport makes a connection idle before it looks whether more has come, keeps no first line, bounds no pool over all targets. Ruled out: checking from httptrace.GotConn (it can't refuse a connection), and a wrapper that counts bytes (it would have to frame the answers a second time).

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -372,7 +372,7 @@
 		l.callOff(a)
 	case aspenshift.CloseIdle:
 		if t := l.targets.byName[a.Target]; t != nil {
-			l.effects = append(l.effects, t.transport.CloseIdleConnections)
+			l.effects = append(l.effects, t.closeIdle)
 		}
 	case aspenshift.Wake:
 		l.wake.Reset(a.After)
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -1,19 +1,16 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"aspenshift"
@@ -21,40 +18,37 @@
 
 const (
 	idleMargin = 2 * time.Second        // our idle time-out stays so far under the target's
-	drainTime  = 200 * time.Millisecond // for a body that means nothing
-	drainBytes = 64 << 10
+	answerTime = 500 * time.Millisecond // an answer that has begun is whole by then
 )
 
-// Why the context of a call ended.
+// Why a call ended without an answer.
 var (
 	errTimedOut  = errors.New("timed out")
 	errCancelled = errors.New("called off")
+	errSpoilt    = errors.New("an answer that can't be read")
 )
 
-// targets keeps one transport for each target. It is owned by the loop; a
+// targets knows the addresses of the targets. It is owned by the loop; a
 // *target may be used from any goroutine.
 type targets struct {
-	idle     int           // idle connections kept to one target
-	idleTime time.Duration // and for how long
-	connect  time.Duration
-	byName   map[string]*target
+	pool   *pool
+	byName map[string]*target
 }
 
 // target is one address of a target.
 type target struct {
-	address   string
-	transport *http.Transport
+	address string
+	pool    *pool
+	removed bool // guarded by the pool
 }
 
 func newTargets(c *Config) *targets {
 	s := c.Settings
-	each := c.Limits.Sockets / 2 / max(32, len(c.Known.Endpoints))
-	return &targets{
-		idle:     max(2, min(s.Slots, each)),
+	return &targets{byName: map[string]*target{}, pool: &pool{
+		most:     c.Limits.targets(),
 		idleTime: max(s.ConnIdle-idleMargin, s.ConnIdle/2, time.Second),
-		connect:  s.ConnectLimit,
-		byName:   map[string]*target{},
-	}
+		dialer:   net.Dialer{Timeout: s.ConnectLimit},
+	}}
 }
 
 // list takes what discovery tells of addresses.
@@ -81,90 +75,61 @@
 // remove forgets a target; calls that are out go on.
 func (ts *targets) remove(name string) {
 	if t := ts.byName[name]; t != nil {
-		t.transport.CloseIdleConnections()
+		ts.pool.closeIdle(t, true)
 		delete(ts.byName, name)
 	}
 }
 
-func (ts *targets) open(address string) *target {
-	d := net.Dialer{Timeout: ts.connect}
-	return &target{address: address, transport: &http.Transport{
-		DialContext:            d.DialContext,
-		MaxIdleConns:           0,
-		MaxIdleConnsPerHost:    ts.idle, // the default of 2 would cost a handshake for most calls
-		IdleConnTimeout:        ts.idleTime,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: 32 << 10,
-		WriteBufferSize:        8 << 10,
-		ReadBufferSize:         4 << 10,
-	}}
-}
+func (ts *targets) open(address string) *target { return &target{address: address, pool: ts.pool} }
 
-// call sends one message and tells how that ended. The transport is used
-// directly, so there are no redirects; the body cannot be read twice, so the
-// library never sends a message again by itself.
+func (t *target) closeIdle() { t.pool.closeIdle(t, false) }
+
+// call sends one message, once, and tells how that ended.
 func (t *target) call(ctx context.Context, id string, body []byte, timeout time.Duration) (o aspenshift.Outcome) {
 	began := time.Now()
-	defer func() { o.Took = time.Since(began) }()
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	timed, free := context.WithTimeoutCause(ctx, timeout, errTimedOut)
+	ctx, free := context.WithTimeoutCause(ctx, timeout, errTimedOut)
 	defer free()
-
-	var connected, written atomic.Bool
-	traced := httptrace.WithClientTrace(timed, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-		WroteRequest: func(i httptrace.WroteRequestInfo) {
-			if i.Err == nil {
-				written.Store(true)
-			}
-		},
-	})
-	req := (&http.Request{
-		Method: http.MethodPost,
-		URL:    &url.URL{Scheme: "http", Host: t.address, Path: "/events"},
-		Header: http.Header{
-			"Req-Id":       {id},
-			"Req-Deadline": {strconv.FormatFloat(timeout.Seconds(), 'f', 3, 64)},
-			"User-Agent":   {"scaleroute"},
-		},
-		Body:          http.NoBody,
-		ContentLength: int64(len(body)),
-	}).WithContext(traced)
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-	}
-	resp, err := t.transport.RoundTrip(req)
+	c, err := t.pool.get(ctx, t)
 	if err != nil {
-		o.Result = brokenCall(context.Cause(timed), connected.Load(), written.Load())
+		o.Result, o.Took = aspenshift.ConnectFailed, time.Since(began)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			o.Result = aspenshift.NotSent // our own want says nothing of the target
+		}
 		return o
 	}
-	// Read to its end, the body lets the connection be used again.
-	cut := time.AfterFunc(drainTime, stop)
-	if _, err := io.CopyN(io.Discard, resp.Body, drainBytes); err != nil && !errors.Is(err, io.EOF) {
-		slog.Debug("reading an answer", "target", t.address, "err", err)
+	stop := context.AfterFunc(ctx, c.giveUp)
+	request := net.Buffers{fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: %s\r\nUser-Agent: scaleroute\r\n"+
+		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n", t.address, id, timeout.Seconds(), len(body)), body}
+	if _, err := request.WriteTo(c.Conn); err != nil { // before its last byte
+		stop()
+		t.pool.close(c)
+		o.Result, o.Took = aspenshift.ConnectFailed, time.Since(began)
+		return o
 	}
-	cut.Stop()
-	resp.Body.Close()
-	answered(&o, resp)
-	return o
-}
-
-// brokenCall tells how a call without an answer ended. When its own context has
-// ended, the last bytes may just have been written without a word of it yet: the
-// call is then certain not to have run only if it never had a connection.
-func brokenCall(cause error, connected, written bool) aspenshift.Result {
-	switch {
-	case !connected:
-		return aspenshift.ConnectFailed
+	resp, first, err := c.answer(ctx)
+	o.Took = first.Sub(began)
+	switch cause := context.Cause(ctx); {
+	case err == nil:
+		answered(&o, resp)
+	case says200(c.record): // that is true, whatever follows
+		o.Result, o.Over = aspenshift.Done, true
+	case len(c.record) > 0: // it may have run, whatever it seems to say
+		o.Result = aspenshift.Errored
+		slog.Warn("a spoilt answer", "target", t.address, "begins", fmt.Sprintf("%.80q", c.record), "err", err)
 	case errors.Is(cause, errTimedOut):
-		return aspenshift.TimedOut
+		o.Result = aspenshift.TimedOut
 	case cause != nil:
-		return aspenshift.Cancelled
-	case !written:
-		return aspenshift.ConnectFailed
+		o.Result = aspenshift.Cancelled
+	default:
+		o.Result = aspenshift.Reset
 	}
-	return aspenshift.Reset
+	// More than the answer is no harm, but would be taken for the next one.
+	if stop() && err == nil && !resp.Close && c.r.Buffered() == 0 {
+		t.pool.put(c)
+	} else {
+		t.pool.close(c)
+	}
+	return o
 }
 
 // answered fills in what an answer says.
@@ -199,7 +164,7 @@
 	for _, pair := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		if err != nil || !(v >= 0 && v <= 1e9) {
 			continue
 		}
 		switch name {
