Keep to the own part of a told limit after refusals, and weigh refusals alike everywhere

Cause, from the traces before: a refusal cut the pace to half of the fair part of a limit that the destination tells, and two refusals and a reset counted as three failures, hence an outage. Change in policy.go: with a told limit the own part is the floor; a refusal weighs half a failure in fails and proof (before: only where nothing else failed).

--- a/policy.go
+++ b/policy.go
@@ -622,9 +622,13 @@
 	if r.fails == 0 {
 		r.failing = c.sent
 	}
-	r.fails++
+	weight := 1.0
+	if o.Result == Full {
+		weight = 1 / fullsPerFail
+	}
+	r.fails += weight
 	if c.sent > r.okSent {
-		r.proof++
+		r.proof += weight
 	}
 	if o.Result == ConnectFailed {
 		c.target.conns = c.target.out
@@ -639,7 +643,7 @@
 	switch {
 	case o.Wait > 0 && o.Wait >= f.set.Fall && f.set.Fall > 0:
 		f.openRoute(r, "shut")
-	case float64(r.fails) >= fullsPerFail*f.proof(r), o.Result != Full && float64(r.fails) >= f.proof(r):
+	case r.fails >= f.proof(r):
 		f.openRoute(r, "failing")
 	case r.doubt.get(f.now, memory) > halfFailing:
 		r.cold = true // that some are answered makes it no less of an outage
@@ -722,7 +726,7 @@
 
 func (f *Forwarder) trialFailed(r *route) {
 	r.gap = min(2*r.gap, longestTrial)
-	r.cold = r.cold || float64(r.proof) >= f.proof(r)
+	r.cold = r.cold || r.proof >= f.proof(r)
 	r.goods, r.tried, r.draw = 0, f.now, 0.5+f.rng.Float64()
 }
 
@@ -783,7 +787,7 @@
 		}
 	}
 	if late >= 2 {
-		r.proof = max(r.proof, overdue)
+		r.proof = max(r.proof, float64(overdue))
 	}
 	return late >= 2
 }
@@ -936,7 +940,11 @@
 	}
 	r.cutAt = f.now + adjustEvery
 	sent := r.sent.get(f.now, rateSpan) / rateSpan.Seconds()
-	r.rate = max(minRate/float64(f.set.Forwarders), leastPart*f.part(r), min(r.rate, sent)*cutTo)
+	least := leastPart
+	if r.limit > 0 { // an equal part of a limit that is told fits in, whatever was refused beyond it
+		least = 1
+	}
+	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r), min(r.rate, sent)*cutTo)
 }
 
 // ---- For the host.
--- a/state.go
+++ b/state.go
@@ -106,11 +106,11 @@
 
 	mean   time.Duration // usual time to answer; 0 if none was seen
 	doubt  decayingMean  // share of outcomes that leave doubt
-	fails  int           // failures in a row
+	fails  float64       // failures in a row; a refusal counts as part of one
 	lastOK time.Duration // when the latest good answer came
 	okSent time.Duration // the latest send that had a good answer
 	oks    decaying      // good answers
-	proof  int           // calls that failed or are overdue, sent after okSent
+	proof  float64       // calls that failed or are overdue, sent after okSent
 
 	open    bool
 	why     string
