Forget targets that are gone, and destinations that are long quiet

Cause, by reading and a test: targets that were Gone stayed in f.targets, route.targets, d.routes, f.dests and f.order, so memory and each Step grew with every replaced target.

--- a/policy.go
+++ b/policy.go
@@ -130,6 +130,10 @@
 		t := f.target(e)
 		t.state, t.zone, t.weight = e.State, e.Zone, e.Weight
 	}
+	for _, t := range f.targets {
+		f.dropGone(t)
+	}
+	f.dropQuiet()
 }
 
 func (f *Forwarder) askForList() {
@@ -489,6 +493,7 @@
 		f.learn(r, a.call, o)
 	}
 	f.leave(a.call.target)
+	f.dropGone(a.call.target)
 	doubtful := o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled
 	if doubtful && m.line != nil {
 		m.line.rests = max(m.line.rests, f.now+f.set.KeyRest)
--- a/policy_test.go
+++ b/policy_test.go
@@ -541,3 +541,36 @@
 		t.Errorf("only %d of 40 waited for longer than the first backoff of other failures", late)
 	}
 }
+
+// TestGoneTargetsAreForgotten: targets come and go all day under new ids. What is kept must not grow
+// with them, and what the route that they share has learned must outlast them.
+func TestGoneTargetsAreForgotten(t *testing.T) {
+	f := newForwarder(t, plain("t0"), Target{ID: "a0", Destination: 2, Kind: "apart", Zone: "a"})
+	f.Step(0, []Event{msg("m", "pure", "")}) // out to t0 until the end
+	f.dests[1].routes[0].told = time.Hour
+	for n := 1; n <= 100; n++ {
+		now := time.Duration(n) * time.Second
+		f.Step(now, []Event{TargetList{Scope: Changes, Targets: []Target{
+			plain(fmt.Sprintf("t%d", n)), {ID: fmt.Sprintf("t%d", n-1), State: Gone},
+			{ID: fmt.Sprintf("a%d", n), Destination: 2, Kind: "apart", Zone: "a"}, {ID: fmt.Sprintf("a%d", n-1), State: Gone},
+			{ID: fmt.Sprintf("b%d", n), Destination: 100 + n, Kind: "plain"}, {ID: fmt.Sprintf("b%d", n-1), State: Gone},
+		}}})
+	}
+	if n := len(f.targets); n != 4 { // the newest three, and the one with a call out
+		t.Errorf("%d targets kept", n)
+	}
+	f.Step(101*time.Second, []Event{Outcome{Message: "m", Target: "t0", Result: Done, Over: true}})
+	if n := len(f.targets); n != 3 || len(f.msgs) != 0 {
+		t.Errorf("%d targets and %d messages kept", n, len(f.msgs))
+	}
+	r := f.dests[1].routes
+	if len(r) != 1 || r[0].told != time.Hour || len(r[0].targets) != 1 || r[0].targets[0].id != "t100" {
+		t.Errorf("the shared route: %+v", r)
+	}
+	if r := f.dests[2].routes; len(r) != 1 || r[0].name != "a100" {
+		t.Errorf("routes apart: %v", r)
+	}
+	if n := len(f.dests); n > 2+int(forget/time.Second)+2 || n != len(f.order) {
+		t.Errorf("%d destinations kept, %d in order", n, len(f.order))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -277,6 +278,36 @@
 	return t
 }
 
+// dropGone forgets a target that is gone once no call to it is out. What it taught the route that it
+// shared with others stays; a route of its own goes with it.
+func (f *Forwarder) dropGone(t *target) {
+	if t.state != Gone || t.out > 0 || f.targets[t.id] != t {
+		return
+	}
+	delete(f.targets, t.id)
+	r := t.route
+	r.targets = without(r.targets, t)
+	if t.kind.Apart && len(r.targets) == 0 {
+		r.dest.routes = without(r.dest.routes, r)
+	}
+}
+
+// dropQuiet forgets the destinations that have had no target, message or call for long.
+func (f *Forwarder) dropQuiet() {
+	f.order = slices.DeleteFunc(f.order, func(d *dest) bool {
+		for _, r := range d.routes {
+			if len(r.targets)+len(r.calls) > 0 || f.now < r.told || f.now-r.touched <= forget {
+				return false
+			}
+		}
+		if len(d.waiting) > 0 || len(d.routes) == 0 && f.now-d.served <= forget {
+			return false
+		}
+		delete(f.dests, d.id)
+		return true
+	})
+}
+
 func (f *Forwarder) freshRoute(name string, d *dest) *route {
 	return &route{name: name, dest: d, okSent: -1, ratio: startRatio, interval: f.now, rate: math.Inf(1), room: 1, touched: f.now}
 }
@@ -306,7 +337,7 @@
 func without[T comparable](list []T, item T) []T {
 	for i, x := range list {
 		if x == item {
-			return append(list[:i], list[i+1:]...)
+			return slices.Delete(list, i, i+1)
 		}
 	}
 	return list
