Make trial calls with messages that have time for an answer

Change in policy.go: choose puts a message that has less than four usual times (0.6 s at least) left behind all others as a trial; a time-out of such a call is no failure of its route.

--- a/policy.go
+++ b/policy.go
@@ -314,6 +314,9 @@
 		score := f.urgency(m)
 		if trial {
 			score = -m.worth*f.share(m, f.now) - 100*float64(m.class.Effect)
+			if m.deadline-f.now < f.fairTime(d.routes) { // its time-out would say nothing
+				score -= 1e6
+			}
 		}
 		if score > bestScore {
 			if t := f.chooseTarget(m, ready, only); t != nil {
@@ -446,7 +449,14 @@
 	m.out++
 	c.left++
 	f.unhold(m)
-	f.do(Send{Message: m.id, Target: c.target.id, Timeout: f.timeout(m, c)})
+	limit := f.timeout(m, c)
+	c.hasty = limit < f.fairTime(m.dest.routes)
+	f.do(Send{Message: m.id, Target: c.target.id, Timeout: limit})
+}
+
+// fairTime is how long a call must be waited for before silence says anything of its route.
+func (f *Forwarder) fairTime(routes []*route) time.Duration {
+	return max(minPatience, lateFactor*f.usualTime(routes))
 }
 
 // timeout is how long to wait for an answer: what may be repeated is given up well after its
@@ -595,6 +605,12 @@
 
 // learn takes what the outcome of a call tells of its route and target.
 func (f *Forwarder) learn(r *route, c *call, o Outcome) {
+	if o.Result == TimedOut && c.hasty { // its message had no time left: that is no one's failure
+		if c.trial {
+			r.tried = f.now
+		}
+		return
+	}
 	if o.Result == Reset || o.Result == TimedOut {
 		f.noteLoss(c)
 	} else if !c.missed && o.Result != ConnectFailed {
--- a/policy_test.go
+++ b/policy_test.go
@@ -574,3 +574,37 @@
 		t.Errorf("%d destinations kept, %d in order", n, len(f.order))
 	}
 }
+
+// TestTrialNeedsTime: a trial call with a message that is about to expire ends with that message, and
+// would say that the route fails though it has come back. Such an end is no failure either.
+func TestTrialNeedsTime(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	r := f.dests[1].routes[0]
+	r.mean = 200 * ms
+	f.openRoute(r, "failing")
+	old := msg("old", "pure", "")
+	old.Left = 400 * ms
+	f.Step(0, []Event{old, msg("young", "pure", "")})
+	got := sends(f.Step(350*ms, nil))
+	for now := 350 * ms; len(got) == 0 && now < time.Second; now += 10 * ms {
+		got = sends(f.Step(now, nil))
+	}
+	if len(got) != 1 || got[0] != "young" {
+		t.Fatalf("the trial call took %v", got)
+	}
+
+	f = newForwarder(t, plain("x"))
+	for n := range 5 {
+		id := fmt.Sprint("m", n)
+		old := msg(id, "pure", "")
+		old.Left = 100 * ms
+		now := time.Duration(n) * time.Second
+		if got := sends(f.Step(now, []Event{old})); len(got) != 1 {
+			t.Fatalf("sent %v", got)
+		}
+		f.Step(now+100*ms, []Event{Outcome{Message: id, Target: "x", Result: TimedOut, Took: 100 * ms}})
+	}
+	if r := f.dests[1].routes[0]; r.open || r.fails > 0 || r.bad > 0 {
+		t.Errorf("judged by calls without time: open %v, fails %v", r.open, r.fails)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -50,6 +50,7 @@
 	trial  bool
 	called bool // off
 	missed bool // counted as lost
+	hasty  bool // its message has too little time for a time-out to mean anything
 	idle   int  // how long its connection had been idle, as a step; 0 for a new one
 }
 
