Follow each connection's own idle time in the module

Cause: t.conns and t.used (state.go) believed in connections that a reset, a time-out or a call-off had closed, and took the time since the target's last send for the idle time of whatever connection was used; steps began at 250 ms. On the sockets one in five calls on connections idle for 0.11 to 0.5 s was reset, and the module saw none of it. Change: each target has the times at which its free connections became free, used last first as in the pool; steps from 60 ms on; a share of a sixth lost (before: a quarter), over 16 calls, is stale. TestStaleConnectionsAreClosed now has a given-up call close its connection, as it does on sockets.

--- a/policy.go
+++ b/policy.go
@@ -39,10 +39,11 @@
 	minTimeout  = 1500 * time.Millisecond
 	timeFactor  = 10 // time-out of a call that may be repeated, over the usual time
 
-	idleSteps = 7 // steps of the time that a connection was idle
-	firstIdle = 250 * time.Millisecond
-	lossShare = 1.0 / 8 // weight of one call in the share lost
-	staleLoss = 0.25    // above this share, connections idle for so long are not used
+	idleSteps = 9 // steps of the time that a connection was idle
+	firstIdle = 60 * time.Millisecond
+	lossShare = 1.0 / 8  // weight of one call in the share lost
+	idleShare = 1.0 / 16 // the same for connections of one idle time
+	staleLoss = 0.17     // above this share, connections idle for so long are not used
 	roomCost  = 0.1     // price of a connection that idles at a target
 	tableRoom = 20.0    // connections that a small table takes: fewer senders than that can't fill it
 
@@ -291,7 +292,7 @@
 	if m == nil {
 		return false
 	}
-	if f.idle(to) > 0 && f.stale(idleStep(f.now-to.used)) {
+	if n := f.idle(to); n > 0 && f.stale(idleStep(f.now-to.free[n-1])) {
 		f.closeIdle(to)
 	}
 	c := f.startCall(to)
@@ -496,6 +497,9 @@
 		r.calls = without(r.calls, a.call)
 		f.calls = without(f.calls, a.call)
 		a.call.target.out--
+		if o.Result == Done || o.Result == Errored || o.Result == Full || o.Result == NotSent {
+			a.call.target.free = append(a.call.target.free, f.now) // its connection is kept
+		}
 	}
 	if o.Result == NotSent {
 		m.tries--
@@ -614,7 +618,7 @@
 	if o.Result == Reset || o.Result == TimedOut {
 		f.noteLoss(c)
 	} else if !c.missed && o.Result != ConnectFailed {
-		f.idleLoss[c.idle].put(f.now, forget, lossShare, 0)
+		f.idleLoss[c.idle].put(f.now, forget, idleShare, 0)
 	}
 	good := o.Result == Done
 	if o.Result == Cancelled {
@@ -652,7 +656,7 @@
 		r.proof += weight
 	}
 	if o.Result == ConnectFailed {
-		c.target.conns = c.target.out
+		c.target.free = nil
 	}
 	if f.targetAlone(r, c.target, o.Result) {
 		return
@@ -739,7 +743,7 @@
 	}
 	f.trialFailed(r)
 	for _, t := range r.targets {
-		if t.state == Active && t.conns > t.out { // a new connection tells a dead target from a busy one
+		if t.state == Active && len(t.free) > 0 { // a new connection tells a dead target from a busy one
 			f.closeIdle(t)
 		}
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -231,10 +231,11 @@
 		if open {
 			step(now + 900*ms)
 			step(now+1500*ms, Outcome{Message: id, Target: "x", Result: TimedOut}, Withdrawn{id})
+			open = false // a call is given up by closing its connection
 		} else {
 			step(now+100*ms, Outcome{Message: id, Target: "x", Result: Done, Took: 100 * ms, Over: true})
+			open = true
 		}
-		open = true
 		now += 4 * time.Second
 	}
 	if !f.stale(idleStep(4 * time.Second)) {
@@ -608,3 +609,26 @@
 		t.Errorf("judged by calls without time: open %v, fails %v", r.open, r.fails)
 	}
 }
+
+// TestIdleTimePerConnection: the connection used last is used next, and each has an idle time of its own,
+// from its last answer on. One whose call broke is not there any more.
+func TestIdleTimePerConnection(t *testing.T) {
+	f := newForwarder(t, plain("x"))
+	x := f.targets["x"]
+	f.Step(0, []Event{msg("m1", "pure", ""), msg("m2", "pure", ""), msg("m3", "pure", "")})
+	for n, at := range []time.Duration{100 * ms, 200 * ms, 300 * ms} {
+		result := []Result{Done, Reset, Done}[n]
+		f.Step(at, []Event{Outcome{Message: fmt.Sprint("m", n+1), Target: "x", Result: result, Over: true}})
+	}
+	if want := []time.Duration{100 * ms, 300 * ms}; !slices.Equal(x.free, want) {
+		t.Fatalf("free since %v, want %v", x.free, want)
+	}
+	f.Step(400*ms, []Event{msg("m4", "pure", ""), msg("m5", "pure", ""), msg("m6", "pure", "")})
+	var idle []int
+	for _, c := range f.calls {
+		idle = append(idle, c.idle)
+	}
+	if want := []int{idleStep(100 * ms), idleStep(300 * ms), 0}; !slices.Equal(idle, want) {
+		t.Errorf("idle steps %v, want %v", idle, want)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -79,10 +79,9 @@
 	weight   float64
 	route    *route
 	out      int
-	conns    int           // connections believed to be open
-	used     time.Duration // when one was last used
-	uses     decaying      // calls
-	failed   int           // failures in a row
+	free     []time.Duration // when each connection believed to be open and free became so
+	uses     decaying        // calls
+	failed   int             // failures in a row
 	avoidTil time.Duration
 	failing  decayingMean // share of calls that left doubt
 }
@@ -432,8 +431,9 @@
 func (f *Forwarder) startCall(t *target) *call {
 	r := t.route
 	c := &call{route: r, target: t, sent: f.now, trial: r.open}
-	if f.idle(t) > 0 {
-		c.idle = idleStep(f.now - t.used)
+	if n := f.idle(t); n > 0 { // the host uses the one used last
+		c.idle = idleStep(f.now - t.free[n-1])
+		t.free = t.free[:n-1]
 	}
 	r.calls = append(r.calls, c)
 	r.tokens--
@@ -441,8 +441,6 @@
 	r.touched = f.now
 	f.calls = append(f.calls, c)
 	t.out++
-	t.conns = max(t.conns, t.out)
-	t.used = f.now
 	t.uses.add(f.now, max(f.set.ConnIdle, 1))
 	return c
 }
@@ -471,16 +469,18 @@
 func (f *Forwarder) noteLoss(c *call) {
 	if !c.missed {
 		c.missed = true
-		f.idleLoss[c.idle].put(f.now, forget, lossShare, 1)
+		f.idleLoss[c.idle].put(f.now, forget, idleShare, 1)
 	}
 }
 
 // idle is the number of connections to a target believed to be open and free.
 func (f *Forwarder) idle(t *target) int {
-	if f.now-t.used > f.set.ConnIdle {
-		t.conns = t.out
+	n := 0
+	for n < len(t.free) && f.now-t.free[n] >= f.set.ConnIdle {
+		n++
 	}
-	return max(0, t.conns-t.out)
+	t.free = slices.Delete(t.free, 0, n)
+	return len(t.free)
 }
 
 func (f *Forwarder) withdraw(w Withdrawn) {
@@ -491,5 +491,5 @@
 
 func (f *Forwarder) closeIdle(t *target) {
 	f.do(CloseIdle{Target: t.id})
-	t.conns = t.out
+	t.free = nil
 }
