--- a/policy.go
+++ b/policy.go
@@ -44,8 +44,8 @@
 	lossShare = 1.0 / 8  // weight of one call in the share lost
 	idleShare = 1.0 / 16 // the same for connections of one idle time
 	staleLoss = 0.17     // above this share, connections idle for so long are not used
-	roomCost  = 0.1     // price of a connection that idles at a target
-	tableRoom = 20.0    // connections that a small table takes: fewer senders than that can't fill it
+	roomCost  = 0.1      // price of a connection that idles at a target
+	tableRoom = 20.0     // connections that a small table takes: fewer senders than that can't fill it
 
 	fullsPerFail  = 2.0 // so many refusals in a row say as much of an outage as one failure
 	trialShare    = 0.5 // of what a cold route may be sent: trial calls of all senders together
