Leave a long call alone where its route answers later ones

To blame: freeSlots (policy.go) gives each call four times the usual time, 0.6 s at least, be it swallowed or long. Change: a call on a route that has answered one sent later gets four times as long.

--- a/policy.go
+++ b/policy.go
@@ -867,6 +867,9 @@
 		for _, a := range c.parts {
 			limit = max(limit, f.patience(a.m, usual))
 		}
+		if r := c.route; !r.open && c.sent <= r.okSent { // its route works: it is long rather than lost
+			limit *= 4
+		}
 		over := float64(f.now-c.sent) / float64(limit)
 		if !c.called && !f.before(c.sent+limit) && over >= most {
 			worst, most = c, over
--- a/policy_test.go
+++ b/policy_test.go
@@ -632,3 +632,31 @@
 		t.Errorf("idle steps %v, want %v", idle, want)
 	}
 }
+
+// TestLongCallIsNotLost: when slots run out, a call that takes long at a route that answers later ones is
+// left alone for longer. Its message would take as long again; a call that was swallowed is called off.
+func TestLongCallIsNotLost(t *testing.T) {
+	for _, c := range []struct {
+		answered bool
+		want     int // calls called off
+	}{{true, 0}, {false, 1}} {
+		f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"})
+		f.set.Slots = 2
+		f.dests[1].routes[0].mean = 200 * ms
+		f.Step(0, []Event{msg("long", "pure", "")})
+		f.Step(100*ms, []Event{msg("later", "pure", "")})
+		if c.answered {
+			f.Step(200*ms, []Event{Outcome{Message: "later", Target: "x", Result: Done, Over: true, Took: 100 * ms}})
+			f.Step(201*ms, []Event{Message{ID: "other", Class: "pure", Destination: 2, Left: 10 * time.Second}})
+		}
+		cancelled := 0
+		for _, a := range f.Step(time.Second, nil) {
+			if _, ok := a.(Cancel); ok {
+				cancelled++
+			}
+		}
+		if cancelled != c.want {
+			t.Errorf("later one answered %v: %d calls called off", c.answered, cancelled)
+		}
+	}
+}
