Name the module and its package for what they are: scaleroute, internal/decide

The decision module and its package still carried the name they had before they were handed over, and stood in the repository's root among the program's files. They move to internal/decide, the adapter for the simulator's wire to cmd/scaleroute-sim; nothing but names changes.

--- a/cmd/aspenshift-adapter/main.go
+++ b/cmd/scaleroute-sim/main.go
@@ -1,4 +1,4 @@
-// Command aspenshift-adapter hosts forwarders on the wire of the test bench:
+// Command scaleroute-sim hosts forwarders on the wire of the test bench:
 // batches of events on standard input, one reply for each on standard output.
 // The forwarders share nothing.
 package main
@@ -10,14 +10,14 @@
 	"os"
 	"runtime/debug"
 
-	"aspenshift"
-	"aspenshift/internal/wire"
+	"scaleroute/internal/decide"
+	"scaleroute/internal/wire"
 )
 
 func main() {
 	debug.SetGCPercent(400)
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "aspenshift-adapter:", err)
+		fmt.Fprintln(os.Stderr, "scaleroute-sim:", err)
 		os.Exit(1)
 	}
 }
@@ -25,7 +25,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r, w := wire.NewReader(in), wire.NewWriter(out)
-	hosted := map[string]*aspenshift.Forwarder{}
+	hosted := map[string]*decide.Forwarder{}
 	for {
 		b, err := r.Next()
 		if errors.Is(err, io.EOF) {
@@ -42,9 +42,9 @@
 
 // answer tells each forwarder its events of one batch and writes what they do.
 // Nothing is written if any part of the batch is at fault.
-func answer(b *wire.Batch, hosted map[string]*aspenshift.Forwarder, w *wire.Writer) error {
+func answer(b *wire.Batch, hosted map[string]*decide.Forwarder, w *wire.Writer) error {
 	var order []string
-	events := map[string][]aspenshift.Event{}
+	events := map[string][]decide.Event{}
 	for _, in := range b.Inputs {
 		if in.Op != wire.Start && hosted[in.Instance] == nil {
 			return fmt.Errorf("field ForwarderId: unknown instance %q", in.Instance)
@@ -55,7 +55,7 @@
 		}
 		switch in.Op {
 		case wire.Start:
-			f, err := aspenshift.New(in.Settings)
+			f, err := decide.New(in.Settings)
 			if err != nil {
 				return fmt.Errorf("instance %s: %w", in.Instance, err)
 			}
--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -11,7 +11,7 @@
 	"os/signal"
 	"syscall"
 
-	"aspenshift/internal/node"
+	"scaleroute/internal/node"
 )
 
 func main() {
--- a/aspenshift.go
+++ b/internal/decide/decide.go
@@ -1,4 +1,4 @@
-// Package aspenshift makes the decisions of an outbound gateway, a forwarder
+// Package decide makes the decisions of an outbound gateway, a forwarder
 // that delivers messages by calls to other people's systems: when and where to
 // try, when to hold back, when to try again, and when to hand a message back.
 //
@@ -15,7 +15,7 @@
 // counts as no time passed, a message id taken before and still held is passed
 // over, and so are outcomes and withdrawals of things not held. A message for
 // an unknown class, or one whose time is already up, is refused at once.
-package aspenshift
+package decide
 
 import "time"
 
--- a/policy.go
+++ b/internal/decide/policy.go
@@ -1,6 +1,6 @@
-package aspenshift
+package decide
 
-// The decision module. Its interface - settings, events, actions - is in aspenshift.go; the
+// The decision module. Its interface - settings, events, actions - is in decide.go; the
 // structs that it remembers things in, and their making, are in state.go. All else is decided
 // here, in the order in which a message lives: taken, held, sent, outcome, again or answered;
 // then route health, the retry budget and pace. docs/design.md tells what comes from the design.
--- a/rules_test.go
+++ b/internal/decide/rules_test.go
@@ -1,4 +1,4 @@
-package aspenshift
+package decide
 
 import (
 	"fmt"
@@ -297,8 +297,8 @@
 		Outcome{Message: "m1", Target: "shop-1", Result: Done, Took: 85 * time.Millisecond, Over: true}})
 	fmt.Println(len(over), "actions after the answer")
 	// Output:
-	// aspenshift.Send {m1 shop-1 4s}
-	// aspenshift.Wake {1.6s}
+	// decide.Send {m1 shop-1 4s}
+	// decide.Wake {1.6s}
 	// 0 actions after the answer
 }
 
--- a/state.go
+++ b/internal/decide/state.go
@@ -1,4 +1,4 @@
-package aspenshift
+package decide
 
 import (
 	"fmt"
--- a/view.go
+++ b/internal/decide/view.go
@@ -1,4 +1,4 @@
-package aspenshift
+package decide
 
 // Routes tells what is known of each route, for on-call staff.
 func (f *Forwarder) Routes() []RouteView {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,5 +1,5 @@
 // Package node is the real forwarder: it carries what happens on sockets to a
-// [aspenshift.Forwarder] and does what that decides. It decides nothing about
+// [decide.Forwarder] and does what that decides. It decides nothing about
 // deliveries itself.
 package node
 
@@ -11,8 +11,8 @@
 	"strconv"
 	"strings"
 
-	"aspenshift"
-	"aspenshift/internal/wire"
+	"scaleroute/internal/decide"
+	"scaleroute/internal/wire"
 )
 
 // Config is what a forwarder is told at its start.
@@ -24,9 +24,9 @@
 	Limits    Limits `json:"limits"`
 	Known     List   `json:"known"`
 
-	File     string              `json:"-"` // where it was read
-	State    string              `json:"-"` // the folder that lasts
-	Settings aspenshift.Settings `json:"-"`
+	File     string          `json:"-"` // where it was read
+	State    string          `json:"-"` // the folder that lasts
+	Settings decide.Settings `json:"-"`
 }
 
 // Limits are those of the machine.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 const (
@@ -46,17 +46,17 @@
 }
 
 // event is the list as the module takes it.
-func (l *List) event(scope aspenshift.ListScope) aspenshift.TargetList {
-	e := aspenshift.TargetList{Scope: scope}
+func (l *List) event(scope decide.ListScope) decide.TargetList {
+	e := decide.TargetList{Scope: scope}
 	for _, t := range l.Endpoints {
-		state := aspenshift.Active
+		state := decide.Active
 		switch t.Status {
 		case statusDraining:
-			state = aspenshift.Draining
+			state = decide.Draining
 		case statusDeleted:
-			state = aspenshift.Gone
+			state = decide.Gone
 		}
-		e.Targets = append(e.Targets, aspenshift.Target{ID: t.Name, Destination: t.Group, Kind: t.Type,
+		e.Targets = append(e.Targets, decide.Target{ID: t.Name, Destination: t.Group, Kind: t.Type,
 			Zone: t.Zone, State: state, Weight: t.Weight})
 	}
 	return e
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 const (
@@ -16,7 +16,7 @@
 	drainMost   = 256 // events of one Step
 )
 
-// What the loop is told, besides [*List] and [aspenshift.Stopping].
+// What the loop is told, besides [*List] and [decide.Stopping].
 type (
 	arrival struct { // a client handed a message in
 		req    *request
@@ -26,7 +26,7 @@
 		entry *entry
 		ok    bool
 	}
-	callEnded struct{ outcome aspenshift.Outcome }
+	callEnded struct{ outcome decide.Outcome }
 	noticed   struct{ refs []string }
 	finish    struct{} // no client comes any more
 )
@@ -42,7 +42,7 @@
 	saved   *saved
 	answer  chan<- reply            // its client waits for an answer; nil after that
 	acked   bool                    // the client has its +OK
-	pending *aspenshift.Send        // decided before that
+	pending *decide.Send            // decided before that
 	attempt int                     // number of the call that is out
 	cancel  context.CancelCauseFunc // ends that call; nil if none is out
 	ended   bool                    // a notice is owed, or nothing any more
@@ -51,7 +51,7 @@
 // loop owns the Forwarder and the journal: nothing else touches them. It never
 // waits for the network.
 type loop struct {
-	module   *aspenshift.Forwarder
+	module   *decide.Forwarder
 	journal  *journal
 	targets  *targets
 	platform *platform
@@ -59,10 +59,10 @@
 	inbox    chan any
 	done     chan struct{}
 
-	classes   map[string]aspenshift.Class
+	classes   map[string]decide.Class
 	dests     map[int]bool // those that discovery has ever named: one exists while its targets are away
 	entries   map[string]*entry
-	events    []aspenshift.Event
+	events    []decide.Event
 	arrived   []*entry // in this round
 	effects   []func() // after the journal has been written
 	wake      *time.Timer
@@ -72,13 +72,13 @@
 }
 
 func newLoop(c *Config, j *journal, p *platform) (*loop, error) {
-	m, err := aspenshift.New(c.Settings)
+	m, err := decide.New(c.Settings)
 	if err != nil {
 		return nil, err
 	}
 	l := &loop{module: m, journal: j, targets: newTargets(c), platform: p, clock: time.Now(),
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
-		classes: map[string]aspenshift.Class{}, dests: map[int]bool{},
+		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
 	for _, class := range c.Settings.Classes {
 		l.classes[class.Name] = class
@@ -121,9 +121,9 @@
 // recover hands the module the list as last known, the present one if there is
 // one, and what the journal held.
 func (l *loop) recover(known, present *List) {
-	l.list(known, aspenshift.Restored)
+	l.list(known, decide.Restored)
 	if present != nil {
-		l.list(present, aspenshift.Whole)
+		l.list(present, decide.Whole)
 	}
 	now := time.Now()
 	for _, s := range l.journal.held() {
@@ -133,7 +133,7 @@
 			l.notify(e)
 			continue
 		}
-		l.events = append(l.events, aspenshift.Message{ID: s.id, Class: s.class, Destination: s.dest,
+		l.events = append(l.events, decide.Message{ID: s.id, Class: s.class, Destination: s.dest,
 			Left: s.deadline.Sub(now), Recovered: true, Attempts: s.attempts, Open: s.open, MayHaveRun: s.ran()})
 	}
 	if n := len(l.entries); n > 0 {
@@ -165,7 +165,7 @@
 				return err
 			}
 		case <-l.wake.C:
-			l.events = append(l.events, aspenshift.Woken{})
+			l.events = append(l.events, decide.Woken{})
 		}
 		for n := 1; n < drainMost && len(l.inbox) > 0; n++ {
 			if err := l.receive(ctx, <-l.inbox); err != nil {
@@ -201,20 +201,20 @@
 	case noticed:
 		l.noticed(v)
 	case *List:
-		scope := aspenshift.Changes
+		scope := decide.Changes
 		if v.Snapshot {
-			scope = aspenshift.Whole
+			scope = decide.Whole
 		}
 		l.list(v, scope)
 	case finish:
 		l.finishing = true
-	case aspenshift.Stopping:
+	case decide.Stopping:
 		l.events = append(l.events, v)
 	}
 	return nil
 }
 
-func (l *loop) list(v *List, scope aspenshift.ListScope) {
+func (l *loop) list(v *List, scope decide.ListScope) {
 	l.targets.list(v)
 	for _, e := range v.Endpoints {
 		l.dests[e.Group] = true
@@ -254,7 +254,7 @@
 		deadline: deadline}}
 	l.entries[req.id] = e
 	l.arrived = append(l.arrived, e)
-	l.events = append(l.events, aspenshift.Message{ID: req.id, Class: req.class, Destination: req.dest,
+	l.events = append(l.events, decide.Message{ID: req.id, Class: req.class, Destination: req.dest,
 		Left: time.Until(deadline), Again: req.again, Repeat: req.repeat})
 	return nil
 }
@@ -278,7 +278,7 @@
 		if e.pending != nil {
 			l.unsent(e, e.pending.Target)
 		}
-		l.events = append(l.events, aspenshift.Withdrawn{Message: e.saved.id})
+		l.events = append(l.events, decide.Withdrawn{Message: e.saved.id})
 		l.forget(e)
 	case e.saved.end != 0:
 		l.notify(e)
@@ -293,14 +293,14 @@
 // attempt there, and so it must here: an outcome with another number than the
 // module's would be passed over, and its slot and message never come free.
 func (l *loop) unsent(e *entry, target string) {
-	l.events = append(l.events, aspenshift.Outcome{Message: e.saved.id, Attempt: e.saved.attempts, Target: target,
-		Result: aspenshift.NotSent})
+	l.events = append(l.events, decide.Outcome{Message: e.saved.id, Attempt: e.saved.attempts, Target: target,
+		Result: decide.NotSent})
 	l.journal.sending(e.saved.id)
 	l.journal.outcome(e.saved.id, false)
 }
 
 // callEnded notes an outcome in the journal.
-func (l *loop) callEnded(o aspenshift.Outcome) {
+func (l *loop) callEnded(o decide.Outcome) {
 	e := l.entries[o.Message]
 	if e == nil {
 		return // ended meanwhile; the module still counts its call
@@ -360,29 +360,29 @@
 	return nil
 }
 
-func (l *loop) act(ctx context.Context, a aspenshift.Action) {
+func (l *loop) act(ctx context.Context, a decide.Action) {
 	switch a := a.(type) {
-	case aspenshift.Send:
+	case decide.Send:
 		l.send(ctx, a)
-	case aspenshift.Refuse:
+	case decide.Refuse:
 		l.end(a.Message, 'b', a.Wait)
-	case aspenshift.Fail:
+	case decide.Fail:
 		l.end(a.Message, 'd', 0)
-	case aspenshift.Cancel:
+	case decide.Cancel:
 		l.callOff(a)
-	case aspenshift.CloseIdle:
+	case decide.CloseIdle:
 		if t := l.targets.byName[a.Target]; t != nil {
 			l.effects = append(l.effects, t.closeIdle)
 		}
-	case aspenshift.Wake:
+	case decide.Wake:
 		l.wake.Reset(a.After)
-	case aspenshift.Subscribe: // the watch is always on
+	case decide.Subscribe: // the watch is always on
 	}
 }
 
 // send starts a call once the journal says that it is about to be made. One for
 // a message whose client has no +OK yet waits for that.
-func (l *loop) send(ctx context.Context, s aspenshift.Send) {
+func (l *loop) send(ctx context.Context, s decide.Send) {
 	e := l.entries[s.Message]
 	if e == nil {
 		slog.Error("a send for a message that is not held", "id", s.Message)
@@ -412,7 +412,7 @@
 	})
 }
 
-func (l *loop) callOff(c aspenshift.Cancel) {
+func (l *loop) callOff(c decide.Cancel) {
 	e := l.entries[c.Message]
 	switch {
 	case e == nil || e.attempt != c.Attempt:
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 // testNode is a loop with real sockets on both sides, without a process.
@@ -28,9 +28,9 @@
 	}))
 	c := &Config{Limits: Limits{Sockets: 1024, DiskMB: 3}, State: t.TempDir(),
 		Known: List{Endpoints: []Endpoint{{Name: "s1", Address: target.Listener.Addr().String(), Group: 7, Weight: 1000}}},
-		Settings: aspenshift.Settings{Slots: 8, MaxHeld: 100, MaxAttempts: 6, ConnIdle: time.Minute, ConnectLimit: time.Minute,
-			AdviceLimit: 3 * time.Second, StartCapacity: 0.9, TipMultiple: 2, Fall: 3 * time.Second, Weights: aspenshift.ExactWeights,
-			Classes: []aspenshift.Class{{Name: "note", Deadline: 5 * time.Minute, Aim: time.Minute, Worth: 1}}}}
+		Settings: decide.Settings{Slots: 8, MaxHeld: 100, MaxAttempts: 6, ConnIdle: time.Minute, ConnectLimit: time.Minute,
+			AdviceLimit: 3 * time.Second, StartCapacity: 0.9, TipMultiple: 2, Fall: 3 * time.Second, Weights: decide.ExactWeights,
+			Classes: []decide.Class{{Name: "note", Deadline: 5 * time.Minute, Aim: time.Minute, Worth: 1}}}}
 	if set != nil {
 		set(c)
 	}
@@ -119,13 +119,13 @@
 	accept(t, j, "m", nil)
 	e := &entry{saved: j.live["m"]}
 	l := &loop{journal: j, targets: testTargets(), entries: map[string]*entry{"m": e}}
-	l.send(t.Context(), aspenshift.Send{Message: "m", Target: "s1"})
-	l.callOff(aspenshift.Cancel{Message: "m", Attempt: 0})
+	l.send(t.Context(), decide.Send{Message: "m", Target: "s1"})
+	l.callOff(decide.Cancel{Message: "m", Attempt: 0})
 	l.acked(t.Context(), ackWritten{e, true})
-	l.send(t.Context(), aspenshift.Send{Message: "m", Target: "gone"})
-	want := []aspenshift.Event{
-		aspenshift.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: aspenshift.NotSent},
-		aspenshift.Outcome{Message: "m", Attempt: 1, Target: "gone", Result: aspenshift.NotSent},
+	l.send(t.Context(), decide.Send{Message: "m", Target: "gone"})
+	want := []decide.Event{
+		decide.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: decide.NotSent},
+		decide.Outcome{Message: "m", Attempt: 1, Target: "gone", Result: decide.NotSent},
 	}
 	if !slices.Equal(l.events, want) {
 		t.Errorf("told %+v", l.events)
@@ -261,11 +261,11 @@
 	})
 	want := []struct {
 		whole bool
-		state aspenshift.TargetState
-	}{{true, aspenshift.Active}, {false, aspenshift.Draining}, {false, aspenshift.Gone}}
+		state decide.TargetState
+	}{{true, decide.Active}, {false, decide.Draining}, {false, decide.Gone}}
 	for _, w := range want {
 		l := <-lists
-		if e := l.event(aspenshift.Changes).Targets; l.Snapshot != w.whole || len(e) != 1 || e[0].State != w.state || e[0].Destination != 3 {
+		if e := l.event(decide.Changes).Targets; l.Snapshot != w.whole || len(e) != 1 || e[0].State != w.state || e[0].Destination != 3 {
 			t.Errorf("got %+v, want %+v", l, w)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 // How a planned stop goes, counted from SIGTERM. SIGKILL can come 3.7 s after it.
@@ -78,7 +78,7 @@
 	case <-stop:
 	}
 	slog.Info("stopping")
-	l.tell(aspenshift.Stopping{Left: lastCall})
+	l.tell(decide.Stopping{Left: lastCall})
 	began := time.Now()
 	for _, step := range []struct {
 		at time.Duration
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 const (
@@ -85,15 +85,15 @@
 func (t *target) closeIdle() { t.pool.closeIdle(t, false) }
 
 // call sends one message, once, and tells how that ended.
-func (t *target) call(ctx context.Context, id string, body []byte, timeout time.Duration) (o aspenshift.Outcome) {
+func (t *target) call(ctx context.Context, id string, body []byte, timeout time.Duration) (o decide.Outcome) {
 	began := time.Now()
 	ctx, free := context.WithTimeoutCause(ctx, timeout, errTimedOut)
 	defer free()
 	c, err := t.pool.get(ctx, t)
 	if err != nil {
-		o.Result, o.Took = aspenshift.ConnectFailed, time.Since(began)
+		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			o.Result = aspenshift.NotSent // our own want says nothing of the target
+			o.Result = decide.NotSent // our own want says nothing of the target
 		}
 		return o
 	}
@@ -103,7 +103,7 @@
 	if _, err := request.WriteTo(c.Conn); err != nil { // before its last byte
 		stop()
 		t.pool.close(c)
-		o.Result, o.Took = aspenshift.ConnectFailed, time.Since(began)
+		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		return o
 	}
 	resp, first, err := c.answer(ctx)
@@ -112,16 +112,16 @@
 	case err == nil:
 		answered(&o, resp)
 	case says200(c.record): // that is true, whatever follows
-		o.Result, o.Over = aspenshift.Done, true
+		o.Result, o.Over = decide.Done, true
 	case len(c.record) > 0: // it may have run, whatever it seems to say
-		o.Result = aspenshift.Errored
+		o.Result = decide.Errored
 		slog.Warn("a spoilt answer", "target", t.address, "begins", fmt.Sprintf("%.80q", c.record), "err", err)
 	case errors.Is(cause, errTimedOut):
-		o.Result = aspenshift.TimedOut
+		o.Result = decide.TimedOut
 	case cause != nil:
-		o.Result = aspenshift.Cancelled
+		o.Result = decide.Cancelled
 	default:
-		o.Result = aspenshift.Reset
+		o.Result = decide.Reset
 	}
 	// More than the answer is no harm, but would be taken for the next one.
 	if stop() && err == nil && !resp.Close && c.r.Buffered() == 0 {
@@ -133,34 +133,34 @@
 }
 
 // answered fills in what an answer says.
-func answered(o *aspenshift.Outcome, resp *http.Response) {
+func answered(o *decide.Outcome, resp *http.Response) {
 	o.Allowance = allowance(resp.Header.Get("Srv-Load"))
 	switch resp.StatusCode {
 	case http.StatusOK:
-		o.Result, o.Over = aspenshift.Done, true
+		o.Result, o.Over = decide.Done, true
 	case http.StatusTooManyRequests:
 		wait, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64)
 		if err != nil || !(wait >= 0 && wait <= 1e9) {
-			o.Result = aspenshift.Errored // no refusal that we know: it may have run
+			o.Result = decide.Errored // no refusal that we know: it may have run
 			return
 		}
-		o.Result, o.Wait = aspenshift.Full, time.Duration(math.Ceil(wait))*time.Millisecond
+		o.Result, o.Wait = decide.Full, time.Duration(math.Ceil(wait))*time.Millisecond
 	case http.StatusServiceUnavailable:
-		o.Result = aspenshift.Full
+		o.Result = decide.Full
 		if resp.Header.Get("X-Over-Slots") == "1" {
-			o.Result, o.NoSlot = aspenshift.NotSent, true
+			o.Result, o.NoSlot = decide.NotSent, true
 		}
 	case http.StatusGatewayTimeout:
-		o.Result = aspenshift.NotSent
+		o.Result = decide.NotSent
 	case http.StatusGone:
-		o.Result, o.Over = aspenshift.NotSent, true
+		o.Result, o.Over = decide.NotSent, true
 	default: // 500, and what the protocol does not list: it may have run
-		o.Result = aspenshift.Errored
+		o.Result = decide.Errored
 	}
 }
 
 // allowance reads a load report; one that can't be read says nothing.
-func allowance(text string) (a aspenshift.Allowance) {
+func allowance(text string) (a decide.Allowance) {
 	for _, pair := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := strconv.ParseFloat(value, 64)
@@ -178,6 +178,6 @@
 }
 
 // neverRan tells whether an outcome proves that the attempt did not run.
-func neverRan(r aspenshift.Result) bool {
-	return r == aspenshift.Full || r == aspenshift.ConnectFailed || r == aspenshift.NotSent
+func neverRan(r decide.Result) bool {
+	return r == decide.Full || r == decide.ConnectFailed || r == decide.NotSent
 }
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 func testTargets() *targets {
 	return newTargets(&Config{Limits: Limits{Sockets: 1024},
-		Settings: aspenshift.Settings{Slots: 8, ConnIdle: time.Minute, ConnectLimit: time.Minute}})
+		Settings: decide.Settings{Slots: 8, ConnIdle: time.Minute, ConnectLimit: time.Minute}})
 }
 
 // rawTarget answers each call with what serve returns; "" ends the connection
@@ -63,24 +63,24 @@
 
 // TestAnswers maps each row of the protocol's table to an outcome.
 func TestAnswers(t *testing.T) {
-	told := aspenshift.Allowance{Told: true, Left: 0.4, Rate: 25}
+	told := decide.Allowance{Told: true, Left: 0.4, Rate: 25}
 	for _, c := range []struct {
 		name, answer string
-		want         aspenshift.Outcome
+		want         decide.Outcome
 		never        bool
 	}{
-		{"200", "200 OK\r\nSrv-Load: x0=0.4,x1=25", aspenshift.Outcome{Result: aspenshift.Done, Over: true, Allowance: told}, false},
-		{"500", "500 No\r\nSrv-Load: x0=0.4, x1=25", aspenshift.Outcome{Result: aspenshift.Errored, Allowance: told}, false},
-		{"429", "429 No\r\nX-RateLimit-Wait-Ms: 700", aspenshift.Outcome{Result: aspenshift.Full, Wait: 700 * time.Millisecond}, true},
-		{"429 part", "429 No\r\nX-RateLimit-Wait-Ms: 0.2", aspenshift.Outcome{Result: aspenshift.Full, Wait: time.Millisecond}, true},
-		{"429 without a wait", "429 No", aspenshift.Outcome{Result: aspenshift.Errored}, false},
-		{"503", "503 No\r\nSrv-Load: x0=NaN,x9=1", aspenshift.Outcome{Result: aspenshift.Full}, true},
-		{"503 slots", "503 No\r\nX-Over-Slots: 1", aspenshift.Outcome{Result: aspenshift.NotSent, NoSlot: true}, true},
-		{"504", "504 No", aspenshift.Outcome{Result: aspenshift.NotSent}, true},
-		{"410", "410 No", aspenshift.Outcome{Result: aspenshift.NotSent, Over: true}, true},
-		{"redirect", "302 Found\r\nLocation: /elsewhere", aspenshift.Outcome{Result: aspenshift.Errored}, false},
-		{"unlisted", "202 Accepted", aspenshift.Outcome{Result: aspenshift.Errored}, false},
-		{"garbage", "", aspenshift.Outcome{Result: aspenshift.Errored}, false},
+		{"200", "200 OK\r\nSrv-Load: x0=0.4,x1=25", decide.Outcome{Result: decide.Done, Over: true, Allowance: told}, false},
+		{"500", "500 No\r\nSrv-Load: x0=0.4, x1=25", decide.Outcome{Result: decide.Errored, Allowance: told}, false},
+		{"429", "429 No\r\nX-RateLimit-Wait-Ms: 700", decide.Outcome{Result: decide.Full, Wait: 700 * time.Millisecond}, true},
+		{"429 part", "429 No\r\nX-RateLimit-Wait-Ms: 0.2", decide.Outcome{Result: decide.Full, Wait: time.Millisecond}, true},
+		{"429 without a wait", "429 No", decide.Outcome{Result: decide.Errored}, false},
+		{"503", "503 No\r\nSrv-Load: x0=NaN,x9=1", decide.Outcome{Result: decide.Full}, true},
+		{"503 slots", "503 No\r\nX-Over-Slots: 1", decide.Outcome{Result: decide.NotSent, NoSlot: true}, true},
+		{"504", "504 No", decide.Outcome{Result: decide.NotSent}, true},
+		{"410", "410 No", decide.Outcome{Result: decide.NotSent, Over: true}, true},
+		{"redirect", "302 Found\r\nLocation: /elsewhere", decide.Outcome{Result: decide.Errored}, false},
+		{"unlisted", "202 Accepted", decide.Outcome{Result: decide.Errored}, false},
+		{"garbage", "", decide.Outcome{Result: decide.Errored}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			address, conns := rawTarget(t, func(r *http.Request, body string) string {
@@ -138,13 +138,13 @@
 	ln.Close()
 
 	ts := testTargets()
-	if o := ts.open(refuses).call(t.Context(), "m", []byte("x"), time.Minute); o.Result != aspenshift.ConnectFailed {
+	if o := ts.open(refuses).call(t.Context(), "m", []byte("x"), time.Minute); o.Result != decide.ConnectFailed {
 		t.Errorf("refused: %+v", o)
 	}
-	if o := ts.open(drops).call(t.Context(), "m", []byte("x"), time.Minute); o.Result != aspenshift.Reset || calls.Load() != 1 {
+	if o := ts.open(drops).call(t.Context(), "m", []byte("x"), time.Minute); o.Result != decide.Reset || calls.Load() != 1 {
 		t.Errorf("dropped after the call: %+v, %d calls", o, calls.Load())
 	}
-	if o := ts.open(silent).call(t.Context(), "m", nil, 50*time.Millisecond); o.Result != aspenshift.TimedOut {
+	if o := ts.open(silent).call(t.Context(), "m", nil, 50*time.Millisecond); o.Result != decide.TimedOut {
 		t.Errorf("silent: %+v", o)
 	}
 	<-arrived
@@ -153,7 +153,7 @@
 		<-arrived
 		cancel(errCancelled)
 	}()
-	if o := ts.open(silent).call(ctx, "m", nil, time.Minute); o.Result != aspenshift.Cancelled {
+	if o := ts.open(silent).call(ctx, "m", nil, time.Minute); o.Result != decide.Cancelled {
 		t.Errorf("called off: %+v", o)
 	}
 }
@@ -179,7 +179,7 @@
 		mu.Unlock()
 		first := target.call(t.Context(), "first", []byte(body), time.Minute)
 		second := target.call(t.Context(), "second", []byte(body), time.Minute)
-		if first.Result != aspenshift.Done || second.Result != aspenshift.Reset {
+		if first.Result != decide.Done || second.Result != decide.Reset {
 			t.Errorf("%+v, %+v", first, second)
 		}
 		mu.Lock()
@@ -200,12 +200,12 @@
 	const good, end = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "\r\nContent-Length: 2\r\n\r\nok"
 	const full = "HTTP/1.1 503 No" + end
 	endless := strings.Repeat("X-More: 0123456789\r\n", maxAnswer/10)
-	done := aspenshift.Outcome{Result: aspenshift.Done, Over: true}
-	turned := aspenshift.Outcome{Result: aspenshift.Full}
-	spoilt := aspenshift.Outcome{Result: aspenshift.Errored}
+	done := decide.Outcome{Result: decide.Done, Over: true}
+	turned := decide.Outcome{Result: decide.Full}
+	spoilt := decide.Outcome{Result: decide.Errored}
 	for _, c := range []struct {
 		name, answer string
-		want         aspenshift.Outcome
+		want         decide.Outcome
 		kept         bool
 	}{
 		{"noise", "\x07\xfb&\xa2p\r\n\r\n", spoilt, false},
@@ -248,7 +248,7 @@
 			if o != c.want {
 				t.Errorf("got %+v, want %+v", o, c.want)
 			}
-			if o := target.call(t.Context(), "next", []byte("x"), time.Minute); o.Result != aspenshift.NotSent {
+			if o := target.call(t.Context(), "next", []byte("x"), time.Minute); o.Result != decide.NotSent {
 				t.Errorf("the next call: %+v", o)
 			}
 			if kept := conns.Load() == 1; kept != c.kept {
@@ -288,12 +288,12 @@
 		}
 	}()
 	target := testTargets().open(ln.Addr().String())
-	if o := target.call(t.Context(), "m", nil, time.Minute); o.Result != aspenshift.Done {
+	if o := target.call(t.Context(), "m", nil, time.Minute); o.Result != decide.Done {
 		t.Fatalf("%+v", o)
 	}
 	more <- true
 	<-sent // on loopback it is there then
-	if o := target.call(t.Context(), "next", nil, time.Minute); o.Result != aspenshift.NotSent {
+	if o := target.call(t.Context(), "next", nil, time.Minute); o.Result != decide.NotSent {
 		t.Errorf("the next call: %+v", o)
 	}
 }
@@ -324,7 +324,7 @@
 		call int
 		want string
 	}{{0, "a"}, {1, "ab"}, {0, "ba"}, {2, "ac"}, {0, "ca"}} {
-		if o := list[step.call].call(t.Context(), "m", nil, time.Minute); o.Result != aspenshift.Done {
+		if o := list[step.call].call(t.Context(), "m", nil, time.Minute); o.Result != decide.Done {
 			t.Fatalf("%+v", o)
 		}
 		if got := idle(); got != step.want {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"strings"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 // Settings reads settings from path=value pairs as a PROVISION line holds them,
 // InitSeed among them. The error names the first field at fault.
-func Settings(pairs map[string]string) (aspenshift.Settings, error) {
+func Settings(pairs map[string]string) (decide.Settings, error) {
 	f := &fields{pairs: pairs}
 	s := settings(f)
 	return s, f.err
@@ -18,8 +18,8 @@
 
 // settings turns the pairs of a PROVISION line into settings. Keys that it does
 // not know are passed over.
-func settings(f *fields) aspenshift.Settings {
-	s := aspenshift.Settings{
+func settings(f *fields) decide.Settings {
+	s := decide.Settings{
 		Zone: f.text("Locality", false), CrossPrice: f.number("Costs.CrossZone", false),
 		ConnectPrice: f.number("Costs.Handshake", false),
 		Forwarders:   f.integer("Siblings", false), OverShareWorth: f.number("OverShareWorth", false),
@@ -42,17 +42,17 @@
 		s.AdviceLimit = f.duration("Limits.MaxRetryAfter", false)
 	}
 	s.MustAsk = choice(f, "Discovery", map[string]bool{"automatic": false, "": false, "subscribe": true})
-	s.Decay = choice(f, "FamilyInfo.Late", map[string]aspenshift.Decay{
-		"line": aspenshift.Line, "": aspenshift.Line, "halves": aspenshift.Halves})
-	s.Weights = choice(f, "Weights", map[string]aspenshift.Weights{
-		"": aspenshift.NoWeights, "silent": aspenshift.NoWeights, "live": aspenshift.NoWeights,
-		"nominal": aspenshift.ExactWeights, "rough": aspenshift.RoughWeights})
+	s.Decay = choice(f, "FamilyInfo.Late", map[string]decide.Decay{
+		"line": decide.Line, "": decide.Line, "halves": decide.Halves})
+	s.Weights = choice(f, "Weights", map[string]decide.Weights{
+		"": decide.NoWeights, "silent": decide.NoWeights, "live": decide.NoWeights,
+		"nominal": decide.ExactWeights, "rough": decide.RoughWeights})
 	for i := range count(f, "Classes") {
 		p := fmt.Sprintf("Classes.%d.", i)
-		s.Classes = append(s.Classes, aspenshift.Class{
+		s.Classes = append(s.Classes, decide.Class{
 			Name: f.text(p+"Name", true),
-			Effect: choice(f, p+"Effect", map[string]aspenshift.Effect{
-				"pure": aspenshift.Pure, "token": aspenshift.Keyed, "side_effect": aspenshift.Unsafe}),
+			Effect: choice(f, p+"Effect", map[string]decide.Effect{
+				"pure": decide.Pure, "token": decide.Keyed, "side_effect": decide.Unsafe}),
 			ZoneGroup: f.text(p+"DedupScope", false) != "all", Window: f.duration(p+"RepeatWindow", false),
 			Aim: f.duration(p+"OnTime", true), Deadline: f.duration(p+"Deadline", true),
 			Worth: f.number(p+"Worth", false), LateShare: f.number(p+"LateShare", false),
@@ -61,7 +61,7 @@
 	}
 	apart, perCall := list(f, "FamilyInfo.SeparateRoutes"), list(f, "FamilyInfo.PerCall")
 	for i, name := range list(f, "Kinds") {
-		k := aspenshift.Kind{Name: name, PerCall: 1}
+		k := decide.Kind{Name: name, PerCall: 1}
 		if i < len(apart) {
 			k.Apart = apart[i] == "true" || apart[i] == "1"
 		}
@@ -88,7 +88,7 @@
 	}
 	for i := range count(f, "Tenants") {
 		p := fmt.Sprintf("Tenants.%d.", i)
-		s.Tenants = append(s.Tenants, aspenshift.Tenant{
+		s.Tenants = append(s.Tenants, decide.Tenant{
 			Name: f.text(p+"Name", true), Quota: f.number(p+"QuotaPerS", false)})
 	}
 	return s
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,6 +1,6 @@
 // Package wire reads batches of events and writes replies in the line protocol
 // of the forwarders' test bench, and turns them into the terms of package
-// aspenshift. It decides nothing.
+// decide. It decides nothing.
 package wire
 
 import (
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 // What an Input does to its instance.
@@ -31,8 +31,8 @@
 type Input struct {
 	Instance string
 	Op       Op
-	Settings aspenshift.Settings
-	Event    aspenshift.Event
+	Settings decide.Settings
+	Event    decide.Event
 }
 
 // Batch is all that happens at one clock time.
@@ -46,12 +46,12 @@
 type Reader struct {
 	in    *bufio.Reader
 	line  int
-	lists map[int][]aspenshift.Target
+	lists map[int][]decide.Target
 }
 
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]aspenshift.Target{}}
+	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]decide.Target{}}
 }
 
 // Next returns the next batch, or io.EOF at a clean end of input. Any other
@@ -122,7 +122,7 @@
 	case "PEERS_KNOWN":
 		in.Event = r.known(f)
 	case "ACCEPT":
-		in.Event = aspenshift.Message{
+		in.Event = decide.Message{
 			ID: f.text("Tid", true), Class: f.text("Qos", true), Destination: f.integer("CalledNode", true),
 			Key: f.text("PathKey", false), Tenant: f.text("Customer", false), Left: f.duration("Left", true),
 			Again: f.boolean("Again"), Repeat: f.boolean("Repeat"),
@@ -131,28 +131,28 @@
 		f.number("Effort", false)
 	case "FINISHED":
 		wait := f.integer("Note", false)
-		o := aspenshift.Outcome{
+		o := decide.Outcome{
 			Message: f.text("Tid", true), Attempt: f.integer("Try", false), Target: f.text("Target", true),
 			Result: f.result("Ending"), Took: f.duration("Lag", false), Over: f.boolean("NoMore"),
 			Allowance: f.allowance("Load"),
 		}
 		switch o.Result {
-		case aspenshift.Full:
+		case decide.Full:
 			o.Wait = time.Duration(wait) * time.Millisecond
-		case aspenshift.NotSent:
+		case decide.NotSent:
 			o.NoSlot = wait == 1
 		}
 		in.Event = o
 	case "STATUS_BACK":
-		in.Event = aspenshift.ProbeResult{
+		in.Event = decide.ProbeResult{
 			Target: f.text("Target", true), Result: f.result("Ending"), Took: f.duration("Lag", false),
 			Allowance: f.allowance("Load"),
 		}
 	case "DROPPED":
-		in.Event = aspenshift.Withdrawn{Message: f.text("Tid", true)}
+		in.Event = decide.Withdrawn{Message: f.text("Tid", true)}
 	case "DEADLINE_HIT":
 		f.text("Mark", true)
-		in.Event = aspenshift.Woken{}
+		in.Event = decide.Woken{}
 	case "OPENED": // streams: no class here has one, and nothing is decided on it
 		f.text("Tid", true)
 		f.integer("Try", false)
@@ -184,7 +184,7 @@
 	if f.err != nil {
 		return fmt.Errorf("DIRECTORY: %w", f.err)
 	}
-	var targets []aspenshift.Target
+	var targets []decide.Target
 	for range n {
 		text, err := r.readLine()
 		if errors.Is(err, io.EOF) {
@@ -197,18 +197,18 @@
 		if e.verb != "TARGET" {
 			return fmt.Errorf("%q where TARGET was expected", e.verb)
 		}
-		t := aspenshift.Target{
+		t := decide.Target{
 			ID: e.text("Target", true), Destination: e.integer("OwnerNo", true), Kind: e.text("Type", false),
 			Zone: e.text("Zone", false), Weight: e.number("Nominal", false),
 		}
 		e.number("Born", false)
 		switch state := e.text("Lifecycle", true); state {
 		case "active":
-			t.State = aspenshift.Active
+			t.State = decide.Active
 		case "leaving":
-			t.State = aspenshift.Draining
+			t.State = decide.Draining
 		case "left":
-			t.State = aspenshift.Gone
+			t.State = decide.Gone
 		default:
 			e.fail("Lifecycle", "unknown state", state)
 		}
@@ -221,17 +221,17 @@
 	return nil
 }
 
-func (r *Reader) known(f *fields) aspenshift.Event {
-	var l aspenshift.TargetList
+func (r *Reader) known(f *fields) decide.Event {
+	var l decide.TargetList
 	switch scope := f.text("Scope", true); scope {
 	case "update":
-		l.Scope = aspenshift.Changes
+		l.Scope = decide.Changes
 	case "replace":
-		l.Scope = aspenshift.Whole
+		l.Scope = decide.Whole
 	case "restored":
-		l.Scope = aspenshift.Restored
+		l.Scope = decide.Restored
 	case "unavailable":
-		l.Scope = aspenshift.Unavailable
+		l.Scope = decide.Unavailable
 		return l
 	default:
 		f.fail("Scope", "unknown scope", scope)
@@ -247,10 +247,10 @@
 }
 
 // results names the endings of an attempt.
-var results = map[string]aspenshift.Result{
-	"done": aspenshift.Done, "err": aspenshift.Errored, "busy": aspenshift.Full,
-	"etimedout": aspenshift.TimedOut, "econnrefused": aspenshift.ConnectFailed,
-	"econnreset": aspenshift.Reset, "ecanceled": aspenshift.Cancelled, "skipped": aspenshift.NotSent,
+var results = map[string]decide.Result{
+	"done": decide.Done, "err": decide.Errored, "busy": decide.Full,
+	"etimedout": decide.TimedOut, "econnrefused": decide.ConnectFailed,
+	"econnreset": decide.Reset, "ecanceled": decide.Cancelled, "skipped": decide.NotSent,
 }
 
 // fields are the parts of one line; the first error met is kept.
@@ -336,7 +336,7 @@
 	}
 }
 
-func (f *fields) result(name string) aspenshift.Result {
+func (f *fields) result(name string) decide.Result {
 	s := f.text(name, true)
 	v, ok := results[s]
 	if !ok {
@@ -345,8 +345,8 @@
 	return v
 }
 
-func (f *fields) allowance(name string) aspenshift.Allowance {
-	var a aspenshift.Allowance
+func (f *fields) allowance(name string) decide.Allowance {
+	var a decide.Allowance
 	s := f.pairs[name]
 	if s == "" || s == "-" {
 		return a
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 const provision = "PROVISION ForwarderId=forwarder_1 InitSeed=9 Azs=east,west Classes.count=1 " +
@@ -32,19 +32,19 @@
 	}
 	s := b.Inputs[0].Settings
 	c := s.Classes[0]
-	if s.Seed != 9 || s.Slots != 5 || s.Weights != aspenshift.RoughWeights || s.Decay != aspenshift.Halves || !s.MayCancel ||
-		c.Effect != aspenshift.Keyed || !c.ZoneGroup || c.Window != 900*time.Millisecond ||
-		s.ZoneFee["west"] != 0.5 || s.Kinds[1] != (aspenshift.Kind{Name: "bank", Apart: true, PerCall: 4}) {
+	if s.Seed != 9 || s.Slots != 5 || s.Weights != decide.RoughWeights || s.Decay != decide.Halves || !s.MayCancel ||
+		c.Effect != decide.Keyed || !c.ZoneGroup || c.Window != 900*time.Millisecond ||
+		s.ZoneFee["west"] != 0.5 || s.Kinds[1] != (decide.Kind{Name: "bank", Apart: true, PerCall: 4}) {
 		t.Errorf("settings: %+v", s)
 	}
-	l := b.Inputs[1].Event.(aspenshift.TargetList)
-	if l.Scope != aspenshift.Restored || l.Targets[0] != (aspenshift.Target{ID: "t1", Destination: 4, Kind: "bank",
-		Zone: "east", State: aspenshift.Draining, Weight: 1.5}) {
+	l := b.Inputs[1].Event.(decide.TargetList)
+	if l.Scope != decide.Restored || l.Targets[0] != (decide.Target{ID: "t1", Destination: 4, Kind: "bank",
+		Zone: "east", State: decide.Draining, Weight: 1.5}) {
 		t.Errorf("list: %+v", l)
 	}
-	o := b.Inputs[2].Event.(aspenshift.Outcome)
-	want := aspenshift.Outcome{Message: "a", Attempt: 1, Target: "t1", Result: aspenshift.Full, Took: 7250 * time.Microsecond,
-		Wait: 300 * time.Millisecond, Allowance: aspenshift.Allowance{Told: true, Left: .5, Rate: 2.25}}
+	o := b.Inputs[2].Event.(decide.Outcome)
+	want := decide.Outcome{Message: "a", Attempt: 1, Target: "t1", Result: decide.Full, Took: 7250 * time.Microsecond,
+		Wait: 300 * time.Millisecond, Allowance: decide.Allowance{Told: true, Left: .5, Rate: 2.25}}
 	if o != want {
 		t.Errorf("outcome: %+v", o)
 	}
@@ -94,11 +94,11 @@
 func TestWriter(t *testing.T) {
 	var out bytes.Buffer
 	w := NewWriter(&out)
-	for _, a := range []aspenshift.Action{
-		aspenshift.Send{Message: "a", Target: "t", Timeout: 80500 * time.Microsecond},
-		aspenshift.Refuse{Message: "a", Wait: time.Second}, aspenshift.Fail{Message: "b"},
-		aspenshift.Cancel{Message: "c", Attempt: 2}, aspenshift.CloseIdle{Target: "t"},
-		aspenshift.Subscribe{}, aspenshift.Wake{After: 25 * time.Millisecond},
+	for _, a := range []decide.Action{
+		decide.Send{Message: "a", Target: "t", Timeout: 80500 * time.Microsecond},
+		decide.Refuse{Message: "a", Wait: time.Second}, decide.Fail{Message: "b"},
+		decide.Cancel{Message: "c", Attempt: 2}, decide.CloseIdle{Target: "t"},
+		decide.Subscribe{}, decide.Wake{After: 25 * time.Millisecond},
 	} {
 		if err := w.Action("forwarder_3", a); err != nil {
 			t.Fatal(err)
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"aspenshift"
+	"scaleroute/internal/decide"
 )
 
 // Writer writes replies.
@@ -17,29 +17,29 @@
 func NewWriter(w io.Writer) *Writer { return &Writer{bufio.NewWriterSize(w, 1<<16)} }
 
 // Action writes one action of an instance.
-func (w *Writer) Action(instance string, action aspenshift.Action) error {
+func (w *Writer) Action(instance string, action decide.Action) error {
 	var verb string
 	var parts [3][2]string
 	switch a := action.(type) {
-	case aspenshift.Send:
+	case decide.Send:
 		verb = "SEND"
 		parts = [3][2]string{{"Tid", a.Message}, {"Target", a.Target}, {"MaxWait", millis(a.Timeout)}}
-	case aspenshift.Refuse:
+	case decide.Refuse:
 		verb = "BOUNCE"
 		parts = [3][2]string{{"Tid", a.Message}, {"Pause", millis(a.Wait)}}
-	case aspenshift.Fail:
+	case decide.Fail:
 		verb = "ERROR"
 		parts = [3][2]string{{"Tid", a.Message}}
-	case aspenshift.Cancel:
+	case decide.Cancel:
 		verb = "CANCEL"
 		parts = [3][2]string{{"Tid", a.Message}, {"Try", strconv.Itoa(a.Attempt)}}
-	case aspenshift.CloseIdle:
+	case decide.CloseIdle:
 		verb = "CLOSE_IDLE"
 		parts = [3][2]string{{"Target", a.Target}}
-	case aspenshift.Subscribe:
+	case decide.Subscribe:
 		verb = "LISTEN"
 		parts = [3][2]string{{"On", "1"}}
-	case aspenshift.Wake:
+	case decide.Wake:
 		verb = "DEFER" // the wire counts in microseconds: not before its time
 		parts = [3][2]string{{"Mark", "wake"}, {"FromNow", millis(a.After + time.Microsecond - 1)}}
 	default:
