--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -11,7 +11,7 @@
 	"os/signal"
 	"syscall"
 
-	"scaleroute/internal/node"
+	"scaleroute/internal/config"
 )
 
 func main() {
@@ -25,9 +25,9 @@
 		<-term
 		close(stop)
 	}()
-	c, err := node.LoadConfig(os.Getenv)
+	c, err := config.Load(os.Getenv)
 	if err == nil {
-		err = node.Run(c, stop, hup)
+		err = run(c, stop, hup)
 	}
 	if err != nil {
 		slog.Error("scaleroute", "err", err)
--- a/internal/node/node.go
+++ b/cmd/scaleroute/run.go
@@ -1,4 +1,4 @@
-package node
+package main
 
 import (
 	"context"
@@ -10,7 +10,13 @@
 	"sync"
 	"time"
 
+	"scaleroute/internal/agent"
+	"scaleroute/internal/back/httpcall"
+	"scaleroute/internal/config"
 	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
+	"scaleroute/internal/front/resp2"
+	"scaleroute/internal/journal"
 )
 
 // How a planned stop goes, counted from SIGTERM. SIGKILL can come 3.7 s after it.
@@ -25,51 +31,57 @@
 	reloadPause = 100 * time.Millisecond // until a configuration that can't be read is read again
 )
 
-// Run runs the forwarder until stop is closed and the planned stop is over. On
+// run runs the forwarder until stop is closed and the planned stop is over. On
 // each value from hup it reads its configuration again. An error means that it
 // could not start or can't go on.
-func Run(c *Config, stop <-chan struct{}, hup <-chan os.Signal) error {
+func run(c *config.Config, stop <-chan struct{}, hup <-chan os.Signal) error {
 	// The journal's file counts as memory too; connections and the runtime need some.
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
-	j, err := openJournal(c.State, int64(c.Limits.DiskMB*1e6))
+	j, err := journal.Open(c.State, int64(c.Limits.DiskMB*1e6))
 	if err != nil {
 		return err
 	}
-	defer j.close()
-	p := newPlatform(c.Discovery)
-	l, err := newLoop(c, j, p)
+	defer j.Close()
+	p := agent.New(c.Discovery)
+	set := c.Settings
+	l, err := engine.New(engine.Config{Settings: set, Journal: j, Finals: map[string]engine.Finals{"": p},
+		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})})
 	if err != nil {
 		return err
 	}
 	// The list that a forwarder is started with may be older than what it was last told: recovered
 	// messages must not go to targets that drain since. Without an answer it has to do.
-	first, err := p.first(listWait)
+	first, err := p.First(listWait)
 	if err != nil {
 		slog.Warn("starting with the list as last known", "err", err)
 	}
-	l.recover(&c.Known, first) // before any PING is answered
+	lists := []engine.List{c.Known.As(decide.Restored)}
+	if first != nil {
+		lists = append(lists, first.As(decide.Whole))
+	}
+	l.Recover(lists...) // before any PING is answered
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	clients := newClients(ln, c.Limits.clients(), l.take)
+	clients := resp2.New(ln, c.Limits.Clients(), l)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	defer clients.wait(lastWrite)
+	defer clients.Wait(lastWrite)
 	defer wg.Wait()
 	defer cancel()
-	defer clients.close()
+	defer clients.Close()
 	failed := make(chan error, 1)
 	wg.Go(func() {
-		if err := l.run(ctx); err != nil {
+		if err := l.Run(ctx); err != nil {
 			failed <- err
 		}
 	})
-	wg.Go(func() { p.watch(ctx, first, func(list *List) { l.tell(list) }) })
-	wg.Go(func() { p.deliver(ctx, func(refs []string) { l.tell(noticed{refs}) }) })
+	wg.Go(func() { p.Watch(ctx, first, func(list *agent.List) { l.List(list.Told()) }) })
+	wg.Go(func() { p.Deliver(ctx, l.Heard) })
 	wg.Go(func() { reload(ctx, hup, c.File, p) })
-	wg.Go(func() { clients.serve(ctx) })
+	wg.Go(func() { clients.Serve(ctx) })
 	slog.Info("serving", "name", c.Name, "address", ln.Addr(), "discovery", c.Discovery)
 
 	select {
@@ -78,12 +90,12 @@
 	case <-stop:
 	}
 	slog.Info("stopping")
-	l.tell(decide.Stopping{Left: lastCall})
+	l.Stopping(lastCall)
 	began := time.Now()
 	for _, step := range []struct {
 		at time.Duration
 		do func()
-	}{{acceptOn, clients.stopAccepting}, {serveOn, clients.close}, {serveOn + 2*lastLook, func() { l.tell(finish{}) }}} {
+	}{{acceptOn, clients.StopAccepting}, {serveOn, clients.Close}, {serveOn + 2*resp2.LastLook, l.Finish}} {
 		select {
 		case err := <-failed:
 			return err
@@ -94,7 +106,7 @@
 	select {
 	case err := <-failed:
 		return err
-	case <-l.idle:
+	case <-l.Idle():
 	case <-time.After(time.Until(began.Add(lastEnd))):
 	}
 	slog.Info("stopped")
@@ -103,7 +115,7 @@
 
 // reload moves to the discovery that the configuration names, each time that it
 // is told to read it again, also in a stop. Until it can be read the old address stays.
-func reload(ctx context.Context, hup <-chan os.Signal, file string, p *platform) {
+func reload(ctx context.Context, hup <-chan os.Signal, file string, p *agent.Platform) {
 	var again <-chan time.Time
 	for {
 		select {
@@ -112,13 +124,13 @@
 		case <-hup:
 		case <-again:
 		}
-		address, err := discoveryIn(file)
+		address, err := config.DiscoveryIn(file)
 		if err != nil {
 			slog.Warn("the configuration stays as it was", "err", err)
 			again = time.After(reloadPause)
 			continue
 		}
 		again = nil
-		p.move(address)
+		p.Move(address)
 	}
 }
--- a/internal/node/discovery.go
+++ b/internal/agent/agent.go
@@ -1,4 +1,6 @@
-package node
+// Package agent speaks to the platform's agent on this machine: it watches
+// discovery's list of endpoints, and takes final answers to the platform as notices.
+package agent
 
 import (
 	"bytes"
@@ -12,6 +14,7 @@
 	"time"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
 )
 
 const (
@@ -45,10 +48,10 @@
 	Weight  float64 `json:"weight"`
 }
 
-// event is the list as the module takes it.
-func (l *List) event(scope decide.ListScope) decide.TargetList {
-	e := decide.TargetList{Scope: scope}
-	for _, t := range l.Endpoints {
+// As is the list in the engine's terms.
+func (l *List) As(scope decide.ListScope) engine.List {
+	v := engine.List{Scope: scope, Endpoints: make([]engine.Endpoint, len(l.Endpoints))}
+	for i, t := range l.Endpoints {
 		state := decide.Active
 		switch t.Status {
 		case statusDraining:
@@ -56,14 +59,22 @@
 		case statusDeleted:
 			state = decide.Gone
 		}
-		e.Targets = append(e.Targets, decide.Target{ID: t.Name, Destination: t.Group, Kind: t.Type,
-			Zone: t.Zone, State: state, Weight: t.Weight})
+		v.Endpoints[i] = engine.Endpoint{Address: t.Address, Target: decide.Target{ID: t.Name, Destination: t.Group,
+			Kind: t.Type, Zone: t.Zone, State: state, Weight: t.Weight}}
 	}
-	return e
+	return v
 }
 
-// platform speaks to discovery and takes notices to the platform.
-type platform struct {
+// Told is the list as told by a watch: whole, or what changed.
+func (l *List) Told() engine.List {
+	if l.Snapshot {
+		return l.As(decide.Whole)
+	}
+	return l.As(decide.Changes)
+}
+
+// Platform speaks to discovery and takes notices to the platform.
+type Platform struct {
 	mu      sync.Mutex
 	agent   *agent
 	pending []notice
@@ -85,8 +96,9 @@
 	WaitMS int64  `json:"wait_ms,omitempty"`
 }
 
-func newPlatform(address string) *platform {
-	return &platform{agent: newAgent(address), wake: make(chan struct{}, 1)}
+// New makes a Platform that speaks to an address, host:port.
+func New(address string) *Platform {
+	return &Platform{agent: newAgent(address), wake: make(chan struct{}, 1)}
 }
 
 func newAgent(address string) *agent {
@@ -96,15 +108,15 @@
 }
 
 // current is the agent to speak to now.
-func (p *platform) current() *agent {
+func (p *Platform) current() *agent {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.agent
 }
 
-// move goes on at another address: calls that are out at the old one are given
+// Move goes on at another address: calls that are out at the old one are given
 // up, so that a held watch ends and notices without an answer are sent again there.
-func (p *platform) move(address string) {
+func (p *Platform) Move(address string) {
 	p.mu.Lock()
 	old := p.agent
 	if old.base == "http://"+address {
@@ -136,15 +148,15 @@
 	return resp.StatusCode, text, err
 }
 
-// first fetches the whole list, if it comes in so short a time.
-func (p *platform) first(limit time.Duration) (*List, error) {
+// First fetches the whole list, if it comes in so short a time.
+func (p *Platform) First(limit time.Duration) (*List, error) {
 	return p.current().list(context.Background(), -1, limit)
 }
 
-// watch tells each change after the list known - or the whole list, if none
+// Watch tells each change after the list known - or the whole list, if none
 // is or discovery has moved - until ctx ends. A call that fails is made again
 // from where the last one ended.
-func (p *platform) watch(ctx context.Context, known *List, tell func(*List)) {
+func (p *Platform) Watch(ctx context.Context, known *List, tell func(*List)) {
 	from, last := int64(-1), p.current()
 	if known != nil {
 		from = known.Index
@@ -191,8 +203,12 @@
 	return l, nil
 }
 
-// notify queues a notice; deliver takes it out.
-func (p *platform) notify(n notice) {
+// Final queues the notice of a final answer; Deliver takes it out.
+func (p *Platform) Final(f engine.Final) {
+	n := notice{Ref: f.ID, Result: "bounced", WaitMS: f.Wait.Milliseconds()}
+	if f.Failed {
+		n = notice{Ref: f.ID, Result: "dead"}
+	}
 	p.mu.Lock()
 	p.pending = append(p.pending, n)
 	p.mu.Unlock()
@@ -202,9 +218,9 @@
 	}
 }
 
-// deliver sends the notices in batches, each until it gets its 204, and tells
+// Deliver sends the notices in batches, each until it gets its 204, and tells
 // which have arrived, until ctx ends.
-func (p *platform) deliver(ctx context.Context, arrived func(refs []string)) {
+func (p *Platform) Deliver(ctx context.Context, arrived func(refs []string)) {
 	for {
 		p.mu.Lock()
 		batch := p.pending[:min(noticeBatch, len(p.pending))]
@@ -225,7 +241,7 @@
 	}
 }
 
-func (p *platform) post(ctx context.Context, batch []notice, arrived func([]string)) {
+func (p *Platform) post(ctx context.Context, batch []notice, arrived func([]string)) {
 	var lines bytes.Buffer
 	refs := make([]string, 0, len(batch))
 	for _, n := range batch {
--- a/internal/node/targets.go
+++ b/internal/back/httpcall/call.go
@@ -1,4 +1,5 @@
-package node
+// Package httpcall is the back that delivers messages by HTTP/1.1 calls.
+package httpcall
 
 import (
 	"context"
@@ -14,6 +15,7 @@
 	"time"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
 )
 
 const (
@@ -23,18 +25,23 @@
 
 // Why a call ended without an answer.
 var (
-	errTimedOut  = errors.New("timed out")
-	errCancelled = errors.New("called off")
-	errSpoilt    = errors.New("an answer that can't be read")
+	errTimedOut = errors.New("timed out")
+	errSpoilt   = errors.New("an answer that can't be read")
 )
 
-// targets knows the addresses of the targets. It is owned by the loop; a
-// *target may be used from any goroutine.
-type targets struct {
+// Back knows the addresses of the targets and keeps connections to them.
+type Back struct {
 	pool   *pool
 	byName map[string]*target
 }
 
+// Config bounds what a Back holds.
+type Config struct {
+	Connections  int           // at once, idle ones counted
+	ConnIdle     time.Duration // a target closes a connection idle for so long
+	ConnectLimit time.Duration // a connection not made by then has failed
+}
+
 // target is one address of a target.
 type target struct {
 	address string
@@ -42,51 +49,72 @@
 	removed bool // guarded by the pool
 }
 
-func newTargets(c *Config) *targets {
-	s := c.Settings
-	return &targets{byName: map[string]*target{}, pool: &pool{
-		most:     c.Limits.targets(),
-		idleTime: max(s.ConnIdle-idleMargin, s.ConnIdle/2, time.Second),
-		dialer:   net.Dialer{Timeout: s.ConnectLimit},
+// New makes a Back without targeb.
+func New(c Config) *Back {
+	return &Back{byName: map[string]*target{}, pool: &pool{
+		most:     c.Connections,
+		idleTime: max(c.ConnIdle-idleMargin, c.ConnIdle/2, time.Second),
+		dialer:   net.Dialer{Timeout: c.ConnectLimit},
 	}}
 }
 
-// list takes what discovery tells of addresses.
-func (ts *targets) list(l *List) {
+// List takes what a source tells of addresses.
+func (b *Back) List(l engine.List) {
+	whole := l.Scope == decide.Whole || l.Scope == decide.Restored
 	named := map[string]bool{}
 	for _, e := range l.Endpoints {
-		named[e.Name] = true
-		old := ts.byName[e.Name]
+		if whole {
+			named[e.ID] = true
+		}
+		old := b.byName[e.ID]
 		switch {
-		case e.Status == statusDeleted:
-			ts.remove(e.Name)
+		case e.State == decide.Gone:
+			b.remove(e.ID)
 		case old == nil || old.address != e.Address:
-			ts.remove(e.Name)
-			ts.byName[e.Name] = ts.open(e.Address)
+			b.remove(e.ID)
+			b.byName[e.ID] = b.open(e.Address)
 		}
 	}
-	for name := range ts.byName {
-		if l.Snapshot && !named[name] {
-			ts.remove(name)
+	if !whole {
+		return
+	}
+	for name := range b.byName {
+		if !named[name] {
+			b.remove(name)
 		}
 	}
 }
 
+// Endpoint finds a target by its name.
+func (b *Back) Endpoint(name string) engine.Caller {
+	if t := b.byName[name]; t != nil {
+		return t
+	}
+	return nil
+}
+
 // remove forgets a target; calls that are out go on.
-func (ts *targets) remove(name string) {
-	if t := ts.byName[name]; t != nil {
-		ts.pool.closeIdle(t, true)
-		delete(ts.byName, name)
+func (b *Back) remove(name string) {
+	if t := b.byName[name]; t != nil {
+		b.pool.closeIdle(t, true)
+		delete(b.byName, name)
 	}
 }
 
-func (ts *targets) open(address string) *target { return &target{address: address, pool: ts.pool} }
+func (b *Back) open(address string) *target { return &target{address: address, pool: b.pool} }
 
-func (t *target) closeIdle() { t.pool.closeIdle(t, false) }
+// CloseIdle closes the idle connections to the target.
+func (t *target) CloseIdle() { t.pool.closeIdle(t, false) }
 
-// call sends one message, once, and tells how that ended.
-func (t *target) call(ctx context.Context, id string, body []byte, timeout time.Duration) (o decide.Outcome) {
-	began := time.Now()
+// Call sends one message, once, and tells how that ended.
+func (t *target) Call(ctx context.Context, a engine.Attempt) (o decide.Outcome) {
+	began, timeout := time.Now(), a.Timeout
+	body, err := a.Body.Load()
+	if err != nil {
+		slog.Error("a body can't be read", "id", a.ID, "err", err)
+		o.Result = decide.NotSent
+		return o
+	}
 	ctx, free := context.WithTimeoutCause(ctx, timeout, errTimedOut)
 	defer free()
 	c, err := t.pool.get(ctx, t)
@@ -99,7 +127,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.giveUp)
 	request := net.Buffers{fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: %s\r\nUser-Agent: scaleroute\r\n"+
-		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n", t.address, id, timeout.Seconds(), len(body)), body}
+		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n", t.address, a.ID, timeout.Seconds(), len(body)), body}
 	if _, err := request.WriteTo(c.Conn); err != nil { // before its last byte
 		stop()
 		t.pool.close(c)
@@ -176,8 +204,3 @@
 	}
 	return a
 }
-
-// neverRan tells whether an outcome proves that the attempt did not run.
-func neverRan(r decide.Result) bool {
-	return r == decide.Full || r == decide.ConnectFailed || r == decide.NotSent
-}
--- a/internal/node/targets_test.go
+++ b/internal/back/httpcall/call_test.go
@@ -1,4 +1,4 @@
-package node
+package httpcall
 
 import (
 	"bufio"
@@ -14,11 +14,12 @@
 	"time"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
+	"scaleroute/internal/message"
 )
 
-func testTargets() *targets {
-	return newTargets(&Config{Limits: Limits{Sockets: 1024},
-		Settings: decide.Settings{Slots: 8, ConnIdle: time.Minute, ConnectLimit: time.Minute}})
+func testTargets() *Back {
+	return New(Config{Connections: 600, ConnIdle: time.Minute, ConnectLimit: time.Minute})
 }
 
 // rawTarget answers each call with what serve returns; "" ends the connection
@@ -95,7 +96,7 @@
 			})
 			target := testTargets().open(address)
 			for range 3 {
-				o := target.call(t.Context(), "m1", []byte("two\r\nlines"), time.Minute)
+				o := target.Call(t.Context(), engine.Attempt{ID: "m1", Body: message.Bytes("two\r\nlines"), Timeout: time.Minute})
 				if o.Took <= 0 {
 					t.Errorf("took %v", o.Took)
 				}
@@ -103,9 +104,6 @@
 				if o != c.want {
 					t.Errorf("got %+v, want %+v", o, c.want)
 				}
-				if neverRan(o.Result) != c.never {
-					t.Errorf("never ran: %v", !c.never)
-				}
 			}
 			if n := conns.Load(); n != 1 && c.answer != "" {
 				t.Errorf("%d connections for three calls", n) // each new one costs a handshake
@@ -138,22 +136,22 @@
 	ln.Close()
 
 	ts := testTargets()
-	if o := ts.open(refuses).call(t.Context(), "m", []byte("x"), time.Minute); o.Result != decide.ConnectFailed {
+	if o := ts.open(refuses).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.ConnectFailed {
 		t.Errorf("refused: %+v", o)
 	}
-	if o := ts.open(drops).call(t.Context(), "m", []byte("x"), time.Minute); o.Result != decide.Reset || calls.Load() != 1 {
+	if o := ts.open(drops).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Reset || calls.Load() != 1 {
 		t.Errorf("dropped after the call: %+v, %d calls", o, calls.Load())
 	}
-	if o := ts.open(silent).call(t.Context(), "m", nil, 50*time.Millisecond); o.Result != decide.TimedOut {
+	if o := ts.open(silent).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: 50 * time.Millisecond}); o.Result != decide.TimedOut {
 		t.Errorf("silent: %+v", o)
 	}
 	<-arrived
-	ctx, cancel := context.WithCancelCause(t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-arrived
-		cancel(errCancelled)
+		cancel()
 	}()
-	if o := ts.open(silent).call(ctx, "m", nil, time.Minute); o.Result != decide.Cancelled {
+	if o := ts.open(silent).Call(ctx, engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.Cancelled {
 		t.Errorf("called off: %+v", o)
 	}
 }
@@ -177,8 +175,8 @@
 		mu.Lock()
 		seen = nil
 		mu.Unlock()
-		first := target.call(t.Context(), "first", []byte(body), time.Minute)
-		second := target.call(t.Context(), "second", []byte(body), time.Minute)
+		first := target.Call(t.Context(), engine.Attempt{ID: "first", Body: message.Bytes(body), Timeout: time.Minute})
+		second := target.Call(t.Context(), engine.Attempt{ID: "second", Body: message.Bytes(body), Timeout: time.Minute})
 		if first.Result != decide.Done || second.Result != decide.Reset {
 			t.Errorf("%+v, %+v", first, second)
 		}
@@ -243,12 +241,12 @@
 				return c.answer
 			})
 			target := testTargets().open(address)
-			o := target.call(t.Context(), "m", []byte("x"), time.Minute)
+			o := target.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute})
 			o.Took = 0
 			if o != c.want {
 				t.Errorf("got %+v, want %+v", o, c.want)
 			}
-			if o := target.call(t.Context(), "next", []byte("x"), time.Minute); o.Result != decide.NotSent {
+			if o := target.Call(t.Context(), engine.Attempt{ID: "next", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.NotSent {
 				t.Errorf("the next call: %+v", o)
 			}
 			if kept := conns.Load() == 1; kept != c.kept {
@@ -288,12 +286,12 @@
 		}
 	}()
 	target := testTargets().open(ln.Addr().String())
-	if o := target.call(t.Context(), "m", nil, time.Minute); o.Result != decide.Done {
+	if o := target.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.Done {
 		t.Fatalf("%+v", o)
 	}
 	more <- true
 	<-sent // on loopback it is there then
-	if o := target.call(t.Context(), "next", nil, time.Minute); o.Result != decide.NotSent {
+	if o := target.Call(t.Context(), engine.Attempt{ID: "next", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.NotSent {
 		t.Errorf("the next call: %+v", o)
 	}
 }
@@ -324,7 +322,7 @@
 		call int
 		want string
 	}{{0, "a"}, {1, "ab"}, {0, "ba"}, {2, "ac"}, {0, "ca"}} {
-		if o := list[step.call].call(t.Context(), "m", nil, time.Minute); o.Result != decide.Done {
+		if o := list[step.call].Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.Done {
 			t.Fatalf("%+v", o)
 		}
 		if got := idle(); got != step.want {
@@ -332,7 +330,7 @@
 		}
 	}
 	ts.pool.closeIdle(list[0], true)
-	list[0].call(t.Context(), "m", nil, time.Minute) // one that was out as its target went
+	list[0].Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}) // one that was out as its target went
 	if got := idle(); got != "c" {
 		t.Errorf("idle: %q", got)
 	}
@@ -344,15 +342,21 @@
 }
 
 func TestTargetAddresses(t *testing.T) {
+	at := func(name, address string, s decide.TargetState) engine.Endpoint {
+		return engine.Endpoint{Address: address, Target: decide.Target{ID: name, State: s}}
+	}
 	ts := testTargets()
-	ts.list(&List{Snapshot: true, Endpoints: []Endpoint{{Name: "a", Address: "127.0.0.1:1"}, {Name: "b", Address: "127.0.0.1:2"}}})
+	ts.List(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{at("a", "127.0.0.1:1", decide.Active), at("b", "127.0.0.1:2", decide.Active)}})
 	a := ts.byName["a"]
-	ts.list(&List{Endpoints: []Endpoint{{Name: "a", Address: "127.0.0.1:1", Status: statusDraining}, {Name: "b", Address: "127.0.0.1:3"}}})
+	ts.List(engine.List{Scope: decide.Changes, Endpoints: []engine.Endpoint{at("a", "127.0.0.1:1", decide.Draining), at("b", "127.0.0.1:3", decide.Active)}})
 	if ts.byName["a"] != a || ts.byName["b"].address != "127.0.0.1:3" {
 		t.Errorf("after a change: %v", ts.byName)
 	}
-	ts.list(&List{Endpoints: []Endpoint{{Name: "a", Status: statusDeleted}}})
-	ts.list(&List{Snapshot: true})
+	ts.List(engine.List{Scope: decide.Changes, Endpoints: []engine.Endpoint{at("a", "", decide.Gone)}})
+	if ts.Endpoint("a") != nil || ts.Endpoint("b") == nil {
+		t.Errorf("after a is gone: %v", ts.byName)
+	}
+	ts.List(engine.List{Scope: decide.Whole})
 	if len(ts.byName) != 0 {
 		t.Errorf("left over: %v", ts.byName)
 	}
--- a/internal/node/conns.go
+++ b/internal/back/httpcall/pool.go
@@ -1,4 +1,4 @@
-package node
+package httpcall
 
 import (
 	"bufio"
--- a/internal/node/config.go
+++ b/internal/config/config.go
@@ -1,7 +1,5 @@
-// Package node is the real forwarder: it carries what happens on sockets to a
-// [decide.Forwarder] and does what that decides. It decides nothing about
-// deliveries itself.
-package node
+// Package config reads what the platform tells a forwarder at its start.
+package config
 
 import (
 	"encoding/json"
@@ -11,18 +9,19 @@
 	"strconv"
 	"strings"
 
+	"scaleroute/internal/agent"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/wire"
 )
 
 // Config is what a forwarder is told at its start.
 type Config struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    Limits `json:"limits"`
-	Known     List   `json:"known"`
+	Name      string     `json:"name"`
+	Listen    string     `json:"listen"`
+	Discovery string     `json:"discovery"`
+	Seed      string     `json:"seed"`
+	Limits    Limits     `json:"limits"`
+	Known     agent.List `json:"known"`
 
 	File     string          `json:"-"` // where it was read
 	State    string          `json:"-"` // the folder that lasts
@@ -42,17 +41,20 @@
 // discovery, notices, the runtime's own, and a client that waits for room.
 const ownDescriptors = 24
 
-func (l Limits) clients() int { return l.Sockets * 2 / 5 }
-func (l Limits) targets() int { return l.Sockets - l.clients() - ownDescriptors }
+// Clients is how many connections clients may hold together.
+func (l Limits) Clients() int { return l.Sockets * 2 / 5 }
 
-// LoadConfig reads the file that NODE_CONFIG names. The other variables, where
+// Endpoints is how many connections to endpoints there may be, idle ones counted.
+func (l Limits) Endpoints() int { return l.Sockets - l.Clients() - ownDescriptors }
+
+// Load reads the file that NODE_CONFIG names. The other variables, where
 // set, go before what the file says.
-func LoadConfig(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) {
 	text, err := os.ReadFile(getenv("NODE_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("reading NODE_CONFIG: %w", err)
 	}
-	c, err := parseConfig(text)
+	c, err := parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
@@ -69,9 +71,9 @@
 	return c, nil
 }
 
-// discoveryIn reads the address of discovery from a configuration file that was
+// DiscoveryIn reads the address of discovery from a configuration file that was
 // replaced. The variables are those of the start and say nothing of it.
-func discoveryIn(file string) (string, error) {
+func DiscoveryIn(file string) (string, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return "", err
@@ -88,7 +90,7 @@
 	return c.Discovery, nil
 }
 
-func parseConfig(text []byte) (*Config, error) {
+func parse(text []byte) (*Config, error) {
 	var raw struct {
 		Config
 		Settings any `json:"settings"`
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,85 @@
+// Package engine carries what happens outside to a [decide.Forwarder] and does
+// what that decides. It decides nothing about deliveries itself, and knows no
+// protocol: fronts hand messages in by [Engine.Take], sources of servers tell
+// theirs by [Engine.List], a [Back] makes the calls, and [Finals] take the final
+// answers of messages whose clients have heard that they were taken on.
+package engine
+
+import (
+	"context"
+	"time"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/message"
+)
+
+// Endpoint is one endpoint as a source tells of it.
+type Endpoint struct {
+	decide.Target
+	Address string // as the back that calls it reads it
+}
+
+// List is what a source of servers tells: all endpoints, or what changed.
+type List struct {
+	Scope     decide.ListScope
+	Endpoints []Endpoint
+}
+
+// Back makes calls to endpoints. Its own two methods are called by the engine's
+// loop alone and must not wait for anything outside.
+type Back interface {
+	// List tells which endpoints there are, and where.
+	List(List)
+	// Endpoint finds one of them by its name, or returns nil.
+	Endpoint(name string) Caller
+}
+
+// Caller makes calls to one endpoint, also after it has left the list. It may be
+// used from any goroutine.
+type Caller interface {
+	// Call makes one attempt and tells how it ended: Result, Took, Wait, NoSlot,
+	// Over and Allowance. It returns soon after its context has ended or its time-out is over.
+	Call(context.Context, Attempt) decide.Outcome
+	// CloseIdle closes the connections that no call uses.
+	CloseIdle()
+}
+
+// Attempt is one attempt at a message.
+type Attempt struct {
+	ID      string
+	Body    message.Body
+	Timeout time.Duration // from now on
+}
+
+// Final is the final answer of a message that was taken on and not delivered.
+type Final struct {
+	ID     string
+	Failed bool          // it may have taken effect; otherwise handing it in again is harmless
+	Wait   time.Duration // advice: not to come again before that
+}
+
+// Finals takes final answers to where they are awaited. Each that has arrived is
+// told to [Engine.Heard]; until then the journal owes it.
+type Finals interface {
+	Final(Final) // does not wait
+}
+
+// Answer is what a front tells its client at once.
+type Answer struct {
+	Kind Kind
+	Why  string        // with Rejected
+	Wait time.Duration // with Refused: advice, 0 for none
+	// Written must be called when the client has been told that its message is
+	// taken on, or could not be told; nil if there is nothing to wait for.
+	Written func(ok bool)
+}
+
+// Kind is the kind of an Answer.
+type Kind int
+
+// The kinds of answer.
+const (
+	Taken    Kind = iota // the message is owed its end from now on
+	Refused              // handing it in again is harmless
+	Rejected             // it can't be delivered as it is
+)
--- /dev/null
+++ b/internal/engine/loop.go
@@ -0,0 +1,489 @@
+package engine
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/journal"
+	"scaleroute/internal/message"
+)
+
+const (
+	intakeSlack = 10 * time.Millisecond // a client's time began before its request was read
+	diskWait    = time.Second           // advice when the journal has no room
+	mailbox     = 1024
+	drainMost   = 256 // events of one Step
+)
+
+// What the loop is told, besides [List] and [decide.Stopping].
+type (
+	arrival struct { // a client handed a message in
+		msg    *message.Message
+		answer chan<- reply
+	}
+	ackWritten struct { // its +OK was written, or could not be
+		entry *entry
+		ok    bool
+	}
+	callEnded struct{ outcome decide.Outcome }
+	heard     struct{ ids []string } // final answers that have arrived
+	finish    struct{}               // no client comes any more
+)
+
+// reply is the answer to a message handed in, and the entry that was taken on, if any.
+type reply struct {
+	Answer
+	entry *entry
+}
+
+// entry is a message that the loop holds.
+type entry struct {
+	saved   *journal.Saved
+	answer  chan<- reply       // its client waits for an answer; nil after that
+	acked   bool               // the client has its +OK
+	pending *decide.Send       // decided before that
+	attempt int                // number of the call that is out
+	cancel  context.CancelFunc // ends that call; nil if none is out
+	ended   bool               // a notice is owed, or nothing any more
+}
+
+// Config is what an Engine works with.
+type Config struct {
+	Settings decide.Settings
+	Journal  *journal.Journal // the engine's alone from now on
+	Back     Back
+	// Finals by the front that took a message; the one under "" takes what no other does.
+	Finals map[string]Finals
+}
+
+// Engine is the loop between fronts and backs. Its loop owns the Forwarder and
+// the journal: nothing else touches them. It never waits for the network.
+type Engine struct {
+	module  *decide.Forwarder
+	journal *journal.Journal
+	back    Back
+	finals  map[string]Finals
+	clock   time.Time
+	inbox   chan any
+	done    chan struct{}
+
+	classes   map[string]decide.Class
+	dests     map[int]bool // those that discovery has ever named: one exists while its targets are away
+	entries   map[string]*entry
+	events    []decide.Event
+	arrived   []*entry // in this round
+	effects   []func() // after the journal has been written
+	wake      *time.Timer
+	finishing bool
+	empty     bool
+	idle      chan struct{} // closed when finishing with nothing left
+}
+
+// New makes an Engine. The error names the setting that is impossible.
+func New(c Config) (*Engine, error) {
+	m, err := decide.New(c.Settings)
+	if err != nil {
+		return nil, err
+	}
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(),
+		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
+		classes: map[string]decide.Class{}, dests: map[int]bool{},
+		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
+	for _, class := range c.Settings.Classes {
+		l.classes[class.Name] = class
+	}
+	return l, nil
+}
+
+// tell hands the loop something, unless it has ended.
+func (l *Engine) tell(v any) {
+	select {
+	case l.inbox <- v:
+	case <-l.done:
+	}
+}
+
+// Take takes a message on or turns it away. It waits until that is decided,
+// which is soon: the loop waits for nothing outside.
+func (l *Engine) Take(m *message.Message) Answer {
+	answer := make(chan reply, 1)
+	l.tell(arrival{m, answer})
+	var a reply
+	select {
+	case a = <-answer:
+	case <-l.done:
+		// The loop may have taken the message on just before it ended. To refuse it then would let the
+		// client hand it in again beside the copy that the next start takes from the journal.
+		select {
+		case a = <-answer:
+		default:
+			a = reply{Answer: refused(0)}
+		}
+	}
+	if a.entry != nil {
+		a.Written = func(ok bool) { l.tell(ackWritten{a.entry, ok}) }
+	}
+	return a.Answer
+}
+
+// List tells what a source of servers has told.
+func (l *Engine) List(v List) { l.tell(v) }
+
+// Heard tells that the final answers of these messages have arrived.
+func (l *Engine) Heard(ids []string) { l.tell(heard{ids}) }
+
+// Stopping tells that the process ends after this time.
+func (l *Engine) Stopping(left time.Duration) { l.tell(decide.Stopping{Left: left}) }
+
+// Finish tells that no message comes any more.
+func (l *Engine) Finish() { l.tell(finish{}) }
+
+// Idle is closed once Finish has been called and nothing is held any more.
+func (l *Engine) Idle() <-chan struct{} { return l.idle }
+
+func refused(wait time.Duration) Answer { return Answer{Kind: Refused, Wait: wait} }
+func rejected(why string) Answer        { return Answer{Kind: Rejected, Why: why} }
+
+// Recover hands the module the lists given, oldest first, and what the journal
+// held. It comes before Run.
+func (l *Engine) Recover(lists ...List) {
+	for _, v := range lists {
+		l.list(v)
+	}
+	now := time.Now()
+	for _, s := range l.journal.Held() {
+		e := &entry{saved: s, acked: true}
+		l.entries[s.ID] = e
+		if s.End != 0 {
+			l.notify(e)
+			continue
+		}
+		l.events = append(l.events, decide.Message{ID: s.ID, Class: s.Class, Destination: s.Dest,
+			Left: s.Deadline.Sub(now), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
+	}
+	if n := len(l.entries); n > 0 {
+		slog.Info("taken up from the journal", "messages", n)
+	}
+}
+
+// Run carries events to the module until ctx ends. An error means that the
+// journal can't be kept: then nothing more may be taken on.
+func (l *Engine) Run(ctx context.Context) error {
+	defer close(l.done)
+	for {
+		if err := l.round(ctx); err != nil {
+			return err
+		}
+		if len(l.events) > 0 {
+			continue // what could not be carried out is told at once
+		}
+		if l.finishing && len(l.entries) == 0 && !l.empty {
+			l.empty = true
+			close(l.idle)
+		}
+		select {
+		case <-ctx.Done():
+			l.rest()
+			return l.journal.Flush()
+		case v := <-l.inbox:
+			if err := l.receive(ctx, v); err != nil {
+				return err
+			}
+		case <-l.wake.C:
+			l.events = append(l.events, decide.Woken{})
+		}
+		for n := 1; n < drainMost && len(l.inbox) > 0; n++ {
+			if err := l.receive(ctx, <-l.inbox); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// rest notes the outcomes that came too late for the module to see.
+func (l *Engine) rest() {
+	for len(l.inbox) > 0 {
+		switch v := (<-l.inbox).(type) {
+		case callEnded:
+			l.callEnded(v.outcome)
+		case heard:
+			l.heard(v)
+		case arrival:
+			v.answer <- reply{Answer: refused(0)}
+		}
+	}
+}
+
+func (l *Engine) receive(ctx context.Context, v any) error {
+	switch v := v.(type) {
+	case arrival:
+		return l.arrive(v)
+	case ackWritten:
+		l.acked(ctx, v)
+	case callEnded:
+		l.callEnded(v.outcome)
+		l.events = append(l.events, v.outcome)
+	case heard:
+		l.heard(v)
+	case List:
+		l.list(v)
+	case finish:
+		l.finishing = true
+	case decide.Stopping:
+		l.events = append(l.events, v)
+	}
+	return nil
+}
+
+func (l *Engine) list(v List) {
+	l.back.List(v)
+	event := decide.TargetList{Scope: v.Scope, Targets: make([]decide.Target, len(v.Endpoints))}
+	for i, e := range v.Endpoints {
+		l.dests[e.Destination] = true
+		event.Targets[i] = e.Target
+	}
+	l.events = append(l.events, event)
+}
+
+func (l *Engine) arrive(a arrival) error {
+	m := a.msg
+	turnAway := func(answer Answer) { a.answer <- reply{Answer: answer} }
+	class, known := l.classes[m.Class]
+	switch e := l.entries[m.ID]; {
+	case e != nil && e.acked: // handed in twice: it is held already
+		turnAway(Answer{Kind: Taken})
+		return nil
+	case e != nil: // whether that one is taken on is still open, and not for this client to say
+		turnAway(rejected("handed in twice at once"))
+		return nil
+	// What can't be delivered is not refused: that asks the client to come again.
+	case !known:
+		turnAway(rejected("unknown class"))
+		return nil
+	case !l.dests[m.Destination]:
+		turnAway(rejected("unknown destination"))
+		return nil
+	}
+	s := &journal.Saved{ID: m.ID, Origin: m.Origin, Class: m.Class, Dest: m.Destination, Body: m.Body,
+		Deadline: m.Read.Add(min(m.Left, class.Deadline) - intakeSlack)}
+	room, err := l.journal.Reserve(s.Size())
+	if err != nil {
+		return err
+	}
+	if !room {
+		turnAway(refused(diskWait))
+		return nil
+	}
+	e := &entry{answer: a.answer, saved: s}
+	l.entries[m.ID] = e
+	l.arrived = append(l.arrived, e)
+	l.events = append(l.events, decide.Message{ID: m.ID, Class: m.Class, Destination: m.Destination,
+		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat})
+	return nil
+}
+
+// acked goes on with what waited until the client had its +OK.
+func (l *Engine) acked(ctx context.Context, a ackWritten) {
+	e := a.entry
+	if e.acked || l.entries[e.saved.ID] != e {
+		return
+	}
+	e.acked = true
+	switch {
+	case !a.ok: // the client will hand it in again: nothing is owed
+		if e.pending != nil {
+			l.unsent(e, e.pending.Target)
+		}
+		l.events = append(l.events, decide.Withdrawn{Message: e.saved.ID})
+		l.forget(e)
+	case e.saved.End != 0:
+		l.notify(e)
+	case e.pending != nil:
+		s := *e.pending
+		e.pending = nil
+		l.send(ctx, s)
+	}
+}
+
+// unsent tells the module that a send was not carried out. It counts as an
+// attempt there, and so it must here: an outcome with another number than the
+// module's would be passed over, and its slot and message never come free.
+func (l *Engine) unsent(e *entry, target string) {
+	l.events = append(l.events, decide.Outcome{Message: e.saved.ID, Attempt: e.saved.Attempts, Target: target,
+		Result: decide.NotSent})
+	l.journal.Sending(e.saved.ID)
+	l.journal.Outcome(e.saved.ID, false)
+}
+
+// callEnded notes an outcome in the journal.
+func (l *Engine) callEnded(o decide.Outcome) {
+	e := l.entries[o.Message]
+	if e == nil {
+		return // ended meanwhile; the module still counts its call
+	}
+	if e.cancel != nil {
+		e.cancel()
+		e.cancel = nil
+	}
+	if o.Over {
+		l.forget(e)
+	} else {
+		l.journal.Outcome(o.Message, !neverRan(o.Result))
+	}
+}
+
+func (l *Engine) heard(h heard) {
+	for _, id := range h.ids {
+		if e := l.entries[id]; e != nil {
+			l.forget(e)
+		}
+	}
+}
+
+// forget closes a message for which nothing is owed any more.
+func (l *Engine) forget(e *entry) {
+	l.journal.Closed(e.saved.ID)
+	delete(l.entries, e.saved.ID)
+}
+
+// round makes one Step and does what it decides, in this order: the journal
+// is written before anything that it records can be seen outside.
+func (l *Engine) round(ctx context.Context) error {
+	events := l.events
+	l.events = nil
+	for _, a := range l.module.Step(time.Since(l.clock), events) {
+		l.act(ctx, a)
+	}
+	for _, e := range l.arrived {
+		if e.answer == nil {
+			continue // turned away in this Step
+		}
+		if err := l.journal.Accepted(e.saved); err != nil {
+			return err
+		}
+		answer := e.answer
+		e.answer = nil
+		l.effects = append(l.effects, func() { answer <- reply{Answer{Kind: Taken}, e} })
+	}
+	clear(l.arrived)
+	l.arrived = l.arrived[:0]
+	if err := l.journal.Flush(); err != nil {
+		return err
+	}
+	for _, do := range l.effects {
+		do()
+	}
+	clear(l.effects)
+	l.effects = l.effects[:0]
+	return nil
+}
+
+func (l *Engine) act(ctx context.Context, a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		l.send(ctx, a)
+	case decide.Refuse:
+		l.end(a.Message, 'b', a.Wait)
+	case decide.Fail:
+		l.end(a.Message, 'd', 0)
+	case decide.Cancel:
+		l.callOff(a)
+	case decide.CloseIdle:
+		if c := l.back.Endpoint(a.Target); c != nil {
+			l.effects = append(l.effects, c.CloseIdle)
+		}
+	case decide.Wake:
+		l.wake.Reset(a.After)
+	case decide.Subscribe: // the watch is always on
+	}
+}
+
+// send starts a call once the journal says that it is about to be made. One for
+// a message whose client has no +OK yet waits for that.
+func (l *Engine) send(ctx context.Context, s decide.Send) {
+	e := l.entries[s.Message]
+	if e == nil {
+		slog.Error("a send for a message that is not held", "id", s.Message)
+		return
+	}
+	if !e.acked {
+		e.pending, e.attempt = &s, e.saved.Attempts
+		return
+	}
+	to := l.back.Endpoint(s.Target)
+	if to == nil || e.cancel != nil || e.ended {
+		slog.Error("a send that can't be made", "id", s.Message, "target", s.Target, "out", e.cancel != nil)
+		l.unsent(e, s.Target)
+		return
+	}
+	e.attempt = e.saved.Attempts
+	l.journal.Sending(s.Message)
+	call, cancel := context.WithCancel(ctx)
+	e.cancel = cancel
+	n, try := e.attempt, Attempt{ID: s.Message, Body: e.saved.Body, Timeout: s.Timeout}
+	l.effects = append(l.effects, func() {
+		go func() {
+			o := to.Call(call, try)
+			o.Message, o.Attempt, o.Target = s.Message, n, s.Target
+			l.tell(callEnded{o})
+		}()
+	})
+}
+
+func (l *Engine) callOff(c decide.Cancel) {
+	e := l.entries[c.Message]
+	switch {
+	case e == nil || e.attempt != c.Attempt:
+	case e.cancel != nil:
+		cancel := e.cancel
+		l.effects = append(l.effects, cancel)
+	case e.pending != nil:
+		l.unsent(e, e.pending.Target)
+		e.pending = nil
+	}
+}
+
+// end carries out a final answer: to the client that still waits for its first
+// one, or else as a notice. The journal has it before the platform, so that no
+// restart sends a message that its client may have handed in again.
+func (l *Engine) end(id string, how byte, wait time.Duration) {
+	e := l.entries[id]
+	if e == nil || e.ended {
+		return
+	}
+	e.ended = true
+	if e.answer != nil {
+		answer, text := e.answer, refused(wait)
+		if how == 'd' {
+			text = rejected("failed")
+		}
+		e.answer = nil
+		l.journal.Release(e.saved.Size())
+		delete(l.entries, id)
+		l.effects = append(l.effects, func() { answer <- reply{Answer: text} })
+		return
+	}
+	e.saved.End, e.saved.Wait = how, wait
+	l.journal.Ended(id, how, wait)
+	if e.acked {
+		l.notify(e)
+	}
+}
+
+// notify hands on the final answer that is owed, after the journal has been written.
+func (l *Engine) notify(e *entry) {
+	e.ended = true
+	to := l.finals[e.saved.Origin]
+	if to == nil { // its front is not set up any more
+		to = l.finals[""]
+	}
+	f := Final{ID: e.saved.ID, Failed: e.saved.End == 'd', Wait: e.saved.Wait}
+	l.effects = append(l.effects, func() { to.Final(f) })
+}
+
+// neverRan tells whether an outcome proves that the attempt did not run.
+func neverRan(r decide.Result) bool {
+	return r == decide.Full || r == decide.ConnectFailed || r == decide.NotSent
+}
--- /dev/null
+++ b/internal/engine/loop_test.go
@@ -0,0 +1,268 @@
+package engine
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/journal"
+	"scaleroute/internal/message"
+)
+
+// testNode is an engine with a journal on disk, without sockets.
+type testNode struct {
+	dir   string
+	loop  *Engine
+	calls chan string // ids, as they come to the target
+}
+
+// world is what an engine is started with in a test.
+type world struct {
+	settings decide.Settings
+	diskMB   float64
+	list     List
+}
+
+// memoryBack is a back whose calls all succeed at once.
+type memoryBack struct {
+	names map[string]bool
+	calls chan string
+}
+
+func (b *memoryBack) List(l List) {
+	for _, e := range l.Endpoints {
+		b.names[e.ID] = e.State != decide.Gone
+	}
+}
+
+func (b *memoryBack) Endpoint(name string) Caller {
+	if b.names[name] {
+		return b
+	}
+	return nil
+}
+
+func (b *memoryBack) Call(_ context.Context, a Attempt) decide.Outcome {
+	b.calls <- a.ID
+	return decide.Outcome{Result: decide.Done, Over: true}
+}
+
+func (b *memoryBack) CloseIdle() {}
+
+// noFinals takes final answers and forgets them.
+type noFinals struct{}
+
+func (noFinals) Final(Final) {}
+
+func startLoop(t *testing.T, set func(*world)) *testNode {
+	t.Helper()
+	n := &testNode{calls: make(chan string, 100), dir: t.TempDir()}
+	w := &world{diskMB: 3, list: List{Scope: decide.Restored, Endpoints: []Endpoint{{Target: decide.Target{ID: "s1", Destination: 7, Weight: 1000}}}},
+		settings: decide.Settings{Slots: 8, MaxHeld: 100, MaxAttempts: 6, ConnIdle: time.Minute, ConnectLimit: time.Minute,
+			AdviceLimit: 3 * time.Second, StartCapacity: 0.9, TipMultiple: 2, Fall: 3 * time.Second, Weights: decide.ExactWeights,
+			Classes: []decide.Class{{Name: "note", Deadline: 5 * time.Minute, Aim: time.Minute, Worth: 1}}}}
+	if set != nil {
+		set(w)
+	}
+	l, err := New(Config{Settings: w.settings, Journal: mustJournal(t, n.dir, int64(w.diskMB*1e6)),
+		Back: &memoryBack{names: map[string]bool{}, calls: n.calls}, Finals: map[string]Finals{"": noFinals{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.loop = l
+	l.Recover(w.list)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return n
+}
+
+func mustJournal(t *testing.T, dir string, limit int64) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(dir, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.Close() })
+	return j
+}
+
+func note(id string) *message.Message {
+	return &message.Message{ID: id, Class: "note", Destination: 7, Left: time.Minute, Body: message.Bytes("x"), Read: time.Now()}
+}
+
+// onDisk reads the journal as a restart would; the loop may go on.
+func (n *testNode) onDisk(t *testing.T) map[string]*journal.Saved {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.CopyFS(dir, os.DirFS(n.dir)); err != nil {
+		t.Fatal(err)
+	}
+	held := map[string]*journal.Saved{}
+	for _, s := range mustJournal(t, dir, 3e6).Held() {
+		held[s.ID] = s
+	}
+	return held
+}
+
+// TestIntakeOrder: a message is in the journal when its client hears +OK, and
+// is sent only after that; one whose +OK can't be written is not sent at all.
+func TestIntakeOrder(t *testing.T) {
+	n := startLoop(t, nil)
+	answer := n.loop.Take(note("lost"))
+	if answer.Kind != Taken {
+		t.Fatal(answer)
+	}
+	if s := n.onDisk(t)["lost"]; s == nil || string(s.Body.(message.Bytes)) != "x" || s.Attempts != 0 {
+		t.Errorf("in the journal at +OK: %+v", s)
+	}
+	answer.Written(false)
+	answer = n.loop.Take(note("kept"))
+	if answer.Kind != Taken {
+		t.Fatal(answer)
+	}
+	answer.Written(true)
+	if got := <-n.calls; got != "kept" {
+		t.Errorf("%s was sent", got)
+	}
+	if n.onDisk(t)["lost"] != nil {
+		t.Error("the withdrawn message is still held")
+	}
+}
+
+// TestTakenOnAtTheEnd: a message that the loop takes on as its last one is not
+// refused to its client, since the next start will deliver it.
+func TestTakenOnAtTheEnd(t *testing.T) {
+	for range 100 {
+		l := &Engine{inbox: make(chan any), done: make(chan struct{})}
+		go func() {
+			a := (<-l.inbox).(arrival)
+			a.answer <- reply{Answer: Answer{Kind: Taken}}
+			close(l.done)
+		}()
+		if got := l.Take(note("m")); got.Kind != Taken {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	l := &Engine{inbox: make(chan any), done: make(chan struct{})}
+	close(l.done)
+	if got := l.Take(note("m")); got.Kind != Refused {
+		t.Errorf("after the end, got %+v", got)
+	}
+}
+
+// TestUnsentCountsAsAttempt: a send called off before its client had +OK gets
+// its outcome, and the next one has the next number, as in the module.
+func TestUnsentCountsAsAttempt(t *testing.T) {
+	j := mustJournal(t, t.TempDir(), 3e6)
+	s := &journal.Saved{ID: "m", Class: "note", Body: message.Bytes(nil)}
+	if _, err := j.Reserve(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Accepted(s); err != nil {
+		t.Fatal(err)
+	}
+	e := &entry{saved: s}
+	l := &Engine{journal: j, back: &memoryBack{}, entries: map[string]*entry{"m": e}}
+	l.send(t.Context(), decide.Send{Message: "m", Target: "s1"})
+	l.callOff(decide.Cancel{Message: "m", Attempt: 0})
+	l.acked(t.Context(), ackWritten{e, true})
+	l.send(t.Context(), decide.Send{Message: "m", Target: "gone"})
+	want := []decide.Event{
+		decide.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: decide.NotSent},
+		decide.Outcome{Message: "m", Attempt: 1, Target: "gone", Result: decide.NotSent},
+	}
+	if !slices.Equal(l.events, want) {
+		t.Errorf("told %+v", l.events)
+	}
+	if s.Attempts != 2 || s.Ran() {
+		t.Errorf("in the journal: %+v", s)
+	}
+}
+
+// TestHandedInTwice: the same id is taken on once, and another client that hands
+// it in can neither confirm the first one's message nor withdraw it.
+func TestHandedInTwice(t *testing.T) {
+	n := startLoop(t, nil)
+	answer := n.loop.Take(note("m"))
+	if answer.Kind != Taken {
+		t.Fatal(answer)
+	}
+	if got := n.loop.Take(note("m")); got.Kind != Rejected || got.Written != nil {
+		t.Errorf("before the first client has its +OK, the second got %+v", got)
+	}
+	if len(n.calls) > 0 {
+		t.Error("sent before its client has its +OK")
+	}
+	answer.Written(true)
+	if got := <-n.calls; got != "m" {
+		t.Errorf("%s was sent", got)
+	}
+
+	n = startLoop(t, func(w *world) { w.list.Endpoints[0].State = decide.Draining }) // nothing can be sent
+	n.loop.Take(note("m")).Written(true)
+	if got := n.loop.Take(note("m")); got.Kind != Taken || got.Written != nil {
+		t.Errorf("held already: got %+v", got)
+	}
+	if live := n.onDisk(t); len(live) != 1 {
+		t.Errorf("%d messages held", len(live))
+	}
+}
+
+// TestRefusedAtIntake: what the module refuses in the Step that brought it gets
+// -BUSY and leaves no trace; so does what the disk has no room for.
+func TestRefusedAtIntake(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(*world)
+		msg  func(*message.Message)
+		want Answer
+	}{
+		{"unknown class", nil, func(m *message.Message) { m.Class = "other" }, rejected("unknown class")},
+		{"unknown destination", nil, func(m *message.Message) { m.Destination = 8 }, rejected("unknown destination")},
+		{"no time left", nil, func(m *message.Message) { m.Left = 0 }, refused(0)},
+		{"hold full", func(w *world) { w.settings.MaxHeld = 1 }, nil, refused(0)},
+		{"disk full", func(w *world) { w.diskMB = 0.017 }, nil, refused(time.Second)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := startLoop(t, c.set)
+			m := note("m")
+			if c.msg != nil {
+				c.msg(m)
+			}
+			if got := n.loop.Take(m); !reflect.DeepEqual(got, c.want) {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+			if live := n.onDisk(t); len(live) != 0 {
+				t.Errorf("in the journal: %v", live)
+			}
+		})
+	}
+}
+
+// TestIntakeBounds: a destination exists while its targets are away, and a message
+// is not held for longer than its class allows, whatever its client says.
+func TestIntakeBounds(t *testing.T) {
+	n := startLoop(t, nil)
+	n.loop.List(List{Scope: decide.Changes, Endpoints: []Endpoint{{Target: decide.Target{ID: "s1", Destination: 7, State: decide.Gone}}}})
+	m := note("m")
+	m.Left = 1e6 * time.Second
+	answer := n.loop.Take(m)
+	if answer.Kind != Taken {
+		t.Fatalf("with its targets away, got %+v", answer)
+	}
+	answer.Written(true)
+	if left := time.Until(n.onDisk(t)["m"].Deadline); left > 5*time.Minute {
+		t.Errorf("held for %v", left)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/front/resp2/server.go
@@ -1,4 +1,5 @@
-package node
+// Package resp2 is the front for clients that speak RESP2 over TCP: PING and ENQUEUE.
+package resp2
 
 import (
 	"bufio"
@@ -12,18 +13,22 @@
 	"strings"
 	"sync"
 	"time"
+
+	"scaleroute/internal/engine"
+	"scaleroute/internal/journal"
+	"scaleroute/internal/message"
 )
 
 const (
-	maxBody    = 64 << 10
+	maxBody    = journal.MaxBody
 	maxArgs    = 16
 	maxCommand = maxBody + 16<<10 // read whole, so that a body somewhat too long gets an answer
 	firstRead  = 4 << 10          // set aside before any of a value has come
 	maxIDLen   = 128
 	// Nobody holds a connection without a word, or stops in the middle of a request, for good.
 	requestTime = 2500 * time.Millisecond
-	// A request that crosses the closing of its connection is still read.
-	lastLook = 10 * time.Millisecond
+	// LastLook: a request that crosses the closing of its connection is still read.
+	LastLook = 10 * time.Millisecond
 
 	keepIdle  = 2 * time.Second        // a client may count on its connection for so long
 	keepNew   = 100 * time.Millisecond // and on one that it has not used yet for so long
@@ -34,30 +39,19 @@
 	lingerBytes = 256 << 10
 )
 
-// request is one ENQUEUE.
-type request struct {
-	id     string
-	class  string
-	dest   int
-	left   time.Duration
-	again  bool
-	repeat bool
-	body   []byte
-	read   time.Time
+// Taker takes a message on or turns it away.
+type Taker interface {
+	Take(*message.Message) engine.Answer
 }
 
-// intake takes a request on or turns it away: it returns what to answer and,
-// if the message was taken on, a function to tell whether the answer was written.
-type intake func(*request) (answer string, written func(ok bool))
-
-// clients serves RESP2. The commands are read here and not by
+// Server serves RESP2. The commands are read here and not by
 // github.com/tidwall/redcon, whose reader (v1.6.4) panics in a goroutine of its
 // own on a bulk length near the largest integer and loops on a huge list length:
 // any client could end the process.
-type clients struct {
+type Server struct {
 	ln   net.Listener
 	most int // connections
-	take intake
+	take Taker
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientState
@@ -73,13 +67,14 @@
 	shed  bool      // closed to make room
 }
 
-func newClients(ln net.Listener, most int, take intake) *clients {
-	return &clients{ln: ln, most: most, take: take, conns: map[net.Conn]*clientState{}}
+// New makes a Server with at most so many connections.
+func New(ln net.Listener, most int, take Taker) *Server {
+	return &Server{ln: ln, most: most, take: take, conns: map[net.Conn]*clientState{}}
 }
 
-// serve accepts connections until close is called. When there are as many as
+// Serve accepts connections until Close is called. When there are as many as
 // may be, idle ones make room: no client is left waiting for those that say nothing.
-func (c *clients) serve(ctx context.Context) error {
+func (c *Server) Serve(ctx context.Context) error {
 	for {
 		conn, err := c.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -104,7 +99,7 @@
 }
 
 // admit counts a connection in if there is room, and makes some if not.
-func (c *clients) admit(conn net.Conn) bool {
+func (c *Server) admit(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.conns) >= c.most {
@@ -117,7 +112,7 @@
 }
 
 // makeRoom ends the connection that has been idle longest, of those that may be closed.
-func (c *clients) makeRoom(now time.Time) {
+func (c *Server) makeRoom(now time.Time) {
 	var longest net.Conn
 	var most time.Duration
 	for conn, s := range c.conns {
@@ -135,25 +130,25 @@
 	}
 }
 
-// stopAccepting stops listening; the connections there are go on.
-func (c *clients) stopAccepting() { c.ln.Close() }
+// StopAccepting stops listening; the connections there are go on.
+func (c *Server) StopAccepting() { c.ln.Close() }
 
-// close stops listening and closes each connection once no request is read or
+// Close stops listening and closes each connection once no request is read or
 // answered on it: a request that is not answered would count as lost.
-func (c *clients) close() {
+func (c *Server) Close() {
 	c.mu.Lock()
 	c.closing = true
 	for conn, s := range c.conns {
 		if s.idle {
-			conn.SetReadDeadline(time.Now().Add(lastLook))
+			conn.SetReadDeadline(time.Now().Add(LastLook))
 		}
 	}
 	c.mu.Unlock()
 	c.ln.Close()
 }
 
-// wait waits until the connections have ended, for so long at most.
-func (c *clients) wait(limit time.Duration) {
+// Wait waits until the connections have ended, for so long at most.
+func (c *Server) Wait(limit time.Duration) {
 	ended := make(chan struct{})
 	go func() {
 		c.wg.Wait()
@@ -167,7 +162,7 @@
 
 // next notes that a connection waits for its next request. It tells whether the
 // connection is to go on.
-func (c *clients) next(conn net.Conn) bool {
+func (c *Server) next(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.conns[conn]
@@ -177,14 +172,14 @@
 }
 
 // begun notes that a request has begun: it is read to its end.
-func (c *clients) begun(conn net.Conn, until time.Time) {
+func (c *Server) begun(conn net.Conn, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[conn].idle, c.conns[conn].shed = false, false
 	conn.SetReadDeadline(until)
 }
 
-func (c *clients) handle(conn net.Conn) {
+func (c *Server) handle(conn net.Conn) {
 	defer func() {
 		conn.Close()
 		c.mu.Lock()
@@ -195,7 +190,7 @@
 	until := time.Now().Add(requestTime) // for the first request, from the connect on
 	c.mu.Lock()
 	if c.closing {
-		conn.SetReadDeadline(time.Now().Add(lastLook))
+		conn.SetReadDeadline(time.Now().Add(LastLook))
 	} else {
 		conn.SetReadDeadline(until)
 	}
@@ -241,7 +236,7 @@
 	io.CopyN(io.Discard, conn, lingerBytes)
 }
 
-func (c *clients) answer(args [][]byte) (string, func(bool)) {
+func (c *Server) answer(args [][]byte) (string, func(bool)) {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
 		if len(args) == 2 {
@@ -253,20 +248,35 @@
 		if err != nil {
 			return "-ERR " + err.Error() + "\r\n", nil
 		}
-		return c.take(req)
+		return c.enqueue(req)
 	}
 	return "-ERR unknown command\r\n", nil
 }
 
-func parseEnqueue(args [][]byte) (*request, error) {
+// enqueue hands a message in and words the answer.
+func (c *Server) enqueue(m *message.Message) (string, func(bool)) {
+	a := c.take.Take(m)
+	switch a.Kind {
+	case engine.Taken:
+		return "+OK\r\n", a.Written
+	case engine.Refused:
+		if a.Wait <= 0 {
+			return "-BUSY\r\n", nil
+		}
+		return fmt.Sprintf("-BUSY %d\r\n", a.Wait.Milliseconds()), nil
+	}
+	return "-ERR " + a.Why + "\r\n", nil
+}
+
+func parseEnqueue(args [][]byte) (*message.Message, error) {
 	if len(args) != 5 {
 		return nil, errors.New("ENQUEUE takes a key, an id, a list and a body")
 	}
-	req := &request{id: string(args[2]), dest: -1, body: args[4], read: time.Now()}
-	if !plainWord(req.id) {
+	req := &message.Message{ID: string(args[2]), Destination: -1, Body: message.Bytes(args[4]), Read: time.Now()}
+	if !plainWord(req.ID) {
 		return nil, errors.New("bad id")
 	}
-	if len(req.body) > maxBody {
+	if req.Body.Len() > maxBody {
 		return nil, errors.New("body over 64 KiB")
 	}
 	for _, pair := range strings.Split(string(args[3]), ",") {
@@ -279,26 +289,26 @@
 			if !plainWord(value) {
 				return nil, errors.New("bad class")
 			}
-			req.class = value
+			req.Class = value
 		case "d":
 			ms, err := strconv.ParseFloat(value, 64)
 			if err != nil || !(ms >= 0 && ms <= 1e9) {
 				return nil, errors.New("bad time")
 			}
-			req.left = time.Duration(ms * float64(time.Millisecond))
+			req.Left = time.Duration(ms * float64(time.Millisecond))
 		case "dest":
 			n, err := strconv.ParseInt(value, 10, 32)
 			if err != nil || n < 0 {
 				return nil, errors.New("bad destination")
 			}
-			req.dest = int(n)
+			req.Destination = int(n)
 		case "r":
-			req.repeat = value == "1"
+			req.Repeat = value == "1"
 		case "again":
-			req.again = value == "1"
+			req.Again = value == "1"
 		}
 	}
-	if req.class == "" || req.dest < 0 {
+	if req.Class == "" || req.Destination < 0 {
 		return nil, errors.New("no class or no destination")
 	}
 	return req, nil
@@ -382,3 +392,10 @@
 	}
 	return n, nil
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/node/clients_test.go
+++ b/internal/front/resp2/server_test.go
@@ -1,4 +1,4 @@
-package node
+package resp2
 
 import (
 	"bufio"
@@ -10,20 +10,28 @@
 	"strings"
 	"testing"
 	"time"
+
+	"scaleroute/internal/engine"
+	"scaleroute/internal/message"
 )
 
+// taker is a Taker made of a function.
+type taker func(*message.Message) engine.Answer
+
+func (f taker) Take(m *message.Message) engine.Answer { return f(m) }
+
 // startClients serves an intake on a loopback port.
-func startClients(t *testing.T, most int, take intake) (*clients, string) {
+func startClients(t *testing.T, most int, take Taker) (*Server, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(ln, most, take)
+	c := New(ln, most, take)
 	served := make(chan error, 1)
-	go func() { served <- c.serve(t.Context()) }()
+	go func() { served <- c.Serve(t.Context()) }()
 	t.Cleanup(func() {
-		c.close()
+		c.Close()
 		if err := <-served; err != nil {
 			t.Error(err)
 		}
@@ -64,15 +72,16 @@
 // TestClientRequests sends what clients may and may not send. Whatever comes,
 // the next connection is served: a bad request must not end the process.
 func TestClientRequests(t *testing.T) {
-	_, address := startClients(t, 100, func(r *request) (string, func(bool)) {
-		return fmt.Sprintf("+%s %s %v %d %v %d\r\n", r.id, r.class, r.left, r.dest, r.again, len(r.body)), func(bool) {}
-	})
+	_, address := startClients(t, 100, taker(func(m *message.Message) engine.Answer {
+		return engine.Answer{Kind: engine.Rejected, Why: fmt.Sprint(m.ID, " ", m.Class, " ", m.Left, " ", m.Destination, " ",
+			m.Again, " ", m.Body.Len())}
+	}))
 	for _, c := range []struct{ name, send, want string }{
 		{"ping", resp("PING"), "+PONG"},
 		{"lower case", resp("ping"), "+PONG"},
-		{"enqueue", resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3,again=1,odd=9", "a\r\nb"), "+id1 note 1.5s 3 true 4"},
-		{"empty body", resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3", ""), "+id1 note 1.5s 3 false 0"},
-		{"largest body", resp("ENQUEUE", "k", "id1", "c=note,d=1,dest=3", strings.Repeat("x", maxBody)), "+id1 note 1ms 3 false 65536"},
+		{"enqueue", resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3,again=1,odd=9", "a\r\nb"), "-ERR id1 note 1.5s 3 true 4"},
+		{"empty body", resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3", ""), "-ERR id1 note 1.5s 3 false 0"},
+		{"largest body", resp("ENQUEUE", "k", "id1", "c=note,d=1,dest=3", strings.Repeat("x", maxBody)), "-ERR id1 note 1ms 3 false 65536"},
 		{"body too long", resp("ENQUEUE", "k", "id1", "c=note,d=1,dest=3", strings.Repeat("x", maxBody+1)), "-ERR body"},
 		{"unknown command", resp("GET", "x"), "-ERR unknown"},
 		{"too few", resp("ENQUEUE", "k", "id1"), "-ERR ENQUEUE takes"},
@@ -112,16 +121,16 @@
 // server closes gets its answer; an idle connection ends.
 func TestClientsCloseBetweenRequests(t *testing.T) {
 	taken, finish := make(chan bool), make(chan bool)
-	c, address := startClients(t, 100, func(*request) (string, func(bool)) {
+	c, address := startClients(t, 100, taker(func(*message.Message) engine.Answer {
 		taken <- true
 		<-finish
-		return answerOK, nil
-	})
+		return engine.Answer{}
+	}))
 	_, idle := dial(t, address)
 	conn, busy := dial(t, address)
 	fmt.Fprint(conn, resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3", "x"))
 	<-taken
-	c.close()
+	c.Close()
 	close(finish)
 	if got := line(t, busy); got != "+OK" {
 		t.Errorf("the request in hand got %q", got)
@@ -172,10 +181,10 @@
 // make room for the next, the longest idle first, and one with a request stays.
 func TestRoomForClients(t *testing.T) {
 	finish := make(chan bool)
-	_, address := startClients(t, 3, func(*request) (string, func(bool)) {
+	_, address := startClients(t, 3, taker(func(*message.Message) engine.Answer {
 		<-finish
-		return answerOK, nil
-	})
+		return engine.Answer{}
+	}))
 	busy, answer := dial(t, address)
 	fmt.Fprint(busy, resp("ENQUEUE", "k", "id1", "c=note,d=1500,dest=3", "x"))
 	var readers []*bufio.Reader
@@ -199,7 +208,7 @@
 
 // TestIdleMakesRoom: of connections that have been used the one idle longest goes, and not before its time.
 func TestIdleMakesRoom(t *testing.T) {
-	c := newClients(nil, 2, nil)
+	c := New(nil, 2, nil)
 	now := time.Now()
 	a, b := &closed{}, &closed{}
 	c.conns[a] = &clientState{idle: true, used: true, since: now.Add(-keepIdle)}
@@ -225,3 +234,34 @@
 }
 
 func (c *closed) SetReadDeadline(time.Time) error { c.shed = true; return nil }
+
+// TestAnswers: each kind of answer in its words, and an acknowledgement only where one is awaited.
+func TestAnswers(t *testing.T) {
+	written := make(chan bool, 1)
+	answers := map[string]engine.Answer{
+		"+OK":         {Kind: engine.Taken, Written: func(ok bool) { written <- ok }},
+		"-BUSY":       {Kind: engine.Refused},
+		"-BUSY 1500":  {Kind: engine.Refused, Wait: 1500 * time.Millisecond},
+		"-ERR failed": {Kind: engine.Rejected, Why: "failed"},
+	}
+	_, address := startClients(t, 10, taker(func(m *message.Message) engine.Answer { return answers[m.Class] }))
+	conn, r := dial(t, address)
+	for want := range answers { // over a connection, and by the words alone
+		if strings.Contains(want, " ") {
+			continue // a class is one word
+		}
+		fmt.Fprint(conn, resp("ENQUEUE", "k", "id1", "c="+want+",d=1500,dest=3", "x"))
+		if got := line(t, r); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	if !<-written {
+		t.Error("+OK was written, and told as not")
+	}
+	s := &Server{take: taker(func(m *message.Message) engine.Answer { return answers[m.Class] })}
+	for want := range answers {
+		if got, _ := s.enqueue(&message.Message{Class: want}); got != want+"\r\n" {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/node/journal.go
+++ b/internal/journal/journal.go
@@ -1,4 +1,6 @@
-package node
+// Package journal keeps what a forwarder has taken on in a file that outlasts its
+// process. It decides nothing: it records, and tells at the next start.
+package journal
 
 import (
 	"encoding/binary"
@@ -10,6 +12,8 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"scaleroute/internal/message"
 )
 
 // The state journal holds what the forwarder has taken on. Its records are
@@ -21,6 +25,7 @@
 // one byte, the id, and then by type:
 //
 //	A accepted   deadline (Unix ms, 8 bytes), destination (4), length of the class (1), class, body
+//	F front      its name, where there is more than one
 //	S about to be sent
 //	O outcome    1 byte: 1 if the attempt may have run, 0 if it never did
 //	E end        1 byte: d (dead) or b (bounced), and the wait advised (ms, 4); a notice is owed
@@ -28,54 +33,59 @@
 //	M attempts   3 bytes: made, 1 if the last has no outcome, 1 if one may have run (by compaction)
 
 const (
-	journalName = "journal"
-	headerSize  = 8
-	maxRecord   = maxBody + 1024
+	fileName   = "journal"
+	headerSize = 8
+	MaxBody    = 64 << 10 // of a message, in bytes
+	maxRecord  = MaxBody + 1024
 	// What a message may still need after its acceptance: some 10 attempts and its end.
 	reservePerMessage = 1024
-	journalMargin     = 16 << 10
+	diskMargin        = 16 << 10
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// saved is what the journal knows of one message.
-type saved struct {
-	id       string
-	class    string
-	dest     int
-	deadline time.Time
-	body     []byte
-
-	attempts   int
-	open       bool // the last attempt has no outcome
-	mayHaveRun bool // an attempt may have run; an open one may
-	end        byte // d or b once its end is decided
-	wait       time.Duration
+// Saved is what the journal knows of one message.
+type Saved struct {
+	ID       string
+	Class    string
+	Dest     int
+	Deadline time.Time
+	Body     message.Body
+	Origin   string // the front that took it
+
+	Attempts   int
+	Open       bool // the last attempt has no outcome
+	MayHaveRun bool // an attempt may have run; an open one may
+	End        byte // d or b once its end is decided
+	Wait       time.Duration
 
 	order uint64
 }
 
-// ran tells whether any attempt may have run, an open one included.
-func (s *saved) ran() bool { return s.mayHaveRun || s.open }
+// Ran tells whether any attempt may have run, an open one included.
+func (s *Saved) Ran() bool { return s.MayHaveRun || s.Open }
 
-func (s *saved) cost() int64 { return int64(len(s.body)) + reservePerMessage }
+// Size is what must be reserved for a message: its body and the name of its front.
+func (s *Saved) Size() int { return s.Body.Len() + len(s.Origin) }
 
-// journal is the append-only file. It is owned by one goroutine.
-type journal struct {
+func (s *Saved) cost() int64 { return int64(s.Size()) + reservePerMessage }
+
+// Journal is the append-only file. It is owned by one goroutine.
+type Journal struct {
 	dir   string
 	file  *os.File
 	limit int64 // bytes that the folder may hold
 	size  int64 // bytes in the file
 	buf   []byte
-	live  map[string]*saved
+	live  map[string]*Saved
 	need  int64 // upper bound of what compaction writes, and of what live messages still write
 	next  uint64
 }
 
-// openJournal replays the journal in a folder, or begins one. A torn record at
+// Open replays the journal in a folder, or begins one. A torn record at
 // its end, left by a kill in the middle of a write, is cut off.
-func openJournal(dir string, limit int64) (*journal, error) {
-	j := &journal{dir: dir, limit: limit - journalMargin, live: map[string]*saved{}}
+func Open(dir string, limit int64) (*Journal, error) {
+	j := &Journal{dir: dir, limit: limit - diskMargin, live: map[string]*Saved{}}
 	// A kill during compaction leaves a half-written file that nothing names.
 	if err := os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -100,7 +110,7 @@
 	return j, nil
 }
 
-func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
+func (j *Journal) path() string { return filepath.Join(j.dir, fileName) }
 
 // nextRecord returns the payload at the start of text, if it is whole.
 func nextRecord(text []byte) ([]byte, bool) {
@@ -116,7 +126,7 @@
 }
 
 // apply replays one record; false means that it makes no sense.
-func (j *journal) apply(p []byte) bool {
+func (j *Journal) apply(p []byte) bool {
 	kind, n := p[0], int(p[1])
 	if len(p) < 2+n {
 		return false
@@ -127,9 +137,9 @@
 			return false
 		}
 		c := 13 + int(rest[12])
-		j.add(&saved{id: id, deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
-			dest:  int(int32(binary.LittleEndian.Uint32(rest[8:]))),
-			class: string(rest[13:c]), body: slices.Clone(rest[c:])})
+		j.add(&Saved{ID: id, Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
+			Dest:  int(int32(binary.LittleEndian.Uint32(rest[8:]))),
+			Class: string(rest[13:c]), Body: message.Bytes(slices.Clone(rest[c:]))})
 		return true
 	}
 	s := j.live[id]
@@ -138,14 +148,16 @@
 	}
 	switch {
 	case kind == 'S':
-		s.mayHaveRun = s.ran() // an earlier one without an outcome may have run
-		s.attempts, s.open = s.attempts+1, true
+		s.MayHaveRun = s.Ran() // an earlier one without an outcome may have run
+		s.Attempts, s.Open = s.Attempts+1, true
 	case kind == 'O' && len(rest) == 1:
-		s.open, s.mayHaveRun = false, s.mayHaveRun || rest[0] == 1
+		s.Open, s.MayHaveRun = false, s.MayHaveRun || rest[0] == 1
 	case kind == 'E' && len(rest) == 5:
-		s.end, s.wait = rest[0], time.Duration(binary.LittleEndian.Uint32(rest[1:]))*time.Millisecond
+		s.End, s.Wait = rest[0], time.Duration(binary.LittleEndian.Uint32(rest[1:]))*time.Millisecond
 	case kind == 'M' && len(rest) == 3:
-		s.attempts, s.open, s.mayHaveRun = int(rest[0]), rest[1] == 1, rest[2] == 1
+		s.Attempts, s.Open, s.MayHaveRun = int(rest[0]), rest[1] == 1, rest[2] == 1
+	case kind == 'F':
+		s.Origin = string(rest)
 	case kind == 'C':
 		j.drop(s)
 	default:
@@ -154,33 +166,33 @@
 	return true
 }
 
-func (j *journal) add(s *saved) {
-	if old := j.live[s.id]; old != nil {
+func (j *Journal) add(s *Saved) {
+	if old := j.live[s.ID]; old != nil {
 		j.drop(old)
 	}
 	j.next++
 	s.order = j.next
-	j.live[s.id] = s
+	j.live[s.ID] = s
 	j.need += s.cost()
 }
 
-func (j *journal) drop(s *saved) {
-	delete(j.live, s.id)
+func (j *Journal) drop(s *Saved) {
+	delete(j.live, s.ID)
 	j.need -= s.cost()
 }
 
-// held lists the messages in the order taken.
-func (j *journal) held() []*saved {
-	list := make([]*saved, 0, len(j.live))
+// Held lists the messages in the order taken.
+func (j *Journal) Held() []*Saved {
+	list := make([]*Saved, 0, len(j.live))
 	for _, s := range j.live {
 		list = append(list, s)
 	}
-	slices.SortFunc(list, func(a, b *saved) int { return int(int64(a.order) - int64(b.order)) })
+	slices.SortFunc(list, func(a, b *Saved) int { return int(int64(a.order) - int64(b.order)) })
 	return list
 }
 
 // append buffers one record; flush writes it.
-func (j *journal) append(kind byte, id string, rest ...[]byte) {
+func (j *Journal) append(kind byte, id string, rest ...[]byte) {
 	start := len(j.buf)
 	j.buf = append(j.buf, make([]byte, headerSize)...)
 	j.buf = append(j.buf, kind, byte(len(id)))
@@ -193,22 +205,30 @@
 	binary.LittleEndian.PutUint32(j.buf[start+4:], crc32.Checksum(payload, castagnoli))
 }
 
-func (j *journal) appendAccepted(s *saved) {
-	head := binary.LittleEndian.AppendUint64(nil, uint64(s.deadline.UnixMilli()))
-	head = binary.LittleEndian.AppendUint32(head, uint32(int32(s.dest)))
-	head = append(append(head, byte(len(s.class))), s.class...)
-	j.append('A', s.id, head, s.body)
+func (j *Journal) appendAccepted(s *Saved) error {
+	body, err := s.Body.Load()
+	if err != nil {
+		return fmt.Errorf("journal: the body of %s: %w", s.ID, err)
+	}
+	head := binary.LittleEndian.AppendUint64(nil, uint64(s.Deadline.UnixMilli()))
+	head = binary.LittleEndian.AppendUint32(head, uint32(int32(s.Dest)))
+	head = append(append(head, byte(len(s.Class))), s.Class...)
+	j.append('A', s.ID, head, body)
+	if s.Origin != "" {
+		j.append('F', s.ID, []byte(s.Origin))
+	}
+	return nil
 }
 
-func (j *journal) appendEnd(s *saved) {
-	j.append('E', s.id, binary.LittleEndian.AppendUint32([]byte{s.end}, uint32(s.wait.Milliseconds())))
+func (j *Journal) appendEnd(s *Saved) {
+	j.append('E', s.ID, binary.LittleEndian.AppendUint32([]byte{s.End}, uint32(s.Wait.Milliseconds())))
 }
 
-// reserve sets room aside for one more message, if there is any: what compaction
+// Reserve sets room aside for one more message, if there is any: what compaction
 // writes and the file that it replaces must fit in the folder together at any
 // time, since going over the disk's limit counts as a crash.
-func (j *journal) reserve(body int) (bool, error) {
-	cost := int64(body) + reservePerMessage
+func (j *Journal) Reserve(size int) (bool, error) {
+	cost := int64(size) + reservePerMessage
 	if 2*(j.need+cost) > j.limit {
 		return false, nil
 	}
@@ -221,27 +241,29 @@
 	return true, nil
 }
 
-// release gives back what reserve set aside for a message that was turned away.
-func (j *journal) release(body int) { j.need -= int64(body) + reservePerMessage }
+// Release gives back what reserve set aside for a message that was turned away.
+func (j *Journal) Release(size int) { j.need -= int64(size) + reservePerMessage }
 
-// accepted takes a message on, in the room reserved for it.
-func (j *journal) accepted(s *saved) {
-	j.release(len(s.body))
+// Accepted takes a message on, in the room reserved for it.
+func (j *Journal) Accepted(s *Saved) error {
+	j.Release(s.Size())
 	j.add(s)
-	j.appendAccepted(s)
+	return j.appendAccepted(s)
 }
 
-func (j *journal) sending(id string) {
+// Sending notes that an attempt is about to be made.
+func (j *Journal) Sending(id string) {
 	if s := j.live[id]; s != nil {
-		s.mayHaveRun = s.ran()
-		s.attempts, s.open = s.attempts+1, true
+		s.MayHaveRun = s.Ran()
+		s.Attempts, s.Open = s.Attempts+1, true
 		j.append('S', id)
 	}
 }
 
-func (j *journal) outcome(id string, mayHaveRun bool) {
+// Outcome notes how the attempt that is out ended.
+func (j *Journal) Outcome(id string, mayHaveRun bool) {
 	if s := j.live[id]; s != nil {
-		s.open, s.mayHaveRun = false, s.mayHaveRun || mayHaveRun
+		s.Open, s.MayHaveRun = false, s.MayHaveRun || mayHaveRun
 		ran := byte(0)
 		if mayHaveRun {
 			ran = 1
@@ -250,23 +272,25 @@
 	}
 }
 
-func (j *journal) ended(id string, end byte, wait time.Duration) {
+// Ended notes the final answer; its notice is owed from then on.
+func (j *Journal) Ended(id string, end byte, wait time.Duration) {
 	if s := j.live[id]; s != nil {
-		s.end, s.wait = end, wait
+		s.End, s.Wait = end, wait
 		j.appendEnd(s)
 	}
 }
 
-func (j *journal) closed(id string) {
+// Closed drops a message for which nothing is owed any more.
+func (j *Journal) Closed(id string) {
 	if s := j.live[id]; s != nil {
 		j.append('C', id)
 		j.drop(s)
 	}
 }
 
-// flush writes what was appended. The file is rewritten first if the two of
+// Flush writes what was appended. The file is rewritten first if the two of
 // them would no longer fit later.
-func (j *journal) flush() error {
+func (j *Journal) Flush() error {
 	if len(j.buf) == 0 {
 		return nil
 	}
@@ -276,7 +300,7 @@
 	return j.write(j.file)
 }
 
-func (j *journal) write(f *os.File) error {
+func (j *Journal) write(f *os.File) error {
 	n, err := f.WriteAt(j.buf, j.size)
 	if err != nil {
 		// Records behind a torn one would never be read again.
@@ -291,18 +315,21 @@
 
 // compact writes what is still owed into a new file and puts it in the place
 // of the old one. A kill at any moment leaves one of the two whole.
-func (j *journal) compact() error {
+func (j *Journal) compact() error {
 	f, err := os.OpenFile(j.path()+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return fmt.Errorf("journal: compaction: %w", err)
 	}
 	j.buf, j.size = j.buf[:0], 0
-	for _, s := range j.held() {
-		j.appendAccepted(s)
-		if s.attempts > 0 {
-			j.append('M', s.id, []byte{byte(min(s.attempts, 255)), bit(s.open), bit(s.mayHaveRun)})
+	for _, s := range j.Held() {
+		if err := j.appendAccepted(s); err != nil {
+			f.Close()
+			return err
+		}
+		if s.Attempts > 0 {
+			j.append('M', s.ID, []byte{byte(min(s.Attempts, 255)), bit(s.Open), bit(s.MayHaveRun)})
 		}
-		if s.end != 0 {
+		if s.End != 0 {
 			j.appendEnd(s)
 		}
 	}
@@ -326,4 +353,5 @@
 	return 0
 }
 
-func (j *journal) close() error { return j.file.Close() }
+// Close closes the file; what is buffered is not written.
+func (j *Journal) Close() error { return j.file.Close() }
--- a/internal/node/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,4 +1,4 @@
-package node
+package journal
 
 import (
 	"bytes"
@@ -7,33 +7,37 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"scaleroute/internal/message"
 )
 
-func mustJournal(t *testing.T, dir string, limit int64) *journal {
+func mustJournal(t *testing.T, dir string, limit int64) *Journal {
 	t.Helper()
-	j, err := openJournal(dir, limit)
+	j, err := Open(dir, limit)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { j.close() })
+	t.Cleanup(func() { j.Close() })
 	return j
 }
 
-func accept(t *testing.T, j *journal, id string, body []byte) bool {
+func accept(t *testing.T, j *Journal, id string, body []byte) bool {
 	t.Helper()
-	ok, err := j.reserve(len(body))
+	ok, err := j.Reserve(len(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	if ok {
-		j.accepted(&saved{id: id, class: "note", dest: 7, deadline: time.UnixMilli(1_700_000_000_123), body: body})
+		if err := j.Accepted(&Saved{ID: id, Class: "note", Dest: 7, Deadline: time.UnixMilli(1_700_000_000_123), Body: message.Bytes(body)}); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return ok
 }
 
-func flush(t *testing.T, j *journal) {
+func flush(t *testing.T, j *Journal) {
 	t.Helper()
-	if err := j.flush(); err != nil {
+	if err := j.Flush(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -49,40 +53,40 @@
 		}
 	}
 	for _, id := range []string{"open", "notrun", "ran", "twice", "dead"} {
-		j.sending(id)
-	}
-	j.outcome("notrun", false)
-	j.outcome("ran", true)
-	j.sending("twice") // the first has no outcome: it may have run whatever comes of the second
-	j.outcome("twice", false)
-	j.outcome("dead", true)
-	j.ended("dead", 'd', 0)
-	j.ended("bounced", 'b', 1500*time.Millisecond)
-	j.closed("closed")
+		j.Sending(id)
+	}
+	j.Outcome("notrun", false)
+	j.Outcome("ran", true)
+	j.Sending("twice") // the first has no outcome: it may have run whatever comes of the second
+	j.Outcome("twice", false)
+	j.Outcome("dead", true)
+	j.Ended("dead", 'd', 0)
+	j.Ended("bounced", 'b', 1500*time.Millisecond)
+	j.Closed("closed")
 	flush(t, j)
 
-	want := []saved{
-		{id: "new"},
-		{id: "open", attempts: 1, open: true},
-		{id: "notrun", attempts: 1},
-		{id: "ran", attempts: 1, mayHaveRun: true},
-		{id: "twice", attempts: 2, mayHaveRun: true},
-		{id: "dead", attempts: 1, mayHaveRun: true, end: 'd'},
-		{id: "bounced", end: 'b', wait: 1500 * time.Millisecond},
+	want := []Saved{
+		{ID: "new"},
+		{ID: "open", Attempts: 1, Open: true},
+		{ID: "notrun", Attempts: 1},
+		{ID: "ran", Attempts: 1, MayHaveRun: true},
+		{ID: "twice", Attempts: 2, MayHaveRun: true},
+		{ID: "dead", Attempts: 1, MayHaveRun: true, End: 'd'},
+		{ID: "bounced", End: 'b', Wait: 1500 * time.Millisecond},
 	}
 	verify := func(name string) {
-		held := mustJournal(t, dir, 3e6).held()
+		held := mustJournal(t, dir, 3e6).Held()
 		if len(held) != len(want) {
 			t.Fatalf("%s: %d messages, want %d", name, len(held), len(want))
 		}
 		for i, w := range want {
 			g := *held[i]
-			if g.class != "note" || g.dest != 7 || g.deadline.UnixMilli() != 1_700_000_000_123 ||
-				string(g.body) != "body \x00 of "+w.id {
-				t.Errorf("%s: acceptance of %s: %+v", name, w.id, g)
+			if g.Class != "note" || g.Dest != 7 || g.Deadline.UnixMilli() != 1_700_000_000_123 ||
+				string(g.Body.(message.Bytes)) != "body \x00 of "+w.ID {
+				t.Errorf("%s: acceptance of %s: %+v", name, w.ID, g)
 			}
-			if g.id != w.id || g.attempts != w.attempts || g.open != w.open || g.mayHaveRun != w.mayHaveRun ||
-				g.end != w.end || g.wait != w.wait {
+			if g.ID != w.ID || g.Attempts != w.Attempts || g.Open != w.Open || g.MayHaveRun != w.MayHaveRun ||
+				g.End != w.End || g.Wait != w.Wait {
 				t.Errorf("%s: got %+v, want %+v", name, g, w)
 			}
 		}
@@ -110,10 +114,10 @@
 	}
 	for cut := whole; cut < int64(len(text)); cut++ {
 		dir := t.TempDir()
-		if err := os.WriteFile(filepath.Join(dir, journalName), text[:cut], 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, fileName), text[:cut], 0o600); err != nil {
 			t.Fatal(err)
 		}
-		j, err := openJournal(dir, 3e6)
+		j, err := Open(dir, 3e6)
 		if err != nil {
 			t.Fatalf("cut at %d: %v", cut, err)
 		}
@@ -122,13 +126,13 @@
 		}
 		accept(t, j, "third", []byte("three"))
 		flush(t, j)
-		j.close()
+		j.Close()
 		if again := mustJournal(t, dir, 3e6); len(again.live) != 2 || again.live["third"] == nil {
 			t.Fatalf("cut at %d: what was written after it is not read", cut)
 		}
 	}
 	text[whole+headerSize+4] ^= 1
-	if err := os.WriteFile(filepath.Join(dir, journalName), text, 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, fileName), text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if again := mustJournal(t, dir, 3e6); len(again.live) != 1 {
@@ -143,7 +147,7 @@
 	const limit = 1_000_000
 	dir := t.TempDir()
 	j := mustJournal(t, dir, limit)
-	body := bytes.Repeat([]byte{'x'}, maxBody)
+	body := bytes.Repeat([]byte{'x'}, MaxBody)
 	var held []string
 	refused, compactions, most := 0, 0, int64(0)
 	for n := range 400 {
@@ -154,14 +158,14 @@
 		} else {
 			refused++
 			for range 3 {
-				j.closed(held[0])
+				j.Closed(held[0])
 				held = held[1:]
 			}
 		}
 		for range 6 { // all the attempts that a message may have
 			if len(held) > 0 {
-				j.sending(held[len(held)-1])
-				j.outcome(held[len(held)-1], false)
+				j.Sending(held[len(held)-1])
+				j.Outcome(held[len(held)-1], false)
 			}
 		}
 		flush(t, j)
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,34 @@
+// Package message is what fronts, engine, journal and backs have in common: a
+// message on its way. It decides nothing and does no I/O of its own.
+package message
+
+import "time"
+
+// Message is one message as a front hands it in.
+type Message struct {
+	ID          string
+	Origin      string // the front that took it; its final answer goes back there. At most 255 bytes
+	Class       string
+	Destination int
+	Left        time.Duration // until it is given up, from Read on
+	Read        time.Time     // when its last byte had been read
+	Again       bool          // it was held by a forwarder that died
+	Repeat      bool          // a client's repeat after a refusal, where clients mark it
+	Body        Body
+}
+
+// Body is the content of a message. It need not be in memory: whoever sends it
+// loads it for as long as the send lasts.
+type Body interface {
+	Len() int              // bytes
+	Load() ([]byte, error) // the caller does not change what it gets
+}
+
+// Bytes is a body in memory.
+type Bytes []byte
+
+// Len returns the number of bytes.
+func (b Bytes) Len() int { return len(b) }
+
+// Load returns the bytes themselves.
+func (b Bytes) Load() ([]byte, error) { return b, nil }
