--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -1,9 +1,13 @@
 package decide
 
-// The decision module. Its interface - settings, events, actions - is in decide.go; the
-// structs that it remembers things in, and their making, are in state.go. All else is decided
-// here, in the order in which a message lives: taken, held, sent, outcome, again or answered;
-// then route health, the retry budget and pace. docs/design.md tells what comes from the design.
+// The decision module. Its interface - settings, events, actions - is in decide.go; the structs
+// that it remembers things in, and their making, are in state.go, and what finds them without a
+// walk in index.go. All else is decided here, in the order in which a message lives: taken, held,
+// sent, outcome, again or answered; then route health, the retry budget and pace.
+//
+// Whether a destination may be sent to is worked out from its state and the clock alone, and
+// working it out changes nothing. So it need be done only when something happens there (touch)
+// or when the time comes that the last answer named (its gate). docs/large-sizes.md has the rest.
 
 import (
 	"cmp"
@@ -66,9 +70,11 @@
 	cutTo      = 0.7 // of what was sent, after a refusal
 	paceUp     = 1.4
 	rateSpan   = 3 * time.Second
-	slotShare  = 0.5 // of the slots that one route may hold
-	stopFactor = 3   // times the usual time that a call needs before the host ends
-	fullHold   = 0.9 // of the hold: from here on the least worth is shed
+	slotShare  = 0.5  // of the slots that one route may hold
+	doubtShare = 0.75 // of the slots that calls to routes which don't answer may hold together
+	longDoubt  = 3    // doublings, at most, of the time that such a call is left out
+	stopFactor = 3    // times the usual time that a call needs before the host ends
+	fullHold   = 0.9  // of the hold: from here on the least worth is shed
 )
 
 // Step takes the clock and what happened since the last Step, and returns what to do, in order.
@@ -94,10 +100,12 @@
 			f.wakeAt = f.now // the host may have rounded the time: ask again for what is still to come
 		}
 	}
+	f.dropLines()
 	f.askForList()
 	f.answerInTime()
 	f.watchCalls()
 	f.sendWaiting()
+	f.watchNew()
 	f.freeSlots()
 	f.setWake()
 	return f.actions
@@ -122,21 +130,34 @@
 		f.askAt = f.now + f.jitter(f.set.AskEvery)
 		return
 	}
-	if l.Scope != Changes { // a target missing from a whole list is gone
-		for _, t := range f.targets {
-			t.state = Gone
-		}
-	}
+	f.lists++
 	for _, e := range l.Targets {
 		t := f.target(e)
-		t.state, t.zone, t.weight = e.State, e.Zone, e.Weight
+		t.listed = f.lists
+		f.listed(t, e)
 	}
-	for _, t := range f.targets {
-		f.dropGone(t)
+	if l.Scope != Changes { // a target missing from a whole list is gone
+		for _, t := range f.targets {
+			if t.listed != f.lists {
+				f.listed(t, Target{Zone: t.zone, State: Gone, Weight: t.weight})
+			}
+		}
 	}
 	f.dropQuiet()
 }
 
+// listed takes what a list says of one target.
+func (f *Forwarder) listed(t *target, e Target) {
+	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && e.State != Gone {
+		return
+	}
+	d := t.route.dest
+	f.settleAll(d)
+	t.state, t.zone, t.weight = e.State, e.Zone, e.Weight
+	f.dropGone(t)
+	f.touch(d)
+}
+
 func (f *Forwarder) askForList() {
 	if f.set.MustAsk && !f.asked && !f.before(f.askAt) {
 		f.asked = true
@@ -159,29 +180,31 @@
 	case c == nil || e.Left <= 0:
 		f.do(Refuse{Message: e.ID})
 		return
-	case f.set.MaxHeld > 0 && len(f.held) >= f.set.MaxHeld:
+	case f.set.MaxHeld > 0 && f.held >= f.set.MaxHeld:
 		f.do(Refuse{Message: e.ID, Wait: f.advice(f.destination(e.Destination))})
 		return
 	}
-	m := &message{id: e.ID, class: c, dest: f.destination(e.Destination), worth: c.Worth,
+	f.seq++
+	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
 		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left}
 	if f.overShare(e.Tenant) {
-		m.worth *= f.set.OverShareWorth
+		m.worth = c.Worth * f.set.OverShareWorth
 	}
 	if c.KeepsOrder && e.Key != "" {
 		f.queue(m, e.Key)
 	}
 	f.msgs[m.id] = m
-	f.held = append(f.held, m)
+	f.held++
+	f.settleAll(m.dest)
 	for _, r := range m.dest.routes {
 		f.age(r)
 	}
-	f.hold(m)
 	if e.Recovered {
 		f.recover(m, e)
 		return
 	}
 	m.dest.taken.add(f.now, forget)
+	f.hold(m)
 	f.shed()
 }
 
@@ -205,6 +228,7 @@
 			m.dest.taken.add(f.now, forget)
 		}
 	}
+	f.hold(m)
 }
 
 // overShare tells whether a tenant has used up this forwarder's part of its quota.
@@ -225,29 +249,38 @@
 // shed makes room in an almost full hold by refusing what is worth least, so that messages
 // for destinations in trouble don't keep out those for the others.
 func (f *Forwarder) shed() {
-	if f.set.MaxHeld == 0 || float64(len(f.held)) < fullHold*float64(f.set.MaxHeld) {
+	if f.set.MaxHeld == 0 || float64(f.held) < fullHold*float64(f.set.MaxHeld) {
 		return
 	}
 	var least *message
-	lowest := math.Inf(1)
-	for _, m := range f.held {
-		if m.out > 0 || !f.refusable(m) {
-			continue
-		}
-		wait := time.Duration(len(m.dest.waiting)) * f.usualTime(m.dest.routes)
-		v := m.worth * f.share(m, f.now+wait)
-		if v < lowest {
+	var lowest float64
+	f.sheddable(func(g *group) {
+		m := g.oldest()
+		v := m.worth * f.share(m.class, f.now+m.dest.delay-m.born)
+		if least == nil || v < lowest || v == lowest && shedFirst(g, least.group) {
 			least, lowest = m, v
 		}
-	}
+	})
 	if least != nil {
 		f.answer(least)
 	}
 }
 
-// share is the share of its worth that a message has at a time.
-func (f *Forwarder) share(m *message, at time.Duration) float64 {
-	c, age := m.class, at-m.born
+// queueTime is how long it takes until the last of those that wait for a destination is sent. Where
+// all routes are open they go out by trial calls only: so messages for a destination that does not
+// answer are worth least in a hold that is almost full, and make room for the others.
+func (f *Forwarder) queueTime(d *dest) time.Duration {
+	each := f.usualTime(d.routes)
+	if len(d.routes) > 0 && allOpen(d.routes) {
+		for _, r := range d.routes {
+			each = max(each, r.gap)
+		}
+	}
+	return time.Duration(d.n) * each
+}
+
+// share is the share of its worth that a message of a class has at an age.
+func (f *Forwarder) share(c *Class, age time.Duration) float64 {
 	if age <= c.Aim || c.Aim <= 0 {
 		return 1
 	}
@@ -263,129 +296,231 @@
 // ---- Sending. Free slots go in turns over the waiting destinations.
 
 func (f *Forwarder) sendWaiting() {
-	turns := slices.Clone(f.turns)
-	for len(turns) > 0 && len(f.calls) < f.set.Slots {
-		d := slices.MinFunc(turns, func(a, b *dest) int { // fewest calls out first
-			return cmp.Or(cmp.Compare(callsOut(a), callsOut(b)), cmp.Compare(a.served, b.served))
-		})
-		if f.sendOne(d) {
+	for f.gates.len() > 0 && f.gates.min().gate <= f.now {
+		f.stirred(f.gates.min())
+	}
+	for f.calls.n < f.set.Slots {
+		d := f.nextTurn()
+		if d == nil {
+			break
+		}
+		if sent, gate, capped := f.sendOne(d); sent {
 			d.served = f.now
+			f.touch(d)
 		} else {
-			turns = without(turns, d)
+			f.rest(d, gate, capped)
 		}
 	}
+	if f.calls.n < f.set.Slots && f.gates.len() > 0 { // else the end of a call comes first
+		f.before(f.gates.min().gate)
+	}
 }
 
-// sendOne makes one call to a destination, if any message there may go.
-func (f *Forwarder) sendOne(d *dest) bool {
-	var ready []*route
+// sendOne makes one call to a destination, if any message there may go. If none may, it tells
+// when that changes unless something happens there, and whether it is held by the calls in doubt.
+func (f *Forwarder) sendOne(d *dest) (sent bool, gate time.Duration, capped bool) {
+	usable, others := f.some[:0], f.others[:0]
+	gate = never
+	trial, careful := true, true
 	for _, r := range d.routes {
-		if f.routeReady(r) {
-			ready = append(ready, r)
+		switch from, held := f.routeGate(r); {
+		case held:
+			others = append(others, r)
+		case from > f.now:
+			gate = min(gate, from)
+		default:
+			usable = append(usable, r)
+			trial, careful = trial && r.open, careful && r.doubtful
 		}
 	}
-	if len(ready) == 0 {
-		return false
+	f.some, f.others = usable, others
+	f.release(d)
+	how := byUrgency
+	switch {
+	case trial:
+		how = asTrial
+	case careful:
+		how = asFirst
 	}
-	trial := allOpen(ready)
-	m, to := f.choose(d, ready, trial, nil)
+	m, from := f.choose(d, usable, how, nil)
 	if m == nil {
-		return false
+		m, other := f.choose(d, others, how, nil)
+		return false, min(gate, from, other), m != nil
 	}
+	to := f.chooseTarget(m, usable)
 	if n := f.idle(to); n > 0 && f.stale(idleStep(f.now-to.free[n-1])) {
 		f.closeIdle(to)
 	}
 	c := f.startCall(to)
 	f.send(m, c)
 	for n := 1; n < to.kind.PerCall && !trial; n++ { // what goes in one turn is one call
-		if m, _ = f.choose(d, ready, trial, to); m == nil {
+		if m, _ = f.choose(d, usable, how, to); m == nil {
 			break
 		}
 		f.send(m, c)
 	}
-	f.silent(to.route) // so that a Step comes when the call is overdue
-	return true
+	return true, 0, false
 }
 
-// choose picks what is sent next: the message that is most urgent and the target that is best for
-// it. A trial call risks its message: the least worth goes, if it may be repeated.
-func (f *Forwarder) choose(d *dest, ready []*route, trial bool, only *target) (best *message, to *target) {
-	bestScore := math.Inf(-1)
-	for _, m := range d.waiting {
-		score := f.urgency(m)
-		if trial {
-			score = -m.worth*f.share(m, f.now) - 100*float64(m.class.Effect)
-			if m.deadline-f.now < f.fairTime(d.routes) { // its time-out would say nothing
-				score -= 1e6
-			}
+// choice is how a message is chosen among those of a destination.
+type choice int
+
+const (
+	byUrgency choice = iota
+	asTrial          // a trial call risks its message: the least worth goes, if it may be repeated
+	asFirst          // to a route that has not answered: the most urgent of those that may be repeated
+)
+
+// choose picks what is sent next, to the target named or to any, or tells from when on one may go.
+func (f *Forwarder) choose(d *dest, usable []*route, how choice,
+	only *target) (best *message, gate time.Duration) {
+	gate = never
+	if len(usable) > 0 && d.delayed.len() > 0 {
+		gate = d.delayed.min().from()
+	}
+	usual, highest := f.usualTime(d.routes), 0.0
+	for _, g := range d.groups {
+		if g.key.state != ready {
+			continue
+		}
+		if from := f.soonest(g.root, usable, only); from > f.now {
+			gate = min(gate, from)
+			continue
+		}
+		m, s := g.pick(f, how, usual)
+		if best == nil || s > highest || s == highest && older(m, best) {
+			best, highest = m, s
 		}
-		if score > bestScore {
-			if t := f.chooseTarget(m, ready, only); t != nil {
-				best, to, bestScore = m, t, score
+	}
+	return best, gate
+}
+
+// soonest is when a message may go to one of some routes' targets.
+func (f *Forwarder) soonest(m *message, usable []*route, only *target) time.Duration {
+	from := never
+	for _, r := range usable {
+		for _, t := range r.targets {
+			if only == nil || t == only {
+				from = min(from, f.mayGo(m, t))
 			}
 		}
 	}
-	return best, to
+	return from
+}
+
+// score ranks the messages of a destination where the usual time to answer is known.
+func (f *Forwarder) score(m *message, how choice, usual time.Duration) float64 {
+	switch how {
+	case asTrial:
+		s := -m.worth*f.share(m.class, f.now-m.born) - 100*float64(m.class.Effect)
+		if m.deadline-f.now < fairOf(usual) { // its time-out would say nothing
+			s -= 1e6
+		}
+		return s
+	case asFirst:
+		return f.urgency(m, usual) - 1e12*float64(m.class.Effect)
+	}
+	return f.urgency(m, usual)
 }
 
 // urgency ranks messages by what they lose if they wait a little longer. Those that lose nothing
 // yet come next, by worth and then by age; those that have no more to lose come last.
-func (f *Forwarder) urgency(m *message) float64 {
-	soon := f.now + f.usualTime(m.dest.routes)
-	loss := m.worth * (f.share(m, soon) - f.share(m, soon+time.Second))
-	age := (f.now - m.born).Seconds()
-	switch {
-	case loss > 0:
+func (f *Forwarder) urgency(m *message, usual time.Duration) float64 {
+	age := f.now - m.born
+	if loss := m.worth * f.loss(m.class, age+usual); loss > 0 {
 		return 1e6 * loss
-	case f.now-m.born < m.class.Aim:
-		return 1e3*m.worth + age
 	}
-	return m.worth + age/1e3
+	if age < m.class.Aim {
+		return 1e3*m.worth + age.Seconds()
+	}
+	return m.worth + age.Seconds()/1e3
 }
 
-// routeReady is the part of the gate that is the same for all messages of a route.
-func (f *Forwarder) routeReady(r *route) bool {
-	f.adjust(r)
-	if f.before(r.told) || len(f.calls) >= f.set.Slots {
-		return false
-	}
-	if r.open {
-		return !f.before(f.nextTrial(r)) && !trialOut(r)
-	}
-	if len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))) {
-		return false
+const lossSpan = time.Second
+
+// loss is the share of its worth that a message loses in the second after an age.
+func (f *Forwarder) loss(c *Class, age time.Duration) float64 {
+	if f.set.Decay == Line && c.Aim > 0 && age >= c.Aim && age+lossSpan < c.Deadline {
+		// The same for all, to the last bit: rounding is not to rank them.
+		return (1 - c.LateShare) * float64(lossSpan) / float64(c.Deadline-c.Aim)
 	}
-	f.refill(r)
-	if r.tokens < 1 {
-		r.bound = true
-		f.before(r.interval + adjustEvery) // the pace may rise then
-		wait := min(memory.Seconds(), (1-r.tokens)/f.pace(r))
-		return !f.before(f.now + time.Duration(wait*float64(time.Second)))
+	return f.share(c, age) - f.share(c, age+lossSpan)
+}
+
+// turningPoints are the ages of a class between which the score rises with age, falls or stays;
+// before the first of them it does not fall.
+func (f *Forwarder) turningPoints(c *Class, how choice, usual time.Duration) []time.Duration {
+	b := f.breaks[:0]
+	if how == asTrial {
+		b = append(b, c.Deadline-fairOf(usual)+1)
+	} else {
+		b = append(b, c.Aim, c.Aim-lossSpan+1-usual, c.Aim-usual, c.Aim+1-usual,
+			c.Deadline-lossSpan-usual, c.Deadline-usual)
+		if f.set.Decay == Halves && c.LateShare > 0 && c.LateShare < 1 {
+			floor := c.Aim + time.Duration(-math.Log2(c.LateShare)*float64(c.Aim))
+			b = append(b, floor-lossSpan-usual, floor-usual)
+		}
 	}
-	return true
+	f.breaks = b
+	return b
 }
 
-// mayGo is the part of the gate that looks at one message and one target; no send passes
-// without it.
-func (f *Forwarder) mayGo(m *message, t *target) bool {
+// routeGate is from when on any message may go to a route, and whether only the calls in doubt
+// hold it. It is the part of the gate that is the same for all of its messages.
+func (f *Forwarder) routeGate(r *route) (from time.Duration, capped bool) {
+	f.settle(r)
+	switch {
+	case f.now < r.told:
+		return r.told, false
+	case r.open && r.trials > 0:
+		return never, false
+	case r.open && f.now < f.nextTrial(r):
+		return f.nextTrial(r), false
+	case !r.open && len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
+		return never, false
+	case !r.open && f.now < r.free:
+		return min(r.free, r.interval+adjustEvery), false // the pace may rise then
+	case r.doubtful && f.doubts >= f.doubtRoom():
+		return never, true
+	}
+	return f.now, false
+}
+
+// doubtRoom is how many calls may be out to routes that don't answer: those that do keep the other
+// slots. Where slots are few it leaves none to them, as so few don't last for long in any case.
+func (f *Forwarder) doubtRoom() int { return int(math.Ceil(doubtShare * float64(f.set.Slots))) }
+
+// mayGo is from when on a message may go to a target, as far as that lies with the two; no send
+// passes without it. Times come first and the rest is looked at when they have come: what holds a
+// message for now but may end with time must not hide when it ends.
+func (f *Forwarder) mayGo(m *message, t *target) (from time.Duration) {
 	r, c := t.route, m.class
 	switch {
-	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest || f.before(m.after):
-		return false
+	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest, f.usedUp(m), f.now >= m.endsAt,
+		m.mayRan && !repeatable(m, t), m.line != nil && m.line.first != m:
+		return never
+	}
+	from = m.from()
+	if m.tries > 0 && !r.open {
+		from = max(from, r.spent)
+	}
+	if c.Effect == Unsafe {
+		// One that meets doubt is lost: it waits for better times. Trial calls are for messages that
+		// may be repeated, if there are any.
+		from = max(from, r.doubt.until(memory, halfFailing))
+		if r.open {
+			from = max(from, f.nextTrial(r)+longestTrial)
+		}
+	}
+	switch {
+	case from > f.now:
+		return from
+	case m.tries > 0 && !r.open && m.granted == nil && !f.budgetRoom(r):
+		return never
 	case f.stop < never && f.now+stopFactor*f.usualTime(m.dest.routes) > f.stop:
-		return false // the host would end before the answer comes
-	case f.usedUp(m), f.now >= m.ends(), m.mayRan && !repeatable(m, t):
-		return false
-	case m.line != nil && (m.line.queue[0] != m || m.tries == 0 && f.before(m.line.rests)):
-		return false
-	case m.tries > 0 && !r.open && (f.before(r.spent) || m.granted == nil && !f.budgetRoom(r)):
-		return false
-	case c.Effect == Unsafe && f.before(r.doubt.until(f.now, memory, halfFailing)):
-		return false // an unsafe message that meets doubt is lost: it waits for better times
-	case r.open && c.Effect == Unsafe && f.before(f.nextTrial(r)+longestTrial):
-		return false // trial calls are for messages that may be repeated, if there are any
+		return never // the host would end before the answer comes
 	}
-	return true
+	return from
 }
 
 func (f *Forwarder) usedUp(m *message) bool {
@@ -401,11 +536,11 @@
 // chooseTarget picks the cheapest target that a message may go to: not one that fails while
 // others work, of the own zone where that costs less, with an idle connection, least busy. Between
 // equals chance decides, or else all senders that seldom call would call the same one.
-func (f *Forwarder) chooseTarget(m *message, ready []*route, only *target) (best *target) {
+func (f *Forwarder) chooseTarget(m *message, usable []*route) (best *target) {
 	lowest := math.Inf(1)
-	for _, r := range ready {
+	for _, r := range usable {
 		for _, t := range r.targets {
-			if only != nil && t != only || !f.mayGo(m, t) {
+			if f.mayGo(m, t) > f.now {
 				continue
 			}
 			cost := float64(t.out) + failCost*t.failing.get(f.now, forget) + evenOut*f.rng.Float64()
@@ -443,7 +578,7 @@
 		m.granted = nil
 	}
 	a := &attempt{n: m.attempts, m: m, call: c}
-	f.attempts[m.id] = append(f.attempts[m.id], a)
+	m.sent = a
 	c.parts = append(c.parts, a)
 	m.attempts++
 	m.tries++
@@ -457,9 +592,11 @@
 
 // fairTime is how long a call must be waited for before silence says anything of its route.
 func (f *Forwarder) fairTime(routes []*route) time.Duration {
-	return max(minPatience, lateFactor*f.usualTime(routes))
+	return fairOf(f.usualTime(routes))
 }
 
+func fairOf(usual time.Duration) time.Duration { return max(minPatience, lateFactor*usual) }
+
 // timeout is how long to wait for an answer: what may be repeated is given up well after its
 // usual time; what may not is lost by giving up, so it waits as long as its time lasts.
 func (f *Forwarder) timeout(m *message, c *call) time.Duration {
@@ -484,42 +621,45 @@
 // ---- Outcomes.
 
 func (f *Forwarder) outcome(o Outcome) {
-	a := f.takeAttempt(o)
-	if a == nil {
+	m := f.msgs[o.Message]
+	if m == nil || m.sent == nil || m.sent.n != o.Attempt {
 		return
 	}
-	m, r := a.m, a.call.route
+	c := m.sent.call
+	r, t, d := c.route, c.target, c.route.dest
+	f.settleAll(d)
+	m.sent = nil
 	r.told = max(r.told, f.now+o.Wait) // told to any one message of a call, it holds all
 	m.out--
-	a.call.left--
-	last := a.call.left == 0
+	c.left--
+	last := c.left == 0
 	if last {
-		r.calls = without(r.calls, a.call)
-		f.calls = without(f.calls, a.call)
-		a.call.target.out--
+		f.endCall(c)
 		if o.Result == Done || o.Result == Errored || o.Result == Full || o.Result == NotSent {
-			a.call.target.free = append(a.call.target.free, f.now) // its connection is kept
+			t.free = append(t.free, f.now) // its connection is kept
 		}
 	}
+	f.unwatch(r)
 	if o.Result == NotSent {
 		m.tries--
 	} else if last {
-		f.learn(r, a.call, o)
+		f.learn(r, c, o)
 	}
-	f.leave(a.call.target)
-	f.dropGone(a.call.target)
+	f.leave(t)
+	f.dropGone(t)
 	doubtful := o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled
 	if doubtful && m.line != nil {
 		m.line.rests = max(m.line.rests, f.now+f.set.KeyRest)
 	}
 	if (doubtful || o.Result == Errored || o.Result == Done) && !m.mayRan {
-		m.mayRan, m.ranZone, m.ranSent = true, a.call.target.zone, a.call.sent
+		m.mayRan, m.ranZone, m.ranSent = true, t.zone, c.sent
 	}
 	if o.Over || m.over {
 		f.forget(m)
-		return
+	} else {
+		f.again(m, r, o)
 	}
-	f.again(m, r, o)
+	f.touch(d)
 }
 
 // again decides whether a message whose attempt failed waits for a further try or is answered.
@@ -560,18 +700,14 @@
 }
 
 func (f *Forwarder) answerInTime() {
-	if f.before(f.due) {
-		return
+	var late []*message
+	for f.ends.len() > 0 && f.now >= f.ends.min().endsAt { // with an attempt out, its time-out comes first
+		late = append(late, f.ends.pop())
 	}
-	f.due = never
-	for _, m := range slices.Clone(f.held) {
-		if m.out == 0 && f.now >= m.ends() { // with an attempt out, its time-out comes first
-			f.answer(m)
-		} else if m.out == 0 {
-			f.due = min(f.due, m.ends())
-		}
+	slices.SortFunc(late, func(a, b *message) int { return cmp.Compare(a.seq, b.seq) })
+	for _, m := range late {
+		f.answer(m)
 	}
-	f.before(f.due)
 }
 
 // refusable tells whether the client may be told that handing the message in again is harmless.
@@ -609,6 +745,14 @@
 
 // learn takes what the outcome of a call tells of its route and target.
 func (f *Forwarder) learn(r *route, c *call, o Outcome) {
+	switch o.Result {
+	case Done, Errored, Full:
+		f.trust(r)
+	case TimedOut:
+		if c.sent > r.okSent {
+			f.doubt(r)
+		}
+	}
 	if o.Result == TimedOut && c.hasty { // its message had no time left: that is no one's failure
 		if c.trial {
 			r.tried = f.now
@@ -632,7 +776,6 @@
 			r.spent = f.now + rateSpan
 		}
 	}
-	f.adjust(r)
 	r.seen++
 	doubtful := share(!good && o.Result != Full && o.Result != ConnectFailed)
 	r.doubt.put(f.now, memory, 0.2, doubtful)
@@ -699,6 +842,11 @@
 	} else {
 		r.mean += (took - r.mean) / 8
 	}
+	if f.usual == 0 {
+		f.usual = took
+	} else {
+		f.usual += (took - f.usual) / 64
+	}
 	if !r.open {
 		return
 	}
@@ -734,6 +882,7 @@
 }
 
 func (f *Forwarder) openRoute(r *route, why string) {
+	f.settle(r)
 	r.open, r.why, r.warming = true, why, false
 	if r.gap == 0 || f.now-r.closed > memory { // soon after the last time it goes on where it was
 		r.gap = firstTrial / 2
@@ -762,7 +911,7 @@
 func (f *Forwarder) nextTrial(r *route) time.Duration {
 	cold := max(trialShare*f.set.TipMultiple*f.set.StartCapacity, floorRatio)
 	from := max(r.tried, r.told)
-	own := float64(from-r.failing) / (cold * float64(max(1, len(r.dest.waiting))))
+	own := float64(from-r.failing) / (cold * float64(max(1, r.dest.n)))
 	gap := max(float64(r.gap), min(own, float64(longestTrial)*float64(f.set.Forwarders)/fewSenders))
 	return from + time.Duration(r.draw*gap)
 }
@@ -772,34 +921,51 @@
 	r.doubt.value = 0
 	r.warming, r.warm0, r.cold = r.cold, f.now, false
 	r.tokens, r.filled, r.cutAt = 0, f.now, f.now
+	f.unwatch(r)
 }
 
 // age starts a quiet entry afresh, but never a wait or an outage.
 func (f *Forwarder) age(r *route) {
-	idle := len(r.calls) == 0 && len(r.dest.waiting) == 0 && !r.open && f.now >= r.told
+	idle := len(r.calls) == 0 && r.dest.n == 0 && !r.open && f.now >= r.told
 	if idle && f.now-r.touched > forget {
-		targets := r.targets
-		*r = *f.freshRoute(r.name, r.dest)
-		r.targets = targets
+		fresh := f.freshRoute(r.name, r.dest)
+		fresh.targets, fresh.unwatched = r.targets, r.unwatched
+		fresh.watchAt, fresh.watchPlace = r.watchAt, r.watchPlace
+		*r = *fresh
 	}
 }
 
 // watchCalls looks for what no outcome tells: silence.
 func (f *Forwarder) watchCalls() {
-	for _, c := range f.calls {
-		if r := c.route; c == r.calls[0] && !r.open && f.silent(r) {
+	for _, r := range f.toWatch() {
+		if silent, next := f.silent(r); silent {
 			f.openRoute(r, "silent")
+			f.touch(r.dest)
+		} else if next < never {
+			r.watchAt = next
+			f.watch.fix(r)
 		}
 	}
 }
 
-// silent tells whether calls are out for far longer than usual while none sent later came back.
-func (f *Forwarder) silent(r *route) bool {
-	usual := f.usualTime([]*route{r})
+// watchNew does the same where calls were made in this Step, and asks for a Step when one is overdue.
+func (f *Forwarder) watchNew() {
+	f.watchCalls()
+	if f.watch.len() > 0 {
+		f.before(f.watch.min().watchAt)
+	}
+}
+
+// silent tells whether calls are out for far longer than usual while none sent later came back,
+// and when the next one will be out for so long.
+func (f *Forwarder) silent(r *route) (silent bool, next time.Duration) {
+	usual := cmp.Or(r.mean, guessTime)
 	late, overdue := 0, 0
+	next = never
 	for _, c := range r.calls {
-		if f.before(c.sent + max(minPatience, lateFactor*usual)) {
-			continue
+		if at := c.sent + fairOf(usual); f.now < at {
+			next = min(next, at)
+			break // those sent later are overdue later
 		}
 		f.noteLoss(c)
 		if c.sent <= r.okSent {
@@ -807,14 +973,19 @@
 		}
 		late++
 		overdue++
-		if !f.before(c.sent + max(2*minPatience, lostFactor*usual)) {
+		if at := c.sent + max(2*minPatience, lostFactor*usual); f.now < at {
+			next = min(next, at)
+		} else {
 			late++
 		}
 	}
+	if overdue > 0 {
+		f.doubt(r)
+	}
 	if late >= 2 {
 		r.proof = max(r.proof, float64(overdue))
 	}
-	return late >= 2
+	return late >= 2, next
 }
 
 // leave closes the idle connections to a target unless the new ones that they are likely to save
@@ -822,7 +993,7 @@
 func (f *Forwarder) leave(t *target) {
 	room := roomCost * min(1, float64(f.set.Forwarders)/tableRoom)
 	saved := f.set.ConnectPrice * t.uses.get(f.now, max(f.set.ConnIdle, 1))
-	if saved < room && f.idle(t) > 0 && len(t.route.dest.waiting) == 0 {
+	if saved < room && f.idle(t) > 0 && t.route.dest.n == 0 {
 		f.closeIdle(t)
 	}
 }
@@ -857,12 +1028,19 @@
 // swallowed don't keep out the others. A call with a message that may not be repeated is given
 // longer, since that message is lost.
 func (f *Forwarder) freeSlots() {
-	if !f.set.MayCancel || len(f.calls) < f.set.Slots {
+	if !f.set.MayCancel {
+		return
+	}
+	if f.calls.n < f.set.Slots {
+		f.freeDoubts()
 		return
 	}
 	var worst *call
 	most := 1.0
-	for _, c := range f.calls {
+	for c := f.calls.first; c != nil; c = c.next {
+		if soonest := c.sent + minPatience; soonest > f.now && soonest >= f.next {
+			break // no call from here on is overdue, or will be before the next Step
+		}
 		usual, limit := f.usualTime(c.route.dest.routes), minPatience
 		for _, a := range c.parts {
 			limit = max(limit, f.patience(a.m, usual))
@@ -876,26 +1054,72 @@
 		}
 	}
 	if worst != nil {
-		worst.called = true
-		for _, a := range worst.parts {
-			f.do(Cancel{Message: a.m.id, Attempt: a.n})
+		f.callOff(worst)
+	}
+}
+
+// freeDoubts does the same for the room of calls in doubt, while destinations wait for it: a call to a
+// route that has not answered for longer than routes usually take makes place for the next. Only
+// messages that may be repeated are called off for it, and each time that a route is, it gets longer.
+func (f *Forwarder) freeDoubts() {
+	need := f.shy.len()
+	for c := f.calls.first; c != nil && need > 0; c = c.next {
+		if soonest := c.sent + minPatience; soonest > f.now && soonest >= f.next {
+			break
+		}
+		if !c.doubt || slices.ContainsFunc(c.parts, (*attempt).notPure) {
+			continue
 		}
+		if c.called { // its place comes free
+			need--
+			continue
+		}
+		usual := cmp.Or(c.route.mean, f.usual, guessTime)
+		if !f.before(c.sent + fairOf(usual)<<min(c.route.calledOff, longDoubt)) {
+			c.route.calledOff++
+			f.callOff(c)
+			need--
+		}
+	}
+}
+
+func (a *attempt) notPure() bool { return a.m.class.Effect != Pure }
+
+func (f *Forwarder) callOff(c *call) {
+	c.called = true
+	for _, a := range c.parts {
+		f.do(Cancel{Message: a.m.id, Attempt: a.n})
 	}
 }
 
 // ---- The retry budget.
 
-// adjust closes an interval that is over: the budget halves when many fail, and grows when few do. An
-// interval with too few outcomes to judge by goes on: else the budget lurches where a route is
-// called only a few times a second.
-func (f *Forwarder) adjust(r *route) {
-	if f.now-r.interval < adjustEvery {
-		return
+// settle closes the budget's intervals that are over, each at its end: the budget halves when many
+// fail, and grows when few do. With too few outcomes to judge by they go on counting in the next one:
+// else the budget lurches where a route is called only a few times a second.
+func (f *Forwarder) settle(r *route) {
+	for f.now-r.interval >= adjustEvery {
+		if !r.bound && r.seen < enoughSeen && r.free <= r.interval {
+			// Nothing comes of the ends of intervals in which nothing goes on.
+			f.closeInterval(r, r.interval+(f.now-r.interval)/adjustEvery*adjustEvery)
+			return
+		}
+		f.closeInterval(r, r.interval+adjustEvery)
 	}
-	if r.bound && r.fulls == 0 && r.good > 0 && !r.open && !r.warming {
+}
+
+func (f *Forwarder) settleAll(d *dest) {
+	for _, r := range d.routes {
+		f.settle(r)
+	}
+}
+
+func (f *Forwarder) closeInterval(r *route, end time.Duration) {
+	if r.bound && r.fulls == 0 && r.good > 0 && !r.open && !f.warming(r, end) {
 		r.rate *= paceUp
 	}
-	r.fulls, r.good, r.bound, r.interval = 0, 0, false, f.now
+	r.fulls, r.good, r.interval = 0, 0, end
+	f.repace(r, end)
 	if r.seen < enoughSeen {
 		return
 	}
@@ -908,6 +1132,28 @@
 	r.seen, r.bad = 0, 0
 }
 
+// touch notes that something has changed at a destination: its pace is worked out anew, and it is
+// looked at before this Step is over.
+func (f *Forwarder) touch(d *dest) {
+	for _, r := range d.routes {
+		f.settle(r)
+		f.repace(r, f.now)
+	}
+	f.stirred(d)
+}
+
+// repace works out when a route may be called next, and whether its pace holds a message now.
+func (f *Forwarder) repace(r *route, at time.Duration) {
+	f.fill(r, at)
+	r.pace = f.paceAt(r, at)
+	r.free = at
+	if r.tokens < 1 && !math.IsInf(r.pace, 1) {
+		r.free += time.Duration(min((1-r.tokens)/r.pace, 1e6) * float64(time.Second))
+	}
+	held := r.dest.n > 0 && !r.open && at >= r.told && at < r.free
+	r.bound = held || r.bound && at != r.interval
+}
+
 // budgetRoom tells whether one more further try fits the budget: those of the last seconds, and
 // those granted, stay under the ratio of the first tries. One is in hand where none was made.
 func (f *Forwarder) budgetRoom(r *route) bool {
@@ -916,28 +1162,32 @@
 
 // ---- Pace.
 
-// pace is the rate in calls a second at which this sender may call a route.
-func (f *Forwarder) pace(r *route) float64 {
+// paceAt is the rate in calls a second at which this sender may call a route.
+func (f *Forwarder) paceAt(r *route, at time.Duration) float64 {
 	p := r.rate
 	if fair := f.fairPart(r); fair > 0 { // more than the own part only while others leave room
-		old := min(1, (f.now-r.heard).Seconds()/rateSpan.Seconds())
+		old := min(1, (at-r.heard).Seconds()/rateSpan.Seconds())
 		room := r.room + (1-r.room)*old // what was told a while ago says little of now
-		p = min(p, max(f.part(r), fair*float64(f.set.Forwarders)*room))
+		p = min(p, max(f.part(r, at), fair*float64(f.set.Forwarders)*room))
 	}
-	r.warming = r.warming && f.now-r.warm0 < f.set.Cold
-	if r.warming {
-		t := float64(f.now-r.warm0) / float64(f.set.Cold)
+	if f.warming(r, at) {
+		t := float64(at-r.warm0) / float64(f.set.Cold)
 		present := f.set.StartCapacity + (1-f.set.StartCapacity)*t
-		p = min(p, warmShare*f.set.TipMultiple*present*f.part(r))
+		p = min(p, warmShare*f.set.TipMultiple*present*f.part(r, at))
 	}
 	return p
 }
 
+// warming tells whether a route is on its return from an outage.
+func (f *Forwarder) warming(r *route, at time.Duration) bool {
+	return r.warming && at-r.warm0 < f.set.Cold
+}
+
 // part is this sender's part of what a route can take, as far as it knows: its equal part, or the
 // part that its own messages make up, over the last minute.
-func (f *Forwarder) part(r *route) float64 {
-	span := min(forget, max(f.now-f.begun, rateSpan))
-	own := r.dest.taken.get(f.now, forget) / span.Seconds() / float64(len(r.dest.routes))
+func (f *Forwarder) part(r *route, at time.Duration) float64 {
+	span := min(forget, max(at-f.begun, rateSpan))
+	own := r.dest.taken.get(at, forget) / span.Seconds() / float64(len(r.dest.routes))
 	return max(f.fairPart(r), own)
 }
 
@@ -950,14 +1200,14 @@
 	return w / float64(f.set.Forwarders)
 }
 
-func (f *Forwarder) refill(r *route) {
-	p := f.pace(r)
-	if math.IsInf(p, 1) {
-		r.tokens = 1e9
+// fill counts what has come to a route's tokens since.
+func (f *Forwarder) fill(r *route, at time.Duration) {
+	if math.IsInf(r.pace, 1) {
+		r.tokens = 1
 	} else {
-		r.tokens = min(1, r.tokens+p*(f.now-r.filled).Seconds())
+		r.tokens = min(1, r.tokens+r.pace*(at-r.filled).Seconds())
 	}
-	r.filled = f.now
+	r.filled = at
 }
 
 // refusedAtPace slows a route down after a refusal, once for each lot of refusals.
@@ -972,13 +1222,16 @@
 	if r.limit > 0 { // an equal part of a limit that is told fits in, whatever was refused beyond it
 		least = 1
 	}
-	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r), min(r.rate, sent)*cutTo)
+	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r, f.now), min(r.rate, sent)*cutTo)
 }
 
 // ---- For the host.
 
 // setWake asks for a Step when the next thing falls due, unless one is coming before that.
 func (f *Forwarder) setWake() {
+	if f.ends.len() > 0 {
+		f.before(f.ends.min().endsAt)
+	}
 	if f.next < never && (f.wakeAt <= f.now || f.next < f.wakeAt) {
 		f.wakeAt = f.next
 		f.do(Wake{After: f.next - f.now})
--- a/internal/decide/policy_test.go
+++ b/internal/decide/policy_test.go
@@ -92,7 +92,7 @@
 
 func TestOneKeyAtATimeAndRest(t *testing.T) {
 	f := newForwarder(t, plain("x"))
-	f.order[0].routes[0].oks.value = 9 // one time-out must not open the route
+	f.dests[1].routes[0].oks.value = 9 // one time-out must not open the route
 	got := sends(f.Step(0, []Event{msg("m1", "keyed", "k"), msg("m2", "keyed", "k"), msg("m3", "keyed", "j")}))
 	if strings.Join(got, " ") != "m1 m3" {
 		t.Fatalf("sent %v", got)
@@ -164,6 +164,9 @@
 func TestOverdueCallFreesSlot(t *testing.T) {
 	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"},
 		Target{ID: "z", Destination: 3, Kind: "plain", Zone: "a"})
+	for _, d := range f.dests { // they have answered before
+		d.routes[0].doubtful = false
+	}
 	var events []Event
 	for i := range 5 {
 		for d := 1; d <= 2; d++ {
@@ -203,10 +206,10 @@
 		{"cap", 40, 0, .19, .2},
 	} {
 		f := newForwarder(t, plain("x"))
-		r := f.order[0].routes[0]
+		r := f.dests[1].routes[0]
 		r.seen, r.bad, r.ratio = c.seen, c.bad, c.start
 		f.Step(time.Second, nil)
-		f.adjust(r)
+		f.settle(r)
 		if d := r.ratio - c.end; d > 1e-9 || d < -1e-9 {
 			t.Errorf("%s: %v, want %v", c.name, r.ratio, c.end)
 		}
@@ -471,7 +474,7 @@
 		}
 		now += 200 * ms
 	}
-	r := f.order[0].routes[0]
+	r := f.dests[1].routes[0]
 	if r.why != "half failing" {
 		t.Fatalf("the route is held as %q", r.why)
 	}
@@ -571,8 +574,8 @@
 	if r := f.dests[2].routes; len(r) != 1 || r[0].name != "a100" {
 		t.Errorf("routes apart: %v", r)
 	}
-	if n := len(f.dests); n > 2+int(forget/time.Second)+2 || n != len(f.order) {
-		t.Errorf("%d destinations kept, %d in order", n, len(f.order))
+	if n := len(f.dests); n > 2+int(forget/time.Second)+2 {
+		t.Errorf("%d destinations kept", n)
 	}
 }
 
@@ -625,7 +628,7 @@
 	}
 	f.Step(400*ms, []Event{msg("m4", "pure", ""), msg("m5", "pure", ""), msg("m6", "pure", "")})
 	var idle []int
-	for _, c := range f.calls {
+	for c := f.calls.first; c != nil; c = c.next {
 		idle = append(idle, c.idle)
 	}
 	if want := []int{idleStep(100 * ms), idleStep(300 * ms), 0}; !slices.Equal(idle, want) {
--- a/internal/decide/recovery_test.go
+++ b/internal/decide/recovery_test.go
@@ -67,7 +67,7 @@
 		}
 		events = nil
 	}
-	if len(f.msgs) != 0 || len(f.calls) != 0 {
+	if len(f.msgs) != 0 || f.calls.n != 0 {
 		t.Error("the outcome of attempt 2 was passed over")
 	}
 }
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -1,11 +1,11 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -16,9 +16,12 @@
 // message is one that was taken and is not yet forgotten.
 type message struct {
 	id       string
+	seq      uint64 // in the order taken
 	class    *Class
 	dest     *dest
-	line     *keyLine      // its key's line, or nil
+	line     *keyLine // its key's line, or nil
+	inFront  *message // in that line
+	behind   *message
 	born     time.Duration // when it was first handed in
 	deadline time.Duration
 	worth    float64
@@ -31,13 +34,30 @@
 	ranSent  time.Duration // and when
 	after    time.Duration // not sent before this
 	granted  *route        // the route whose budget has granted its next try, or nil
+	sent     *attempt      // the one that is out, or nil
+
+	// While it waits.
+	group       *group
+	left, right *message // in the group
+	prio        uint32
+	endsAt      time.Duration // when it must be answered
+	endsPlace   int
+	delayPlace  int
+}
+
+// from is when a message may be sent at the earliest.
+func (m *message) from() time.Duration {
+	if m.line != nil && m.tries == 0 {
+		return max(m.after, m.line.rests)
+	}
+	return m.after
 }
 
 // keyLine holds the messages of one key in the order taken.
 type keyLine struct {
-	key   string
-	queue []*message
-	rests time.Duration // idle until then
+	key         string
+	first, last *message
+	rests       time.Duration // idle until then
 }
 
 // call is one or more attempts that travel together and take one slot.
@@ -52,6 +72,10 @@
 	missed bool // counted as lost
 	hasty  bool // its message has too little time for a time-out to mean anything
 	idle   int  // how long its connection had been idle, as a step; 0 for a new one
+	doubt  bool // counted among the calls in doubt
+
+	seq        uint64 // in the order sent
+	prev, next *call
 }
 
 // attempt is one send of one message.
@@ -63,11 +87,24 @@
 
 // dest is a destination and the messages that wait for it.
 type dest struct {
-	id      int
-	routes  []*route
-	waiting []*message
-	served  time.Duration // its last turn
-	taken   decaying      // messages that came for it
+	id     int
+	seq    uint64 // in the order of making
+	routes []*route
+	out    int           // calls
+	served time.Duration // its last turn
+	taken  decaying      // messages that came for it
+
+	n       int // messages that wait
+	groups  []*group
+	delayed heap[*message] // of those, the ones not sent before a time
+	turn    uint64         // when it began to wait, in the order of that
+	rank    rank
+	gate    time.Duration // not looked at before this, unless it is stirred
+	delay   time.Duration // until the last of its messages would be sent, as a guess
+	moved   bool          // the index of what may be shed is not up to date
+	quietAt time.Duration // it may be forgotten from then on
+
+	readyPlace, gatePlace, shyPlace, quietPlace int
 }
 
 // target is one listed endpoint.
@@ -78,6 +115,7 @@
 	state    TargetState
 	weight   float64
 	route    *route
+	listed   uint64 // the whole list that had it last
 	out      int
 	free     []time.Duration // when each connection believed to be open and free became so
 	uses     decaying        // calls
@@ -91,7 +129,8 @@
 	name    string
 	dest    *dest
 	targets []*target
-	calls   []*call
+	calls   []*call // out, in the order sent
+	trials  int     // trial calls out
 	touched time.Duration
 
 	told time.Duration // told to wait until then
@@ -113,6 +152,13 @@
 	oks    decaying      // good answers
 	proof  float64       // calls that failed or are overdue, sent after okSent
 
+	doubtful  bool // it has never answered, or is silent
+	calledOff int  // calls called off in doubt since the last answer
+
+	watchAt    time.Duration // when a call will be overdue
+	watchPlace int
+	unwatched  bool // watchAt must be worked out
+
 	open    bool
 	why     string
 	closed  time.Duration // when it was last closed
@@ -126,9 +172,11 @@
 	warm0   time.Duration // start of the return
 
 	rate   float64 // calls a second that this sender allows itself
-	tokens float64
+	pace   float64 // the same with all that bounds it, as of filled
+	tokens float64 // as of filled, 1 at most
 	filled time.Duration
-	bound  bool // the pace held a message in this interval
+	free   time.Duration // when there will be a whole token
+	bound  bool          // the pace held a message in this interval
 	cutAt  time.Duration
 	sent   decaying      // calls
 	limit  float64       // told limit in calls a second; 0 for none
@@ -142,22 +190,22 @@
 	at    time.Duration
 }
 
-func (d *decaying) get(now, tau time.Duration) float64 {
+// get is what is left of it; it changes nothing, so that it does not matter how often one looks.
+func (d decaying) get(now, tau time.Duration) float64 {
 	if now > d.at {
-		d.value *= math.Exp(-float64(now-d.at) / float64(tau))
-		d.at = now
+		return d.value * math.Exp(-float64(now-d.at)/float64(tau))
 	}
 	return d.value
 }
 
-func (d *decaying) add(now, tau time.Duration) { d.get(now, tau); d.value++ }
+func (d *decaying) add(now, tau time.Duration) { d.value, d.at = d.get(now, tau)+1, max(d.at, now) }
 
 // until is when the count will have faded to a lower one.
-func (d *decaying) until(now, tau time.Duration, lower float64) time.Duration {
-	if v := d.get(now, tau); v > lower {
-		return now + time.Duration(math.Log(v/lower)*float64(tau)) + time.Microsecond
+func (d decaying) until(tau time.Duration, lower float64) time.Duration {
+	if d.value > lower {
+		return d.at + time.Duration(math.Log(d.value/lower)*float64(tau)) + time.Microsecond
 	}
-	return now
+	return 0
 }
 
 // decayingMean is a mean that follows new values and fades towards nought.
@@ -172,7 +220,7 @@
 }
 
 func (d *decayingMean) put(now, tau time.Duration, share, v float64) {
-	d.get(now, tau)
+	d.value, d.at = d.get(now, tau), max(d.at, now)
 	d.value += share * (v - d.value)
 }
 
@@ -187,19 +235,34 @@
 	rng      *rand.Rand
 	now      time.Duration
 
-	msgs     map[string]*message
-	held     []*message // all not yet answered, in the order taken
-	attempts map[string][]*attempt
-	lines    map[string]*keyLine
-	dests    map[int]*dest
-	order    []*dest
-	targets  map[string]*target
-	calls    []*call       // out, in the order sent
-	turns    []*dest       // those with messages waiting
-	due      time.Duration // no held message must be answered before this
-	begun    time.Duration // the first Step
-	stop     time.Duration // when the host ends
-	next     time.Duration // when something falls due that no event will tell
+	msgs    map[string]*message
+	held    int // messages not yet answered
+	seq     uint64
+	lines   map[string]*keyLine
+	resting []*keyLine // empty, until their rest is over; in that order
+	dests   map[int]*dest
+	targets map[string]*target
+	calls   callList
+	doubts  int // calls in doubt
+	lists   uint64
+	usual   time.Duration // usual time to answer, over all routes; 0 if none was seen
+	begun   time.Duration // the first Step
+	stop    time.Duration // when the host ends
+	next    time.Duration // when something falls due that no event will tell
+
+	ends      heap[*message] // those that wait, by when they must be answered
+	ready     heap[*dest]    // those with messages that may perhaps go, by turn
+	shy       heap[*dest]    // those held by the bound on calls in doubt
+	gates     heap[*dest]    // those with nothing that may go before a time
+	watch     heap[*route]   // those with calls that will be overdue
+	unwatched []*route
+	quiet     heap[*dest] // those without targets
+	shedding  map[shedKey]*heap[*group]
+	moved     []*dest
+	spare     []*group
+
+	some, others []*route        // scratch
+	breaks       []time.Duration // scratch
 
 	actions []Action
 	wakeAt  time.Duration
@@ -222,8 +285,17 @@
 		set: s, classes: map[string]*Class{}, kinds: map[string]Kind{}, tenants: map[string]*tenant{},
 		longer: map[*Class]float64{},
 		rng:    rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
-		msgs:   map[string]*message{}, attempts: map[string][]*attempt{}, lines: map[string]*keyLine{},
-		dests: map[int]*dest{}, targets: map[string]*target{}, due: never, begun: never, stop: never,
+		msgs:   map[string]*message{}, lines: map[string]*keyLine{},
+		dests: map[int]*dest{}, targets: map[string]*target{}, begun: never, stop: never,
+		shedding: map[shedKey]*heap[*group]{},
+		ends: heap[*message]{less: func(a, b *message) bool {
+			return a.endsAt < b.endsAt || a.endsAt == b.endsAt && a.seq < b.seq
+		}, place: func(m *message) *int { return &m.endsPlace }},
+		ready: heap[*dest]{less: sooner, place: func(d *dest) *int { return &d.readyPlace }},
+		shy:   heap[*dest]{less: sooner, place: func(d *dest) *int { return &d.shyPlace }},
+		gates: heap[*dest]{less: func(a, b *dest) bool { return a.gate < b.gate }, place: func(d *dest) *int { return &d.gatePlace }},
+		quiet: heap[*dest]{less: func(a, b *dest) bool { return a.quietAt < b.quietAt }, place: func(d *dest) *int { return &d.quietPlace }},
+		watch: heap[*route]{less: func(a, b *route) bool { return a.watchAt < b.watchAt }, place: func(r *route) *int { return &r.watchPlace }},
 	}
 	for i := range s.Classes {
 		f.classes[s.Classes[i].Name] = &s.Classes[i]
@@ -263,11 +335,12 @@
 	}
 	kind := f.kinds[e.Kind]
 	kind.PerCall = max(kind.PerCall, 1)
-	t := &target{id: e.ID, kind: kind, zone: e.Zone}
+	t := &target{id: e.ID, kind: kind, zone: e.Zone, state: Gone}
 	f.targets[e.ID] = t
 	d := f.destination(e.Destination)
+	f.settleAll(d)
 	if kind.Apart || len(d.routes) == 0 {
-		name := strconv.Itoa(d.id)
+		name := ""
 		if kind.Apart {
 			name = e.ID
 		}
@@ -275,6 +348,7 @@
 	}
 	t.route = d.routes[len(d.routes)-1]
 	t.route.targets = append(t.route.targets, t)
+	f.quiet.remove(d)
 	return t
 }
 
@@ -286,53 +360,79 @@
 	}
 	delete(f.targets, t.id)
 	r := t.route
+	d := r.dest
 	r.targets = without(r.targets, t)
 	if t.kind.Apart && len(r.targets) == 0 {
-		r.dest.routes = without(r.dest.routes, r)
+		f.settleAll(d)
+		d.routes = without(d.routes, r)
+		f.watch.remove(r)
 	}
+	f.mayBeQuiet(d)
+}
+
+// mayBeQuiet notes a destination that has no targets: it may be forgotten in time.
+func (f *Forwarder) mayBeQuiet(d *dest) {
+	d.quietAt = 0
+	for _, r := range d.routes {
+		if len(r.targets) > 0 {
+			return
+		}
+		d.quietAt = max(d.quietAt, r.touched+forget)
+	}
+	if len(d.routes) == 0 {
+		d.quietAt = d.served + forget
+	}
+	f.quiet.fix(d)
 }
 
 // dropQuiet forgets the destinations that have had no target, message or call for long.
 func (f *Forwarder) dropQuiet() {
-	f.order = slices.DeleteFunc(f.order, func(d *dest) bool {
-		for _, r := range d.routes {
-			if len(r.targets)+len(r.calls) > 0 || f.now < r.told || f.now-r.touched <= forget {
-				return false
-			}
+	var not []*dest
+	for f.quiet.len() > 0 && f.quiet.min().quietAt < f.now {
+		d := f.quiet.pop()
+		if f.isQuiet(d) {
+			delete(f.dests, d.id)
+		} else {
+			not = append(not, d)
 		}
-		if len(d.waiting) > 0 || len(d.routes) == 0 && f.now-d.served <= forget {
+	}
+	for _, d := range not {
+		f.mayBeQuiet(d)
+	}
+}
+
+func (f *Forwarder) isQuiet(d *dest) bool {
+	for _, r := range d.routes {
+		if len(r.targets)+len(r.calls) > 0 || f.now < r.told || f.now-r.touched <= forget {
 			return false
 		}
-		delete(f.dests, d.id)
-		return true
-	})
+	}
+	return d.n == 0 && (len(d.routes) > 0 || f.now-d.served > forget)
 }
 
 func (f *Forwarder) freshRoute(name string, d *dest) *route {
-	return &route{name: name, dest: d, okSent: -1, ratio: startRatio, interval: f.now, rate: math.Inf(1), room: 1, touched: f.now}
+	return &route{name: name, dest: d, okSent: -1, ratio: startRatio, interval: f.now, rate: math.Inf(1), room: 1,
+		touched: f.now, pace: math.Inf(1), tokens: 1, filled: f.now, free: f.now, doubtful: true}
 }
 
 func (f *Forwarder) destination(id int) *dest {
 	d := f.dests[id]
 	if d == nil {
-		d = &dest{id: id}
+		f.seq++
+		d = &dest{id: id, seq: f.seq, delayed: heap[*message]{less: leavesFirst, place: delayPlace}}
 		f.dests[id] = d
-		f.order = append(f.order, d)
+		f.mayBeQuiet(d)
 	}
 	return d
 }
 
-func (f *Forwarder) takeAttempt(o Outcome) *attempt {
-	list := f.attempts[o.Message]
-	for i, a := range list {
-		if a.n == o.Attempt {
-			f.attempts[o.Message] = append(list[:i:i], list[i+1:]...)
-			return a
-		}
-	}
-	return nil
+func leavesFirst(a, b *message) bool {
+	x, y := a.from(), b.from()
+	return x < y || x == y && a.seq < b.seq
 }
 
+func delayPlace(m *message) *int { return &m.delayPlace }
+
 // without removes one item and keeps the order.
 func without[T comparable](list []T, item T) []T {
 	for i, x := range list {
@@ -345,45 +445,81 @@
 
 // queue puts a message last in the line of its key.
 func (f *Forwarder) queue(m *message, key string) {
-	m.line = f.lines[key]
-	if m.line == nil {
-		m.line = &keyLine{key: key}
-		f.lines[key] = m.line
+	l := f.lines[key]
+	if l == nil {
+		l = &keyLine{key: key}
+		f.lines[key] = l
+	}
+	m.line, m.inFront = l, l.last
+	if l.last != nil {
+		l.last.behind = m
+	} else {
+		l.first = m
+	}
+	l.last = m
+}
+
+// leaveLine takes a message out of the line of its key. Who is first then may perhaps go.
+func (f *Forwarder) leaveLine(m *message) {
+	l := m.line
+	if m.inFront != nil {
+		m.inFront.behind = m.behind
+	} else {
+		l.first = m.behind
+	}
+	if m.behind != nil {
+		m.behind.inFront = m.inFront
+	} else {
+		l.last = m.inFront
+	}
+	switch first := l.first; {
+	case first == nil && f.now >= l.rests:
+		delete(f.lines, l.key)
+	case first == nil:
+		f.resting = append(f.resting, l)
+	case m.inFront == nil && first.group != nil:
+		f.displace(first)
+		f.place(first)
+		f.stirred(first.dest)
+	}
+	m.inFront, m.behind = nil, nil
+}
+
+// dropLines forgets lines that are empty and have rested.
+func (f *Forwarder) dropLines() {
+	n := 0
+	for n < len(f.resting) && f.now >= f.resting[n].rests {
+		if l := f.resting[n]; l.first == nil && f.lines[l.key] == l {
+			delete(f.lines, l.key)
+		}
+		n++
 	}
-	m.line.queue = append(m.line.queue, m)
+	f.resting = slices.Delete(f.resting, 0, n)
 }
 
 // hold puts a message among those that wait for its destination.
 func (f *Forwarder) hold(m *message) {
-	if len(m.dest.waiting) == 0 {
-		f.turns = append(f.turns, m.dest)
+	d := m.dest
+	if d.n == 0 {
+		f.seq++
+		d.turn = f.seq
 	}
-	m.dest.waiting = append(m.dest.waiting, m)
-	f.due = min(f.due, m.ends())
+	d.n++
+	m.endsAt = m.ends()
+	f.ends.fix(m)
+	f.place(m)
+	f.touch(d)
 }
 
 func (f *Forwarder) unhold(m *message) {
-	before := len(m.dest.waiting)
-	m.dest.waiting = without(m.dest.waiting, m)
-	if before > 0 && len(m.dest.waiting) == 0 {
-		f.turns = without(f.turns, m.dest)
-	}
-}
-
-func callsOut(d *dest) (n int) {
-	for _, r := range d.routes {
-		n += len(r.calls)
-	}
-	return n
-}
-
-func trialOut(r *route) bool {
-	for _, c := range r.calls {
-		if c.trial {
-			return true
-		}
+	if m.group == nil {
+		return
 	}
-	return false
+	f.settleAll(m.dest)
+	f.ends.remove(m)
+	f.displace(m)
+	m.dest.n--
+	f.touch(m.dest)
 }
 
 func (f *Forwarder) weight(r *route) (w float64) {
@@ -408,43 +544,121 @@
 func (f *Forwarder) forget(m *message) {
 	if !m.over {
 		m.over = true
-		f.held = without(f.held, m)
-		f.unhold(m)
+		f.held--
 		if m.granted != nil {
 			m.granted.reserved--
 			m.granted = nil
 		}
+		f.unhold(m)
 	}
 	if m.out > 0 {
 		return
 	}
 	delete(f.msgs, m.id)
-	delete(f.attempts, m.id)
 	if m.line != nil {
-		m.line.queue = without(m.line.queue, m)
-		if len(m.line.queue) == 0 && f.now >= m.line.rests {
-			delete(f.lines, m.line.key)
-		}
+		f.leaveLine(m)
 	}
 }
 
 func (f *Forwarder) startCall(t *target) *call {
 	r := t.route
-	c := &call{route: r, target: t, sent: f.now, trial: r.open}
+	f.settleAll(r.dest)
+	f.seq++
+	c := &call{route: r, target: t, sent: f.now, trial: r.open, seq: f.seq}
 	if n := f.idle(t); n > 0 { // the host uses the one used last
 		c.idle = idleStep(f.now - t.free[n-1])
 		t.free = t.free[:n-1]
 	}
 	r.calls = append(r.calls, c)
-	r.tokens--
+	if c.trial {
+		r.trials++
+	}
+	f.fill(r, f.now)
+	if !math.IsInf(r.pace, 1) {
+		r.tokens = max(0, r.tokens-1)
+	}
 	r.sent.add(f.now, rateSpan)
 	r.touched = f.now
-	f.calls = append(f.calls, c)
+	r.dest.out++
+	f.calls.push(c)
+	f.unwatch(r)
+	if r.doubtful {
+		c.doubt = true
+		f.doubts++
+	}
 	t.out++
 	t.uses.add(f.now, max(f.set.ConnIdle, 1))
 	return c
 }
 
+// endCall takes a call off all lists.
+func (f *Forwarder) endCall(c *call) {
+	r := c.route
+	r.calls = without(r.calls, c)
+	r.dest.out--
+	if c.trial {
+		r.trials--
+	}
+	f.calls.remove(c)
+	f.believe(c)
+	c.target.out--
+}
+
+// doubt counts all calls to a route among those in doubt.
+func (f *Forwarder) doubt(r *route) {
+	r.doubtful = true
+	for _, c := range r.calls {
+		if !c.doubt {
+			c.doubt = true
+			f.doubts++
+		}
+	}
+}
+
+// trust takes them out again: the route has answered.
+func (f *Forwarder) trust(r *route) {
+	r.doubtful, r.calledOff = false, 0
+	for _, c := range r.calls {
+		f.believe(c)
+	}
+}
+
+func (f *Forwarder) believe(c *call) {
+	if c.doubt {
+		c.doubt = false
+		f.doubts--
+	}
+}
+
+// unwatch notes that it must be worked out anew when a call to a route is overdue.
+func (f *Forwarder) unwatch(r *route) {
+	if !r.unwatched {
+		r.unwatched = true
+		f.unwatched = append(f.unwatched, r)
+	}
+}
+
+// toWatch returns the routes to which a call may have become overdue, in the order of their first calls.
+func (f *Forwarder) toWatch() []*route {
+	for f.watch.len() > 0 && f.watch.min().watchAt <= f.now {
+		f.unwatch(f.watch.pop())
+	}
+	list := f.unwatched
+	f.unwatched = nil
+	n := 0
+	for _, r := range list {
+		r.unwatched = false
+		f.watch.remove(r)
+		if !r.open && len(r.calls) > 0 {
+			list[n] = r
+			n++
+		}
+	}
+	list = list[:n]
+	slices.SortFunc(list, func(a, b *route) int { return cmp.Compare(a.calls[0].seq, b.calls[0].seq) })
+	return list
+}
+
 func (f *Forwarder) jitter(most time.Duration) time.Duration {
 	return time.Duration(f.rng.Float64() * float64(most))
 }
