Add a stand-in world, and a lab that runs the real program in it

There was nothing to show the program at size, or to say from a record whether a rule was broken. internal/standin has scripted endpoints, discovery, notices and clients on loopback, with a checker (lost, twice, drain, wait, wrong group); cmd/scaleroute-lab runs the built program in it.

--- /dev/null
+++ b/cmd/scaleroute-lab/program.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const startTime = 30 * time.Second // for a program to be ready
+
+// program is the real program, or the relay, as a child process.
+type program struct {
+	command []string
+	env     []string
+	dir     string // its state and configuration
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	killed  bool
+	address string
+	cpu     time.Duration // of those before
+	peakKB  int64
+	tail    []string // the end of its log
+}
+
+// build makes the daemon from the module of the current folder.
+func build(ctx context.Context, to string) (string, error) {
+	path := filepath.Join(to, "scaleroute")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, "scaleroute/cmd/scaleroute").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building the program (run this in the repository, or name one by -program): %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// start runs the program and returns once it says where it listens.
+func (p *program) start() error {
+	cmd := exec.Command(p.command[0], p.command[1:]...)
+	cmd.Env = append(os.Environ(), p.env...)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("starting the program: %w", err)
+	}
+	ended, address := make(chan struct{}), make(chan string, 1)
+	p.mu.Lock()
+	p.cmd, p.ended, p.killed = cmd, ended, false
+	p.mu.Unlock()
+	go func() {
+		defer close(ended)
+		lines := bufio.NewScanner(log)
+		for lines.Scan() {
+			p.note(lines.Text())
+			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving "); ok {
+				_, at, _ := strings.Cut(rest, "address=")
+				at, _, _ = strings.Cut(at, " ")
+				select {
+				case address <- at:
+				default:
+				}
+			}
+		}
+		io.Copy(io.Discard, log)
+		cmd.Wait()
+	}()
+	select {
+	case p.address = <-address:
+		return nil
+	case <-ended:
+		return fmt.Errorf("the program ended at its start; its log ends:\n%s", p.logTail())
+	case <-time.After(startTime):
+		return errors.Join(fmt.Errorf("the program is not ready after %v", startTime), p.kill())
+	}
+}
+
+func (p *program) note(line string) {
+	p.mu.Lock()
+	if p.tail = append(p.tail, line); len(p.tail) > 10 {
+		p.tail = p.tail[1:]
+	}
+	p.mu.Unlock()
+}
+
+func (p *program) logTail() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.tail, "\n")
+}
+
+// kill ends the process that was started with SIGKILL.
+func (p *program) kill() error {
+	p.measure()
+	p.mu.Lock()
+	p.killed = true
+	cmd, ended := p.cmd, p.ended
+	p.mu.Unlock()
+	err := cmd.Process.Kill()
+	<-ended
+	p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	return err
+}
+
+// crashed tells whether the program ended though nobody killed it.
+func (p *program) crashed() bool {
+	p.mu.Lock()
+	ended, killed := p.ended, p.killed
+	p.mu.Unlock()
+	select {
+	case <-ended:
+		return !killed
+	default:
+		return false
+	}
+}
+
+// used is the CPU time of all its processes so far.
+func (p *program) used() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.killed {
+		return p.cpu
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return p.cpu
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return p.cpu
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	return p.cpu + time.Duration(user+system)*10*time.Millisecond // in ticks of 1/100 s
+}
+
+// measure notes the largest resident memory so far.
+func (p *program) measure() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
+			p.peakKB = max(p.peakKB, kb)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/scaleroute-lab/report.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"scaleroute/internal/standin"
+)
+
+// report is what a run came to.
+type report struct {
+	options *options
+	*standin.Verdict
+
+	Seconds    float64 `json:"seconds"`
+	HandedInS  float64 `json:"handed_in_seconds"`
+	CutOff     bool    `json:"cut_off,omitempty"` // -limit was over first
+	CPUSeconds float64 `json:"cpu_seconds"`
+	CPUMicros  float64 `json:"cpu_us_per_message"`
+	PeakMB     float64 `json:"peak_mb"`
+	Handshakes int64   `json:"handshakes"`
+
+	Answer  times `json:"answer_ms"`
+	Deliver times `json:"deliver_ms"`
+
+	Healthy        int     `json:"healthy_handed"` // of the destinations that are never sick
+	HealthyDone    int     `json:"healthy_delivered"`
+	HealthyDeliver times   `json:"healthy_deliver_ms"`
+	Healthy90S     float64 `json:"healthy_90_seconds"` // from the first message on, until so many were delivered
+	HealthyAllS    float64 `json:"healthy_all_seconds"`
+}
+
+type times struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+func timesOf(t *standin.Times) times {
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	p50, p99, longest := t.Spread()
+	return times{ms(p50), ms(p99), ms(longest)}
+}
+
+// fill works the report out from the record.
+func (r *report) fill(w *standin.World, p *program, cpu time.Duration, sick map[int]bool) {
+	r.Verdict = w.Log.Check(standin.Rules)
+	r.CPUSeconds = cpu.Seconds()
+	r.CPUMicros = float64(cpu.Microseconds()) / float64(max(1, r.Handed))
+	r.PeakMB = float64(p.peakKB) / 1024
+	r.Handshakes = w.Handshakes()
+	r.Answer = timesOf(w.Clients.Answers())
+	r.Deliver = timesOf(w.Log.Deliveries(func(*standin.Handed) bool { return true }))
+	well := func(h *standin.Handed) bool { return !sick[h.Destination] }
+	r.HealthyDeliver = timesOf(w.Log.Deliveries(well))
+	r.Healthy, r.HealthyDone, r.Healthy90S, r.HealthyAllS = w.Log.Progress(well)
+}
+
+// status is a line of progress.
+func (r *report) status(w *standin.World, began time.Time) string {
+	handed, ended := w.Log.Counts()
+	return fmt.Sprintf("%4.1f s: %d handed in, %d over", time.Since(began).Seconds(), handed, ended)
+}
+
+func (r *report) print(out io.Writer) {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight|tabwriter.TabIndent)
+	row := func(name, format string, args ...any) {
+		fmt.Fprintf(t, "%s\t  %s\t\n", name, fmt.Sprintf(format, args...))
+	}
+	o := r.options
+	what := "scaleroute"
+	if o.relay {
+		what = "a bare relay"
+	}
+	row("program", "%s, %d destinations of %d endpoints, %.3g sick (%s), %d kills, %d drains", what, o.destinations, o.endpoints,
+		o.sick, o.sickness, o.kills, o.drains)
+	row("handed in", "%d in %.1f s, all over after %.1f s", r.Handed, r.HandedInS, r.Seconds)
+	row("delivered", "%d", r.Delivered)
+	row("refused", "%d", r.Refused)
+	row("failed", "%d", r.Failed)
+	row("late", "%d", r.Late)
+	row("healthy half", "%d of %d delivered; 90%% after %.2f s, the last after %.2f s", r.HealthyDone, r.Healthy, r.Healthy90S, r.HealthyAllS)
+	row("answer", "p50 %.1f ms, p99 %.1f ms, longest %.0f ms", r.Answer.P50, r.Answer.P99, r.Answer.Max)
+	row("delivery", "p50 %.1f ms, p99 %.1f ms, longest %.0f ms", r.Deliver.P50, r.Deliver.P99, r.Deliver.Max)
+	row("CPU", "%.1f us a message", r.CPUMicros)
+	row("peak memory", "%.1f MB", r.PeakMB)
+	row("calls", "%d over %d connections", r.Calls, r.Handshakes)
+	row("rules", "%s", r.rules())
+	t.Flush()
+	for _, e := range r.Examples {
+		fmt.Fprintln(out, "  "+e)
+	}
+}
+
+func (r *report) rules() string {
+	if !r.Broken() {
+		return "kept: none lost, none twice, no drain or wait broken"
+	}
+	return fmt.Sprintf("BROKEN: %d lost, %d twice, %d drains, %d waits, %d to a wrong group", r.Lost, r.Twice,
+		r.DrainBroken, r.WaitBroken, r.WrongGroup)
+}
+
+// progress shows one line that changes, on a terminal only.
+type progress struct{ on bool }
+
+func newProgress(quiet bool) *progress {
+	info, err := os.Stderr.Stat()
+	return &progress{on: !quiet && err == nil && info.Mode()&os.ModeCharDevice != 0}
+}
+
+func (p *progress) say(format string, args ...any) {
+	if p.on {
+		fmt.Fprintf(os.Stderr, "\r\033[K"+format, args...)
+	}
+}
+
+func (p *progress) end() {
+	if p.on {
+		fmt.Fprint(os.Stderr, "\r\033[K")
+	}
+}
--- /dev/null
+++ b/cmd/scaleroute-lab/run.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"scaleroute/internal/standin"
+)
+
+// run plays one world.
+func run(ctx context.Context, o *options) (*report, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.limit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "scaleroute-lab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	progress := newProgress(o.quiet || o.json)
+	defer progress.end()
+
+	progress.say("building the program")
+	p := &program{dir: dir}
+	if err := p.prepare(ctx, o); err != nil {
+		return nil, err
+	}
+	progress.say("starting %d endpoints", o.destinations*o.endpoints)
+	world, err := standin.New(standin.Shape{Destinations: o.destinations, Endpoints: o.endpoints, Hosts: o.hosts})
+	if err != nil {
+		return nil, err
+	}
+	defer world.Close()
+	healthy := standin.Script{Latency: o.latency, Jitter: o.latency}
+	for _, e := range world.Endpoints {
+		e.Set(healthy)
+	}
+	config := standin.Config{Slots: o.slots, MaxHeld: o.held, Sockets: o.sockets, MemoryMB: o.memory,
+		DiskMB: o.diskMB, Left: o.left, Seed: o.seed}
+	if err := os.WriteFile(filepath.Join(dir, "config.json"), config.Write(world), 0o600); err != nil {
+		return nil, err
+	}
+	if err := os.Mkdir(filepath.Join(dir, "state"), 0o700); err != nil {
+		return nil, err
+	}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	defer p.kill()
+	world.Clients.At(p.address)
+
+	r := &report{options: o}
+	rng := rand.New(rand.NewPCG(o.seed, 0x51))
+	sick := sickOnes(rng, o)
+	began, cpu := time.Now(), p.used()
+	stopTroubles := make(chan struct{})
+	var troubles sync.WaitGroup
+	var failed error
+	troubles.Go(func() { failed = play(ctx, o, world, p, sick, healthy, stopTroubles) })
+	jobs := make(chan standin.Job)
+	go hand(ctx, o, rng, jobs)
+	watch := time.NewTicker(250 * time.Millisecond)
+	defer watch.Stop()
+	handedIn := make(chan struct{})
+	go func() {
+		world.Clients.Run(ctx, o.clients, jobs)
+		close(handedIn)
+	}()
+	// Until all is handed in, and over, or its time is up with what the rules allow.
+	var due <-chan time.Time
+	all := handedIn
+	for done := false; !done; {
+		select {
+		case <-ctx.Done():
+			done = true
+		case <-all:
+			r.HandedInS = time.Since(began).Seconds()
+			all, due = nil, time.After(o.left+3*time.Second)
+		case <-due:
+			done = true
+		case <-watch.C:
+			p.measure()
+			if p.crashed() {
+				close(stopTroubles)
+				troubles.Wait()
+				return nil, fmt.Errorf("the program ended by itself; its log ends:\n%s", p.logTail())
+			}
+			progress.say("%s", r.status(world, began))
+			done = all == nil && world.Log.Open() == 0
+		}
+	}
+	r.Seconds = time.Since(began).Seconds()
+	close(stopTroubles)
+	troubles.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	if err := ctx.Err(); err != nil {
+		cancel()
+		<-handedIn
+		if errors.Is(err, context.DeadlineExceeded) {
+			r.CutOff = true
+		} else {
+			return nil, fmt.Errorf("interrupted")
+		}
+	}
+	p.measure()
+	r.fill(world, p, p.used()-cpu, sick)
+	return r, nil
+}
+
+// prepare finds out what to run.
+func (p *program) prepare(ctx context.Context, o *options) error {
+	p.env = []string{"NODE_CONFIG=" + filepath.Join(p.dir, "config.json"), "NODE_STATE=" + filepath.Join(p.dir, "state")}
+	if o.profile != "" {
+		p.env = append(p.env, "SCALEROUTE_CPUPROFILE="+o.profile)
+	}
+	switch {
+	case o.relay:
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		p.command = []string{self, relayCommand}
+		return nil
+	case o.program != "":
+		p.command = []string{o.program}
+		return nil
+	}
+	path, err := build(ctx, p.dir)
+	p.command = []string{path}
+	return err
+}
+
+// sickOnes draws the destinations that are sick, of which there is never all.
+func sickOnes(rng *rand.Rand, o *options) map[int]bool {
+	sick := map[int]bool{}
+	for _, d := range rng.Perm(o.destinations)[:int(o.sick*float64(o.destinations))] {
+		sick[d] = true
+	}
+	return sick
+}
+
+// hand offers the messages, at the rate asked for.
+func hand(ctx context.Context, o *options, rng *rand.Rand, jobs chan<- standin.Job) {
+	defer close(jobs)
+	body := make([]byte, o.body)
+	for i := range body {
+		body[i] = byte(rng.IntN(256))
+	}
+	began := time.Now()
+	for i := range o.messages {
+		if o.rate > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(began.Add(time.Duration(float64(i) / o.rate * float64(time.Second))))):
+			}
+		}
+		j := standin.Job{Class: standin.Safe, Destination: i % o.destinations, Left: o.left, Body: body}
+		if rng.Float64() < 0.23 {
+			j.Class, j.Unsafe = standin.Unsafe, true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case jobs <- j:
+		}
+	}
+}
+
+// play carries out the troubles that were asked for.
+func play(ctx context.Context, o *options, w *standin.World, p *program, sick map[int]bool, healthy standin.Script, stop <-chan struct{}) error {
+	span := o.limit
+	if o.rate > 0 {
+		span = min(span, time.Duration(float64(o.messages)/o.rate*float64(time.Second)))
+	}
+	type step struct {
+		at time.Duration
+		do func() error
+	}
+	var steps []step
+	order := make([]int, 0, len(sick))
+	for d := range o.destinations {
+		if sick[d] {
+			order = append(order, d)
+		}
+	}
+	fall := func() error {
+		for n, d := range order {
+			s, err := sicknessOf(o.sickness, n, o)
+			if err != nil {
+				return err
+			}
+			for _, e := range w.Of(d) {
+				e.Set(s)
+			}
+		}
+		return nil
+	}
+	if o.from <= 0 { // before the first message
+		if err := fall(); err != nil {
+			return err
+		}
+	} else {
+		steps = append(steps, step{o.from, fall})
+	}
+	if o.last > 0 {
+		steps = append(steps, step{max(0, o.from) + o.last, func() error {
+			for _, d := range order {
+				for _, e := range w.Of(d) {
+					e.Set(healthy)
+				}
+			}
+			return nil
+		}})
+	}
+	for i := range o.kills {
+		steps = append(steps, step{span * time.Duration(i+1) / time.Duration(o.kills+1), func() error { return restart(w, p) }})
+	}
+	for i := range o.drains {
+		e := w.Endpoints[(i*7919)%len(w.Endpoints)]
+		at := span * time.Duration(2*i+1) / time.Duration(2*o.drains+2)
+		steps = append(steps,
+			step{at, func() error { w.Discovery.Set(standin.Draining, e); return nil }},
+			step{at + span/8, func() error { w.Discovery.Set(standin.Deleted, e); return nil }},
+			step{at + span/4, func() error { w.Discovery.Set(standin.Serving, e); return nil }})
+	}
+	began := time.Now()
+	for len(steps) > 0 {
+		next := 0
+		for i := range steps {
+			if steps[i].at < steps[next].at {
+				next = i
+			}
+		}
+		s := steps[next]
+		steps = append(steps[:next], steps[next+1:]...)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-stop:
+			return nil
+		case <-time.After(time.Until(began.Add(s.at))):
+		}
+		if err := s.do(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart kills the program and starts it again, with the folder that lasts.
+func restart(w *standin.World, p *program) error {
+	w.SetAway(true)
+	ended := time.Now()
+	p.kill()
+	if err := p.start(); err != nil {
+		return err
+	}
+	w.Clients.At(p.address)
+	w.SetAway(false)
+	w.Log.Restarted(standin.Restart{Ended: ended, Ready: time.Now()})
+	return nil
+}
--- /dev/null
+++ b/internal/standin/check.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Check says from the record whether a rule was broken. It is made once the
+// forwarder has had its time: what is not over then is lost.
+func (l *Log) Check(limits Limits) *Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := &Verdict{Calls: len(l.calls)}
+	byID := map[string][]*Call{}
+	for _, c := range l.calls {
+		byID[c.ID] = append(byID[c.ID], c)
+	}
+	ends := map[string]Notice{}
+	for _, n := range l.notices {
+		if _, ok := ends[n.ID]; !ok {
+			ends[n.ID] = n
+		}
+	}
+	handed := map[string]*Handed{}
+	for _, h := range l.handed {
+		handed[h.ID] = h
+		l.checkEnd(v, limits, h, byID[h.ID], ends)
+		checkTwice(v, h, byID[h.ID], ends[h.ID])
+	}
+	for _, c := range l.calls {
+		h := handed[c.ID]
+		if h == nil {
+			v.say(&v.WrongGroup, "%s was called with %s, which no client has handed in", c.Endpoint.Name, c.ID)
+		} else if h.Destination != c.Endpoint.Group {
+			v.say(&v.WrongGroup, "%s is for %d and went to %s of %d", c.ID, h.Destination, c.Endpoint.Name, c.Endpoint.Group)
+		}
+	}
+	l.checkDrains(v, limits)
+	l.checkWaits(v, limits)
+	return v
+}
+
+// over is when the first call that was answered 200 ended.
+func over(calls []*Call) (at time.Time) {
+	for _, c := range calls {
+		if c.Ran == Yes && (at.IsZero() || c.Ended.Before(at)) {
+			at = c.Ended
+		}
+	}
+	return at
+}
+
+// checkEnd looks for the one end that a message is owed.
+func (l *Log) checkEnd(v *Verdict, limits Limits, h *Handed, calls []*Call, ends map[string]Notice) {
+	if !h.Again {
+		v.Handed++
+	}
+	switch h.Answer {
+	case Dropped:
+		v.say(&v.Lost, "%s: the connection ended without an answer", h.ID)
+		return
+	case Refused:
+		if h.Last {
+			v.Refused++
+		}
+		return
+	case Failed:
+		v.Failed++
+		return
+	case None:
+		if h.Last { // its client has given it up
+			v.Failed++
+		}
+		return
+	}
+	end := over(calls)
+	n, noticed := ends[h.ID]
+	switch {
+	case !end.IsZero():
+		v.Delivered++
+	case !noticed:
+		v.say(&v.Lost, "%s for %d was taken on and has no end", h.ID, h.Destination)
+		return
+	case n.Result == "bounced":
+		v.Refused++
+		end = n.At
+	default:
+		v.Failed++
+		end = n.At
+	}
+	if late := end.Sub(h.Deadline); late > 0 {
+		v.Late++
+		if late > limits.Overdue && !l.recovering(limits, h, end) {
+			v.say(&v.Lost, "%s ended %v after its time", h.ID, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// recovering tells whether an end that is overdue was due while the forwarder
+// was away, or had just come back.
+func (l *Log) recovering(limits Limits, h *Handed, end time.Time) bool {
+	for _, r := range l.starts {
+		until := r.Ready.Add(limits.Recovery)
+		if h.Deadline.Add(limits.Overdue).After(r.Ended) && h.Deadline.Before(until) && end.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkTwice looks for a send after one that may have run, where that may not be repeated; for two
+// sends of one message out at once; and for a refusal though it may have run.
+func checkTwice(v *Verdict, h *Handed, calls []*Call, n Notice) {
+	mayRun := false
+	for i, c := range calls {
+		if i > 0 {
+			before := calls[i-1]
+			if before.Ended.IsZero() || before.Ended.After(c.Last) {
+				v.say(&v.Twice, "%s is out to %s and %s at once", h.ID, before.Endpoint.Name, c.Endpoint.Name)
+				continue
+			}
+		}
+		if mayRun && h.Unsafe {
+			v.say(&v.Twice, "%s went out again to %s, though it may have run", h.ID, c.Endpoint.Name)
+		}
+		mayRun = mayRun || c.Ran != Never
+	}
+	if mayRun && h.Unsafe && n.Result == "bounced" {
+		v.say(&v.Twice, "%s was refused, though it may have run", h.ID)
+	}
+}
+
+// since is the last start of the forwarder before a time: what it was told before that it does not know.
+func (l *Log) since(at time.Time) (start time.Time) {
+	for _, r := range l.starts {
+		if r.Ended.Before(at) && r.Ended.After(start) {
+			start = r.Ended
+		}
+	}
+	return start
+}
+
+func (l *Log) checkDrains(v *Verdict, limits Limits) {
+	told := map[string][]Told{}
+	for _, t := range l.told {
+		told[t.Endpoint] = append(told[t.Endpoint], t)
+	}
+	for _, c := range l.calls {
+		var closed time.Time // when the last change that closed it was told first, in this life
+		since := l.since(c.First)
+		for _, t := range told[c.Endpoint.Name] {
+			switch {
+			case t.At.After(c.First) || t.At.Before(since):
+			case t.State == Serving:
+				closed = time.Time{}
+			case closed.IsZero():
+				closed = t.At
+			}
+		}
+		if !closed.IsZero() && c.First.Sub(closed) > limits.Drain {
+			v.say(&v.DrainBroken, "%s went to %s %v after that was told to drain or be gone", c.ID, c.Endpoint.Name,
+				c.First.Sub(closed).Round(time.Millisecond))
+		}
+	}
+}
+
+func (l *Log) checkWaits(v *Verdict, limits Limits) {
+	byGroup := map[int][]*Call{}
+	for _, c := range l.calls {
+		byGroup[c.Endpoint.Group] = append(byGroup[c.Endpoint.Group], c)
+	}
+	for _, calls := range byGroup {
+		var waits []*Call
+		for _, c := range calls {
+			if c.Wait > 0 {
+				waits = append(waits, c)
+			}
+		}
+		if len(waits) == 0 {
+			continue
+		}
+		slices.SortFunc(waits, func(a, b *Call) int { return a.Ended.Compare(b.Ended) })
+		most := slices.MaxFunc(waits, func(a, b *Call) int { return cmp.Compare(a.Wait, b.Wait) }).Wait
+		for _, c := range calls {
+			since := l.since(c.First)
+			// Of the waits told before it, those that can still hold.
+			to, _ := slices.BinarySearchFunc(waits, c.First, func(w *Call, t time.Time) int { return w.Ended.Compare(t) })
+			for i := to - 1; i >= 0 && c.First.Sub(waits[i].Ended) < most; i-- {
+				w := waits[i]
+				if after := c.First.Sub(w.Ended); !w.Ended.Before(since) && after > limits.Wait && after < w.Wait {
+					v.say(&v.WaitBroken, "%s went to %d %v after a wait of %v was told", c.ID, c.Endpoint.Group,
+						after.Round(time.Millisecond), w.Wait)
+					break
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,299 @@
+// Package standin is a world for a forwarder to run in: scripted endpoints,
+// discovery and its notices, and clients, all on loopback addresses. It records
+// what passes, and [Log.Check] says from the record alone whether a rule was
+// broken. Tests, benchmarks and the lab use it alike.
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Ran says whether a call took effect.
+type Ran int8
+
+// What a call can have come to.
+const (
+	Never Ran = iota // it was turned away unseen
+	May              // nobody knows: an error, a reset, silence
+	Yes              // answered 200
+)
+
+// Call is one call to an endpoint, as the endpoint saw it.
+type Call struct {
+	ID       string
+	Endpoint *Endpoint
+	First    time.Time // when its first byte had come
+	Last     time.Time // and its last
+	Ended    time.Time // when its answer was written or its connection ended; zero while it is out
+	Status   int       // of the answer, 0 for none
+	Ran      Ran
+	Wait     time.Duration // told
+}
+
+// Handed is one message as a client handed it in, with the id that it had then.
+type Handed struct {
+	ID          string
+	Destination int
+	Unsafe      bool
+	Sent        time.Time
+	Deadline    time.Time
+	Answer      Answer
+	Answered    time.Time
+	Wait        time.Duration // with Refused
+	Again       bool          // a client's repeat of another one
+	Last        bool          // its client does not hand it in again
+}
+
+// Answer is what a client heard at once.
+type Answer int8
+
+// The answers.
+const (
+	None    Answer = iota // none in time, or the connection could not be used: nobody owes anything
+	Taken                 // +OK
+	Refused               // -BUSY
+	Failed                // anything else
+	Dropped               // the connection ended without an answer after the request's last byte
+)
+
+// Notice is the end of a message as the platform was told it.
+type Notice struct {
+	ID     string
+	Result string // dead or bounced
+	Wait   time.Duration
+	At     time.Time
+}
+
+// Told is a change of the list, at the time when it had been written to the forwarder.
+type Told struct {
+	Endpoint string
+	State    string
+	At       time.Time
+}
+
+// Log is the record of a run. Its methods may be used from any goroutine.
+type Log struct {
+	mu      sync.Mutex
+	calls   []*Call
+	handed  []*Handed
+	notices []Notice
+	told    []Told
+	starts  []Restart
+	changed sync.Cond
+	open    map[string]*Handed // taken on, and not yet over
+}
+
+// Restart is an end of the forwarder and its next start.
+type Restart struct {
+	Ended time.Time
+	Ready time.Time
+}
+
+// NewLog makes an empty record.
+func NewLog() *Log {
+	l := &Log{open: map[string]*Handed{}}
+	l.changed.L = &l.mu
+	return l
+}
+
+func (l *Log) call(c *Call) {
+	l.mu.Lock()
+	l.calls = append(l.calls, c)
+	l.mu.Unlock()
+}
+
+// ended notes how a call ended.
+func (l *Log) ended(c *Call, status int, ran Ran, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Ended, c.Status, c.Ran, c.Wait = time.Now(), status, ran, wait
+	if ran == Yes {
+		delete(l.open, c.ID)
+		l.changed.Broadcast()
+	}
+}
+
+// Hand notes that a message is about to be handed in, before it is written.
+func (l *Log) Hand(h *Handed) {
+	l.mu.Lock()
+	l.handed = append(l.handed, h)
+	l.open[h.ID] = h // it may be delivered before its client hears +OK
+	l.mu.Unlock()
+}
+
+// Heard notes the answer to it.
+func (l *Log) Heard(h *Handed, a Answer, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h.Answer, h.Wait, h.Answered = a, wait, time.Now()
+	if a != Taken {
+		delete(l.open, h.ID)
+	}
+	l.changed.Broadcast()
+}
+
+// giveUp notes that a client does not hand a message in again.
+func (l *Log) giveUp(h *Handed) {
+	if h != nil {
+		l.mu.Lock()
+		h.Last = true
+		l.mu.Unlock()
+	}
+}
+
+func (l *Log) notice(n Notice) {
+	l.mu.Lock()
+	l.notices = append(l.notices, n)
+	delete(l.open, n.ID)
+	l.changed.Broadcast()
+	l.mu.Unlock()
+}
+
+func (l *Log) tell(t []Told) {
+	l.mu.Lock()
+	l.told = append(l.told, t...)
+	l.mu.Unlock()
+}
+
+// Restarted notes that the forwarder ended, and when its next start was ready.
+func (l *Log) Restarted(r Restart) {
+	l.mu.Lock()
+	l.starts = append(l.starts, r)
+	l.mu.Unlock()
+}
+
+// Open is how many messages were taken on, or are being handed in, and are not over.
+func (l *Log) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// Await waits until done says so of the record, or the time is up; it tells which.
+// done is called with the record locked, each time that something has ended.
+func (l *Log) Await(limit time.Duration, done func(*State) bool) bool {
+	late := false
+	timer := time.AfterFunc(limit, func() {
+		l.mu.Lock()
+		late = true
+		l.changed.Broadcast()
+		l.mu.Unlock()
+	})
+	defer timer.Stop()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		if done(&State{l}) {
+			return true
+		}
+		if late {
+			return false
+		}
+		l.changed.Wait()
+	}
+}
+
+// State is a view of a record in which something has just ended.
+type State struct{ l *Log }
+
+// Open is how many messages are not over.
+func (s *State) Open() int { return len(s.l.open) }
+
+// Calls returns the calls to endpoints, in the order in which they came.
+func (s *State) Calls() []*Call { return s.l.calls }
+
+// Notices returns the notices, in the order in which they came.
+func (s *State) Notices() []Notice { return s.l.notices }
+
+// Limits are those of the rules, with what the sockets add.
+type Limits struct {
+	Drain    time.Duration // nothing new so long after an endpoint was told as draining or gone
+	Wait     time.Duration // calls that come so soon after a told wait are let through
+	Overdue  time.Duration // an end may come so long after the time of a message is up
+	Recovery time.Duration // or so long after a restarted forwarder is ready
+}
+
+// Rules are the limits of the protocol.
+var Rules = Limits{Drain: 1050 * time.Millisecond, Wait: 100 * time.Millisecond,
+	Overdue: 300 * time.Millisecond, Recovery: 1500 * time.Millisecond}
+
+// Verdict is what a record says of a run.
+type Verdict struct {
+	Handed    int `json:"handed"` // messages; one handed in again is the same
+	Delivered int `json:"delivered"`
+	Refused   int `json:"refused"`
+	Failed    int `json:"failed"`
+	Late      int `json:"late"` // ended after their time, within what the rules allow
+	Calls     int `json:"calls"`
+
+	Lost        int `json:"lost"`
+	Twice       int `json:"twice"`
+	DrainBroken int `json:"drain_broken"`
+	WaitBroken  int `json:"wait_broken"`
+	WrongGroup  int `json:"wrong_group"`
+
+	Examples []string `json:"examples,omitempty"` // of broken rules, some
+}
+
+// Broken tells whether any rule was broken.
+func (v *Verdict) Broken() bool {
+	return v.Lost+v.Twice+v.DrainBroken+v.WaitBroken+v.WrongGroup > 0
+}
+
+func (v *Verdict) say(count *int, format string, args ...any) {
+	*count++
+	if len(v.Examples) < 20 {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Counts tells how many messages were handed in, repeats not counted, and how many of all
+// that were handed in are over.
+func (l *Log) Counts() (handed, over int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.handed {
+		if !h.Again {
+			handed++
+		}
+	}
+	return handed, len(l.handed) - len(l.open)
+}
+
+// Progress tells, of the messages that keep says, how many were handed in and delivered, and how many
+// seconds after the first of all 90% and all of the delivered ones were; 0 if so many were not.
+func (l *Log) Progress(keep func(*Handed) bool) (handed, delivered int, most, all float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.handed) == 0 {
+		return 0, 0, 0, 0
+	}
+	open := map[string]bool{}
+	for _, h := range l.handed {
+		if keep(h) {
+			open[h.ID] = true
+			if !h.Again {
+				handed++
+			}
+		}
+	}
+	first := l.handed[0].Sent
+	var at []time.Time
+	for _, c := range l.calls {
+		if c.Ran == Yes && open[c.ID] {
+			delete(open, c.ID)
+			at = append(at, c.Ended)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	if n := (handed*9 + 9) / 10; n > 0 && n <= len(at) {
+		most = at[n-1].Sub(first).Seconds()
+	}
+	if handed > 0 && len(at) >= handed {
+		all = at[len(at)-1].Sub(first).Seconds()
+	}
+	return handed, len(at), most, all
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Shape is how large a world is.
+type Shape struct {
+	Destinations int
+	Endpoints    int // of each
+	Hosts        int // addresses at most; 0 for one an endpoint
+	Weight       float64
+}
+
+// World is a running world.
+type World struct {
+	Log       *Log
+	Discovery *Discovery
+	Clients   *Clients
+	Endpoints []*Endpoint // those of destination 0 first
+	shape     Shape
+	hosts     []*host
+	ids       atomic.Uint64
+	away      atomic.Bool
+}
+
+// New starts a world in which all endpoints answer at once.
+func New(shape Shape) (*World, error) {
+	w := &World{Log: NewLog(), shape: shape}
+	w.Clients = &Clients{world: w}
+	d, err := newDiscovery(w.Log)
+	if err != nil {
+		return nil, err
+	}
+	w.Discovery = d
+	n := shape.Destinations * shape.Endpoints
+	if shape.Hosts <= 0 || shape.Hosts > n {
+		shape.Hosts = n
+	}
+	for range shape.Hosts {
+		h, err := listen(w.Log, w.groupOf)
+		if err != nil {
+			w.Close()
+			return nil, fmt.Errorf("listening for %d endpoints: %w", n, err)
+		}
+		w.hosts = append(w.hosts, h)
+	}
+	var limited *window
+	for i := range n {
+		if i%shape.Endpoints == 0 {
+			limited = &window{}
+		}
+		h := w.hosts[i%len(w.hosts)]
+		e := &Endpoint{Name: fmt.Sprintf("s-%05d", i), Group: i / shape.Endpoints, Address: h.ln.Addr().String(),
+			Weight: shape.Weight, limited: limited}
+		e.Set(Script{})
+		if h.first == nil {
+			h.first = e
+		}
+		h.byGroup[e.Group] = e
+		w.Endpoints = append(w.Endpoints, e)
+	}
+	for _, h := range w.hosts {
+		h.wg.Add(1)
+		go h.serve()
+	}
+	d.Set(Serving, w.Endpoints...)
+	return w, nil
+}
+
+// Close ends all of it.
+func (w *World) Close() {
+	w.Discovery.close()
+	var wg sync.WaitGroup
+	for _, h := range w.hosts {
+		wg.Go(h.close)
+	}
+	wg.Wait()
+}
+
+// Of returns the endpoints of a destination.
+func (w *World) Of(destination int) []*Endpoint {
+	n := w.shape.Endpoints
+	return w.Endpoints[destination*n : (destination+1)*n]
+}
+
+// Handshakes is how many connections the endpoints have accepted.
+func (w *World) Handshakes() (n int64) {
+	for _, h := range w.hosts {
+		n += h.handshake.Load()
+	}
+	return n
+}
+
+// SetAway says whether the forwarder is being killed and started again.
+func (w *World) SetAway(away bool) { w.away.Store(away) }
+
+// Away tells whether it is.
+func (w *World) Away() bool { return w.away.Load() }
+
+// newID makes an id that tells its destination, so that an address which stands for several
+// endpoints knows which of them is called.
+func (w *World) newID(destination int) string {
+	return fmt.Sprintf("%08x%08x", uint32(destination), uint32(w.ids.Add(1)))
+}
+
+func (w *World) groupOf(id string) (int, bool) {
+	if len(id) != 16 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(id[:8], 16, 32)
+	return int(n), err == nil
+}
+
+// Config is what a forwarder in this world is told.
+type Config struct {
+	Listen   string // default 127.0.0.1:0
+	Slots    int
+	MaxHeld  int
+	Sockets  int
+	MemoryMB int
+	DiskMB   float64
+	Left     time.Duration // longest life of a message
+	Seed     uint64
+	Weights  string // what the weights of endpoints mean; default nothing
+}
+
+// The classes in this world.
+const (
+	Safe   = "status-update"
+	Unsafe = "signature-handover"
+)
+
+// Write is the configuration as the platform would write it.
+func (c Config) Write(w *World) []byte {
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Weights == "" {
+		c.Weights = "silent"
+	}
+	ms := float64(c.Left.Milliseconds())
+	class := func(name, effect string, worth float64) map[string]any {
+		return map[string]any{"Name": name, "Effect": effect, "OnTime": ms / 4, "Deadline": ms, "Worth": worth, "LateShare": 0.4}
+	}
+	w.Discovery.mu.Lock()
+	known, _ := w.Discovery.since(-1)
+	w.Discovery.mu.Unlock()
+	text, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": c.Listen, "discovery": w.Discovery.Address(), "seed": fmt.Sprintf("%016x", c.Seed),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": c.MemoryMB, "sockets": c.Sockets, "disk_mb": c.DiskMB},
+		"known":  known,
+		"settings": map[string]any{
+			"Azs": []string{"a"}, "Kinds": []string{"std"}, "Siblings": 1, "Weights": c.Weights, "Discovery": "automatic",
+			"Tenants": []string{}, "Locality": "a",
+			"FamilyInfo": map[string]any{"Workers": c.Slots, "Late": "line", "PerCall": []int{1},
+				"SeparateRoutes": []bool{false}, "Carriage": []float64{0}},
+			"Limits": map[string]any{"MaxOpen": c.MaxHeld, "MaxAttempts": 6, "ConnIdle": 15000.0, "ConnectTimeout": 1000.0,
+				"Cancel": true, "MaxRetryAfter": 3000.0, "RetryAfter": true},
+			"Costs": map[string]any{"Handshake": 0.06},
+			"Invariants": map[string]any{"Cold": 9500.0, "DrainGrace": 1000.0, "Fall": 3000.0, "StartCapacity": 0.2,
+				"TipMultiple": 2.0, "KeyRest": 100.0},
+			"Classes": []any{class(Safe, "pure", 1), class(Unsafe, "side_effect", 3)},
+		},
+	})
+	if err != nil {
+		panic(err) // plain values: it can't be
+	}
+	return text
+}
+
+// Times collects durations.
+type Times struct {
+	mu   sync.Mutex
+	list []time.Duration
+}
+
+// Add adds one.
+func (t *Times) Add(d time.Duration) {
+	t.mu.Lock()
+	t.list = append(t.list, d)
+	t.mu.Unlock()
+}
+
+// Spread tells the middle of them, what 99 in 100 stay under, and the longest.
+func (t *Times) Spread() (p50, p99, longest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.list) == 0 {
+		return 0, 0, 0
+	}
+	slices.Sort(t.list)
+	return t.list[len(t.list)/2], t.list[len(t.list)*99/100], t.list[len(t.list)-1]
+}
+
+// Deliveries are the times from when a message was first handed in to its delivery, of those that keep says.
+func (l *Log) Deliveries(keep func(*Handed) bool) *Times {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	handed := map[string]*Handed{}
+	for _, h := range l.handed {
+		if keep(h) {
+			handed[h.ID] = h
+		}
+	}
+	t := &Times{}
+	for _, c := range l.calls {
+		if h := handed[c.ID]; c.Ran == Yes && h != nil {
+			t.list = append(t.list, c.Ended.Sub(h.Sent))
+			delete(handed, c.ID)
+		}
+	}
+	return t
+}
