Keep a part of the slots for destinations that answer

With 2,000 destinations of which half never answer, silent ones held all of the slots. One call at a time goes to a route that has not answered once a quarter of the slots is in doubt, three quarters are in doubt at most, and routes known to be silent get an eighth, or a thirty-second part while slots are short.

--- a/internal/decide/index.go
+++ b/internal/decide/index.go
@@ -353,15 +353,19 @@
 
 // nextTurn is the destination whose turn it is: of those at which something may
 // have changed, and of those that wait for room among the calls in doubt, if there is some.
-func (f *Forwarder) nextTurn() *dest {
-	shy := f.shy.len() > 0 && f.doubts < f.doubtRoom()
-	switch {
-	case f.ready.len() == 0 && !shy:
-		return nil
-	case f.ready.len() == 0 || shy && sooner(f.shy.min(), f.ready.min()):
-		return f.shy.min()
+func (f *Forwarder) nextTurn() (next *dest) {
+	consider := func(h *heap[*dest]) {
+		if h.len() > 0 && (next == nil || sooner(h.min(), next)) {
+			next = h.min()
+		}
+	}
+	consider(&f.ready)
+	for by := range f.shy {
+		if f.roomIn(doubtKind(by)) {
+			consider(&f.shy[by])
+		}
 	}
-	return f.ready.min()
+	return next
 }
 
 // sooner is the order of turns: fewest calls out, longest since the last turn, longest waiting.
@@ -386,7 +390,7 @@
 // stirred notes that a destination must be looked at again.
 func (f *Forwarder) stirred(d *dest) {
 	f.gates.remove(d)
-	f.shy.remove(d)
+	f.unshy(d)
 	if d.n > 0 {
 		d.rank = rank{d.out, d.served, d.turn}
 		f.ready.fix(d)
@@ -404,15 +408,23 @@
 	}
 }
 
-// rest notes from when on a destination must be looked at again, though nothing comes for it.
-func (f *Forwarder) rest(d *dest, gate time.Duration, capped bool) {
+// rest notes from when on a destination must be looked at again, though nothing comes for it, and
+// for which room it waits.
+func (f *Forwarder) rest(d *dest, gate time.Duration, by doubtKind) {
 	f.ready.remove(d)
-	f.shy.remove(d)
+	f.unshy(d)
 	if d.gate = gate; gate < never {
 		f.gates.fix(d)
 	}
-	if capped {
-		f.shy.fix(d)
+	if by != noDoubt {
+		d.shyBy = by
+		f.shy[by].fix(d)
+	}
+}
+
+func (f *Forwarder) unshy(d *dest) {
+	if d.shyPlace != 0 {
+		f.shy[d.shyBy].remove(d)
 	}
 }
 
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -63,18 +63,22 @@
 	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
 	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
 
-	minRate    = 1.0 // calls a second that all senders together may make at least, whatever is refused
-	leastPart  = 0.5 // of the own part: refusals don't cut the pace below
-	littleRoom = 0.2 // with less of an allowance left, a sender keeps to its fair part
-	muchRoom   = 0.7 // with more, it may use it all
-	cutTo      = 0.7 // of what was sent, after a refusal
-	paceUp     = 1.4
-	rateSpan   = 3 * time.Second
-	slotShare  = 0.5  // of the slots that one route may hold
-	doubtShare = 0.75 // of the slots that calls to routes which don't answer may hold together
-	longDoubt  = 3    // doublings, at most, of the time that such a call is left out
-	stopFactor = 3    // times the usual time that a call needs before the host ends
-	fullHold   = 0.9  // of the hold: from here on the least worth is shed
+	minRate     = 1.0 // calls a second that all senders together may make at least, whatever is refused
+	leastPart   = 0.5 // of the own part: refusals don't cut the pace below
+	littleRoom  = 0.2 // with less of an allowance left, a sender keeps to its fair part
+	muchRoom    = 0.7 // with more, it may use it all
+	cutTo       = 0.7 // of what was sent, after a refusal
+	paceUp      = 1.4
+	rateSpan    = 3 * time.Second
+	slotShare   = 0.5      // of the slots that one route may hold
+	doubtShare  = 0.75     // of the slots that calls to routes which don't answer may hold together
+	crowdShare  = 0.25     // of the slots: under that such a route may have more than one call out
+	silentShare = 1.0 / 8  // the same for those known to be silent, where that is more than
+	fullShare   = 1.0 / 32 // or this while more than half of the slots are taken,
+	fewSilent   = 8        // so many calls
+	longDoubt   = 3        // doublings, at most, of the time that such a call is left out
+	stopFactor  = 3        // times the usual time that a call needs before the host ends
+	fullHold    = 0.9      // of the hold: from here on the least worth is shed
 )
 
 // Step takes the clock and what happened since the last Step, and returns what to do, in order.
@@ -304,11 +308,11 @@
 		if d == nil {
 			break
 		}
-		if sent, gate, capped := f.sendOne(d); sent {
+		if sent, gate, by := f.sendOne(d); sent {
 			d.served = f.now
 			f.touch(d)
 		} else {
-			f.rest(d, gate, capped)
+			f.rest(d, gate, by)
 		}
 	}
 	if f.calls.n < f.set.Slots && f.gates.len() > 0 { // else the end of a call comes first
@@ -317,20 +321,23 @@
 }
 
 // sendOne makes one call to a destination, if any message there may go. If none may, it tells
-// when that changes unless something happens there, and whether it is held by the calls in doubt.
-func (f *Forwarder) sendOne(d *dest) (sent bool, gate time.Duration, capped bool) {
+// when that changes unless something happens there, and by which bound on calls in doubt it is held.
+func (f *Forwarder) sendOne(d *dest) (sent bool, gate time.Duration, by doubtKind) {
 	usable, others := f.some[:0], f.others[:0]
 	gate = never
 	trial, careful := true, true
 	for _, r := range d.routes {
-		switch from, held := f.routeGate(r); {
-		case held:
-			others = append(others, r)
+		switch from := f.routeGate(r); {
 		case from > f.now:
 			gate = min(gate, from)
+		case !f.roomIn(r.kind()):
+			others = append(others, r)
+			if by == noDoubt || r.kind() < by {
+				by = r.kind()
+			}
 		default:
 			usable = append(usable, r)
-			trial, careful = trial && r.open, careful && r.doubtful
+			trial, careful = trial && r.open, careful && r.silence != noDoubt
 		}
 	}
 	f.some, f.others = usable, others
@@ -345,7 +352,10 @@
 	m, from := f.choose(d, usable, how, nil)
 	if m == nil {
 		m, other := f.choose(d, others, how, nil)
-		return false, min(gate, from, other), m != nil
+		if m == nil {
+			by = noDoubt
+		}
+		return false, min(gate, from, other), by
 	}
 	to := f.chooseTarget(m, usable)
 	if n := f.idle(to); n > 0 && f.stale(idleStep(f.now-to.free[n-1])) {
@@ -359,7 +369,7 @@
 		}
 		f.send(m, c)
 	}
-	return true, 0, false
+	return true, 0, noDoubt
 }
 
 // choice is how a message is chosen among those of a destination.
@@ -465,30 +475,53 @@
 	return b
 }
 
-// routeGate is from when on any message may go to a route, and whether only the calls in doubt
-// hold it. It is the part of the gate that is the same for all of its messages.
-func (f *Forwarder) routeGate(r *route) (from time.Duration, capped bool) {
+// routeGate is from when on any message may go to a route: the part of the gate that is the same for
+// all of its messages.
+func (f *Forwarder) routeGate(r *route) (from time.Duration) {
 	f.settle(r)
 	switch {
 	case f.now < r.told:
-		return r.told, false
+		return r.told
 	case r.open && r.trials > 0:
-		return never, false
-	case r.open && f.now < f.nextTrial(r):
-		return f.nextTrial(r), false
-	case !r.open && len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
-		return never, false
-	case !r.open && f.now < r.free:
-		return min(r.free, r.interval+adjustEvery), false // the pace may rise then
-	case r.doubtful && f.doubts >= f.doubtRoom():
-		return never, true
+		return never
+	case r.open:
+		return f.nextTrial(r)
+	case len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
+		return never
+	case f.now < r.free:
+		return min(r.free, r.interval+adjustEvery) // the pace may rise then
 	}
-	return f.now, false
+	return f.now
 }
 
-// doubtRoom is how many calls may be out to routes that don't answer: those that do keep the other
-// slots. Where slots are few it leaves none to them, as so few don't last for long in any case.
-func (f *Forwarder) doubtRoom() int { return int(math.Ceil(doubtShare * float64(f.set.Slots))) }
+// kind is by which bound on calls in doubt one more call to a route is held.
+func (r *route) kind() doubtKind {
+	if r.silence != noDoubt && !r.open && len(r.calls) > 0 {
+		return crowded
+	}
+	return r.silence
+}
+
+// roomIn tells whether there is room for one more call in doubt. Routes that don't answer leave some
+// slots to those that do; each gets one call before any gets more than the few that do no harm;
+// and those known to be silent leave most of the room, so that new ones are heard soon.
+func (f *Forwarder) roomIn(kind doubtKind) bool {
+	share, slots := doubtShare, float64(f.set.Slots)
+	switch kind {
+	case noDoubt:
+		return true
+	case crowded:
+		share = crowdShare
+	}
+	silent := silentShare
+	if 2*f.calls.n > f.set.Slots {
+		silent = fullShare
+	}
+	if kind != untried && f.doubts[silenced] >= max(fewSilent, int(silent*slots)) {
+		return false
+	}
+	return f.doubts[untried]+f.doubts[silenced] < int(math.Ceil(share*slots))
+}
 
 // mayGo is from when on a message may go to a target, as far as that lies with the two; no send
 // passes without it. Times come first and the rest is looked at when they have come: what holds a
@@ -1032,7 +1065,10 @@
 		return
 	}
 	if f.calls.n < f.set.Slots {
-		f.freeDoubts()
+		f.freeDoubts(f.shy[untried].len())
+		return
+	}
+	if f.freeDoubts(1) {
 		return
 	}
 	var worst *call
@@ -1058,16 +1094,15 @@
 	}
 }
 
-// freeDoubts does the same for the room of calls in doubt, while destinations wait for it: a call to a
-// route that has not answered for longer than routes usually take makes place for the next. Only
+// freeDoubts does the same for calls in doubt, while destinations wait for their room or for a slot: a
+// call to a route that has not answered for longer than routes usually take makes place. Only
 // messages that may be repeated are called off for it, and each time that a route is, it gets longer.
-func (f *Forwarder) freeDoubts() {
-	need := f.shy.len()
+func (f *Forwarder) freeDoubts(need int) (freed bool) {
 	for c := f.calls.first; c != nil && need > 0; c = c.next {
 		if soonest := c.sent + minPatience; soonest > f.now && soonest >= f.next {
 			break
 		}
-		if !c.doubt || slices.ContainsFunc(c.parts, (*attempt).notPure) {
+		if c.doubt == noDoubt || slices.ContainsFunc(c.parts, (*attempt).notPure) {
 			continue
 		}
 		if c.called { // its place comes free
@@ -1077,10 +1112,13 @@
 		usual := cmp.Or(c.route.mean, f.usual, guessTime)
 		if !f.before(c.sent + fairOf(usual)<<min(c.route.calledOff, longDoubt)) {
 			c.route.calledOff++
+			f.doubt(c.route)
 			f.callOff(c)
+			freed = true
 			need--
 		}
 	}
+	return freed
 }
 
 func (a *attempt) notPure() bool { return a.m.class.Effect != Pure }
--- a/internal/decide/policy_test.go
+++ b/internal/decide/policy_test.go
@@ -165,7 +165,7 @@
 	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"},
 		Target{ID: "z", Destination: 3, Kind: "plain", Zone: "a"})
 	for _, d := range f.dests { // they have answered before
-		d.routes[0].doubtful = false
+		d.routes[0].silence = noDoubt
 	}
 	var events []Event
 	for i := range 5 {
@@ -646,6 +646,9 @@
 		f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"})
 		f.set.Slots = 2
 		f.dests[1].routes[0].mean = 200 * ms
+		for _, d := range f.dests { // they have answered before
+			d.routes[0].silence = noDoubt
+		}
 		f.Step(0, []Event{msg("long", "pure", "")})
 		f.Step(100*ms, []Event{msg("later", "pure", "")})
 		if c.answered {
@@ -663,3 +666,113 @@
 		}
 	}
 }
+
+// TestSilenceDoesNotSpread: half of many destinations never answer, and nothing is known of any. Those that
+// answer get all of their messages through while the silent ones hold no more than their part of the
+// slots; and no message that may not be repeated is called off to make room.
+func TestSilenceDoesNotSpread(t *testing.T) {
+	const dests, each, slots = 200, 5, 50
+	set := testSettings()
+	set.Slots, set.MaxHeld = slots, 0
+	f, err := New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := TargetList{Scope: Whole}
+	var events []Event
+	unsafe := map[string]bool{}
+	for d := range dests {
+		list.Targets = append(list.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "plain", Zone: "a"})
+		for i := range each {
+			m := Message{ID: fmt.Sprint("m", d, ".", i), Class: "pure", Destination: d, Left: 10 * time.Second}
+			if i%4 == 0 {
+				m.Class, unsafe[m.ID] = "unsafe", true
+			}
+			events = append(events, m)
+		}
+	}
+	f.Step(0, []Event{list})
+	type out struct {
+		o  Outcome
+		at time.Duration
+	}
+	var calls []out
+	tries := map[string]int{}
+	delivered, silent, most := 0, 0, 0
+	for now := time.Duration(0); now < 10*time.Second && delivered < dests/2*each; now += 5 * ms {
+		for i := 0; i < len(calls); {
+			if c := calls[i]; c.at <= now {
+				events = append(events, c.o)
+				if c.o.Over {
+					delivered++
+				} else {
+					silent--
+				}
+				calls = append(calls[:i], calls[i+1:]...)
+			} else {
+				i++
+			}
+		}
+		for _, a := range f.Step(now, events) {
+			switch a := a.(type) {
+			case Send:
+				n := 0
+				fmt.Sscanf(a.Target, "t%d", &n)
+				c := out{Outcome{Message: a.Message, Attempt: tries[a.Message], Target: a.Target, Result: TimedOut}, now + a.Timeout}
+				if n%2 == 0 {
+					c = out{Outcome{Message: a.Message, Attempt: tries[a.Message], Target: a.Target, Result: Done, Over: true, Took: 20 * ms}, now + 20*ms}
+				} else {
+					silent++
+				}
+				tries[a.Message]++
+				calls = append(calls, c)
+			case Cancel:
+				if unsafe[a.Message] {
+					t.Errorf("%s was called off", a.Message)
+				}
+				for i := range calls {
+					if calls[i].o.Message == a.Message {
+						calls[i].o.Result, calls[i].at = Cancelled, now
+					}
+				}
+			}
+		}
+		events = nil
+		most = max(most, silent)
+		if now == 4*time.Second && delivered < dests/2*each*9/10 {
+			t.Errorf("%d of %d delivered after 4 s", delivered, dests/2*each)
+		}
+	}
+	if delivered < dests/2*each {
+		t.Errorf("%d of %d delivered after 10 s", delivered, dests/2*each)
+	}
+	if most > slots*3/4+1 || most < slots/4 {
+		t.Errorf("silent destinations held %d of %d slots", most, slots)
+	}
+}
+
+// TestShutDestinationMakesRoom: in a hold that is almost full, what waits for a destination that is shut goes
+// before what waits for one that answers, though it is as old and worth as much.
+func TestShutDestinationMakesRoom(t *testing.T) {
+	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"})
+	f.set.MaxHeld = 40
+	shut, well := f.dests[1].routes[0], f.dests[2].routes[0]
+	f.openRoute(shut, "silent")
+	shut.gap, well.mean, shut.mean = longestTrial, 50*ms, 50*ms
+	f.set.Slots = 1 // all wait
+	refused := map[int]int{}
+	for i := range 60 {
+		m := msg(fmt.Sprint("m", i), "pure", "")
+		m.Destination = 1 + i%2
+		for _, a := range f.Step(time.Duration(i)*ms, []Event{m}) {
+			if r, ok := a.(Refuse); ok {
+				n := 0
+				fmt.Sscanf(r.Message, "m%d", &n)
+				refused[1+n%2]++
+			}
+		}
+	}
+	if refused[1] < 20 || refused[2] > 0 {
+		t.Errorf("refused: %d for the one that is shut, %d for the other", refused[1], refused[2])
+	}
+}
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -58,7 +58,7 @@
 	called bool // off
 	missed bool // counted as lost
 	hasty  bool // its message has too little time for a time-out to mean anything
-	doubt  bool
+	doubt  doubtKind
 	seq    uint64
 	idle   int // how long its connection had been idle, as a step; 0 for a new one
 }
@@ -135,7 +135,7 @@
 	warming bool
 	warm0   time.Duration // start of the return
 
-	doubtful  bool
+	silence   doubtKind
 	calledOff int
 	pace      float64
 	free      time.Duration
@@ -208,10 +208,10 @@
 	targets  map[string]*target
 	calls    []*call // out, in the order sent
 	turns    []*dest // those with messages waiting
-	doubts   int
+	doubts   [kindsOfDoubt]int
 	seq      uint64
 	usual    time.Duration
-	capped   int
+	shy      [kindsOfDoubt]int
 	begun    time.Duration // the first Step
 	stop     time.Duration // when the host ends
 	next     time.Duration // when something falls due that no event will tell
@@ -306,7 +306,7 @@
 
 func (f *scanner) freshRoute(name string, d *dest) *route {
 	return &route{name: name, dest: d, okSent: -1, ratio: startRatio, interval: f.now, rate: math.Inf(1), room: 1, touched: f.now,
-		pace: math.Inf(1), tokens: 1, filled: f.now, free: f.now, doubtful: true}
+		pace: math.Inf(1), tokens: 1, filled: f.now, free: f.now, silence: untried}
 }
 
 func (f *scanner) destination(id int) *dest {
@@ -445,9 +445,8 @@
 	if !math.IsInf(r.pace, 1) {
 		r.tokens = max(0, r.tokens-1)
 	}
-	if r.doubtful {
-		c.doubt = true
-		f.doubts++
+	if r.silence != noDoubt {
+		f.suspect(c)
 	}
 	r.sent.add(f.now, rateSpan)
 	r.touched = f.now
@@ -553,19 +552,23 @@
 	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
 	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
 
-	minRate    = 1.0 // calls a second that all senders together may make at least, whatever is refused
-	leastPart  = 0.5 // of the own part: refusals don't cut the pace below
-	littleRoom = 0.2 // with less of an allowance left, a sender keeps to its fair part
-	muchRoom   = 0.7 // with more, it may use it all
-	cutTo      = 0.7 // of what was sent, after a refusal
-	paceUp     = 1.4
-	rateSpan   = 3 * time.Second
-	slotShare  = 0.5
-	doubtShare = 0.75
-	longDoubt  = 3
-	lossSpan   = time.Second
-	stopFactor = 3   // times the usual time that a call needs before the host ends
-	fullHold   = 0.9 // of the hold: from here on the least worth is shed
+	minRate     = 1.0 // calls a second that all senders together may make at least, whatever is refused
+	leastPart   = 0.5 // of the own part: refusals don't cut the pace below
+	littleRoom  = 0.2 // with less of an allowance left, a sender keeps to its fair part
+	muchRoom    = 0.7 // with more, it may use it all
+	cutTo       = 0.7 // of what was sent, after a refusal
+	paceUp      = 1.4
+	rateSpan    = 3 * time.Second
+	slotShare   = 0.5
+	doubtShare  = 0.75
+	silentShare = 1.0 / 8
+	fullShare   = 1.0 / 32
+	crowdShare  = 0.25
+	fewSilent   = 8
+	longDoubt   = 3
+	lossSpan    = time.Second
+	stopFactor  = 3   // times the usual time that a call needs before the host ends
+	fullHold    = 0.9 // of the hold: from here on the least worth is shed
 )
 
 // Step takes the clock and what happened since the last Step, and returns what to do, in order.
@@ -793,12 +796,12 @@
 func (f *scanner) sendWaiting() {
 	turns := slices.Clone(f.turns)
 	next := f.next
-	f.capped = 0
+	f.shy = [kindsOfDoubt]int{}
 	for len(turns) > 0 && len(f.calls) < f.set.Slots {
 		d := slices.MinFunc(turns, func(a, b *dest) int { // fewest calls out first
 			return cmp.Or(cmp.Compare(callsOut(a), callsOut(b)), cmp.Compare(a.served, b.served), cmp.Compare(a.turn, b.turn))
 		})
-		sent, gate, capped := f.sendOne(d)
+		sent, gate, by := f.sendOne(d)
 		if sent {
 			d.served = f.now
 			f.touch(d)
@@ -810,9 +813,7 @@
 		if gate < never {
 			f.before(gate)
 		}
-		if capped {
-			f.capped++
-		}
+		f.shy[by]++
 		turns = without(turns, d)
 	}
 	if len(f.calls) >= f.set.Slots {
@@ -820,19 +821,22 @@
 	}
 }
 
-func (f *scanner) sendOne(d *dest) (sent bool, gate time.Duration, capped bool) {
+func (f *scanner) sendOne(d *dest) (sent bool, gate time.Duration, by doubtKind) {
 	usable, others := []*route(nil), []*route(nil)
 	gate = never
 	trial, careful := true, true
 	for _, r := range d.routes {
-		switch from, held := f.routeGate(r); {
-		case held:
-			others = append(others, r)
+		switch from := f.routeGate(r); {
 		case from > f.now:
 			gate = min(gate, from)
+		case !f.roomIn(r.kind()):
+			others = append(others, r)
+			if by == noDoubt || r.kind() < by {
+				by = r.kind()
+			}
 		default:
 			usable = append(usable, r)
-			trial, careful = trial && r.open, careful && r.doubtful
+			trial, careful = trial && r.open, careful && r.silence != noDoubt
 		}
 	}
 	how := byUrgency
@@ -845,7 +849,10 @@
 	m, from := f.choose(d, usable, how, nil)
 	if m == nil {
 		m, other := f.choose(d, others, how, nil)
-		return false, min(gate, from, other), m != nil
+		if m == nil {
+			by = noDoubt
+		}
+		return false, min(gate, from, other), by
 	}
 	to := f.chooseTarget(m, usable)
 	if n := f.idle(to); n > 0 && f.stale(idleStep(f.now-to.free[n-1])) {
@@ -859,7 +866,7 @@
 		}
 		f.send(m, c)
 	}
-	return true, 0, false
+	return true, 0, noDoubt
 }
 
 type choice int
@@ -944,30 +951,53 @@
 	return f.share(c, age) - f.share(c, age+lossSpan)
 }
 
-// routeGate is from when on any message may go to a route, and whether only the calls in doubt
-// hold it. It is the part of the gate that is the same for all of its messages.
-func (f *scanner) routeGate(r *route) (from time.Duration, capped bool) {
+// routeGate is from when on any message may go to a route: the part of the gate that is the same for
+// all of its messages.
+func (f *scanner) routeGate(r *route) (from time.Duration) {
 	f.settle(r)
 	switch {
 	case f.now < r.told:
-		return r.told, false
+		return r.told
 	case r.open && trialOut(r):
-		return never, false
-	case r.open && f.now < f.nextTrial(r):
-		return f.nextTrial(r), false
-	case !r.open && len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
-		return never, false
-	case !r.open && f.now < r.free:
-		return min(r.free, r.interval+adjustEvery), false // the pace may rise then
-	case r.doubtful && f.doubts >= f.doubtRoom():
-		return never, true
+		return never
+	case r.open:
+		return f.nextTrial(r)
+	case len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
+		return never
+	case f.now < r.free:
+		return min(r.free, r.interval+adjustEvery) // the pace may rise then
 	}
-	return f.now, false
+	return f.now
 }
 
-// doubtRoom is how many calls may be out to routes that don't answer: those that do keep the other
-// slots. Where slots are few it leaves none to them, as so few don't last for long in any case.
-func (f *scanner) doubtRoom() int { return int(math.Ceil(doubtShare * float64(f.set.Slots))) }
+// kind is by which bound on calls in doubt one more call to a route is held.
+func (r *route) kind() doubtKind {
+	if r.silence != noDoubt && !r.open && len(r.calls) > 0 {
+		return crowded
+	}
+	return r.silence
+}
+
+// roomIn tells whether there is room for one more call in doubt. Routes that don't answer leave some
+// slots to those that do; each gets one call before any gets more than the few that do no harm;
+// and those known to be silent leave most of the room, so that new ones are heard soon.
+func (f *scanner) roomIn(kind doubtKind) bool {
+	share, slots := doubtShare, float64(f.set.Slots)
+	switch kind {
+	case noDoubt:
+		return true
+	case crowded:
+		share = crowdShare
+	}
+	silent := silentShare
+	if 2*len(f.calls) > f.set.Slots {
+		silent = fullShare
+	}
+	if kind != untried && f.doubts[silenced] >= max(fewSilent, int(silent*slots)) {
+		return false
+	}
+	return f.doubts[untried]+f.doubts[silenced] < int(math.Ceil(share*slots))
+}
 
 // mayGo is from when on a message may go to a target, as far as that lies with the two; no send
 // passes without it. Times come first and the rest is looked at when they have come: what holds a
@@ -1142,30 +1172,50 @@
 	f.touch(d)
 }
 
-func (f *scanner) believe(c *call) {
-	if c.doubt {
-		c.doubt = false
-		f.doubts--
-	}
-}
+// doubtKind is what is known of a route that does not answer, and of the calls out to it.
+type doubtKind int8
+
+const (
+	noDoubt  doubtKind = iota
+	untried            // it has not answered yet
+	silenced           // it is known to be silent
+	crowded
+	kindsOfDoubt
+)
 
+// doubt counts the calls to a route among those in doubt from now on.
 func (f *scanner) doubt(r *route) {
-	r.doubtful = true
+	if r.silence == silenced {
+		return
+	}
+	r.silence = silenced
 	for _, c := range r.calls {
-		if !c.doubt {
-			c.doubt = true
-			f.doubts++
-		}
+		f.suspect(c)
 	}
 }
 
+// trust takes them out again: the route has answered.
 func (f *scanner) trust(r *route) {
-	r.doubtful, r.calledOff = false, 0
+	r.silence, r.calledOff = noDoubt, 0
 	for _, c := range r.calls {
 		f.believe(c)
 	}
 }
 
+func (f *scanner) suspect(c *call) {
+	if c.doubt == noDoubt {
+		c.doubt = c.route.silence
+		f.doubts[c.doubt]++
+	}
+}
+
+func (f *scanner) believe(c *call) {
+	if c.doubt != noDoubt {
+		f.doubts[c.doubt]--
+		c.doubt = noDoubt
+	}
+}
+
 // again decides whether a message whose attempt failed waits for a further try or is answered.
 func (f *scanner) again(m *message, r *route, o Outcome) {
 	notSent := o.Result == NotSent
@@ -1530,7 +1580,10 @@
 		return
 	}
 	if len(f.calls) < f.set.Slots {
-		f.freeDoubts()
+		f.freeDoubts(f.shy[untried])
+		return
+	}
+	if f.freeDoubts(1) {
 		return
 	}
 	var worst *call
@@ -1553,10 +1606,9 @@
 	}
 }
 
-func (f *scanner) freeDoubts() {
-	need := f.capped
+func (f *scanner) freeDoubts(need int) (freed bool) {
 	for _, c := range f.calls {
-		if !c.doubt || need <= 0 || slices.ContainsFunc(c.parts, (*attempt).notPure) {
+		if c.doubt == noDoubt || need <= 0 || slices.ContainsFunc(c.parts, (*attempt).notPure) {
 			continue
 		}
 		if c.called {
@@ -1566,10 +1618,13 @@
 		usual := cmp.Or(c.route.mean, f.usual, guessTime)
 		if !f.before(c.sent + fairOf(usual)<<min(c.route.calledOff, longDoubt)) {
 			c.route.calledOff++
+			f.doubt(c.route)
 			f.callOff(c)
+			freed = true
 			need--
 		}
 	}
+	return freed
 }
 
 func (a *attempt) notPure() bool { return a.m.class.Effect != Pure }
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -68,11 +68,11 @@
 	left   int // attempts without an outcome
 	parts  []*attempt
 	trial  bool
-	called bool // off
-	missed bool // counted as lost
-	hasty  bool // its message has too little time for a time-out to mean anything
-	idle   int  // how long its connection had been idle, as a step; 0 for a new one
-	doubt  bool // counted among the calls in doubt
+	called bool      // off
+	missed bool      // counted as lost
+	hasty  bool      // its message has too little time for a time-out to mean anything
+	idle   int       // how long its connection had been idle, as a step; 0 for a new one
+	doubt  doubtKind // as it is counted
 
 	seq        uint64 // in the order sent
 	prev, next *call
@@ -104,6 +104,8 @@
 	moved   bool          // the index of what may be shed is not up to date
 	quietAt time.Duration // it may be forgotten from then on
 
+	shyBy doubtKind // which bound holds it
+
 	readyPlace, gatePlace, shyPlace, quietPlace int
 }
 
@@ -152,8 +154,8 @@
 	oks    decaying      // good answers
 	proof  float64       // calls that failed or are overdue, sent after okSent
 
-	doubtful  bool // it has never answered, or is silent
-	calledOff int  // calls called off in doubt since the last answer
+	silence   doubtKind
+	calledOff int // calls called off in doubt since the last answer
 
 	watchAt    time.Duration // when a call will be overdue
 	watchPlace int
@@ -243,18 +245,18 @@
 	dests   map[int]*dest
 	targets map[string]*target
 	calls   callList
-	doubts  int // calls in doubt
+	doubts  [kindsOfDoubt]int // calls in doubt
 	lists   uint64
 	usual   time.Duration // usual time to answer, over all routes; 0 if none was seen
 	begun   time.Duration // the first Step
 	stop    time.Duration // when the host ends
 	next    time.Duration // when something falls due that no event will tell
 
-	ends      heap[*message] // those that wait, by when they must be answered
-	ready     heap[*dest]    // those with messages that may perhaps go, by turn
-	shy       heap[*dest]    // those held by the bound on calls in doubt
-	gates     heap[*dest]    // those with nothing that may go before a time
-	watch     heap[*route]   // those with calls that will be overdue
+	ends      heap[*message]            // those that wait, by when they must be answered
+	ready     heap[*dest]               // those with messages that may perhaps go, by turn
+	shy       [kindsOfDoubt]heap[*dest] // those held by a bound on calls in doubt
+	gates     heap[*dest]               // those with nothing that may go before a time
+	watch     heap[*route]              // those with calls that will be overdue
 	unwatched []*route
 	quiet     heap[*dest] // those without targets
 	shedding  map[shedKey]*heap[*group]
@@ -292,11 +294,13 @@
 			return a.endsAt < b.endsAt || a.endsAt == b.endsAt && a.seq < b.seq
 		}, place: func(m *message) *int { return &m.endsPlace }},
 		ready: heap[*dest]{less: sooner, place: func(d *dest) *int { return &d.readyPlace }},
-		shy:   heap[*dest]{less: sooner, place: func(d *dest) *int { return &d.shyPlace }},
 		gates: heap[*dest]{less: func(a, b *dest) bool { return a.gate < b.gate }, place: func(d *dest) *int { return &d.gatePlace }},
 		quiet: heap[*dest]{less: func(a, b *dest) bool { return a.quietAt < b.quietAt }, place: func(d *dest) *int { return &d.quietPlace }},
 		watch: heap[*route]{less: func(a, b *route) bool { return a.watchAt < b.watchAt }, place: func(r *route) *int { return &r.watchPlace }},
 	}
+	for by := range f.shy {
+		f.shy[by] = heap[*dest]{less: sooner, place: func(d *dest) *int { return &d.shyPlace }}
+	}
 	for i := range s.Classes {
 		f.classes[s.Classes[i].Name] = &s.Classes[i]
 	}
@@ -412,7 +416,7 @@
 
 func (f *Forwarder) freshRoute(name string, d *dest) *route {
 	return &route{name: name, dest: d, okSent: -1, ratio: startRatio, interval: f.now, rate: math.Inf(1), room: 1,
-		touched: f.now, pace: math.Inf(1), tokens: 1, filled: f.now, free: f.now, doubtful: true}
+		touched: f.now, pace: math.Inf(1), tokens: 1, filled: f.now, free: f.now, silence: untried}
 }
 
 func (f *Forwarder) destination(id int) *dest {
@@ -582,9 +586,8 @@
 	r.dest.out++
 	f.calls.push(c)
 	f.unwatch(r)
-	if r.doubtful {
-		c.doubt = true
-		f.doubts++
+	if r.silence != noDoubt {
+		f.suspect(c)
 	}
 	t.out++
 	t.uses.add(f.now, max(f.set.ConnIdle, 1))
@@ -604,29 +607,48 @@
 	c.target.out--
 }
 
-// doubt counts all calls to a route among those in doubt.
+// doubtKind is what is known of a route that does not answer, and of the calls out to it.
+type doubtKind int8
+
+const (
+	noDoubt  doubtKind = iota
+	untried            // it has not answered yet
+	silenced           // it is known to be silent
+	crowded            // of a route: it does not answer, and has a call out
+	kindsOfDoubt
+)
+
+// doubt counts the calls to a route among those in doubt from now on.
 func (f *Forwarder) doubt(r *route) {
-	r.doubtful = true
+	if r.silence == silenced {
+		return
+	}
+	r.silence = silenced
 	for _, c := range r.calls {
-		if !c.doubt {
-			c.doubt = true
-			f.doubts++
-		}
+		f.suspect(c)
 	}
+	f.stirred(r.dest)
 }
 
 // trust takes them out again: the route has answered.
 func (f *Forwarder) trust(r *route) {
-	r.doubtful, r.calledOff = false, 0
+	r.silence, r.calledOff = noDoubt, 0
 	for _, c := range r.calls {
 		f.believe(c)
 	}
 }
 
+func (f *Forwarder) suspect(c *call) {
+	if c.doubt == noDoubt {
+		c.doubt = c.route.silence
+		f.doubts[c.doubt]++
+	}
+}
+
 func (f *Forwarder) believe(c *call) {
-	if c.doubt {
-		c.doubt = false
-		f.doubts--
+	if c.doubt != noDoubt {
+		f.doubts[c.doubt]--
+		c.doubt = noDoubt
 	}
 }
 
