Keep idle connections by address, and bound a call by one deadline

A call walked over all idle connections of all targets, and had three contexts and four deadlines. Connections are kept by address, with one list for who is idle longest; targets at one address share them; a call has one deadline, and one more only where an answer comes in parts. Tests for shared addresses and for a slow answer behind a 1xx.

--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -81,7 +81,7 @@
 	flag.BoolVar(&o.relay, "relay", false, "run a bare relay in the place of the program, for a comparison")
 	flag.BoolVar(&o.json, "json", false, "report as one line of JSON")
 	flag.BoolVar(&o.quiet, "quiet", false, "show no progress")
-	flag.StringVar(&o.profile, "cpuprofile", "", "have the program write a CPU profile to this file")
+	flag.StringVar(&o.profile, "cpuprofile", "", "have the program write a CPU profile of its first 4 seconds to this file")
 	flag.Parse()
 	if err := o.check(flag.Args()); err != nil {
 		fmt.Fprintln(os.Stderr, "scaleroute-lab:", err)
--- a/cmd/scaleroute-lab/program.go
+++ b/cmd/scaleroute-lab/program.go
@@ -34,9 +34,9 @@
 }
 
 // build makes the daemon from the module of the current folder.
-func build(ctx context.Context, to string) (string, error) {
+func build(ctx context.Context, to string, tags string) (string, error) {
 	path := filepath.Join(to, "scaleroute")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, "scaleroute/cmd/scaleroute").CombinedOutput()
+	out, err := exec.CommandContext(ctx, "go", "build", "-tags", tags, "-o", path, "scaleroute/cmd/scaleroute").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("building the program (run this in the repository, or name one by -program): %w\n%s", err, out)
 	}
--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -117,8 +117,14 @@
 // prepare finds out what to run.
 func (p *program) prepare(ctx context.Context, o *options) error {
 	p.env = []string{"NODE_CONFIG=" + filepath.Join(p.dir, "config.json"), "NODE_STATE=" + filepath.Join(p.dir, "state")}
+	tags := ""
 	if o.profile != "" {
-		p.env = append(p.env, "SCALEROUTE_CPUPROFILE="+o.profile)
+		path, err := filepath.Abs(o.profile)
+		if err != nil {
+			return err
+		}
+		tags = "profile"
+		p.env = append(p.env, "SCALEROUTE_CPUPROFILE="+path)
 	}
 	switch {
 	case o.relay:
@@ -132,7 +138,7 @@
 		p.command = []string{o.program}
 		return nil
 	}
-	path, err := build(ctx, p.dir)
+	path, err := build(ctx, p.dir, tags)
 	p.command = []string{path}
 	return err
 }
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -23,11 +24,7 @@
 	answerTime = 500 * time.Millisecond // an answer that has begun is whole by then
 )
 
-// Why a call ended without an answer.
-var (
-	errTimedOut = errors.New("timed out")
-	errSpoilt   = errors.New("an answer that can't be read")
-)
+var errSpoilt = errors.New("an answer that can't be read")
 
 // Back knows the addresses of the targets and keeps connections to them.
 type Back struct {
@@ -44,9 +41,8 @@
 
 // target is one address of a target.
 type target struct {
-	address string
-	pool    *pool
-	removed bool // guarded by the pool
+	host *host
+	pool *pool
 }
 
 // New makes a Back without targeb.
@@ -54,7 +50,8 @@
 	return &Back{byName: map[string]*target{}, pool: &pool{
 		most:     c.Connections,
 		idleTime: max(c.ConnIdle-idleMargin, c.ConnIdle/2, time.Second),
-		dialer:   net.Dialer{Timeout: c.ConnectLimit},
+		connect:  c.ConnectLimit,
+		hosts:    map[string]*host{},
 	}}
 }
 
@@ -70,7 +67,7 @@
 		switch {
 		case e.State == decide.Gone:
 			b.remove(e.ID)
-		case old == nil || old.address != e.Address:
+		case old == nil || old.host.address != e.Address:
 			b.remove(e.ID)
 			b.byName[e.ID] = b.open(e.Address)
 		}
@@ -96,15 +93,17 @@
 // remove forgets a target; calls that are out go on.
 func (b *Back) remove(name string) {
 	if t := b.byName[name]; t != nil {
-		b.pool.closeIdle(t, true)
+		b.pool.leave(t.host)
 		delete(b.byName, name)
 	}
 }
 
-func (b *Back) open(address string) *target { return &target{address: address, pool: b.pool} }
+func (b *Back) open(address string) *target {
+	return &target{host: b.pool.enter(address), pool: b.pool}
+}
 
 // CloseIdle closes the idle connections to the target.
-func (t *target) CloseIdle() { t.pool.closeIdle(t, false) }
+func (t *target) CloseIdle() { t.pool.closeIdle(t.host) }
 
 // Call sends one message, once, and tells how that ended.
 func (t *target) Call(ctx context.Context, a engine.Attempt) (o decide.Outcome) {
@@ -115,9 +114,8 @@
 		o.Result = decide.NotSent
 		return o
 	}
-	ctx, free := context.WithTimeoutCause(ctx, timeout, errTimedOut)
-	defer free()
-	c, err := t.pool.get(ctx, t)
+	end := began.Add(timeout)
+	c, err := t.pool.get(ctx, t.host, timeout)
 	if err != nil {
 		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
@@ -125,29 +123,30 @@
 		}
 		return o
 	}
+	c.SetDeadline(end)
 	stop := context.AfterFunc(ctx, c.giveUp)
 	request := net.Buffers{fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: %s\r\nUser-Agent: scaleroute\r\n"+
-		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n", t.address, a.ID, timeout.Seconds(), len(body)), body}
+		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n", t.host.address, a.ID, timeout.Seconds(), len(body)), body}
 	if _, err := request.WriteTo(c.Conn); err != nil { // before its last byte
 		stop()
 		t.pool.close(c)
 		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		return o
 	}
-	resp, first, err := c.answer(ctx)
+	resp, first, err := c.answer(ctx, end)
 	o.Took = first.Sub(began)
-	switch cause := context.Cause(ctx); {
+	switch {
 	case err == nil:
 		answered(&o, resp)
 	case says200(c.record): // that is true, whatever follows
 		o.Result, o.Over = decide.Done, true
 	case len(c.record) > 0: // it may have run, whatever it seems to say
 		o.Result = decide.Errored
-		slog.Warn("a spoilt answer", "target", t.address, "begins", fmt.Sprintf("%.80q", c.record), "err", err)
-	case errors.Is(cause, errTimedOut):
-		o.Result = decide.TimedOut
-	case cause != nil:
+		slog.Warn("a spoilt answer", "target", t.host.address, "begins", fmt.Sprintf("%.80q", c.record), "err", err)
+	case ctx.Err() != nil:
 		o.Result = decide.Cancelled
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		o.Result = decide.TimedOut
 	default:
 		o.Result = decide.Reset
 	}
--- a/internal/back/httpcall/call_test.go
+++ b/internal/back/httpcall/call_test.go
@@ -309,12 +309,14 @@
 	idle := func() string {
 		ts.pool.mu.Lock()
 		defer ts.pool.mu.Unlock()
-		if ts.pool.open != len(ts.pool.idle) {
-			t.Errorf("%d open, %d idle", ts.pool.open, len(ts.pool.idle))
-		}
 		var b strings.Builder
-		for _, c := range ts.pool.idle {
-			b.WriteByte('a' + byte(slices.Index(list, c.target)))
+		n := 0
+		for c := ts.pool.idle.first; c != nil; c = c.next {
+			b.WriteByte('a' + byte(slices.IndexFunc(list, func(t *target) bool { return t.host == c.host })))
+			n++
+		}
+		if ts.pool.open != n {
+			t.Errorf("%d open, %d idle", ts.pool.open, n)
 		}
 		return b.String()
 	}
@@ -329,7 +331,7 @@
 			t.Errorf("idle: %q, want %q", got, step.want)
 		}
 	}
-	ts.pool.closeIdle(list[0], true)
+	ts.pool.leave(list[0].host)
 	list[0].Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}) // one that was out as its target went
 	if got := idle(); got != "c" {
 		t.Errorf("idle: %q", got)
@@ -349,7 +351,7 @@
 	ts.List(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{at("a", "127.0.0.1:1", decide.Active), at("b", "127.0.0.1:2", decide.Active)}})
 	a := ts.byName["a"]
 	ts.List(engine.List{Scope: decide.Changes, Endpoints: []engine.Endpoint{at("a", "127.0.0.1:1", decide.Draining), at("b", "127.0.0.1:3", decide.Active)}})
-	if ts.byName["a"] != a || ts.byName["b"].address != "127.0.0.1:3" {
+	if ts.byName["a"] != a || ts.byName["b"].host.address != "127.0.0.1:3" {
 		t.Errorf("after a change: %v", ts.byName)
 	}
 	ts.List(engine.List{Scope: decide.Changes, Endpoints: []engine.Endpoint{at("a", "", decide.Gone)}})
@@ -361,3 +363,65 @@
 		t.Errorf("left over: %v", ts.byName)
 	}
 }
+
+// TestSharedAddress: targets at one address share its connections, and these stay until the last of
+// them is gone.
+func TestSharedAddress(t *testing.T) {
+	address, conns := rawTarget(t, func(*http.Request, string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
+	ts := testTargets()
+	list := engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{
+		{Address: address, Target: decide.Target{ID: "a"}}, {Address: address, Target: decide.Target{ID: "b"}}}}
+	ts.List(list)
+	call := func(name string) {
+		t.Helper()
+		a := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}
+		if o := ts.Endpoint(name).Call(t.Context(), a); o.Result != decide.Done {
+			t.Errorf("%s: %+v", name, o)
+		}
+	}
+	call("a")
+	list.Scope, list.Endpoints[0].State = decide.Changes, decide.Gone
+	ts.List(list)
+	call("b")
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections, 1 wanted", n)
+	}
+	list.Endpoints[1].State = decide.Gone
+	ts.List(list)
+	if ts.pool.open != 0 || len(ts.pool.hosts) != 0 {
+		t.Errorf("%d connections to %d addresses left", ts.pool.open, len(ts.pool.hosts))
+	}
+}
+
+// TestSlowAnswerBehind1xx: the time for an answer that has begun holds for each part of it, and does not
+// cut short the wait for the final answer behind a 1xx.
+func TestSlowAnswerBehind1xx(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for range 2 { // the second call goes out long after the deadline of the first one's first part
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\n")
+			time.Sleep(answerTime + 200*time.Millisecond)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	target := testTargets().open(ln.Addr().String())
+	for range 2 {
+		o := target.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute})
+		if o.Result != decide.Done || o.Took < answerTime {
+			t.Errorf("%+v", o)
+		}
+	}
+}
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -18,7 +18,7 @@
 	keepRecord = 4 << 10
 )
 
-// pool keeps the connections to all targets. net/http's Transport is not used
+// pool keeps the connections to all addresses. net/http's Transport is not used
 // for them: it may give a connection to the next call before it looks whether
 // more than the answer came, and takes a second copy of an answer for the answer
 // to that call; and it says nothing of a first line behind which the head can't be
@@ -26,27 +26,92 @@
 type pool struct {
 	most     int           // connections, idle ones counted
 	idleTime time.Duration // one idle for so long is closed
-	dialer   net.Dialer
+	connect  time.Duration // one not made by then has failed
 
 	mu    sync.Mutex
 	open  int
-	idle  []*conn // longest idle first
+	idle  idleList // all idle ones, longest idle first
+	hosts map[string]*host
 	timer *time.Timer
 }
 
-// conn is a connection to a target. A call has it for itself.
+// host is one address. Several targets may be at one.
+type host struct {
+	address string
+	targets int     // at it; none are kept when there is none
+	idle    []*conn // longest idle first
+}
+
+// conn is a connection to an address. A call has it for itself.
 type conn struct {
 	net.Conn
-	target *target
+	raw    syscall.RawConn
+	host   *host
 	r      *bufio.Reader
 	record []byte // what has come since the call began
 	since  time.Time
+	spare  [1]byte
+
+	prev, next *conn // while idle
+}
+
+// idleList is the idle connections to all addresses, longest idle first.
+type idleList struct{ first, last *conn }
+
+func (l *idleList) push(c *conn) {
+	c.prev, c.next = l.last, nil
+	if l.last != nil {
+		l.last.next = c
+	} else {
+		l.first = c
+	}
+	l.last = c
+}
+
+func (l *idleList) remove(c *conn) {
+	if c.prev != nil {
+		c.prev.next = c.next
+	} else {
+		l.first = c.next
+	}
+	if c.next != nil {
+		c.next.prev = c.prev
+	} else {
+		l.last = c.prev
+	}
+	c.prev, c.next = nil, nil
+}
+
+// enter counts a target at an address, and leave counts it out.
+func (p *pool) enter(address string) *host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{address: address}
+		p.hosts[address] = h
+	}
+	h.targets++
+	return h
+}
+
+func (p *pool) leave(h *host) {
+	p.mu.Lock()
+	h.targets--
+	last := h.targets == 0
+	if last {
+		delete(p.hosts, h.address)
+	}
+	p.mu.Unlock()
+	if last {
+		p.closeIdle(h)
+	}
 }
 
 // get returns a connection: the one used last, if it is still good, or a new
-// one. When there are too many, the one idle longest is closed, whosever it is.
-func (p *pool) get(ctx context.Context, t *target) (*conn, error) {
-	for c := p.take(t); c != nil; c = p.take(t) {
+// one. When there are too many, the one idle longest is closed, wherever it goes.
+func (p *pool) get(ctx context.Context, h *host, left time.Duration) (*conn, error) {
+	for c := p.take(h); c != nil; c = p.take(h) {
 		if c.quiet() {
 			return c, nil
 		}
@@ -55,37 +120,53 @@
 	p.mu.Lock()
 	p.open++
 	var extra *conn
-	if p.open > p.most && len(p.idle) > 0 {
-		extra = p.idle[0]
-		p.idle = slices.Delete(p.idle, 0, 1)
+	if p.open > p.most && p.idle.first != nil {
+		extra = p.idle.first
+		p.unidle(extra)
 	}
 	p.mu.Unlock()
 	if extra != nil {
 		p.close(extra)
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", t.address)
+	dialer := net.Dialer{Timeout: min(p.connect, left)}
+	raw, err := dialer.DialContext(ctx, "tcp", h.address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, target: t}
+	c := &conn{Conn: raw, host: h}
 	c.r = bufio.NewReader(c)
+	if s, ok := raw.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
 	return c, nil
 }
 
-// take takes an idle connection to a target out of the pool.
-func (p *pool) take(t *target) *conn {
+// unidle takes a connection out of the idle ones. The pool is locked.
+func (p *pool) unidle(c *conn) {
+	p.idle.remove(c)
+	list := c.host.idle
+	i := 0 // the one idle longest, or else mostly the one used last
+	if list[0] != c {
+		for i = len(list) - 1; list[i] != c; i-- {
+		}
+	}
+	c.host.idle = slices.Delete(list, i, i+1)
+}
+
+// take takes the idle connection to an address that was used last out of the pool.
+func (p *pool) take(h *host) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.target == t {
-			p.idle = slices.Delete(p.idle, i, i+1)
-			return c
-		}
+	n := len(h.idle)
+	if n == 0 {
+		return nil
 	}
-	return nil
+	c := h.idle[n-1]
+	p.unidle(c)
+	return c
 }
 
 // put keeps a connection for the next call.
@@ -94,13 +175,14 @@
 		c.record = nil
 	}
 	p.mu.Lock()
-	if c.target.removed {
+	if c.host.targets == 0 {
 		p.mu.Unlock()
 		p.close(c)
 		return
 	}
 	c.since = time.Now()
-	p.idle = append(p.idle, c)
+	p.idle.push(c)
+	c.host.idle = append(c.host.idle, c)
 	if p.timer == nil {
 		p.timer = time.AfterFunc(p.idleTime, p.expire)
 	}
@@ -111,15 +193,14 @@
 func (p *pool) expire() {
 	p.mu.Lock()
 	now := time.Now()
-	n := 0
-	for n < len(p.idle) && now.Sub(p.idle[n].since) >= p.idleTime {
-		n++
+	var old []*conn
+	for c := p.idle.first; c != nil && now.Sub(c.since) >= p.idleTime; c = p.idle.first {
+		p.unidle(c)
+		old = append(old, c)
 	}
-	old := slices.Clone(p.idle[:n])
-	p.idle = slices.Delete(p.idle, 0, n)
 	p.timer = nil
-	if len(p.idle) > 0 {
-		p.timer = time.AfterFunc(p.idle[0].since.Add(p.idleTime).Sub(now), p.expire)
+	if p.idle.first != nil {
+		p.timer = time.AfterFunc(p.idle.first.since.Add(p.idleTime).Sub(now), p.expire)
 	}
 	p.mu.Unlock()
 	for _, c := range old {
@@ -127,18 +208,13 @@
 	}
 }
 
-// closeIdle closes the idle connections to a target; none are kept any more if
-// it is removed.
-func (p *pool) closeIdle(t *target, removed bool) {
+// closeIdle closes the idle connections to an address.
+func (p *pool) closeIdle(h *host) {
 	p.mu.Lock()
-	t.removed = t.removed || removed
-	var old []*conn
-	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
-		if c.target == t {
-			old = append(old, c)
-		}
-		return c.target == t
-	})
+	old := slices.Clone(h.idle)
+	for _, c := range old {
+		p.unidle(c)
+	}
 	p.mu.Unlock()
 	for _, c := range old {
 		p.close(c)
@@ -165,16 +241,24 @@
 
 // answer reads an answer whole, behind any 1xx, and tells when it began - or
 // when there was no more to wait for. The body means nothing.
-func (c *conn) answer(ctx context.Context) (resp *http.Response, began time.Time, err error) {
-	var upgraded bool
+func (c *conn) answer(ctx context.Context, end time.Time) (resp *http.Response, began time.Time, err error) {
+	var upgraded, limited bool
 	for {
-		c.readUntil(ctx, time.Time{})
+		if limited { // by what came before, a 1xx
+			c.readUntil(ctx, end)
+		}
 		_, err := c.r.Peek(1)
 		began = time.Now()
 		if err != nil {
 			return nil, began, err
 		}
-		c.readUntil(ctx, began.Add(answerTime))
+		if limited = !c.headIsHere(); limited { // else there is nothing to wait for
+			limit := began.Add(answerTime)
+			if end.Before(limit) {
+				limit = end
+			}
+			c.readUntil(ctx, limit)
+		}
 		if resp, err = http.ReadResponse(c.r, nil); err != nil {
 			return nil, began, err
 		}
@@ -191,10 +275,21 @@
 		return nil, began, err
 	}
 	resp.Close = resp.Close || upgraded
-	c.readUntil(ctx, time.Time{})
 	return resp, began, nil
 }
 
+// headIsHere tells whether a whole head has been read into the buffer. A body that has not
+// come with it is read until the end of the call at the latest.
+func (c *conn) headIsHere() bool {
+	text, _ := c.r.Peek(c.r.Buffered())
+	return bytes.Contains(text, headEnd) && bytes.Contains(text, emptyBody)
+}
+
+var (
+	headEnd   = []byte("\r\n\r\n")
+	emptyBody = []byte("\r\nContent-Length: 0\r\n")
+)
+
 // readUntil bounds the reads to come by a time, and by the end of the call.
 func (c *conn) readUntil(ctx context.Context, t time.Time) {
 	c.SetReadDeadline(t)
@@ -209,19 +304,11 @@
 // quiet tells whether nothing has come on an idle connection: neither its end
 // nor bytes that would be taken for the next answer.
 func (c *conn) quiet() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return false
 	}
 	var readErr error
-	err = raw.Read(func(fd uintptr) bool {
-		_, readErr = syscall.Read(int(fd), make([]byte, 1))
-		return true // whatever came, don't wait
-	})
+	err := c.raw.Control(func(fd uintptr) { _, readErr = syscall.Read(int(fd), c.spare[:]) }) // it does not wait
 	return err == nil && readErr == syscall.EAGAIN
 }
 
