Read lists of any size as they come, and bound the module's memory by a test

A list over 4 MiB was cut off and never read: the forwarder kept the old one for good. It is decoded as it comes now, up to 64 MiB, and what is larger is refused with the reason. Tests at size: 20,000 endpoints replaced whole, 50,000 messages beside 10,000 destinations with one each, 10,000 waits that end at once.

--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -28,6 +28,8 @@
 	lastWrite = 50 * time.Millisecond   // for answers still to be written
 	listWait  = 500 * time.Millisecond  // for the first list, at a start
 
+	roomyMB = 512 // from here on memory is spent to spare the collector's work
+
 	reloadPause = 100 * time.Millisecond // until a configuration that can't be read is read again
 )
 
@@ -37,6 +39,9 @@
 func run(c *config.Config, stop <-chan struct{}, hup <-chan os.Signal) error {
 	// The journal's file counts as memory too; connections and the runtime need some.
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
+	if c.Limits.MemoryMB >= roomyMB {
+		debug.SetGCPercent(400)
+	}
 	j, err := journal.Open(c.State, int64(c.Limits.DiskMB*1e6))
 	if err != nil {
 		return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,7 +23,8 @@
 	listTime    = 2 * time.Second
 	noticeTime  = time.Second
 	retryPause  = 50 * time.Millisecond // also under the 200 ms in which a watch goes on
-	maxList     = 4 << 20
+	maxList     = 64 << 20              // bytes of a list
+	maxOther    = 4 << 10               // of any other answer
 	noticeBatch = 256
 
 	statusDraining = "DRAINING"
@@ -130,22 +131,26 @@
 	old.client.CloseIdleConnections()
 }
 
-// do makes one call; the context ends with limit and when the agent is left.
-func (a *agent) do(ctx context.Context, limit time.Duration, method, path string, body []byte) (status int, text []byte, err error) {
+// do makes one call and has its answer read; the context ends with limit and when the agent is left.
+func (a *agent) do(ctx context.Context, limit time.Duration, method, path string, body []byte,
+	read func(status int, body io.Reader) error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	defer context.AfterFunc(a.left, cancel)()
 	req, err := http.NewRequestWithContext(ctx, method, a.base+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, err
+		return err
 	}
 	resp, err := a.client.Do(req)
 	if err != nil {
-		return 0, nil, err
+		return err
 	}
 	defer resp.Body.Close()
-	text, err = io.ReadAll(io.LimitReader(resp.Body, maxList))
-	return resp.StatusCode, text, err
+	if err := read(resp.StatusCode, resp.Body); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOther)) // so that its connection is used again
+	return err
 }
 
 // First fetches the whole list, if it comes in so short a time.
@@ -186,15 +191,19 @@
 		path += fmt.Sprintf("?from=%d&hold_ms=%d", from, holdTime.Milliseconds())
 		limit = holdTime + holdMargin
 	}
-	status, text, err := a.do(ctx, limit, http.MethodGet, path, nil)
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("list: %d", status)
-	}
 	l := &List{}
-	if err := json.Unmarshal(text, l); err != nil {
+	err := a.do(ctx, limit, http.MethodGet, path, nil, func(status int, body io.Reader) error {
+		if status != http.StatusOK {
+			return fmt.Errorf("status %d", status)
+		}
+		in := &io.LimitedReader{R: body, N: maxList}
+		err := json.NewDecoder(in).Decode(l) // as it comes: a large list need not be held twice
+		if err != nil && in.N <= 0 {
+			return fmt.Errorf("more than %d MiB", maxList>>20)
+		}
+		return err
+	})
+	if err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
 	if from < 0 {
@@ -250,7 +259,11 @@
 	}
 	for ctx.Err() == nil {
 		a := p.current()
-		status, _, err := a.do(ctx, noticeTime, http.MethodPost, "/v2/finals", lines.Bytes())
+		var status int
+		err := a.do(ctx, noticeTime, http.MethodPost, "/v2/finals", lines.Bytes(), func(s int, _ io.Reader) error {
+			status = s
+			return nil
+		})
 		switch {
 		case err == nil && status == http.StatusNoContent:
 			arrived(refs)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -127,3 +129,33 @@
 		mu.Unlock()
 	}
 }
+
+// TestLargeList: a list far over 4 MiB is read whole; one without an end is given up, with the reason.
+func TestLargeList(t *testing.T) {
+	const n = 40_000
+	endless := false
+	p := testPlatform(t, func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"index":7,"snapshot":true,"endpoints":[`)
+		for i := 0; i < n || endless; i++ {
+			if i > 0 {
+				io.WriteString(w, ",")
+			}
+			_, err := fmt.Fprintf(w, `{"name":"s-%06d","address":"127.0.0.1:%d","zone":"a","type":"std","group":%d,"status":"SERVING","weight":1.5,"since_ms":0}`, i, i%60000, i/2)
+			if err != nil {
+				return
+			}
+		}
+		io.WriteString(w, `]}`)
+	})
+	l, err := p.First(time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(l.Endpoints) != n || l.Endpoints[n-1].Group != (n-1)/2 {
+		t.Errorf("%d endpoints, the last %+v", len(l.Endpoints), l.Endpoints[len(l.Endpoints)-1])
+	}
+	endless = true
+	if _, err := p.First(time.Minute); err == nil || !strings.Contains(err.Error(), "more than 64 MiB") {
+		t.Errorf("an endless list: %v", err)
+	}
+}
--- a/internal/decide/size_test.go
+++ b/internal/decide/size_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +100,188 @@
 	}
 	return f
 }
+
+// heapOf is the memory that what f makes takes, in bytes.
+func heapOf(f func() any) (bytes float64, kept any) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept = f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc), kept
+}
+
+// The memory that the module may take, in bytes.
+const (
+	perDestination = 2000 // with one endpoint, idle
+	perHeld        = 600  // message, its body not counted: the module does not see it
+)
+
+// TestMemoryAtSize holds the module to what it may take for each idle destination and each held message.
+func TestMemoryAtSize(t *testing.T) {
+	const dests, held = 20_000, 100_000
+	var f stepper
+	idle, kept := heapOf(func() any {
+		f = newStepper(t, "indexes", sizeSettings())
+		list := TargetList{Scope: Whole}
+		for d := range dests {
+			list.Targets = append(list.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e6})
+		}
+		f.Step(0, []Event{list})
+		return f
+	})
+	if idle /= dests; idle > perDestination {
+		t.Errorf("%.0f bytes for an idle destination, %d allowed", idle, perDestination)
+	}
+	runtime.KeepAlive(kept)
+	all, kept := heapOf(func() any {
+		f := newStepper(t, "indexes", sizeSettings())
+		atSize(t, f, dests, held)
+		return f
+	})
+	each := (all - idle*dests) / held
+	if each > perHeld {
+		t.Errorf("%.0f bytes for a held message, %d allowed", each, perHeld)
+	}
+	t.Logf("%.0f bytes for an idle destination, %.0f for a held message", idle, each)
+	runtime.KeepAlive(kept)
+}
+
+// TestWholeListReplaced: a list of 20,000 endpoints replaced by 20,000 others while messages wait: none of those
+// that are gone is sent to, all messages go to the new ones, and what is gone is forgotten.
+func TestWholeListReplaced(t *testing.T) {
+	const dests = 20_000
+	set := sizeSettings()
+	set.Slots = dests
+	f := newStepper(t, "indexes", set)
+	list := func(life int) TargetList {
+		l := TargetList{Scope: Whole}
+		for d := range dests {
+			l.Targets = append(l.Targets, Target{ID: fmt.Sprint("t", life, ".", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e6})
+		}
+		return l
+	}
+	f.Step(0, []Event{list(1)})
+	events := []Event{}
+	for d := range dests {
+		events = append(events, Message{ID: fmt.Sprint("m", d), Class: "pure", Destination: d, Left: time.Hour})
+	}
+	events = append(events, list(2))
+	sent := 0
+	for now := time.Second; sent < dests && now < time.Minute; now += 10 * time.Millisecond {
+		actions := f.Step(now, events)
+		events = nil
+		for _, a := range actions {
+			if s, ok := a.(Send); ok {
+				sent++
+				if !strings.HasPrefix(s.Target, "t2.") {
+					t.Fatalf("%s goes to %s, which is gone", s.Message, s.Target)
+				}
+				events = append(events, Outcome{Message: s.Message, Target: s.Target, Result: Done, Over: true, Took: time.Millisecond})
+			}
+		}
+	}
+	if sent != dests {
+		t.Errorf("%d of %d sent", sent, dests)
+	}
+}
+
+// TestOneWithManyAmongManyWithOne: a destination with very many messages waits for its turn like the others, and
+// each of the others for no longer than the turns say.
+func TestOneWithManyAmongManyWithOne(t *testing.T) {
+	const many, others = 50_000, 10_000
+	set := sizeSettings()
+	set.Slots = 100
+	f := newStepper(t, "indexes", set)
+	l := TargetList{Scope: Whole}
+	var events []Event
+	for d := range others + 1 {
+		l.Targets = append(l.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e9})
+	}
+	f.Step(0, []Event{l})
+	for i := range many {
+		events = append(events, Message{ID: fmt.Sprint("many", i), Class: "pure", Destination: 0, Left: time.Hour})
+	}
+	for d := range others {
+		events = append(events, Message{ID: fmt.Sprint("one", d), Class: "pure", Destination: d + 1, Left: time.Hour})
+	}
+	sentOthers, sentMany, sends := 0, 0, 0
+	now := time.Second
+	for sentOthers < others && sends < 3*others {
+		actions := f.Step(now, events)
+		events = nil
+		for _, a := range actions {
+			if s, ok := a.(Send); ok {
+				sends++
+				if strings.HasPrefix(s.Message, "many") {
+					sentMany++
+				} else {
+					sentOthers++
+				}
+				events = append(events, Outcome{Message: s.Message, Target: s.Target, Result: Done, Over: true, Took: 10 * time.Millisecond})
+			}
+		}
+		now += 10 * time.Millisecond
+	}
+	// In each round of 100 slots the large one has its turn like any other.
+	if sentOthers < others || sentMany > sends/50 || sentMany == 0 {
+		t.Errorf("%d of the others and %d of the one with many, in %d sends", sentOthers, sentMany, sends)
+	}
+}
+
+// TestAllWaitsEndAtOnce: when ten thousand told waits end at the same instant, each destination gets its turn, in
+// one Step as far as there are slots, and none before the wait is over.
+func TestAllWaitsEndAtOnce(t *testing.T) {
+	const dests = 10_000
+	set := sizeSettings()
+	set.Slots, set.Fall = 2*dests, 0
+	f := newStepper(t, "indexes", set)
+	l := TargetList{Scope: Whole}
+	var events []Event
+	for d := range dests {
+		l.Targets = append(l.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e9})
+		for i := range 2 {
+			events = append(events, Message{ID: fmt.Sprint("m", d, ".", i), Class: "pure", Destination: d, Left: time.Hour})
+		}
+	}
+	f.Step(0, []Event{l})
+	var told []Event
+	for _, a := range f.Step(0, events) {
+		if s, ok := a.(Send); ok {
+			told = append(told, Outcome{Message: s.Message, Target: s.Target, Result: Full, Wait: 10 * time.Second, Took: time.Millisecond})
+		}
+	}
+	f.Step(time.Millisecond, told)
+	for now := 2 * time.Millisecond; now < 10*time.Second; now += 500 * time.Millisecond {
+		for _, a := range f.Step(now, []Event{Woken{}}) {
+			if s, ok := a.(Send); ok {
+				t.Fatalf("%s is sent %v before its wait is over", s.Message, 10*time.Second+time.Millisecond-now)
+			}
+		}
+	}
+	got := map[string]bool{}
+	for now := 10*time.Second + time.Millisecond; now < 20*time.Second && len(got) < dests; now += 100 * time.Millisecond {
+		var done []Event
+		for _, a := range f.Step(now, []Event{Woken{}}) {
+			if s, ok := a.(Send); ok {
+				got[s.Target] = true
+				done = append(done, Outcome{Message: s.Message, Attempt: attempts(s.Message, told), Target: s.Target, Result: Done, Over: true, Took: time.Millisecond})
+			}
+		}
+		f.Step(now+time.Millisecond, done)
+	}
+	if len(got) < dests {
+		t.Errorf("%d of %d destinations were sent to within 10 s", len(got), dests)
+	}
+}
+
+// attempts is how often a message had been sent before: once if it was told to wait.
+func attempts(id string, told []Event) int {
+	for _, e := range told {
+		if e.(Outcome).Message == id {
+			return 1
+		}
+	}
+	return 0
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"scaleroute/internal/decide"
@@ -105,14 +106,18 @@
 	}
 }
 
+// answers are channels for one reply each; one that may still get its reply does not come back.
+var answers = sync.Pool{New: func() any { return make(chan reply, 1) }}
+
 // Take takes a message on or turns it away. It waits until that is decided,
 // which is soon: the loop waits for nothing outside.
 func (l *Engine) Take(m *message.Message) Answer {
-	answer := make(chan reply, 1)
+	answer := answers.Get().(chan reply)
 	l.tell(arrival{m, answer})
 	var a reply
 	select {
 	case a = <-answer:
+		answers.Put(answer)
 	case <-l.done:
 		// The loop may have taken the message on just before it ended. To refuse it then would let the
 		// client hand it in again beside the copy that the next start takes from the journal.
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -65,6 +65,38 @@
 	since time.Time // when that began
 	used  bool      // a request was answered on it
 	shed  bool      // closed to make room
+
+	limited bool      // it has a deadline to read
+	until   time.Time // when the request that has begun must be read; its goroutine's alone
+}
+
+// patient is a connection whose deadlines are set only when there is something to wait
+// for: most requests come in one piece, and their answers go out in one.
+type patient struct {
+	net.Conn
+	server  *Server
+	state   *clientState
+	writeTo time.Time // its deadline to write
+}
+
+// Read reads what comes next. Within a request it waits until the time for that is up.
+func (p *patient) Read(b []byte) (int, error) {
+	if s := p.state; !s.until.IsZero() {
+		p.server.mu.Lock()
+		s.limited = true
+		p.Conn.SetReadDeadline(s.until)
+		p.server.mu.Unlock()
+	}
+	return p.Conn.Read(b)
+}
+
+// Write writes an answer, in requestTime at least and twice that at most.
+func (p *patient) Write(b []byte) (int, error) {
+	if now := time.Now(); p.writeTo.Sub(now) < requestTime {
+		p.writeTo = now.Add(2 * requestTime)
+		p.Conn.SetWriteDeadline(p.writeTo)
+	}
+	return p.Conn.Write(b)
 }
 
 // New makes a Server with at most so many connections.
@@ -162,37 +194,44 @@
 
 // next notes that a connection waits for its next request. It tells whether the
 // connection is to go on.
-func (c *Server) next(conn net.Conn) bool {
+func (c *Server) next(conn net.Conn, s *clientState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.conns[conn]
-	s.idle, s.used, s.since = true, true, time.Now()
-	conn.SetReadDeadline(time.Time{})
+	s.idle, s.used, s.since, s.until = true, true, time.Now(), time.Time{}
+	if s.limited || s.shed {
+		s.limited = false
+		conn.SetReadDeadline(time.Time{})
+	}
 	return !c.closing
 }
 
 // begun notes that a request has begun: it is read to its end.
-func (c *Server) begun(conn net.Conn, until time.Time) {
+func (c *Server) begun(s *clientState, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[conn].idle, c.conns[conn].shed = false, false
-	conn.SetReadDeadline(until)
+	s.idle, s.until = false, until
+	s.limited = s.limited || s.shed
+	s.shed = false
 }
 
-func (c *Server) handle(conn net.Conn) {
+func (c *Server) handle(raw net.Conn) {
+	c.mu.Lock()
+	s := c.conns[raw]
+	c.mu.Unlock()
 	defer func() {
-		conn.Close()
+		raw.Close()
 		c.mu.Lock()
-		delete(c.conns, conn)
+		delete(c.conns, raw)
 		c.mu.Unlock()
 	}()
+	conn := &patient{Conn: raw, server: c, state: s}
 	r := bufio.NewReaderSize(conn, 4096)
 	until := time.Now().Add(requestTime) // for the first request, from the connect on
 	c.mu.Lock()
-	if c.closing {
-		conn.SetReadDeadline(time.Now().Add(LastLook))
-	} else {
-		conn.SetReadDeadline(until)
+	if s.limited = true; c.closing {
+		raw.SetReadDeadline(time.Now().Add(LastLook))
+	} else if !s.shed {
+		raw.SetReadDeadline(until)
 	}
 	c.mu.Unlock()
 	for {
@@ -202,25 +241,24 @@
 		if until.IsZero() {
 			until = time.Now().Add(requestTime)
 		}
-		c.begun(conn, until)
+		c.begun(s, until)
 		args, err := readCommand(r)
 		var bad protocolError
 		if errors.As(err, &bad) { // where the next request begins is not known any more
-			conn.SetWriteDeadline(time.Now().Add(lingerTime))
-			fmt.Fprintf(conn, "-ERR %s\r\n", bad)
-			linger(conn)
+			raw.SetWriteDeadline(time.Now().Add(lingerTime))
+			fmt.Fprintf(raw, "-ERR %s\r\n", bad)
+			linger(raw)
 			return
 		}
 		if err != nil {
 			return
 		}
 		answer, written := c.answer(args)
-		conn.SetWriteDeadline(time.Now().Add(requestTime))
 		_, err = io.WriteString(conn, answer)
 		if written != nil {
 			written(err == nil)
 		}
-		if err != nil || r.Buffered() == 0 && !c.next(conn) {
+		if err != nil || r.Buffered() == 0 && !c.next(raw, s) {
 			return
 		}
 		until = time.Time{}
