Let a crowded host shed what is shut, and hold the checker and the lab to tests

The engine tells the module (Crowded), which refuses the one worth least if its destination is shut.

--- /dev/null
+++ b/cmd/scaleroute-lab/lab_test.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// small is a world that is over in some seconds.
+func small(t *testing.T) *options {
+	t.Helper()
+	return &options{destinations: 18, endpoints: 2, hosts: 100, messages: 600, rate: 200, clients: 16, body: 100, left: 3 * time.Second,
+		limit: 90 * time.Second, slots: 32, diskMB: 50, sockets: 1024, memory: 256, latency: 5 * time.Millisecond,
+		sick: 0.5, sickness: "mixed", kills: 2, drains: 2, seed: 7, quiet: true}
+}
+
+func played(t *testing.T, o *options) *report {
+	t.Helper()
+	if _, err := exec.LookPath("go"); err != nil {
+		t.Skip("the lab builds the program: ", err)
+	}
+	r, err := run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestRulesInTheLab runs the real program among destinations that are sick in every way, kills it twice
+// while messages are on their way, and drains endpoints: every message has its one end, and no rule is broken.
+func TestRulesInTheLab(t *testing.T) {
+	r := played(t, small(t))
+	if r.Broken() || r.CutOff {
+		t.Errorf("%s %q", r.rules(), r.Examples)
+	}
+	if r.Handed != 600 || r.Delivered+r.Refused+r.Failed != 600 {
+		t.Errorf("%d handed in; %d delivered, %d refused, %d failed", r.Handed, r.Delivered, r.Refused, r.Failed)
+	}
+	if r.HealthyDone < r.Healthy*8/10 { // some calls are cut off by the kills
+		t.Errorf("%d of %d delivered to destinations that are well", r.HealthyDone, r.Healthy)
+	}
+}
+
+// TestSilenceInTheLab: with half of the destinations silent from the start, and few slots, all messages for
+// the others are delivered.
+func TestSilenceInTheLab(t *testing.T) {
+	o := small(t)
+	o.destinations, o.endpoints, o.messages, o.rate, o.slots = 60, 1, 600, 0, 16
+	o.sickness, o.kills, o.drains, o.left = "silent", 0, 0, 8*time.Second
+	r := played(t, o)
+	if r.Broken() || r.HealthyDone < r.Healthy {
+		t.Errorf("%d of %d delivered; %s %q", r.HealthyDone, r.Healthy, r.rules(), r.Examples)
+	}
+}
+
+// TestLabSeesBrokenRules runs the bare relay, which keeps no rule, at endpoints that fail: a lab that found
+// nothing to complain of there could not find it in the program either.
+func TestLabSeesBrokenRules(t *testing.T) {
+	o := small(t)
+	o.relay, o.kills, o.sickness = true, 0, "failing"
+	self := filepath.Join(t.TempDir(), "lab")
+	if out, err := exec.Command("go", "build", "-o", self, ".").CombinedOutput(); err != nil {
+		t.Skipf("building the lab: %v %s", err, out)
+	}
+	relayPath = self
+	t.Cleanup(func() { relayPath = "" })
+	if r := played(t, o); r.Lost == 0 {
+		t.Errorf("a relay without a journal loses nothing: %+v", r.Verdict)
+	}
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	for name, set := range map[string]func(*options){
+		"destinations": func(o *options) { o.destinations = 0 },
+		"endpoints":    func(o *options) { o.endpoints = 99 },
+		"hosts":        func(o *options) { o.hosts = 1 },
+		"messages":     func(o *options) { o.messages = -1 },
+		"rate":         func(o *options) { o.rate = -1 },
+		"clients":      func(o *options) { o.clients = 0 },
+		"body":         func(o *options) { o.body = 1 << 20 },
+		"sick":         func(o *options) { o.sick = 2 },
+		"sickness":     func(o *options) { o.sickness = "tired" },
+		"left":         func(o *options) { o.left = 0 },
+		"kills":        func(o *options) { o.kills = -1 },
+	} {
+		o := small(t)
+		if err := o.check(nil); err != nil {
+			t.Fatal(err)
+		}
+		if set(o); o.check(nil) == nil {
+			t.Errorf("%s: a value that is out of bounds is taken", name)
+		}
+	}
+	if small(t).check([]string{"fast"}) == nil {
+		t.Error("a word that is no flag is taken")
+	}
+}
--- a/cmd/scaleroute-lab/relay.go
+++ b/cmd/scaleroute-lab/relay.go
@@ -144,3 +144,6 @@
 	r.idle[address] = append(r.idle[address], c)
 	r.mu.Unlock()
 }
+
+// relayPath is the program that has the relay, if it is not this one.
+var relayPath string
--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -128,9 +128,12 @@
 	}
 	switch {
 	case o.relay:
-		self, err := os.Executable()
-		if err != nil {
-			return err
+		self := relayPath
+		if self == "" {
+			var err error
+			if self, err = os.Executable(); err != nil {
+				return err
+			}
 		}
 		p.command = []string{self, relayCommand}
 		return nil
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -113,7 +113,7 @@
 )
 
 // Event is something that a host tells: [TargetList], [Message], [Outcome],
-// [ProbeResult], [Withdrawn], [Woken] or [Stopping].
+// [ProbeResult], [Withdrawn], [Woken], [Crowded] or [Stopping].
 type Event interface{ event() }
 
 // TargetState is the state of a target as listed; it says nothing of health.
@@ -220,6 +220,9 @@
 // Woken tells that the time asked for by a Wake has come.
 type Woken struct{}
 
+// Crowded tells that the host had no room to keep one more message.
+type Crowded struct{}
+
 // Stopping tells that the host ends after this time. What it holds by then goes
 // to the Forwarder of its next start as Recovered.
 type Stopping struct{ Left time.Duration }
@@ -230,6 +233,7 @@
 func (ProbeResult) event() {}
 func (Withdrawn) event()   {}
 func (Woken) event()       {}
+func (Crowded) event()     {}
 func (Stopping) event()    {}
 
 // Action is something that the host is to do: [Send], [Refuse], [Fail],
--- a/internal/decide/index_test.go
+++ b/internal/decide/index_test.go
@@ -175,6 +175,9 @@
 	if s.chance(.05) || len(s.targets) == 0 {
 		events = append(events, s.list())
 	}
+	if s.chance(.05) {
+		events = append(events, Crowded{})
+	}
 	if s.chance(.0005) {
 		events = append(events, Stopping{time.Duration(s.rng.IntN(5000)) * time.Millisecond})
 	}
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -100,6 +100,10 @@
 			f.withdraw(e)
 		case Stopping:
 			f.stop = min(f.stop, f.now+e.Left)
+		case Crowded:
+			if m := f.least(); m != nil && allOpen(m.dest.routes) { // it can't go soon: others may
+				f.answer(m)
+			}
 		case Woken:
 			f.wakeAt = f.now // the host may have rounded the time: ask again for what is still to come
 		}
@@ -256,7 +260,13 @@
 	if f.set.MaxHeld == 0 || float64(f.held) < fullHold*float64(f.set.MaxHeld) {
 		return
 	}
-	var least *message
+	if m := f.least(); m != nil {
+		f.answer(m)
+	}
+}
+
+// least is the message worth least of those that may be refused, once what waits before it is sent.
+func (f *Forwarder) least() (least *message) {
 	var lowest float64
 	f.sheddable(func(g *group) {
 		m := g.oldest()
@@ -265,9 +275,7 @@
 			least, lowest = m, v
 		}
 	})
-	if least != nil {
-		f.answer(least)
-	}
+	return least
 }
 
 // queueTime is how long it takes until the last of those that wait for a destination is sent. Where
--- a/internal/decide/policy_test.go
+++ b/internal/decide/policy_test.go
@@ -776,3 +776,25 @@
 		t.Errorf("refused: %d for the one that is shut, %d for the other", refused[1], refused[2])
 	}
 }
+
+// TestCrowdedHost: a host without room gets some from what waits for a destination that is shut, and nothing is
+// taken from one that answers.
+func TestCrowdedHost(t *testing.T) {
+	for _, shut := range []bool{true, false} {
+		f := newForwarder(t, plain("x"))
+		f.set.Slots = 1
+		f.Step(0, []Event{msg("m1", "pure", ""), msg("m2", "pure", ""), msg("m3", "unsafe", "")})
+		if shut {
+			f.openRoute(f.dests[1].routes[0], "silent")
+		}
+		var refused []string
+		for _, a := range f.Step(ms, []Event{Crowded{}}) {
+			if r, ok := a.(Refuse); ok {
+				refused = append(refused, r.Message)
+			}
+		}
+		if shut && !slices.Equal(refused, []string{"m2"}) || !shut && len(refused) > 0 {
+			t.Errorf("shut %v: refused %v", shut, refused)
+		}
+	}
+}
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -586,6 +586,10 @@
 			f.take(e)
 		case Outcome:
 			f.outcome(e)
+		case Crowded:
+			if m := f.least(); m != nil && allOpen(m.dest.routes) {
+				f.answer(m)
+			}
 		case Withdrawn:
 			f.withdraw(e)
 		case Stopping:
@@ -742,8 +746,16 @@
 	if f.set.MaxHeld == 0 || float64(len(f.held)) < fullHold*float64(f.set.MaxHeld) {
 		return
 	}
-	var least *message
+	if m := f.least(); m != nil {
+		f.answer(m)
+	}
+}
+
+func (f *scanner) least() (least *message) {
 	var lowest float64
+	if f.set.MaxHeld == 0 {
+		return nil
+	}
 	for _, m := range f.held {
 		if m.out > 0 || !f.refusable(m) {
 			continue
@@ -759,9 +771,7 @@
 		}
 		least, lowest = m, v
 	}
-	if least != nil {
-		f.answer(least)
-	}
+	return least
 }
 
 // queueTime is how long it takes until the last of those that wait for a destination is sent. Where
--- a/internal/decide/size_test.go
+++ b/internal/decide/size_test.go
@@ -285,3 +285,69 @@
 	}
 	return 0
 }
+
+// BenchmarkFullHold is the cost of an arrival at a hold that is full, so that one message is shed for it.
+func BenchmarkFullHold(b *testing.B) {
+	for _, size := range []struct{ dests, held int }{{20, 1000}, {20_000, 200_000}} {
+		b.Run(fmt.Sprintf("destinations=%d/held=%d", size.dests, size.held), func(b *testing.B) {
+			set := sizeSettings()
+			set.MaxHeld = (size.held + 20) * 10 / 9 // nine tenths of it are a little more than what is held
+			f := newStepper(b, "indexes", set)
+			atSize(b, f, size.dests, size.held)
+			now, shed := time.Second, 0
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now += time.Millisecond
+				for _, a := range f.Step(now, []Event{Message{ID: fmt.Sprint("m", n), Class: "pure", Destination: 1 + n%(size.dests-1), Left: time.Hour}}) {
+					if _, ok := a.(Refuse); ok {
+						shed++
+					}
+				}
+			}
+			if shed < b.N/2 {
+				b.Fatalf("%d shed for %d arrivals", shed, b.N)
+			}
+		})
+	}
+}
+
+// BenchmarkKeysInOrder is the cost of a message of a class that keeps order, with so many others before it in lines.
+func BenchmarkKeysInOrder(b *testing.B) {
+	for _, size := range []struct{ keys, held int }{{10, 100}, {5000, 50_000}} {
+		b.Run(fmt.Sprintf("keys=%d/held=%d", size.keys, size.held), func(b *testing.B) {
+			set := sizeSettings()
+			set.Classes = append(set.Classes, Class{Name: "ordered", Effect: Pure, Aim: time.Hour, Deadline: time.Hour, Worth: 1, KeepsOrder: true})
+			f := newStepper(b, "indexes", set)
+			atSize(b, f, 20, 1000)
+			var events []Event
+			for i := range size.held { // for a destination without endpoints: they wait
+				events = append(events, Message{ID: fmt.Sprint("w", i), Class: "ordered", Destination: 99, Key: fmt.Sprint("k", i%size.keys), Left: time.Hour})
+			}
+			f.Step(time.Second, events)
+			now := time.Second
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now += 2 * time.Millisecond
+				id := fmt.Sprint("m", n)
+				f.Step(now, []Event{Message{ID: id, Class: "ordered", Destination: 0, Key: "own", Left: time.Hour}})
+				f.Step(now+time.Millisecond, []Event{Outcome{Message: id, Target: "t0", Result: Done, Over: true, Took: time.Millisecond}, Withdrawn{id}})
+			}
+		})
+	}
+}
+
+// BenchmarkListChange is the cost of a change of one endpoint among so many.
+func BenchmarkListChange(b *testing.B) {
+	for _, dests := range []int{20, 20_000} {
+		b.Run(fmt.Sprintf("endpoints=%d", dests), func(b *testing.B) {
+			f := newStepper(b, "indexes", sizeSettings())
+			atSize(b, f, dests, dests)
+			now := time.Second
+			for n := 0; b.Loop(); n++ {
+				now += time.Millisecond
+				state := []TargetState{Draining, Active}[n%2]
+				f.Step(now, []Event{TargetList{Scope: Changes, Targets: []Target{{ID: "t1", Destination: 1, Kind: "std", Zone: "a", State: state, Weight: 1e6}}}})
+			}
+		})
+	}
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -279,6 +279,7 @@
 	}
 	if !room {
 		turnAway(refused(diskWait))
+		l.events = append(l.events, decide.Crowded{})
 		return nil
 	}
 	e := &entry{answer: a.answer, saved: s}
