Let go of destinations that are forgotten in the index of what may be shed

Destinations that come and go stayed in the list of those whose messages may be shed: 45,000 of them left 36 MB behind. The list is worked off when most of it is forgotten. TestForgottenDestinationsTakeNoMemory fails without it (36,434,992 bytes) and passes with it (bound 500,000).

--- a/internal/decide/size_test.go
+++ b/internal/decide/size_test.go
@@ -351,3 +351,51 @@
 		})
 	}
 }
+
+// BenchmarkWholeList is the cost of a list of 20,000 endpoints, told again as it was and replaced by others.
+func BenchmarkWholeList(b *testing.B) {
+	const dests = 20_000
+	lists := [2]TargetList{{Scope: Whole}, {Scope: Whole}}
+	for d := range dests {
+		for life := range lists {
+			lists[life].Targets = append(lists[life].Targets, Target{ID: fmt.Sprint("t", life, ".", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e6})
+		}
+	}
+	for name, step := range map[string]int{"same": 0, "replaced": 1} {
+		b.Run(name, func(b *testing.B) {
+			f := newStepper(b, "indexes", sizeSettings())
+			now, n := time.Second, 0
+			f.Step(now, []Event{lists[0]})
+			for b.Loop() {
+				now += time.Second
+				n += step
+				f.Step(now, []Event{lists[n%2]})
+			}
+		})
+	}
+}
+
+// TestForgottenDestinationsTakeNoMemory: destinations that come and go, each with a message, leave nothing behind.
+func TestForgottenDestinationsTakeNoMemory(t *testing.T) {
+	set := sizeSettings()
+	set.MaxHeld = 1000
+	f := newStepper(t, "indexes", set)
+	now := time.Duration(0)
+	churn := func(from, to int) {
+		for d := from; d < to; d++ {
+			now += 100 * time.Millisecond
+			id, m := fmt.Sprint("t", d), fmt.Sprint("m", d)
+			target := Target{ID: id, Destination: d, Kind: "std", Zone: "a", Weight: 1e6}
+			f.Step(now, []Event{TargetList{Scope: Changes, Targets: []Target{target}}, Message{ID: m, Class: "pure", Destination: d, Left: time.Hour}})
+			target.State = Gone
+			f.Step(now+time.Millisecond, []Event{Outcome{Message: m, Target: id, Result: Done, Over: true, Took: time.Millisecond},
+				TargetList{Scope: Changes, Targets: []Target{target}}})
+		}
+	}
+	churn(0, 5000)
+	more, _ := heapOf(func() any { churn(5000, 50_000); return nil })
+	if more > 500_000 {
+		t.Errorf("%.0f bytes more after 45,000 destinations that came and went", more)
+	}
+	runtime.KeepAlive(f)
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -403,6 +403,9 @@
 	for _, d := range not {
 		f.mayBeQuiet(d)
 	}
+	if len(f.moved) > 2*len(f.dests)+64 { // most of them are forgotten
+		f.sheddable(func(*group) {})
+	}
 }
 
 func (f *Forwarder) isQuiet(d *dest) bool {
