--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -68,7 +68,7 @@
 	littleRoom  = 0.2 // with less of an allowance left, a sender keeps to its fair part
 	muchRoom    = 0.7 // with more, it may use it all
 	cutTo       = 0.7 // of what was sent, after a refusal
-	paceUp      = 1.4
+	paceUp      = 1.25
 	rateSpan    = 3 * time.Second
 	slotShare   = 0.5      // of the slots that one route may hold
 	doubtShare  = 0.75     // of the slots that calls to routes which don't answer may hold together
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -557,7 +557,7 @@
 	littleRoom  = 0.2 // with less of an allowance left, a sender keeps to its fair part
 	muchRoom    = 0.7 // with more, it may use it all
 	cutTo       = 0.7 // of what was sent, after a refusal
-	paceUp      = 1.4
+	paceUp      = 1.25
 	rateSpan    = 3 * time.Second
 	slotShare   = 0.5
 	doubtShare  = 0.75
