--- /dev/null
+++ b/internal/journal/fs.go
@@ -0,0 +1,94 @@
+package journal
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FS is what the journal asks of a file system. Names have no folder: all files
+// are in one. Tests inject faults here.
+type FS interface {
+	List() ([]string, error)
+	Open(name string, create bool) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	Sync() error // of the folder: names outlast the machine
+}
+
+// File is one file of an FS.
+type File interface {
+	io.ReaderAt
+	io.WriterAt
+	io.Closer
+	Size() (int64, error)
+	Allocate(size int64) error // sets room aside, so that writes below size find it
+	Truncate(size int64) error
+	Sync() error
+}
+
+// osFS is a folder of the operating system.
+type osFS struct{ dir string }
+
+func (o osFS) List() ([]string, error) {
+	entries, err := os.ReadDir(o.dir)
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, err
+}
+
+func (o osFS) Open(name string, create bool) (File, error) {
+	flag := os.O_RDWR
+	if create {
+		flag |= os.O_CREATE
+	}
+	f, err := os.OpenFile(filepath.Join(o.dir, name), flag, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+func (o osFS) Rename(from, to string) error {
+	return os.Rename(filepath.Join(o.dir, from), filepath.Join(o.dir, to))
+}
+
+func (o osFS) Remove(name string) error { return os.Remove(filepath.Join(o.dir, name)) }
+
+func (o osFS) Sync() error {
+	d, err := os.Open(o.dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+func (f osFile) Allocate(size int64) error {
+	err := syscall.Fallocate(int(f.Fd()), 0, 0, size)
+	if err != syscall.EOPNOTSUPP {
+		return err
+	}
+	var zeros [64 << 10]byte
+	for at := int64(0); at < size; at += int64(len(zeros)) {
+		if _, err := f.WriteAt(zeros[:min(int64(len(zeros)), size-at)], at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,49 +1,50 @@
-// Package journal keeps what a forwarder has taken on in a file that outlasts its
+// Package journal keeps what a forwarder has taken on in a folder that outlasts its
 // process. It decides nothing: it records, and tells at the next start.
+//
+// The journal is a log in segments of one size. Records are written with plain
+// write(2) before the step that they announce shows outside: what was written
+// outlasts SIGKILL without a sync. Room is taken from the oldest segment: what is still owed there is
+// written again, as it is now, at the log's end, in small parts; then the file serves as a new segment.
+// So each message has its newest state last, and a record of its end is never
+// forgotten before its beginning. docs/journal.md has the format and the promises.
 package journal
 
 import (
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
-	"io/fs"
+	"log/slog"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"syscall"
 	"time"
 
 	"scaleroute/internal/message"
 )
 
-// The state journal holds what the forwarder has taken on. Its records are
-// written with plain write(2) before the step that they announce shows outside:
-// what was written outlasts SIGKILL without a sync.
-//
-// A record is a header of 8 bytes - length of the payload and its CRC-32, both
-// little-endian - and the payload: a byte for the type, the length of the id in
-// one byte, the id, and then by type:
-//
-//	A accepted   deadline (Unix ms, 8 bytes), destination (4), length of the class (1), class, body
-//	F front      its name, where there is more than one
-//	S about to be sent
-//	O outcome    1 byte: 1 if the attempt may have run, 0 if it never did
-//	E end        1 byte: d (dead) or b (bounced), and the wait advised (ms, 4); a notice is owed
-//	C closed     nothing is owed any more
-//	M attempts   3 bytes: made, 1 if the last has no outcome, 1 if one may have run (by compaction)
-
 const (
-	fileName   = "journal"
-	headerSize = 8
-	MaxBody    = 64 << 10 // of a message, in bytes
-	maxRecord  = MaxBody + 1024
-	// What a message may still need after its acceptance: some 10 attempts and its end.
-	reservePerMessage = 1024
-	diskMargin        = 16 << 10
+	diskMargin  = 16 << 10  // of the folder's limit: the lock and the file system's own
+	tinyLimit   = 64 << 10  // a folder that may hold less keeps nothing
+	fewSegments = 14        // of the size that a small limit allows
+	smallestSeg = 144 << 10 // two of the longest messages
+	largestSeg  = 16 << 20
+	keptFree    = 3 // segments: one that is written to, one for what compaction moves, one in hand
+
+	// What a message may still need after its acceptance: some ten attempts, its end, and their places
+	// in indexes.
+	controlBytes = 512
+	indexEvery   = 32 << 10
+	indexEntry   = 11 // bytes, at most
+	sealBytes    = recordHead + 16
+
+	slice      = 16 << 10 // what compaction moves at least, each time that something is written
+	moveFactor = 4        // and so many times what was written
+	retryRoom  = time.Second
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 // Saved is what the journal knows of one message.
 type Saved struct {
 	ID       string
@@ -59,126 +60,187 @@
 	End        byte // d or b once its end is decided
 	Wait       time.Duration
 
-	order uint64
+	n       uint64 // its number: given once, unlike its id
+	records byte   // of it, counted round
+	seg     *segment
+	size    int64 // of its state there
+	before  *Saved
+	after   *Saved
 }
 
 // Ran tells whether any attempt may have run, an open one included.
 func (s *Saved) Ran() bool { return s.MayHaveRun || s.Open }
 
-// Size is what must be reserved for a message: its body and the name of its front.
-func (s *Saved) Size() int { return s.Body.Len() + len(s.Origin) }
+// Size is what must be reserved for a message: all that is written of it but what each message needs.
+func (s *Saved) Size() int { return s.Body.Len() + len(s.Origin) + len(s.Class) + len(s.ID) }
 
-func (s *Saved) cost() int64 { return int64(s.Size()) + reservePerMessage }
+// stateBytes bounds a record of a message's state and its place in an index.
+func stateBytes(size int) int64 { return int64(size) + recordHead + 48 + indexEntry }
 
-// Journal is the append-only file. It is owned by one goroutine.
+func cost(size int) int64 { return stateBytes(size) + controlBytes }
+
+// Options are for OpenWith.
+type Options struct {
+	FS       FS
+	Limit    int64 // bytes that the folder may hold
+	ReadOnly bool  // only replay: nothing is written, and nothing can be
+}
+
+// Journal is the log. It is owned by one goroutine.
 type Journal struct {
-	dir   string
-	file  *os.File
-	limit int64 // bytes that the folder may hold
-	size  int64 // bytes in the file
-	buf   []byte
-	live  map[string]*Saved
-	need  int64 // upper bound of what compaction writes, and of what live messages still write
-	next  uint64
+	fs      FS
+	size    int64 // of a segment
+	most    int   // segments, spare ones counted
+	segs    []*segment
+	spares  []string
+	end     int64  // of what is written in the last segment
+	buf     []byte // behind it
+	batch   []touch
+	since   int // bytes of records since the last index
+	err     error
+	live    map[string]*Saved
+	next    uint64 // message number
+	need    int64  // for what is held and reserved
+	largest int64  // state, of all that was held at once
+	noRoom  time.Time
+	flags   uint16 // of new segments
+	sealed  bool   // the last segment is complete
+	batches uint64 // indexes in the last segment
+	lock    *os.File
+
+	damage  []Damage
+	written int64 // bytes in all
+	moved   int64 // of those, by compaction
+}
+
+// touch is one record of one message, as an index names it.
+type touch struct {
+	n     uint64
+	count byte
 }
 
-// Open replays the journal in a folder, or begins one. A torn record at
-// its end, left by a kill in the middle of a write, is cut off.
+// Open replays the journal in a folder, or begins one, and keeps others from it. A journal in the form
+// of old is taken over.
 func Open(dir string, limit int64) (*Journal, error) {
-	j := &Journal{dir: dir, limit: limit - diskMargin, live: map[string]*Saved{}}
-	// A kill during compaction leaves a half-written file that nothing names.
-	if err := os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return nil, err
+	}
+	j, err := OpenWith(Options{FS: osFS{dir}, Limit: limit - diskMargin})
+	if err != nil {
+		lock.Close()
+		return nil, err
 	}
-	text, err := os.ReadFile(j.path())
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+	j.lock = lock
+	return j, nil
+}
+
+// lockFolder keeps two forwarders from one folder. The lock ends with the process.
+func lockFolder(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	for {
-		payload, ok := nextRecord(text[j.size:])
-		if !ok || !j.apply(payload) {
-			break
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("journal: %s is in use by another forwarder: stop that one, or name another folder (%w)", dir, err)
+	}
+	return f, nil
+}
+
+// OpenWith replays the journal of a file system, or begins one.
+func OpenWith(o Options) (*Journal, error) {
+	j := &Journal{fs: o.FS, live: map[string]*Saved{}, next: 1}
+	if o.Limit >= tinyLimit {
+		j.size = min(max(o.Limit/fewSegments, smallestSeg), largestSeg, o.Limit/5) / 512 * 512
+		j.most = int(o.Limit / j.size)
+	}
+	if err := j.replay(o.ReadOnly); err != nil {
+		j.Close()
+		return nil, err
+	}
+	if o.ReadOnly {
+		return j, j.readOldOnly()
+	}
+	if j.most == 0 {
+		return j, nil
+	}
+	if len(j.segs) == 0 || j.sealed {
+		if err := j.begin(); err != nil {
+			j.Close()
+			return nil, err
 		}
-		j.size += headerSize + int64(len(payload))
 	}
-	if j.file, err = os.OpenFile(j.path(), os.O_WRONLY|os.O_CREATE, 0o600); err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
+	if err := j.takeOver(); err != nil {
+		j.Close()
+		return nil, err
 	}
-	if err := j.file.Truncate(j.size); err != nil {
-		return nil, fmt.Errorf("journal: cutting off a torn record: %w", err)
+	if err := j.settle(); err != nil {
+		j.Close()
+		return nil, err
+	}
+	for j.allocated() < min(keptFree, j.most) && j.allocate() {
 	}
 	return j, nil
 }
 
-func (j *Journal) path() string { return filepath.Join(j.dir, fileName) }
+func (j *Journal) allocated() int { return len(j.segs) + len(j.spares) }
 
-// nextRecord returns the payload at the start of text, if it is whole.
-func nextRecord(text []byte) ([]byte, bool) {
-	if len(text) < headerSize {
-		return nil, false
-	}
-	n := binary.LittleEndian.Uint32(text)
-	if n < 2 || n > maxRecord || int(n) > len(text)-headerSize {
-		return nil, false
-	}
-	payload := text[headerSize : headerSize+int(n)]
-	return payload, crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(text[4:])
-}
+func (j *Journal) active() *segment { return j.segs[len(j.segs)-1] }
 
-// apply replays one record; false means that it makes no sense.
-func (j *Journal) apply(p []byte) bool {
-	kind, n := p[0], int(p[1])
-	if len(p) < 2+n {
+// allocate sets room aside for one more segment, if the disk has it.
+func (j *Journal) allocate() bool {
+	if j.allocated() >= j.most || time.Now().Before(j.noRoom) {
 		return false
 	}
-	id, rest := string(p[2:2+n]), p[2+n:]
-	if kind == 'A' {
-		if len(rest) < 13 || len(rest) < 13+int(rest[12]) {
-			return false
+	name := fmt.Sprintf("%016x%s", rand.Uint64(), spareEnd)
+	f, err := j.fs.Open(name, true)
+	if err == nil {
+		if j.flags&takingOver == 0 { // the file of old takes the room as long as it is there
+			err = f.Allocate(j.size)
 		}
-		c := 13 + int(rest[12])
-		j.add(&Saved{ID: id, Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
-			Dest:  int(int32(binary.LittleEndian.Uint32(rest[8:]))),
-			Class: string(rest[13:c]), Body: message.Bytes(slices.Clone(rest[c:]))})
-		return true
-	}
-	s := j.live[id]
-	if s == nil {
-		return true // closed before
-	}
-	switch {
-	case kind == 'S':
-		s.MayHaveRun = s.Ran() // an earlier one without an outcome may have run
-		s.Attempts, s.Open = s.Attempts+1, true
-	case kind == 'O' && len(rest) == 1:
-		s.Open, s.MayHaveRun = false, s.MayHaveRun || rest[0] == 1
-	case kind == 'E' && len(rest) == 5:
-		s.End, s.Wait = rest[0], time.Duration(binary.LittleEndian.Uint32(rest[1:]))*time.Millisecond
-	case kind == 'M' && len(rest) == 3:
-		s.Attempts, s.Open, s.MayHaveRun = int(rest[0]), rest[1] == 1, rest[2] == 1
-	case kind == 'F':
-		s.Origin = string(rest)
-	case kind == 'C':
-		j.drop(s)
-	default:
+		err = errors.Join(err, f.Close())
+	}
+	if err != nil {
+		j.noRoom = time.Now().Add(retryRoom)
+		j.fs.Remove(name)
+		slog.Warn("the journal gets no more room: new messages are turned away", "held", len(j.live), "err", err)
 		return false
 	}
+	j.spares = append(j.spares, name)
 	return true
 }
 
-func (j *Journal) add(s *Saved) {
-	if old := j.live[s.ID]; old != nil {
-		j.drop(old)
+// begin makes a spare file the segment that is written to.
+func (j *Journal) begin() error {
+	if len(j.spares) == 0 && !j.allocate() {
+		return errors.New("journal: no room for a segment")
 	}
-	j.next++
-	s.order = j.next
-	j.live[s.ID] = s
-	j.need += s.cost()
-}
-
-func (j *Journal) drop(s *Saved) {
-	delete(j.live, s.ID)
-	j.need -= s.cost()
+	s := &segment{seq: 1, nonce: rand.Uint32(), first: j.next, flags: j.flags, size: j.size}
+	if j.flags&takingOver != 0 {
+		s.size = 0
+	}
+	if n := len(j.segs); n > 0 {
+		s.seq = j.segs[n-1].seq + 1
+	}
+	s.name = segmentName(s.seq, s.nonce)
+	spare := j.spares[len(j.spares)-1]
+	f, err := j.fs.Open(spare, false)
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	s.file = f
+	if _, err = f.WriteAt(s.header(), 0); err == nil { // before its name says what it is
+		err = j.fs.Rename(spare, s.name)
+	}
+	if err != nil {
+		f.Close()
+		return fmt.Errorf("journal: beginning a segment: %w", err)
+	}
+	j.spares = j.spares[:len(j.spares)-1]
+	j.segs = append(j.segs, s)
+	j.end, j.batch, j.since, j.batches, j.sealed = segmentHead, j.batch[:0], 0, 0, false
+	return nil
 }
 
 // Held lists the messages in the order taken.
@@ -187,68 +249,67 @@
 	for _, s := range j.live {
 		list = append(list, s)
 	}
-	slices.SortFunc(list, func(a, b *Saved) int { return int(int64(a.order) - int64(b.order)) })
+	slices.SortFunc(list, func(a, b *Saved) int {
+		if a.n < b.n {
+			return -1
+		}
+		return 1
+	})
 	return list
 }
 
-// append buffers one record; flush writes it.
-func (j *Journal) append(kind byte, id string, rest ...[]byte) {
-	start := len(j.buf)
-	j.buf = append(j.buf, make([]byte, headerSize)...)
-	j.buf = append(j.buf, kind, byte(len(id)))
-	j.buf = append(j.buf, id...)
-	for _, r := range rest {
-		j.buf = append(j.buf, r...)
-	}
-	payload := j.buf[start+headerSize:]
-	binary.LittleEndian.PutUint32(j.buf[start:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(j.buf[start+4:], crc32.Checksum(payload, castagnoli))
-}
-
-func (j *Journal) appendAccepted(s *Saved) error {
-	body, err := s.Body.Load()
-	if err != nil {
-		return fmt.Errorf("journal: the body of %s: %w", s.ID, err)
-	}
-	head := binary.LittleEndian.AppendUint64(nil, uint64(s.Deadline.UnixMilli()))
-	head = binary.LittleEndian.AppendUint32(head, uint32(int32(s.Dest)))
-	head = append(append(head, byte(len(s.Class))), s.Class...)
-	j.append('A', s.ID, head, body)
-	if s.Origin != "" {
-		j.append('F', s.ID, []byte(s.Origin))
-	}
-	return nil
-}
-
-func (j *Journal) appendEnd(s *Saved) {
-	j.append('E', s.ID, binary.LittleEndian.AppendUint32([]byte{s.End}, uint32(s.Wait.Milliseconds())))
-}
-
-// Reserve sets room aside for one more message, if there is any: what compaction
-// writes and the file that it replaces must fit in the folder together at any
-// time, since going over the disk's limit counts as a crash.
+// Reserve sets room aside for one more message of a size, if there is any. All of it is allocated
+// then: what is taken on can go on to its end whatever becomes of the disk's room.
 func (j *Journal) Reserve(size int) (bool, error) {
-	cost := int64(size) + reservePerMessage
-	if 2*(j.need+cost) > j.limit {
+	if j.err != nil {
+		return false, j.err
+	}
+	state := stateBytes(size)
+	if j.most == 0 || state > j.size/2 {
 		return false, nil
 	}
-	if j.size+int64(len(j.buf))+j.need+cost > j.limit {
-		if err := j.compact(); err != nil {
-			return false, err
+	largest := max(j.largest, state)
+	for j.need+cost(size) > int64(j.allocated()-keptFree)*(j.size-segmentHead-sealBytes-largest) {
+		if !j.allocate() {
+			return false, nil
 		}
 	}
-	j.need += cost
+	j.largest = largest
+	j.need += cost(size)
 	return true, nil
 }
 
-// Release gives back what reserve set aside for a message that was turned away.
-func (j *Journal) Release(size int) { j.need -= int64(size) + reservePerMessage }
+// Release gives back what Reserve set aside for a message that was turned away.
+func (j *Journal) Release(size int) {
+	j.need -= cost(size)
+	if j.need == 0 {
+		j.largest = 0
+	}
+}
 
 // Accepted takes a message on, in the room reserved for it.
 func (j *Journal) Accepted(s *Saved) error {
-	j.Release(s.Size())
-	j.add(s)
-	return j.appendAccepted(s)
+	if old := j.live[s.ID]; old != nil {
+		j.Closed(old.ID)
+	}
+	s.n, s.records = j.next, 0
+	j.next++
+	j.live[s.ID] = s
+	return j.state(s)
+}
+
+// state writes a message as it is now.
+func (j *Journal) state(s *Saved) error {
+	body, err := s.Body.Load()
+	if err != nil {
+		return fmt.Errorf("journal: the body of %s: %w", s.ID, err)
+	}
+	size := j.record(kindState, s, encodeState(s, body))
+	if j.err == nil {
+		s.leave()
+		j.active().add(s, int64(size+indexEntry))
+	}
+	return j.err
 }
 
 // Sending notes that an attempt is about to be made.
@@ -256,7 +317,7 @@
 	if s := j.live[id]; s != nil {
 		s.MayHaveRun = s.Ran()
 		s.Attempts, s.Open = s.Attempts+1, true
-		j.append('S', id)
+		j.record(kindSending, s, nil)
 	}
 }
 
@@ -264,11 +325,7 @@
 func (j *Journal) Outcome(id string, mayHaveRun bool) {
 	if s := j.live[id]; s != nil {
 		s.Open, s.MayHaveRun = false, s.MayHaveRun || mayHaveRun
-		ran := byte(0)
-		if mayHaveRun {
-			ran = 1
-		}
-		j.append('O', id, []byte{ran})
+		j.record(kindOutcome, s, []byte{bit(mayHaveRun)})
 	}
 }
 
@@ -276,73 +333,177 @@
 func (j *Journal) Ended(id string, end byte, wait time.Duration) {
 	if s := j.live[id]; s != nil {
 		s.End, s.Wait = end, wait
-		j.appendEnd(s)
+		j.record(kindEnd, s, binary.AppendUvarint([]byte{end}, uint64(wait.Milliseconds())))
 	}
 }
 
 // Closed drops a message for which nothing is owed any more.
 func (j *Journal) Closed(id string) {
 	if s := j.live[id]; s != nil {
-		j.append('C', id)
+		j.record(kindClosed, s, nil)
 		j.drop(s)
 	}
 }
 
-// Flush writes what was appended. The file is rewritten first if the two of
-// them would no longer fit later.
-func (j *Journal) Flush() error {
-	if len(j.buf) == 0 {
-		return nil
+func (j *Journal) drop(s *Saved) {
+	s.leave()
+	delete(j.live, s.ID)
+	j.Release(s.Size())
+}
+
+// record buffers a record of a message, and returns its size.
+func (j *Journal) record(k kind, s *Saved, rest []byte) int {
+	if j.err != nil {
+		return 0
 	}
-	if size := j.size + int64(len(j.buf)); size+j.need > j.limit {
-		return j.compact() // what was appended is in the state that it writes
+	var few [32]byte
+	payload := binary.AppendUvarint(few[:0], s.n)
+	payload = append(append(payload, s.records), rest...)
+	n := recordHead + len(payload)
+	if j.left() < n+indexEntry {
+		if j.err = j.roll(); j.err != nil {
+			return 0
+		}
+	}
+	j.put(k, payload)
+	j.batch = append(j.batch, touch{s.n, s.records})
+	s.records++
+	if j.since += n; j.since >= indexEvery {
+		j.index()
 	}
-	return j.write(j.file)
+	return n
 }
 
-func (j *Journal) write(f *os.File) error {
-	n, err := f.WriteAt(j.buf, j.size)
-	if err != nil {
-		// Records behind a torn one would never be read again.
-		return errors.Join(fmt.Errorf("journal: %w", err), f.Truncate(j.size))
+// left is the room in the last segment for records and their places in the index, which is still to come.
+func (j *Journal) left() int {
+	index := recordHead + 16 + len(j.batch)*indexEntry
+	return int(j.size-j.end) - len(j.buf) - index - sealBytes
+}
+
+func (j *Journal) put(k kind, payload []byte) {
+	j.buf = appendRecord(j.buf, j.active().nonce, j.end+int64(len(j.buf)), k, payload)
+}
+
+// index names the records since the last index: so that replay can tell which messages damage has hit.
+func (j *Journal) index() {
+	if len(j.batch) == 0 {
+		return
 	}
-	j.size += int64(n)
-	if j.buf = j.buf[:0]; cap(j.buf) > 1<<20 {
-		j.buf = nil
+	payload := binary.AppendUvarint(nil, j.batches)
+	payload = binary.AppendUvarint(payload, uint64(len(j.batch)))
+	j.batches++
+	for _, t := range j.batch {
+		payload = append(binary.AppendUvarint(payload, t.n), t.count)
 	}
-	return nil
+	j.put(kindIndex, payload)
+	j.batch, j.since = j.batch[:0], 0
 }
 
-// compact writes what is still owed into a new file and puts it in the place
-// of the old one. A kill at any moment leaves one of the two whole.
-func (j *Journal) compact() error {
-	f, err := os.OpenFile(j.path()+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return fmt.Errorf("journal: compaction: %w", err)
+// roll ends the last segment and goes on in the next one.
+func (j *Journal) roll() error {
+	j.index()
+	j.put(kindSeal, binary.AppendUvarint(nil, j.next))
+	if err := j.write(); err != nil {
+		return err
+	}
+	if err := j.begin(); err != nil {
+		return err
 	}
-	j.buf, j.size = j.buf[:0], 0
-	for _, s := range j.Held() {
-		if err := j.appendAccepted(s); err != nil {
-			f.Close()
+	for len(j.spares) == 0 && !j.allocate() { // the next roll must find one
+		if done, err := j.move(j.size); err != nil || !done {
 			return err
 		}
-		if s.Attempts > 0 {
-			j.append('M', s.ID, []byte{byte(min(s.Attempts, 255)), bit(s.Open), bit(s.MayHaveRun)})
+	}
+	return nil
+}
+
+// Flush writes what was appended, and moves a part of what stands in the oldest segment if room is short.
+func (j *Journal) Flush() error {
+	if j.err != nil || len(j.buf) == 0 {
+		return j.err
+	}
+	n := int64(len(j.buf))
+	if j.err = j.write(); j.err != nil {
+		return j.err
+	}
+	if len(j.spares) < 2 && len(j.segs) > 1 {
+		if _, j.err = j.move(max(slice, moveFactor*n)); j.err == nil {
+			j.err = j.write()
+		}
+	}
+	return j.err
+}
+
+// move writes what is still owed in the oldest segment again at the end, so many bytes of it. When nothing
+// is owed there any more, its file is spare. It tells whether that is so.
+func (j *Journal) move(most int64) (done bool, err error) {
+	if len(j.segs) < 2 {
+		return false, nil
+	}
+	old := j.segs[0]
+	for old.head != nil && most > 0 {
+		s := old.head
+		if int64(j.left()) < s.size {
+			if len(j.spares) == 0 {
+				return false, nil // it would take the room that is to be gained
+			}
+			if err := j.roll(); err != nil {
+				return false, err
+			}
+			if j.segs[0] != old {
+				return true, nil
+			}
+			continue
 		}
-		if s.End != 0 {
-			j.appendEnd(s)
+		most -= s.size
+		j.moved += s.size
+		if err := j.state(s); err != nil {
+			return false, err
 		}
 	}
-	if err := j.write(f); err != nil {
-		f.Close()
-		return err
+	if old.head != nil {
+		return false, nil
 	}
-	if err := os.Rename(j.path()+".new", j.path()); err != nil {
-		f.Close()
-		return fmt.Errorf("journal: compaction: %w", err)
+	if err := j.write(); err != nil { // before what it replaces is gone
+		return false, err
+	}
+	return true, j.free(old)
+}
+
+// free makes the file of the oldest segment a spare one.
+func (j *Journal) free(old *segment) error {
+	if err := old.file.Close(); err != nil {
+		return fmt.Errorf("journal: %s: %w", old.name, err)
+	}
+	j.segs = j.segs[1:]
+	if old.size < j.size || j.allocated() >= j.most { // of another limit, or taken over
+		if err := j.fs.Remove(old.name); err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+		return nil
+	}
+	spare := strings.TrimSuffix(old.name, segmentEnd) + spareEnd
+	if err := j.fs.Rename(old.name, spare); err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	j.spares = append(j.spares, spare)
+	return nil
+}
+
+func (j *Journal) write() error {
+	if len(j.buf) == 0 {
+		return nil
+	}
+	s := j.active()
+	n, err := s.file.WriteAt(j.buf, j.end)
+	if err != nil {
+		return fmt.Errorf("journal: writing %d bytes at %d of %s: %w", len(j.buf), j.end, s.name, err)
+	}
+	j.end += int64(n)
+	j.written += int64(n)
+	if j.buf = j.buf[:0]; cap(j.buf) > 1<<20 {
+		j.buf = nil
 	}
-	j.file.Close()
-	j.file = f
 	return nil
 }
 
@@ -353,5 +514,16 @@
 	return 0
 }
 
-// Close closes the file; what is buffered is not written.
-func (j *Journal) Close() error { return j.file.Close() }
+// Close closes the files; what is buffered is not written.
+func (j *Journal) Close() error {
+	var errs []error
+	for _, s := range j.segs {
+		if s.file != nil {
+			errs = append(errs, s.file.Close())
+		}
+	}
+	if j.lock != nil {
+		errs = append(errs, j.lock.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/journal/model_test.go
@@ -0,0 +1,558 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"scaleroute/internal/message"
+)
+
+// known is what the model holds of one message.
+type known struct {
+	class, origin, body string
+	dest, attempts      int
+	open, ran           bool
+	end                 byte
+	wait                time.Duration
+}
+
+func (k known) String() string {
+	return fmt.Sprintf("{%s %s %d, %d bytes, %d attempts, open %v, ran %v, end %q, %v}", k.class, k.origin, k.dest, len(k.body), k.attempts, k.open, k.ran, k.end, k.wait)
+}
+
+// model is the journal without a disk: what is held after each record.
+type model struct {
+	now     map[string]known
+	history []map[string]known
+	flushed int // of the history
+}
+
+func newModel() *model { return &model{now: map[string]known{}, history: []map[string]known{{}}} }
+
+func (m *model) change(id string, f func(*known)) {
+	k := m.now[id]
+	f(&k)
+	m.now[id] = k
+	m.history = append(m.history, maps.Clone(m.now))
+}
+
+func (m *model) drop(id string) {
+	delete(m.now, id)
+	m.history = append(m.history, maps.Clone(m.now))
+}
+
+// heldIn is what a journal holds, in the model's terms.
+func heldIn(j *Journal) map[string]known {
+	held := map[string]known{}
+	for _, s := range j.Held() {
+		body, _ := s.Body.Load()
+		held[s.ID] = known{s.Class, s.Origin, string(body), s.Dest, s.Attempts, s.Open, s.MayHaveRun, s.End, s.Wait}
+	}
+	return held
+}
+
+const smallLimit = 70_000
+
+// work drives a journal and its model with a workload that is the same for a seed, and returns when it is over or
+// the journal fails. In the middle of it the journal is opened anew.
+func work(fs *memFS, m *model, seed uint64, steps int) (j *Journal, err error) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	if j, err = OpenWith(Options{FS: fs, Limit: smallLimit}); err != nil {
+		return nil, err
+	}
+	ids := []string{}
+	for step := range steps {
+		switch x := rng.IntN(10); {
+		case step == steps/2:
+			if err := j.Flush(); err != nil {
+				return j, err
+			}
+			m.flushed = len(m.history) - 1
+			j.Close()
+			if j, err = OpenWith(Options{FS: fs, Limit: smallLimit}); err != nil {
+				return nil, err
+			}
+			if got := heldIn(j); !maps.Equal(got, m.now) {
+				return nil, fmt.Errorf("opened anew in order: got %v, want %v", got, m.now)
+			}
+		case x < 3 && len(ids) < 18:
+			k := known{class: "note", dest: rng.IntN(1000), body: strings.Repeat("b", rng.IntN(1200))}
+			if rng.IntN(4) == 0 {
+				k.origin = "smtp"
+			}
+			s := &Saved{ID: fmt.Sprint("m", rng.IntN(40)), Class: k.class, Origin: k.origin, Dest: k.dest, Body: message.Bytes(k.body), Deadline: time.UnixMilli(1)}
+			if _, there := m.now[s.ID]; there {
+				continue
+			}
+			room, err := j.Reserve(s.Size())
+			if err != nil {
+				return j, err
+			}
+			if !room {
+				continue
+			}
+			m.change(s.ID, func(n *known) { *n = k })
+			ids = append(ids, s.ID)
+			if err := j.Accepted(s); err != nil {
+				return j, err
+			}
+		case len(ids) > 0 && x < 9:
+			i := rng.IntN(len(ids))
+			id := ids[i]
+			if i < 6 && rng.IntN(40) > 0 {
+				continue // some live through many compactions
+			}
+			switch k := m.now[id]; {
+			case k.end != 0:
+				m.drop(id)
+				ids = append(ids[:i], ids[i+1:]...)
+				j.Closed(id)
+			case k.open:
+				ran := rng.IntN(2) == 0
+				m.change(id, func(n *known) { n.open, n.ran = false, n.ran || ran })
+				j.Outcome(id, ran)
+			case k.attempts > 3:
+				m.change(id, func(n *known) { n.end, n.wait = 'b', 5*time.Second })
+				j.Ended(id, 'b', 5*time.Second)
+			default:
+				m.change(id, func(n *known) { n.ran = n.ran || n.open; n.attempts++; n.open = true })
+				j.Sending(id)
+			}
+		default:
+			if err := j.Flush(); err != nil {
+				return j, err
+			}
+			m.flushed = len(m.history) - 1
+		}
+	}
+	return j, nil
+}
+
+// allowed tells whether a state is one that a crash may leave: what was flushed is there, and of the
+// rest any beginning.
+func (m *model) allowed(got map[string]known) bool {
+	for i := len(m.history) - 1; i >= m.flushed; i-- {
+		if maps.Equal(got, m.history[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEveryFaultPoint kills the process in each change of the file system that a workload makes, before, within and
+// after it, and opens the journal again: what was flushed is there, nothing that ended comes back, no attempt is
+// forgotten. The journal then takes the same workload on from there.
+func TestEveryFaultPoint(t *testing.T) {
+	const steps = 5000
+	dry := newMemFS()
+	j, err := work(dry, newModel(), 1, steps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if j.moved == 0 || j.active().seq < 20 {
+		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.moved, j.active().seq)
+	}
+	every := 1
+	if testing.Short() || raceEnabled {
+		every = 7
+	}
+	points := 0
+	for at := 1; at <= dry.ops; at += every {
+		for _, part := range []float64{0, 0.4, 0.99, 1} {
+			points++
+			fs, m := newMemFS(), newModel()
+			fs.crashAt, fs.part = at, part
+			if !killed(func() { _, err = work(fs, m, 1, steps) }) {
+				t.Fatalf("op %d: not reached (%v)", at, err)
+			}
+			j, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit})
+			if err != nil {
+				t.Fatalf("killed in op %d, %v of it done: %v", at, part, err)
+			}
+			damage := slices.DeleteFunc(j.Damage(), func(d Damage) bool {
+				return strings.HasPrefix(d.What, "one bit") // a record cut off where only one bit of it was not nought
+			})
+			if got := heldIn(j); !m.allowed(got) || len(damage) > 0 {
+				t.Fatalf("killed in op %d, %v of it done: recovered %v, damage %+v; flushed was %v", at, part, got, j.Damage(), m.history[m.flushed])
+			}
+		}
+	}
+	t.Logf("%d fault points; %d segments, %d of %d bytes written by compaction", points, j.active().seq, j.moved, j.written)
+}
+
+// killed runs f and tells whether it was killed.
+func killed(f func()) (yes bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			if _, yes = r.(crash); !yes {
+				panic(r)
+			}
+		}
+	}()
+	f()
+	return false
+}
+
+// TestFailedWrites has each write fail from some op on: the journal says so, takes nothing more on, and what it had
+// flushed is there when it is opened again.
+func TestFailedWrites(t *testing.T) {
+	dry := newMemFS()
+	if _, err := work(dry, newModel(), 2, 3000); err != nil {
+		t.Fatal(err)
+	}
+	for at := 5; at <= dry.ops; at += 3 {
+		fs, m := newMemFS(), newModel()
+		fs.failAt, fs.err = at, syscall.EIO
+		j, err := work(fs, m, 2, 3000)
+		if err == nil && len(m.history) == 1 {
+			continue // no room from the beginning: all was turned away
+		}
+		if !errors.Is(err, syscall.EIO) {
+			t.Fatalf("op %d fails: %v", at, err)
+		}
+		if j != nil {
+			if _, err := j.Reserve(10); err == nil {
+				if err := j.Flush(); err == nil {
+					t.Fatalf("op %d fails, and the journal goes on", at)
+				}
+			}
+		}
+		again, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := heldIn(again); !m.allowed(got) {
+			t.Fatalf("op %d failed: recovered %v; flushed was %v", at, got, m.history[m.flushed])
+		}
+	}
+}
+
+// TestDiskFull: with the disk full at any time, what is held goes on to its end, and new messages are turned away
+// until there is room again.
+func TestDiskFull(t *testing.T) {
+	fs := newMemFS()
+	j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept := func(id string) bool {
+		s := &Saved{ID: id, Class: "note", Body: message.Bytes(strings.Repeat("b", 900)), Deadline: time.UnixMilli(1)}
+		room, err := j.Reserve(s.Size())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if room {
+			if err := j.Accepted(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return room
+	}
+	if !accept("first") {
+		t.Fatal("no room in an empty folder")
+	}
+	fs.limit = fs.used() // nothing more
+	n := 1
+	for accept(fmt.Sprint("m", n)) {
+		n++
+	}
+	if n > 30 {
+		t.Fatalf("%d messages taken on", n)
+	}
+	// Each goes through six attempts and its end, one after the other, the first one last of all.
+	for range 20 { // and new ones come in the place of those that ended
+		for i := 1; i < n; i++ {
+			id := fmt.Sprint("m", i)
+			for range 6 {
+				j.Sending(id)
+				j.Outcome(id, false)
+				if err := j.Flush(); err != nil {
+					t.Fatalf("the disk is full, and %s can't go on: %v", id, err)
+				}
+			}
+			j.Ended(id, 'b', time.Second)
+			j.Closed(id)
+			if err := j.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			j.noRoom = time.Time{}
+			if !accept(id) {
+				t.Fatal("what ended gives no room")
+			}
+		}
+	}
+	j.noRoom = time.Time{}
+	if accept("more") {
+		t.Error("taken on without room")
+	}
+	fs.limit = 0
+	j.noRoom = time.Time{}
+	if !accept("more") {
+		t.Error("turned away though there is room again")
+	}
+	if got := heldIn(j)["first"]; len(got.body) != 900 {
+		t.Errorf("the first one: %v", got)
+	}
+}
+
+// TestFolderStaysInItsLimit: whatever is held, the files together never take more than the folder may hold.
+func TestFolderStaysInItsLimit(t *testing.T) {
+	for seed := range uint64(20) {
+		fs := newMemFS()
+		if _, err := work(fs, newModel(), seed, 4000); err != nil {
+			t.Fatal(err)
+		}
+		if fs.most > smallLimit {
+			t.Errorf("%d bytes, %d allowed", fs.most, smallLimit)
+		}
+	}
+}
+
+// filled is a folder with several segments, and what is in it.
+func filled(t *testing.T) (*memFS, map[string]known) {
+	t.Helper()
+	fs, m := newMemFS(), newModel()
+	j, err := work(fs, m, 5, 1500)
+	if err == nil {
+		err = j.Flush()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fs, maps.Clone(m.now)
+}
+
+// TestOneBitFlipped flips one bit at a time, anywhere in the folder: nothing is lost or changed, but
+// where the very end of the log is hit: then at most the last record.
+func TestOneBitFlipped(t *testing.T) {
+	whole, want := filled(t)
+	rng := rand.New(rand.NewPCG(9, 9))
+	mended, changed := 0, 0
+	for range 1500 {
+		fs := whole.after()
+		var name string
+		var text []byte
+		for n, f := range fs.files {
+			if strings.HasSuffix(n, segmentEnd) && (name == "" || rng.IntN(2) == 0) {
+				name, text = n, f.text
+			}
+		}
+		at := rng.IntN(len(text))
+		text[at] ^= 1 << rng.IntN(8)
+		j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(j.Damage()) > 0 {
+			mended++
+		}
+		if got := heldIn(j); !maps.Equal(got, want) {
+			changed++
+			differ := 0
+			for id := range want {
+				if got[id] != want[id] {
+					differ++
+				}
+			}
+			if differ > 1 || len(got) < len(want)-1 {
+				t.Fatalf("a bit flipped at %d of %s: %d messages differ, %d held; damage %+v", at, name, differ, len(got), j.Damage())
+			}
+		}
+	}
+	if mended < 200 || changed > 5 {
+		t.Errorf("%d of 1,500 were noted, %d changed a message", mended, changed)
+	}
+}
+
+// TestBlockOverwritten destroys blocks of the log: the messages of the records that stood there are reported, count as
+// ones that may have run, or are gone with their state; all others are as they were.
+func TestBlockOverwritten(t *testing.T) {
+	whole, want := filled(t)
+	rng := rand.New(rand.NewPCG(4, 4))
+	hits := 0
+	for range 400 {
+		fs := whole.after()
+		names := []string{}
+		for n := range fs.files {
+			if strings.HasSuffix(n, segmentEnd) {
+				names = append(names, n)
+			}
+		}
+		text := fs.files[names[rng.IntN(len(names))]].text
+		at, size := rng.IntN(len(text)-300), 2+rng.IntN(300)
+		for i := range size {
+			text[at+i] = byte(rng.Uint32())
+		}
+		j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+		if err != nil {
+			t.Fatal(err)
+		}
+		named := map[string]bool{}
+		for _, d := range j.Damage() {
+			for _, id := range d.IDs {
+				named[id] = true
+			}
+		}
+		got := heldIn(j)
+		missing := 0
+		for id, w := range want {
+			g, there := got[id]
+			switch {
+			case !there:
+				missing++
+			case named[id]:
+				hits++
+				if !g.ran && g != w { // but for one whose state was written again behind it
+					t.Errorf("%s was hit and does not count as one that may have run: %v", id, g)
+				}
+			case g != w && len(j.Damage()) > 0:
+				t.Errorf("%s was not hit and differs: %v, want %v", id, g, w)
+			}
+		}
+		if missing > 0 && len(j.Damage()) == 0 && missing > 3 {
+			t.Errorf("%d messages are gone without a word", missing)
+		}
+	}
+	if hits == 0 {
+		t.Error("no message was hit: the test says nothing")
+	}
+}
+
+// TestSegmentMissing: without one of its segments the journal opens, says so, and believes nothing of sends that may
+// have stood there.
+func TestSegmentMissing(t *testing.T) {
+	fs, _ := filled(t)
+	names := []string{}
+	for n := range fs.files {
+		if strings.HasSuffix(n, segmentEnd) {
+			names = append(names, n)
+		}
+	}
+	if len(names) < 3 {
+		t.Fatalf("only %v", names)
+	}
+	j0, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit, ReadOnly: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := j0.segs[1].name
+	delete(fs.files, gone)
+	j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(j.Damage()) == 0 {
+		t.Fatal("a missing segment is not noticed")
+	}
+	for id, k := range heldIn(j) {
+		if !k.ran && j.live[id].seg.seq < j.segs[1].seq {
+			t.Errorf("%s may have been sent in what is missing, and counts as never run", id)
+		}
+	}
+}
+
+// TestNewerFormat: a folder of a newer program is refused and left as it is.
+func TestNewerFormat(t *testing.T) {
+	fs, _ := filled(t)
+	for n, f := range fs.files {
+		if strings.HasSuffix(n, segmentEnd) {
+			seq, nonce, _ := parseName(n)
+			s := &segment{seq: seq, nonce: nonce}
+			h := s.header()
+			h[4] = version + 1
+			copy(f.text, checkedHeader(h))
+		}
+	}
+	before := fs.after()
+	if _, err := OpenWith(Options{FS: fs, Limit: smallLimit}); err == nil || !strings.Contains(err.Error(), "newer program") {
+		t.Fatalf("opened: %v", err)
+	}
+	for n, f := range before.files {
+		if strings.HasSuffix(n, segmentEnd) && string(fs.files[n].text) != string(f.text) {
+			t.Errorf("%s was changed", n)
+		}
+	}
+}
+
+// TestLocked: two forwarders can't use one folder, and the second is told so.
+func TestLocked(t *testing.T) {
+	dir := t.TempDir()
+	j, err := Open(dir, 3e6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, 3e6); err == nil || !strings.Contains(err.Error(), "in use by another forwarder") {
+		t.Errorf("the second one: %v", err)
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	j, err = Open(dir, 3e6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.Close()
+}
+
+// TestHoldsMoreThanHalf: on a folder of 3 MB the longest messages find as much room as when the journal was rewritten
+// whole (22 of them), and small ones far more (486 of 2 kB).
+func TestHoldsMoreThanHalf(t *testing.T) {
+	for _, c := range []struct{ body, least int }{{MaxBody, 22}, {2000, 700}, {100, 2500}} {
+		fs := newMemFS()
+		j, err := OpenWith(Options{FS: fs, Limit: 3e6 - diskMargin})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, n := message.Bytes(make([]byte, c.body)), 0
+		for {
+			s := &Saved{ID: fmt.Sprintf("%016x", n), Class: "signature-handover", Body: body}
+			room, err := j.Reserve(s.Size())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !room {
+				break
+			}
+			if err := errors.Join(j.Accepted(s), j.Flush()); err != nil {
+				t.Fatal(err)
+			}
+			n++
+		}
+		t.Logf("%d messages of %d bytes", n, c.body)
+		if n < c.least {
+			t.Errorf("%d messages of %d bytes, %d before", n, c.body, c.least)
+		}
+		// All of them go on to their ends, in the worst order for compaction.
+		for round := range 6 {
+			for i := range n {
+				id := fmt.Sprintf("%016x", i)
+				j.Sending(id)
+				j.Outcome(id, round == 5)
+				if err := j.Flush(); err != nil {
+					t.Fatalf("with %d held, attempt %d of %s: %v", n, round, id, err)
+				}
+			}
+		}
+		for i := range n {
+			id := fmt.Sprintf("%016x", i)
+			j.Ended(id, 'd', 0)
+			j.Closed(id)
+			if err := j.Flush(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if fs.most > 3e6-diskMargin {
+			t.Errorf("%d bytes in the folder", fs.most)
+		}
+		if again, err := OpenWith(Options{FS: fs.after(), Limit: 3e6 - diskMargin}); err != nil || len(again.live) > 0 || len(again.Damage()) > 0 {
+			t.Errorf("opened again: %v, %d held, damage %v", err, len(again.live), again.Damage())
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/old.go
@@ -0,0 +1,226 @@
+package journal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"slices"
+	"time"
+
+	"scaleroute/internal/message"
+)
+
+// The journal of old was one file. It is read and taken over at the first start; nothing writes it any
+// more. Its records had a header of 8 bytes - length of the payload and its CRC-32C, both
+// little-endian - and a payload: a byte for the type, the length of the id in one byte, the id, and then by type:
+//
+//	A accepted   deadline (Unix ms, 8 bytes), destination (4), length of the class (1), class, body
+//	F front      its name, where there is more than one
+//	S about to be sent
+//	O outcome    1 byte: 1 if the attempt may have run, 0 if it never did
+//	E end        1 byte: d (dead) or b (bounced), and the wait advised (ms, 4); a notice is owed
+//	C closed     nothing is owed any more
+//	M attempts   3 bytes: made, 1 if the last has no outcome, 1 if one may have run (by compaction)
+const (
+	oldName   = "journal"
+	oldHead   = 8
+	oldRecord = MaxBody + 1024
+
+	// MaxBody is the longest body of a message, in bytes.
+	MaxBody = 64 << 10
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func millis(ms uint64) time.Duration { return time.Duration(min(ms, 1<<40)) * time.Millisecond }
+
+// abandonTakeOver drops what a take-over has written that a kill cut off: while the file of old is there it
+// holds all. Segments that come from anywhere else are nothing to drop.
+func (j *Journal) abandonTakeOver(readOnly bool) error {
+	for _, s := range j.segs {
+		f, err := j.fs.Open(s.name, false)
+		if err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+		text := make([]byte, segmentHead)
+		n, _ := f.ReadAt(text, 0)
+		f.Close()
+		if _, err := s.readHeader(text[:n]); err != nil {
+			return err
+		}
+		if s.flags&takingOver == 0 {
+			return fmt.Errorf("journal: the folder has a journal of the old form beside segments: an older program has run on it since. Move %q away, or the files *%s and *%s, whichever is not wanted", oldName, segmentEnd, spareEnd)
+		}
+	}
+	if !readOnly {
+		for _, s := range j.segs {
+			if err := j.fs.Remove(s.name); err != nil {
+				return fmt.Errorf("journal: %w", err)
+			}
+		}
+	}
+	j.segs = nil
+	return nil
+}
+
+// takeOver writes what the file of old holds into segments that are marked as such, and removes it.
+func (j *Journal) takeOver() error {
+	if j.flags&takingOver == 0 {
+		return nil
+	}
+	text, err := j.readOldFile()
+	if err != nil {
+		return err
+	}
+	for _, s := range readOld(text) {
+		j.need += cost(s.Size())
+		j.largest = max(j.largest, stateBytes(s.Size()))
+		if err := j.Accepted(s); err != nil {
+			return err
+		}
+	}
+	if err := j.Flush(); err != nil {
+		return err
+	}
+	if err := j.fs.Remove(oldName); err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	j.flags = 0
+	for _, name := range j.spares { // they have no room set aside
+		if err := j.fs.Remove(name); err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+	}
+	j.spares = nil
+	return nil
+}
+
+// settle ends a take-over, also one that a kill ended when the file of old was gone: from then on the
+// segments are the journal, and the last one gets its room.
+func (j *Journal) settle() error {
+	for _, s := range j.segs {
+		if s.flags&takingOver == 0 {
+			continue
+		}
+		s.flags = 0
+		if _, err := s.file.WriteAt(s.header(), 0); err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+	}
+	if last := j.active(); last.size < j.size {
+		if err := last.file.Allocate(j.size); err != nil {
+			slog.Warn("no room for the rest of a segment", "file", last.name, "err", err)
+			return nil
+		}
+		last.size = j.size
+	}
+	return nil
+}
+
+// readOldOnly shows what a folder that was not taken over yet holds.
+func (j *Journal) readOldOnly() error {
+	if j.flags&takingOver == 0 {
+		return nil
+	}
+	text, err := j.readOldFile()
+	for _, s := range readOld(text) {
+		j.live[s.ID] = s
+	}
+	return err
+}
+
+func (j *Journal) readOldFile() ([]byte, error) {
+	f, err := j.fs.Open(oldName, false)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	defer f.Close()
+	size, err := f.Size()
+	text := make([]byte, max(0, size))
+	if err == nil && size > 0 {
+		_, err = f.ReadAt(text, 0)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("journal: reading %s: %w", oldName, err)
+	}
+	return text, nil
+}
+
+// readOld replays the file of old, up to a record that does not check: a kill cut that off.
+func readOld(text []byte) []*Saved {
+	r := oldReader{live: map[string]*Saved{}}
+	for {
+		payload, ok := nextRecord(text)
+		if !ok || !r.apply(payload) {
+			break
+		}
+		text = text[oldHead+len(payload):]
+	}
+	var held []*Saved
+	for _, s := range r.live {
+		held = append(held, s)
+	}
+	slices.SortFunc(held, func(a, b *Saved) int { return int(int64(a.n) - int64(b.n)) })
+	return held
+}
+
+type oldReader struct {
+	live map[string]*Saved
+	next uint64
+}
+
+// nextRecord returns the payload at the start of text, if it is whole.
+func nextRecord(text []byte) ([]byte, bool) {
+	if len(text) < oldHead {
+		return nil, false
+	}
+	n := binary.LittleEndian.Uint32(text)
+	if n < 2 || n > oldRecord || int(n) > len(text)-oldHead {
+		return nil, false
+	}
+	payload := text[oldHead : oldHead+int(n)]
+	return payload, crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(text[4:])
+}
+
+// apply replays one record; false means that it makes no sense.
+func (r *oldReader) apply(p []byte) bool {
+	kind, n := p[0], int(p[1])
+	if len(p) < 2+n {
+		return false
+	}
+	id, rest := string(p[2:2+n]), p[2+n:]
+	if kind == 'A' {
+		if len(rest) < 13 || len(rest) < 13+int(rest[12]) {
+			return false
+		}
+		c := 13 + int(rest[12])
+		r.next++
+		r.live[id] = &Saved{n: r.next, ID: id, Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
+			Dest:  int(int32(binary.LittleEndian.Uint32(rest[8:]))),
+			Class: string(rest[13:c]), Body: message.Bytes(slices.Clone(rest[c:]))}
+		return true
+	}
+	s := r.live[id]
+	if s == nil {
+		return true // closed before
+	}
+	switch {
+	case kind == 'S':
+		s.MayHaveRun = s.Ran() // an earlier one without an outcome may have run
+		s.Attempts, s.Open = s.Attempts+1, true
+	case kind == 'O' && len(rest) == 1:
+		s.Open, s.MayHaveRun = false, s.MayHaveRun || rest[0] == 1
+	case kind == 'E' && len(rest) == 5:
+		s.End, s.Wait = rest[0], time.Duration(binary.LittleEndian.Uint32(rest[1:]))*time.Millisecond
+	case kind == 'M' && len(rest) == 3:
+		s.Attempts, s.Open, s.MayHaveRun = int(rest[0]), rest[1] == 1, rest[2] == 1
+	case kind == 'F':
+		s.Origin = string(rest)
+	case kind == 'C':
+		delete(r.live, id)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/journal/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package journal
+
+const raceEnabled = true
