--- /dev/null
+++ b/cmd/scaleroutectl/journal.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"cmp"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"scaleroute/internal/journal"
+)
+
+// journalCommand carries out one command and tells whether something was found that is not well.
+func journalCommand(name string, args []string, out io.Writer) (found bool, err error) {
+	flags := flag.NewFlagSet("journal "+name, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	asJSON := flags.Bool("json", false, "")
+	if err := flags.Parse(args); err != nil {
+		return false, fmt.Errorf("%w\n%s", err, usage)
+	}
+	want := 1
+	if name == "repair" {
+		want = 2
+	}
+	if flags.NArg() != want {
+		return false, fmt.Errorf("journal %s takes %d folders, flags before them\n%s", name, want, usage)
+	}
+	folder := flags.Arg(0)
+	if info, err := os.Stat(folder); err != nil {
+		return false, err
+	} else if !info.IsDir() {
+		return false, fmt.Errorf("%s is no folder: name the one that NODE_STATE names", folder)
+	}
+	j, err := journal.Read(folder)
+	if err != nil {
+		return false, err
+	}
+	defer j.Close()
+	switch name {
+	case "verify":
+		return verify(j, *asJSON, out)
+	case "stat":
+		return false, stat(j, *asJSON, out, time.Now())
+	case "dump":
+		return false, dump(j, out)
+	case "repair":
+		return false, repair(j, flags.Arg(1), out)
+	}
+	return false, fmt.Errorf("there is no journal %s\n%s", name, usage)
+}
+
+func verify(j *journal.Journal, asJSON bool, out io.Writer) (found bool, err error) {
+	damage := j.Damage()
+	if asJSON {
+		if damage == nil {
+			damage = []journal.Damage{}
+		}
+		return len(damage) > 0, json.NewEncoder(out).Encode(map[string]any{"held": len(j.Held()), "damage": damage})
+	}
+	for _, d := range damage {
+		fmt.Fprintf(out, "%s: at %d, %d bytes: %s\n", d.File, d.Offset, d.Bytes, d.What)
+		for _, id := range d.IDs {
+			fmt.Fprintf(out, "\t%s counts as one that may have run\n", id)
+		}
+	}
+	if len(damage) > 0 {
+		fmt.Fprintf(out, "%d places are damaged; %d messages are held. The forwarder starts with what is left, and says the same in its log.\n", len(damage), len(j.Held()))
+	} else {
+		fmt.Fprintf(out, "all records check; %d messages are held\n", len(j.Held()))
+	}
+	return len(damage) > 0, nil
+}
+
+// counts is what stat tells of one group of messages.
+type counts struct {
+	Held       int   `json:"held"`
+	Bytes      int64 `json:"bytes"` // of bodies
+	MayHaveRun int   `json:"may_have_run"`
+	Ended      int   `json:"ended"` // their final answer is still to be told
+	Overdue    int   `json:"overdue"`
+	Attempts   int   `json:"attempts"`
+	OldestMS   int64 `json:"least_left_ms"` // until the first of them must have its end
+}
+
+func (c *counts) add(s *journal.Saved, now time.Time) {
+	left := s.Deadline.Sub(now).Milliseconds()
+	if c.Held == 0 || left < c.OldestMS {
+		c.OldestMS = left
+	}
+	c.Held++
+	c.Bytes += int64(s.Body.Len())
+	c.Attempts += s.Attempts
+	if s.Ran() {
+		c.MayHaveRun++
+	}
+	if s.End != 0 {
+		c.Ended++
+	}
+	if left < 0 {
+		c.Overdue++
+	}
+}
+
+func stat(j *journal.Journal, asJSON bool, out io.Writer, now time.Time) error {
+	var all counts
+	byClass, byDest, byTries := map[string]*counts{}, map[string]*counts{}, map[string]*counts{}
+	group := func(m map[string]*counts, key string, s *journal.Saved) {
+		if m[key] == nil {
+			m[key] = &counts{}
+		}
+		m[key].add(s, now)
+	}
+	for _, s := range j.Held() {
+		all.add(s, now)
+		group(byClass, s.Class, s)
+		group(byDest, fmt.Sprint(s.Dest), s)
+		group(byTries, fmt.Sprint(s.Attempts), s)
+	}
+	if asJSON {
+		return json.NewEncoder(out).Encode(map[string]any{"all": all, "class": byClass, "destination": byDest, "attempts": byTries})
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\theld\tbytes\tmay have run\tended\toverdue\tleast time left\t")
+	row := func(name string, c *counts) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%v\t\n", name, c.Held, c.Bytes, c.MayHaveRun, c.Ended, c.Overdue,
+			time.Duration(c.OldestMS)*time.Millisecond)
+	}
+	row("all", &all)
+	for _, part := range []struct {
+		name string
+		of   map[string]*counts
+	}{{"class ", byClass}, {"attempts ", byTries}, {"destination ", byDest}} {
+		keys := slices.SortedFunc(maps.Keys(part.of), func(a, b string) int {
+			return cmp.Or(cmp.Compare(part.of[b].Held, part.of[a].Held), cmp.Compare(a, b))
+		})
+		const most = 20 // the whole list is in the JSON
+		for _, k := range keys[:min(most, len(keys))] {
+			row(part.name+k, part.of[k])
+		}
+		if len(keys) > most {
+			fmt.Fprintf(t, "%d more\t\t\t\t\t\t\t\n", len(keys)-most)
+		}
+	}
+	return t.Flush()
+}
+
+func dump(j *journal.Journal, out io.Writer) error {
+	enc := json.NewEncoder(out)
+	for _, s := range j.Held() {
+		body, err := s.Body.Load()
+		if err != nil {
+			return err
+		}
+		line := map[string]any{"id": s.ID, "class": s.Class, "destination": s.Dest, "deadline": s.Deadline.UTC().Format(time.RFC3339Nano),
+			"attempts": s.Attempts, "open": s.Open, "may_have_run": s.Ran(), "body": base64.StdEncoding.EncodeToString(body)}
+		if s.Origin != "" {
+			line["front"] = s.Origin
+		}
+		if s.End != 0 {
+			line["end"] = map[byte]string{'b': "bounced", 'd': "dead"}[s.End]
+			line["wait_ms"] = s.Wait.Milliseconds()
+		}
+		if err := enc.Encode(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// repair writes what is held into a new folder, in which a forwarder can be started.
+func repair(j *journal.Journal, to string, out io.Writer) error {
+	if err := os.Mkdir(to, 0o700); errors.Is(err, os.ErrExist) {
+		return fmt.Errorf("%s is there already: name a folder that is not, nothing is repaired in place", to)
+	} else if err != nil {
+		return err
+	}
+	n, err := journal.Copy(j, to)
+	if err != nil {
+		return fmt.Errorf("%w; %s is not complete, remove it", err, to)
+	}
+	fmt.Fprintf(out, "%d messages written to %s\n", n, to)
+	return nil
+}
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -30,7 +30,10 @@
 }
 
 // osFS is a folder of the operating system.
-type osFS struct{ dir string }
+type osFS struct {
+	dir      string
+	readOnly bool
+}
 
 func (o osFS) List() ([]string, error) {
 	entries, err := os.ReadDir(o.dir)
@@ -45,6 +48,9 @@
 
 func (o osFS) Open(name string, create bool) (File, error) {
 	flag := os.O_RDWR
+	if o.readOnly {
+		flag = os.O_RDONLY
+	}
 	if create {
 		flag |= os.O_CREATE
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j, err := OpenWith(Options{FS: osFS{dir}, Limit: limit - diskMargin})
+	j, err := OpenWith(Options{FS: osFS{dir: dir}, Limit: limit - diskMargin})
 	if err != nil {
 		lock.Close()
 		return nil, err
