--- a/cmd/scaleroute-lab/lab_test.go
+++ b/cmd/scaleroute-lab/lab_test.go
@@ -35,6 +35,9 @@
 	if r.Broken() || r.CutOff {
 		t.Errorf("%s %q", r.rules(), r.Examples)
 	}
+	if r.Kills != 2 {
+		t.Errorf("%d kills, 2 were asked for", r.Kills)
+	}
 	if r.Handed != 600 || r.Delivered+r.Refused+r.Failed != 600 {
 		t.Errorf("%d handed in; %d delivered, %d refused, %d failed", r.Handed, r.Delivered, r.Refused, r.Failed)
 	}
--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -135,8 +135,8 @@
 		return fmt.Errorf("-sick %v: a share, from 0 to 1", o.sick)
 	case o.left <= 0 || o.limit <= 0 || o.limit > 2*time.Hour:
 		return fmt.Errorf("-left and -limit: above 0, and two hours at most")
-	case o.kills < 0 || o.kills > 100 || o.drains < 0 || o.drains > 10_000:
-		return fmt.Errorf("-kills and -drains: from 0 to 100, and to 10000")
+	case o.kills < 0 || o.kills > 1000 || o.drains < 0 || o.drains > 10_000:
+		return fmt.Errorf("-kills and -drains: from 0 to 1000, and to 10000")
 	}
 	if _, err := sicknessOf(o.sickness, 0, o); err != nil {
 		return err
--- a/cmd/scaleroute-lab/report.go
+++ b/cmd/scaleroute-lab/report.go
@@ -22,6 +22,8 @@
 	CPUMicros  float64 `json:"cpu_us_per_message"`
 	PeakMB     float64 `json:"peak_mb"`
 	Handshakes int64   `json:"handshakes"`
+	Kills      int     `json:"kills"`
+	StartMS    int64   `json:"longest_restart_ms"` // from the kill on, until it is ready
 
 	Answer  times `json:"answer_ms"`
 	Deliver times `json:"deliver_ms"`
@@ -52,6 +54,8 @@
 	r.CPUMicros = float64(cpu.Microseconds()) / float64(max(1, r.Handed))
 	r.PeakMB = float64(p.peakKB) / 1024
 	r.Handshakes = w.Handshakes()
+	n, longest := w.Log.Restarts()
+	r.Kills, r.StartMS = n, longest.Milliseconds()
 	r.Answer = timesOf(w.Clients.Answers())
 	r.Deliver = timesOf(w.Log.Deliveries(func(*standin.Handed) bool { return true }))
 	well := func(h *standin.Handed) bool { return !sick[h.Destination] }
@@ -88,6 +92,9 @@
 	row("CPU", "%.1f us a message", r.CPUMicros)
 	row("peak memory", "%.1f MB", r.PeakMB)
 	row("calls", "%d over %d connections", r.Calls, r.Handshakes)
+	if r.Kills > 0 {
+		row("kills", "%d, the longest restart %d ms", r.Kills, r.StartMS)
+	}
 	row("rules", "%s", r.rules())
 	t.Flush()
 	for _, e := range r.Examples {
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -165,6 +165,16 @@
 	l.mu.Unlock()
 }
 
+// Restarts tells how often the forwarder was started again, and how long the longest start took.
+func (l *Log) Restarts() (n int, longest time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.starts {
+		longest = max(longest, r.Ready.Sub(r.Ended))
+	}
+	return len(l.starts), longest
+}
+
 // Open is how many messages were taken on, or are being handed in, and are not over.
 func (l *Log) Open() int {
 	l.mu.Lock()
