--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -87,7 +87,7 @@
 
 func (f osFile) Allocate(size int64) error {
 	err := syscall.Fallocate(int(f.Fd()), 0, 0, size)
-	if err != syscall.EOPNOTSUPP {
+	if err != syscall.EOPNOTSUPP && err != syscall.ENOSYS {
 		return err
 	}
 	var zeros [64 << 10]byte
