Write messages that damage has hit again before anything else

A message hit in the part of the log without an index counted as one that may have run in memory alone: the next index left the gap out, and a kill before its end was written made it count as never run at the start after. TestMarksOutlastTheNextStart fails without it and passes with it; TestSegmentMissing now judges by where states stood before.

--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -15,7 +14,6 @@
 	Open(name string, create bool) (File, error)
 	Rename(from, to string) error
 	Remove(name string) error
-	Sync() error // of the folder: names outlast the machine
 }
 
 // File is one file of an FS.
@@ -25,8 +23,6 @@
 	io.Closer
 	Size() (int64, error)
 	Allocate(size int64) error // sets room aside, so that writes below size find it
-	Truncate(size int64) error
-	Sync() error
 }
 
 // osFS is a folder of the operating system.
@@ -67,14 +63,6 @@
 
 func (o osFS) Remove(name string) error { return os.Remove(filepath.Join(o.dir, name)) }
 
-func (o osFS) Sync() error {
-	d, err := os.Open(o.dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
-
 type osFile struct{ *os.File }
 
 func (f osFile) Size() (int64, error) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -181,9 +181,28 @@
 	}
 	for j.allocated() < min(keptFree, j.most) && j.allocate() {
 	}
+	if err := j.restate(); err != nil {
+		j.Close()
+		return nil, err
+	}
 	return j, nil
 }
 
+// restate writes the messages that damage has hit again, as they count now: what is written behind the damage must not
+// hide at the next start that something is missing there.
+func (j *Journal) restate() error {
+	for _, d := range j.damage {
+		for _, id := range d.IDs {
+			if s := j.live[id]; s != nil && s.MayHaveRun {
+				if err := j.state(s); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return j.Flush()
+}
+
 func (j *Journal) allocated() int { return len(j.segs) + len(j.spares) }
 
 func (j *Journal) active() *segment { return j.segs[len(j.segs)-1] }
--- a/internal/journal/memfs_test.go
+++ b/internal/journal/memfs_test.go
@@ -113,8 +113,6 @@
 	return nil
 }
 
-func (m *memFS) Sync() error { return nil }
-
 func (f *memFile) ReadAt(b []byte, at int64) (int, error) {
 	if at >= int64(len(f.text)) {
 		return 0, errors.New("EOF")
@@ -163,7 +161,5 @@
 	return err
 }
 
-func (f *memFile) Truncate(size int64) error { f.text = f.text[:size]; return nil }
-func (f *memFile) Size() (int64, error)      { return int64(len(f.text)), nil }
-func (f *memFile) Sync() error               { return nil }
-func (f *memFile) Close() error              { return nil }
+func (f *memFile) Size() (int64, error) { return int64(len(f.text)), nil }
+func (f *memFile) Close() error         { return nil }
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -444,6 +444,10 @@
 	}
 	gone := j0.segs[1].name
 	delete(fs.files, gone)
+	as, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit, ReadOnly: true})
+	if err != nil {
+		t.Fatal(err)
+	}
 	j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
 	if err != nil {
 		t.Fatal(err)
@@ -451,11 +455,18 @@
 	if len(j.Damage()) == 0 {
 		t.Fatal("a missing segment is not noticed")
 	}
-	for id, k := range heldIn(j) {
-		if !k.ran && j.live[id].seg.seq < j.segs[1].seq {
-			t.Errorf("%s may have been sent in what is missing, and counts as never run", id)
+	missing, _, _ := parseName(gone)
+	got, before := heldIn(j), 0
+	for id, m := range as.live { // where their states stood as it was opened
+		if m.seg.seq < missing {
+			if before++; !got[id].ran {
+				t.Errorf("%s may have been sent in what is missing, and counts as never run", id)
+			}
 		}
 	}
+	if before == 0 {
+		t.Error("no message stood before what is missing: the test says nothing")
+	}
 }
 
 // TestNewerFormat: a folder of a newer program is refused and left as it is.
@@ -587,3 +598,58 @@
 		t.Errorf("%d messages; %d bytes in the folder, %d allowed", n, fs.most, limit)
 	}
 }
+
+// TestMarksOutlastTheNextStart: messages that damage in the part without an index has hit count as ones that may have
+// run at each start from then on, whatever is written behind the damage.
+func TestMarksOutlastTheNextStart(t *testing.T) {
+	fs := newMemFS()
+	open := func() *Journal {
+		t.Helper()
+		j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return j
+	}
+	accept := func(j *Journal, id string) {
+		t.Helper()
+		s := &Saved{ID: id, Class: "note", Body: message.Bytes(make([]byte, 900))}
+		room, err := j.Reserve(s.Size())
+		if err != nil || !room {
+			t.Fatal(room, err)
+		}
+		if err := errors.Join(j.Accepted(s), j.Flush()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j := open()
+	accept(j, "hit")
+	from := j.end
+	j.Sending("hit")
+	if err := j.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	to := j.end
+	accept(j, "behind")
+	text := fs.files[j.active().name].text
+	for i := from; i < to; i++ {
+		text[i] = 0x55
+	}
+	fs = fs.after()
+	j = open()
+	if !heldIn(j)["hit"].ran {
+		t.Fatal("the record of its send is gone, and it counts as never run")
+	}
+	for i := range 20 { // past the next index
+		id := fmt.Sprint("later", i)
+		accept(j, id)
+		j.Closed(id)
+	}
+	if err := j.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	fs = fs.after()
+	if j = open(); !heldIn(j)["hit"].ran {
+		t.Error("at the next start it counts as never run")
+	}
+}
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -140,7 +140,7 @@
 		if !ok {
 			next := find(text, s.nonce, off+1)
 			atEnd := next < 0 && last
-			if _, plausible := len2(rest); !atEnd || plausible {
+			if !atEnd || looksSmall(rest) {
 				var mended bool
 				if k, payload, mended, ok = readRecord(rest, s.nonce, off, true); ok && mended {
 					j.note(Damage{File: s.name, Offset: off, Bytes: int64(recordHead + len(payload)), What: "one bit was flipped, and is put right"})
@@ -195,14 +195,14 @@
 	return nil
 }
 
-// len2 tells whether what a small record's header would be reads like one: only such a one is put right at
+// looksSmall tells whether text begins with the header of a small record: only such a one is put right at
 // the end of the log, where half a record is nothing unusual.
-func len2(text []byte) (int, bool) {
+func looksSmall(text []byte) bool {
 	if len(text) < recordHead {
-		return 0, false
+		return false
 	}
 	n, plausible := lengthOf(text)
-	return n, plausible && n <= 1024
+	return plausible && n <= 1024
 }
 
 // find looks for the next record that checks.
