--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -12,8 +12,13 @@
 	"syscall"
 
 	"scaleroute/internal/config"
+	"scaleroute/internal/journal"
 )
 
+// exitDisk is the exit status when the disk that the journal is on has failed: EX_IOERR of sysexits.h. What had been
+// written is there at the next start.
+const exitDisk = 74
+
 func main() {
 	hup := make(chan os.Signal, 1) // before all else: unhandled, it ends the process
 	signal.Notify(hup, syscall.SIGHUP)
@@ -31,6 +36,9 @@
 	}
 	if err != nil {
 		slog.Error("scaleroute", "err", err)
+		if journal.Failing(err) {
+			os.Exit(exitDisk)
+		}
 		os.Exit(1)
 	}
 }
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -28,7 +28,7 @@
 	lastWrite = 50 * time.Millisecond   // for answers still to be written
 	listWait  = 500 * time.Millisecond  // for the first list, at a start
 
-	roomyMB = 512 // from here on memory is spent to spare the collector's work
+	heldShare = 25 // of a hundred parts of the memory: for what is held
 
 	reloadPause = 100 * time.Millisecond // until a configuration that can't be read is read again
 )
@@ -37,12 +37,10 @@
 // each value from hup it reads its configuration again. An error means that it
 // could not start or can't go on.
 func run(c *config.Config, stop <-chan struct{}, hup <-chan os.Signal) error {
+	memory := int64(c.Limits.MemoryMB) << 20
 	// The journal's file counts as memory too; connections and the runtime need some.
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
-	if c.Limits.MemoryMB >= roomyMB {
-		debug.SetGCPercent(400)
-	}
-	j, err := journal.Open(c.State, int64(c.Limits.DiskMB*1e6))
+	debug.SetMemoryLimit(memory * 6 / 10)
+	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100})
 	if err != nil {
 		return err
 	}
@@ -83,6 +81,9 @@
 			failed <- err
 		}
 	})
+	if c.Limits.MemoryMB >= roomyMB {
+		wg.Go(func() { spendMemory(ctx, memory/spentPart) })
+	}
 	wg.Go(func() { p.Watch(ctx, first, func(list *agent.List) { l.List(list.Told()) }) })
 	wg.Go(func() { p.Deliver(ctx, l.Heard) })
 	wg.Go(func() { reload(ctx, hup, c.File, p) })
--- a/cmd/scaleroutectl/journal_test.go
+++ b/cmd/scaleroutectl/journal_test.go
@@ -18,7 +18,7 @@
 func folder(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	j, err := journal.Open(dir, 3e6)
+	j, err := journal.Open(dir, journal.Options{Limit: 3e6})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/intake"
 	"scaleroute/internal/journal"
 	"scaleroute/internal/message"
 )
@@ -31,6 +34,10 @@
 	callEnded struct{ outcome decide.Outcome }
 	heard     struct{ ids []string } // final answers that have arrived
 	finish    struct{}               // no client comes any more
+	syncEnded struct {               // what had been written by then is synced, or can't be
+		written int64
+		err     error
+	}
 )
 
 // reply is the answer to a message handed in, and the entry that was taken on, if any.
@@ -48,6 +55,13 @@
 	attempt int                // number of the call that is out
 	cancel  context.CancelFunc // ends that call; nil if none is out
 	ended   bool               // a notice is owed, or nothing any more
+	cost    int64              // of the room
+}
+
+// batch is what may show outside once the journal is synced so far.
+type batch struct {
+	written int64
+	effects []func()
 }
 
 // Config is what an Engine works with.
@@ -55,6 +69,8 @@
 	Settings decide.Settings
 	Journal  *journal.Journal // the engine's alone from now on
 	Back     Back
+	// SyncEvery is how often a journal is synced that is synced at intervals.
+	SyncEvery time.Duration
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -75,7 +91,11 @@
 	entries   map[string]*entry
 	events    []decide.Event
 	arrived   []*entry // in this round
+	shares    intake.Shares
 	effects   []func() // after the journal has been written
+	waiting   []batch  // until it has been synced, where that is promised
+	syncing   bool
+	syncEvery time.Duration
 	wake      *time.Timer
 	finishing bool
 	empty     bool
@@ -88,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(),
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
@@ -160,7 +180,7 @@
 	now := time.Now()
 	for _, s := range l.journal.Held() {
 		e := &entry{saved: s, acked: true}
-		l.entries[s.ID] = e
+		l.keep(e)
 		if s.End != 0 {
 			l.notify(e)
 			continue
@@ -177,6 +197,12 @@
 // journal can't be kept: then nothing more may be taken on.
 func (l *Engine) Run(ctx context.Context) error {
 	defer close(l.done)
+	var sync <-chan time.Time
+	if l.journal.Durability() == journal.Interval && l.syncEvery > 0 {
+		t := time.NewTicker(l.syncEvery)
+		defer t.Stop()
+		sync = t.C
+	}
 	for {
 		if err := l.round(ctx); err != nil {
 			return err
@@ -191,7 +217,9 @@
 		select {
 		case <-ctx.Done():
 			l.rest()
-			return l.journal.Flush()
+			return l.settle()
+		case <-sync:
+			l.sync()
 		case v := <-l.inbox:
 			if err := l.receive(ctx, v); err != nil {
 				return err
@@ -221,6 +249,49 @@
 	}
 }
 
+// settle makes the journal's end as durable as the rest, and lets what waited for that show outside.
+func (l *Engine) settle() error {
+	if err := l.journal.Flush(); err != nil {
+		return err
+	}
+	written, sync := l.journal.Unsynced()
+	if sync != nil {
+		if err := sync(); err != nil {
+			return fmt.Errorf("syncing the journal: %w", err)
+		}
+	}
+	return l.synced(written)
+}
+
+// sync has a goroutine sync what is written, unless one does, or nothing is to be synced.
+func (l *Engine) sync() {
+	if l.syncing {
+		return
+	}
+	if written, sync := l.journal.Unsynced(); sync != nil {
+		l.syncing = true
+		go func() { l.tell(syncEnded{written, sync()}) }()
+	}
+}
+
+// synced lets what waited for a sync show outside.
+func (l *Engine) synced(written int64) error {
+	if err := l.journal.Synced(written); err != nil {
+		return err
+	}
+	n := 0
+	for ; n < len(l.waiting) && l.journal.Covered(l.waiting[n].written); n++ {
+		for _, do := range l.waiting[n].effects {
+			do()
+		}
+	}
+	l.waiting = slices.Delete(l.waiting, 0, n)
+	if len(l.waiting) > 0 {
+		l.sync()
+	}
+	return nil
+}
+
 func (l *Engine) receive(ctx context.Context, v any) error {
 	switch v := v.(type) {
 	case arrival:
@@ -236,6 +307,12 @@
 		l.list(v)
 	case finish:
 		l.finishing = true
+	case syncEnded:
+		l.syncing = false
+		if v.err != nil { // what it would have covered may be gone, and a second try would not say so
+			return fmt.Errorf("syncing the journal: %w", v.err)
+		}
+		return l.synced(v.written)
 	case decide.Stopping:
 		l.events = append(l.events, v)
 	}
@@ -273,6 +350,10 @@
 	}
 	s := &journal.Saved{ID: m.ID, Origin: m.Origin, Class: m.Class, Dest: m.Destination, Body: m.Body,
 		Deadline: m.Read.Add(min(m.Left, class.Deadline) - intakeSlack)}
+	if !l.shares.Admits(m.Destination, s.Cost(), l.journal.Full(), len(l.dests)) {
+		turnAway(refused(diskWait))
+		return nil
+	}
 	room, err := l.journal.Reserve(s.Size())
 	if err != nil {
 		return err
@@ -283,7 +364,7 @@
 		return nil
 	}
 	e := &entry{answer: a.answer, saved: s}
-	l.entries[m.ID] = e
+	l.keep(e)
 	l.arrived = append(l.arrived, e)
 	l.events = append(l.events, decide.Message{ID: m.ID, Class: m.Class, Destination: m.Destination,
 		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat})
@@ -348,10 +429,21 @@
 	}
 }
 
+func (l *Engine) keep(e *entry) {
+	l.entries[e.saved.ID] = e
+	e.cost = e.saved.Cost()
+	l.shares.Add(e.saved.Dest, e.cost)
+}
+
+func (l *Engine) leave(e *entry) {
+	delete(l.entries, e.saved.ID)
+	l.shares.Add(e.saved.Dest, -e.cost)
+}
+
 // forget closes a message for which nothing is owed any more.
 func (l *Engine) forget(e *entry) {
 	l.journal.Closed(e.saved.ID)
-	delete(l.entries, e.saved.ID)
+	l.leave(e)
 }
 
 // round makes one Step and does what it decides, in this order: the journal
@@ -378,6 +470,11 @@
 	if err := l.journal.Flush(); err != nil {
 		return err
 	}
+	if l.journal.Durability() == journal.Group && len(l.effects) > 0 {
+		l.waiting = append(l.waiting, batch{l.journal.Written(), l.effects})
+		l.effects = nil
+		return l.synced(0)
+	}
 	for _, do := range l.effects {
 		do()
 	}
@@ -428,10 +525,16 @@
 	l.journal.Sending(s.Message)
 	call, cancel := context.WithCancel(ctx)
 	e.cancel = cancel
-	n, try := e.attempt, Attempt{ID: s.Message, Body: e.saved.Body, Timeout: s.Timeout}
+	n, try, decided := e.attempt, Attempt{ID: s.Message, Body: e.saved.Body, Timeout: s.Timeout}, time.Now()
 	l.effects = append(l.effects, func() {
 		go func() {
-			o := to.Call(call, try)
+			if l.journal.Durability() == journal.Group { // it has waited for a sync
+				try.Timeout = max(time.Millisecond, try.Timeout-time.Since(decided))
+			}
+			o := decide.Outcome{Result: decide.NotSent}
+			if call.Err() == nil {
+				o = to.Call(call, try)
+			}
 			o.Message, o.Attempt, o.Target = s.Message, n, s.Target
 			l.tell(callEnded{o})
 		}()
@@ -467,7 +570,7 @@
 		}
 		e.answer = nil
 		l.journal.Release(e.saved.Size())
-		delete(l.entries, id)
+		l.leave(e)
 		l.effects = append(l.effects, func() { answer <- reply{Answer: text} })
 		return
 	}
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -89,7 +89,7 @@
 
 func mustJournal(t *testing.T, dir string, limit int64) *journal.Journal {
 	t.Helper()
-	j, err := journal.Open(dir, limit)
+	j, err := journal.Open(dir, journal.Options{Limit: limit})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -13,7 +13,7 @@
 	for _, n := range []int{100_000, 1_000_000} {
 		b.Run(fmt.Sprintf("held=%d", n), func(b *testing.B) {
 			dir, limit := b.TempDir(), int64(n)*1500+64<<20
-			j, err := Open(dir, limit)
+			j, err := Open(dir, Options{Limit: limit})
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -44,7 +44,7 @@
 				if j != nil {
 					j.Close()
 				}
-				if j, err = Open(dir, limit); err != nil || len(j.live) != n {
+				if j, err = Open(dir, Options{Limit: limit}); err != nil || len(j.live) != n {
 					b.Fatal(err)
 				}
 			}
@@ -61,7 +61,7 @@
 func BenchmarkWrite(b *testing.B) {
 	for _, share := range []float64{0.1, 0.5, 0.9} {
 		b.Run(fmt.Sprintf("used=%.0f%%", 100*share), func(b *testing.B) {
-			j, err := Open(b.TempDir(), 64<<20)
+			j, err := Open(b.TempDir(), Options{Limit: 64 << 20})
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -1,7 +1,9 @@
 package journal
 
 import (
+	"fmt"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -14,6 +16,8 @@
 	Open(name string, create bool) (File, error)
 	Rename(from, to string) error
 	Remove(name string) error
+	Free() (int64, error) // bytes that the disk has left
+	Sync() error          // what was created, renamed and removed outlasts the machine
 }
 
 // File is one file of an FS.
@@ -23,6 +27,7 @@
 	io.Closer
 	Size() (int64, error)
 	Allocate(size int64) error // sets room aside, so that writes below size find it
+	Sync() error               // what was written outlasts the machine
 }
 
 // osFS is a folder of the operating system.
@@ -63,6 +68,23 @@
 
 func (o osFS) Remove(name string) error { return os.Remove(filepath.Join(o.dir, name)) }
 
+func (o osFS) Free() (int64, error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(o.dir, &s); err != nil {
+		return 0, fmt.Errorf("asking what the disk of %s has left: %w", o.dir, err)
+	}
+	return int64(min(s.Bavail, math.MaxInt64/4/uint64(s.Bsize))) * s.Bsize, nil
+}
+
+func (o osFS) Sync() error {
+	f, err := os.Open(o.dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
 type osFile struct{ *os.File }
 
 func (f osFile) Size() (int64, error) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -19,6 +19,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -66,6 +67,11 @@
 	size    int64 // of its state there
 	before  *Saved
 	after   *Saved
+
+	j        *Journal // for its body alone, once that stands on disk
+	at       place    // of its state, as written; under j.places
+	resident int      // bytes of its body that are counted as in memory
+	length   int      // of its body if that stands on disk alone
 }
 
 // Ran tells whether any attempt may have run, an open one included.
@@ -79,20 +85,33 @@
 
 func cost(size int) int64 { return stateBytes(size) + controlBytes }
 
+// Cost is the room that is set aside for a message.
+func (s *Saved) Cost() int64 { return cost(s.Size()) }
+
 // Options are for OpenWith.
 type Options struct {
 	FS       FS
 	Limit    int64 // bytes that the folder may hold
+	Memory   int64 // bytes that what is held may take in memory; 0 for no limit
 	ReadOnly bool  // only replay: nothing is written, and nothing can be
+
+	Durability Durability
+}
+
+// Failing tells whether an error is the disk's: one that no setting mends.
+func Failing(err error) bool {
+	var e syscall.Errno
+	return errors.As(err, &e) && e != syscall.EWOULDBLOCK && e != syscall.ENOENT && e != syscall.EACCES
 }
 
 // Journal is the log. It is owned by one goroutine.
 type Journal struct {
 	fs      FS
 	size    int64 // of a segment
-	most    int   // segments, spare ones counted
+	limit   int64 // of all files together; none is kept if it is 0
 	segs    []*segment
 	spares  []string
+	aside   int64  // bytes of damaged segments that are kept for inspection
 	end     int64  // of what is written in the last segment
 	buf     []byte // behind it
 	batch   []touch
@@ -104,9 +123,18 @@
 	largest int64  // state, of all that was held at once
 	noRoom  time.Time
 	flags   uint16 // of new segments
-	sealed  bool   // the last segment is complete
-	batches uint64 // indexes in the last segment
-	lock    *os.File
+
+	durability Durability
+	unsynced   int64 // of written: up to here there is something that a sync must cover
+	synced     int64 // of written
+	syncedAt   int64 // the same, as an offset in the last segment
+	cut        bool  // what stands behind the end was never synced, and must go
+	memory     memory
+	places     sync.RWMutex // the places of bodies, which calls read
+	unplaced   []unplaced   // states in buf
+	sealed     bool         // the last segment is complete
+	batches    uint64       // indexes in the last segment
+	lock       *os.File
 
 	damage  []Damage
 	written int64 // bytes in all
@@ -120,13 +148,14 @@
 }
 
 // Open replays the journal in a folder, or begins one, and keeps others from it. A journal in the form
-// of old is taken over.
-func Open(dir string, limit int64) (*Journal, error) {
+// of old is taken over. The options name no file system.
+func Open(dir string, o Options) (*Journal, error) {
 	lock, err := lockFolder(dir)
 	if err != nil {
 		return nil, err
 	}
-	j, err := OpenWith(Options{FS: osFS{dir: dir}, Limit: limit - diskMargin})
+	o.FS, o.Limit = osFS{dir: dir}, o.Limit-diskMargin
+	j, err := OpenWith(o)
 	if err != nil {
 		lock.Close()
 		return nil, err
@@ -150,10 +179,10 @@
 
 // OpenWith replays the journal of a file system, or begins one.
 func OpenWith(o Options) (*Journal, error) {
-	j := &Journal{fs: o.FS, live: map[string]*Saved{}, next: 1}
+	j := &Journal{fs: o.FS, live: map[string]*Saved{}, next: 1, durability: o.Durability, memory: memory{limit: o.Memory}}
 	if o.Limit >= tinyLimit {
+		j.limit = o.Limit
 		j.size = min(max(o.Limit/fewSegments, smallestSeg), largestSeg, o.Limit/5) / 512 * 512
-		j.most = int(o.Limit / j.size)
 	}
 	if err := j.replay(o.ReadOnly); err != nil {
 		j.Close()
@@ -162,11 +191,25 @@
 	if o.ReadOnly {
 		return j, j.readOldOnly()
 	}
-	if j.most == 0 {
+	if j.limit == 0 {
 		return j, nil
 	}
+	if err := j.cutOff(); err != nil {
+		j.Close()
+		return nil, err
+	}
 	if len(j.segs) == 0 || j.sealed {
-		if err := j.begin(); err != nil {
+		err := j.begin()
+		if errors.Is(err, errNoRoom) && len(j.segs) == 0 && j.flags&takingOver == 0 {
+			return j, nil // nothing is held: all is turned away until there is room
+		}
+		if err != nil {
+			j.Close()
+			return nil, err
+		}
+	}
+	if j.active().flags&grouped != j.groupFlag() { // a segment is of one kind
+		if err := j.roll(); err != nil {
 			j.Close()
 			return nil, err
 		}
@@ -179,7 +222,7 @@
 		j.Close()
 		return nil, err
 	}
-	for j.allocated() < min(keptFree, j.most) && j.allocate() {
+	for j.allocated() < keptFree && j.allocate() {
 	}
 	if err := j.restate(); err != nil {
 		j.Close()
@@ -205,13 +248,30 @@
 
 func (j *Journal) allocated() int { return len(j.segs) + len(j.spares) }
 
+// bytes is what all files take.
+func (j *Journal) bytes() (n int64) {
+	for _, s := range j.segs {
+		n += s.size
+	}
+	return n + int64(len(j.spares))*j.size + j.aside
+}
+
+// room is how many bytes of states and what follows on them the segments that are allocated have room for, those that
+// must stay free left out. With more of them than the limit allows it counts what the limit allows.
+func (j *Journal) room(largest int64) int64 {
+	lost := segmentHead + sealBytes + largest // of each, at most
+	return min(j.bytes(), j.limit) - j.aside - int64(j.allocated())*lost - keptFree*(j.size-lost)
+}
+
 func (j *Journal) active() *segment { return j.segs[len(j.segs)-1] }
 
-// allocate sets room aside for one more segment, if the disk has it.
+// allocate sets room aside for one more segment, if limit and disk have it.
 func (j *Journal) allocate() bool {
-	if j.allocated() >= j.most || time.Now().Before(j.noRoom) {
-		return false
-	}
+	return j.bytes()+j.size <= j.limit && time.Now().After(j.noRoom) && j.enlarge()
+}
+
+// enlarge does so whatever the limit is.
+func (j *Journal) enlarge() bool {
 	name := fmt.Sprintf("%016x%s", rand.Uint64(), spareEnd)
 	f, err := j.fs.Open(name, true)
 	if err == nil {
@@ -230,12 +290,14 @@
 	return true
 }
 
+var errNoRoom = errors.New("journal: no room for a segment: free some space on its disk")
+
 // begin makes a spare file the segment that is written to.
 func (j *Journal) begin() error {
 	if len(j.spares) == 0 && !j.allocate() {
-		return errors.New("journal: no room for a segment")
+		return errNoRoom
 	}
-	s := &segment{seq: 1, nonce: rand.Uint32(), first: j.next, flags: j.flags, size: j.size}
+	s := &segment{seq: 1, nonce: rand.Uint32(), first: j.next, flags: j.flags | j.groupFlag(), size: j.size}
 	if j.flags&takingOver != 0 {
 		s.size = 0
 	}
@@ -250,7 +312,15 @@
 	}
 	s.file = f
 	if _, err = f.WriteAt(s.header(), 0); err == nil { // before its name says what it is
-		err = j.fs.Rename(spare, s.name)
+		if j.durability != Process { // no record is to stand where a lost rename would hide it
+			err = f.Sync()
+		}
+		if err == nil {
+			err = j.fs.Rename(spare, s.name)
+		}
+		if err == nil {
+			err = j.syncFolder()
+		}
 	}
 	if err != nil {
 		f.Close()
@@ -258,7 +328,7 @@
 	}
 	j.spares = j.spares[:len(j.spares)-1]
 	j.segs = append(j.segs, s)
-	j.end, j.batch, j.since, j.batches, j.sealed = segmentHead, j.batch[:0], 0, 0, false
+	j.end, j.batch, j.since, j.batches, j.sealed, j.syncedAt = segmentHead, j.batch[:0], 0, 0, false, segmentHead
 	return nil
 }
 
@@ -284,11 +354,19 @@
 		return false, j.err
 	}
 	state := stateBytes(size)
-	if j.most == 0 || state > j.size/2 {
+	if j.limit == 0 || state > j.size/2 || !j.memory.roomFor(len(j.live)) {
 		return false, nil
 	}
+	if len(j.segs) == 0 {
+		if err := j.begin(); errors.Is(err, errNoRoom) {
+			return false, nil
+		} else if err != nil {
+			j.err = err
+			return false, err
+		}
+	}
 	largest := max(j.largest, state)
-	for j.need+cost(size) > int64(j.allocated()-keptFree)*(j.size-segmentHead-sealBytes-largest) {
+	for j.need+cost(size) > j.room(largest) {
 		if !j.allocate() {
 			return false, nil
 		}
@@ -298,6 +376,23 @@
 	return true, nil
 }
 
+// Full tells which part of the room is in use, on disk or in memory, whichever is scarcer.
+func (j *Journal) Full() float64 {
+	if j.limit == 0 {
+		return 1
+	}
+	lost := segmentHead + sealBytes + j.largest
+	room := ((j.limit-j.aside)/j.size - keptFree) * (j.size - lost)
+	if time.Now().Before(j.noRoom) { // the disk has less
+		room = j.room(j.largest)
+	}
+	full := float64(j.need) / float64(max(1, room))
+	if m := j.memory.limit - j.memory.limit/bodyShare; m > 0 {
+		full = max(full, float64(len(j.live)*heldBytes)/float64(m))
+	}
+	return min(full, 1)
+}
+
 // Release gives back what Reserve set aside for a message that was turned away.
 func (j *Journal) Release(size int) {
 	j.need -= cost(size)
@@ -311,7 +406,7 @@
 	if old := j.live[s.ID]; old != nil {
 		j.Closed(old.ID)
 	}
-	s.n, s.records = j.next, 0
+	s.n, s.records, s.j = j.next, 0, j
 	j.next++
 	j.live[s.ID] = s
 	return j.state(s)
@@ -321,12 +416,14 @@
 func (j *Journal) state(s *Saved) error {
 	body, err := s.Body.Load()
 	if err != nil {
-		return fmt.Errorf("journal: the body of %s: %w", s.ID, err)
+		j.lose(s, err)
+		body = nil
 	}
 	size := j.record(kindState, s, encodeState(s, body))
 	if j.err == nil {
 		s.leave()
 		j.active().add(s, int64(size+indexEntry))
+		j.unplaced = append(j.unplaced, unplaced{s, place{j.active(), j.end + int64(len(j.buf)-size), size}})
 	}
 	return j.err
 }
@@ -366,6 +463,7 @@
 
 func (j *Journal) drop(s *Saved) {
 	s.leave()
+	j.memory.leave(s)
 	delete(j.live, s.ID)
 	j.Release(s.Size())
 }
@@ -425,10 +523,16 @@
 	if err := j.write(); err != nil {
 		return err
 	}
+	if err := j.syncNow(); err != nil {
+		return err
+	}
 	if err := j.begin(); err != nil {
 		return err
 	}
 	for len(j.spares) == 0 && !j.allocate() { // the next roll must find one
+		if j.segs[0].size > j.size && j.enlarge() {
+			break // of a limit that was lowered: to be moved it needs more than it has
+		}
 		if done, err := j.move(j.size); err != nil || !done {
 			return err
 		}
@@ -486,6 +590,9 @@
 	if err := j.write(); err != nil { // before what it replaces is gone
 		return false, err
 	}
+	if err := j.syncNow(); err != nil {
+		return false, err
+	}
 	return true, j.free(old)
 }
 
@@ -495,18 +602,18 @@
 		return fmt.Errorf("journal: %s: %w", old.name, err)
 	}
 	j.segs = j.segs[1:]
-	if old.size < j.size || j.allocated() >= j.most { // of another limit, or taken over
+	if old.size != j.size || j.bytes()+j.size > j.limit { // of another limit, or taken over
 		if err := j.fs.Remove(old.name); err != nil {
 			return fmt.Errorf("journal: %w", err)
 		}
-		return nil
+		return j.syncFolder()
 	}
 	spare := strings.TrimSuffix(old.name, segmentEnd) + spareEnd
 	if err := j.fs.Rename(old.name, spare); err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
 	j.spares = append(j.spares, spare)
-	return nil
+	return j.syncFolder()
 }
 
 func (j *Journal) write() error {
@@ -520,6 +627,8 @@
 	}
 	j.end += int64(n)
 	j.written += int64(n)
+	j.unsynced = j.written
+	j.place()
 	if j.buf = j.buf[:0]; cap(j.buf) > 1<<20 {
 		j.buf = nil
 	}
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -60,23 +60,48 @@
 
 const smallLimit = 70_000
 
+// small is a folder in which some bodies stay in memory and some do not.
+func small(fs FS) Options { return Options{FS: fs, Limit: smallLimit, Memory: 40_000} }
+
+// flush flushes and, where that is asked for, syncs: the model may then rely on what is there.
+func (m *model) flush(j *Journal, sync bool) error {
+	if err := j.Flush(); err != nil {
+		return err
+	}
+	if j.durability == Group {
+		if !sync {
+			return nil
+		}
+		written, f := j.Unsynced()
+		if f != nil {
+			if err := f(); err != nil {
+				return err
+			}
+		}
+		if err := j.Synced(written); err != nil {
+			return err
+		}
+	}
+	m.flushed = len(m.history) - 1
+	return nil
+}
+
 // work drives a journal and its model with a workload that is the same for a seed, and returns when it is over or
 // the journal fails. In the middle of it the journal is opened anew.
-func work(fs *memFS, m *model, seed uint64, steps int) (j *Journal, err error) {
+func work(o Options, m *model, seed uint64, steps int) (j *Journal, err error) {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	if j, err = OpenWith(Options{FS: fs, Limit: smallLimit}); err != nil {
+	if j, err = OpenWith(o); err != nil {
 		return nil, err
 	}
 	ids := []string{}
 	for step := range steps {
 		switch x := rng.IntN(10); {
 		case step == steps/2:
-			if err := j.Flush(); err != nil {
+			if err := m.flush(j, true); err != nil {
 				return j, err
 			}
-			m.flushed = len(m.history) - 1
 			j.Close()
-			if j, err = OpenWith(Options{FS: fs, Limit: smallLimit}); err != nil {
+			if j, err = OpenWith(o); err != nil {
 				return nil, err
 			}
 			if got := heldIn(j); !maps.Equal(got, m.now) {
@@ -126,10 +151,9 @@
 				j.Sending(id)
 			}
 		default:
-			if err := j.Flush(); err != nil {
+			if err := m.flush(j, rng.IntN(2) == 0); err != nil {
 				return j, err
 			}
-			m.flushed = len(m.history) - 1
 		}
 	}
 	return j, nil
@@ -152,7 +176,7 @@
 func TestEveryFaultPoint(t *testing.T) {
 	const steps = 5000
 	dry := newMemFS()
-	j, err := work(dry, newModel(), 1, steps)
+	j, err := work(small(dry), newModel(), 1, steps)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -169,17 +193,14 @@
 			points++
 			fs, m := newMemFS(), newModel()
 			fs.crashAt, fs.part = at, part
-			if !killed(func() { _, err = work(fs, m, 1, steps) }) {
+			if !killed(func() { _, err = work(small(fs), m, 1, steps) }) {
 				t.Fatalf("op %d: not reached (%v)", at, err)
 			}
-			j, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit})
+			j, err := OpenWith(small(fs.after()))
 			if err != nil {
 				t.Fatalf("killed in op %d, %v of it done: %v", at, part, err)
 			}
-			damage := slices.DeleteFunc(j.Damage(), func(d Damage) bool {
-				return strings.HasPrefix(d.What, "one bit") // a record cut off where only one bit of it was not nought
-			})
-			if got := heldIn(j); !m.allowed(got) || len(damage) > 0 {
+			if got := heldIn(j); !m.allowed(got) || len(realDamage(j)) > 0 {
 				t.Fatalf("killed in op %d, %v of it done: recovered %v, damage %+v; flushed was %v", at, part, got, j.Damage(), m.history[m.flushed])
 			}
 		}
@@ -187,6 +208,26 @@
 	t.Logf("%d fault points; %d segments, %d of %d bytes written by compaction", points, j.active().seq, j.moved, j.written)
 }
 
+// differ lists what two states have not in common.
+func differ(a, b map[string]known) (list []string) {
+	for id := range a {
+		if a[id] != b[id] {
+			list = append(list, fmt.Sprintf("%s: %v, %v", id, a[id], b[id]))
+		}
+	}
+	for id := range b {
+		if _, there := a[id]; !there {
+			list = append(list, fmt.Sprintf("%s is missing: %v", id, b[id]))
+		}
+	}
+	return list
+}
+
+// realDamage leaves out a record that was cut off where only one bit of it was not nought.
+func realDamage(j *Journal) []Damage {
+	return slices.DeleteFunc(slices.Clone(j.Damage()), func(d Damage) bool { return strings.HasPrefix(d.What, "one bit") })
+}
+
 // killed runs f and tells whether it was killed.
 func killed(f func()) (yes bool) {
 	defer func() {
@@ -200,17 +241,74 @@
 	return false
 }
 
+// TestEveryPowerFailure has the machine fail in each change of the file system, with what it kept drawn anew: what was
+// synced is there, and of the rest a beginning.
+func TestEveryPowerFailure(t *testing.T) {
+	const steps = 2500
+	group := func(fs FS) Options {
+		o := small(fs)
+		o.Durability = Group
+		return o
+	}
+	dry := newMemFS()
+	j, err := work(group(dry), newModel(), 1, steps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if j.moved == 0 || j.active().seq < 8 {
+		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.moved, j.active().seq)
+	}
+	every, points := 1, 0
+	if testing.Short() || raceEnabled {
+		every = 11
+	}
+	rng := rand.New(rand.NewPCG(6, 6))
+	for at := 1; at <= dry.ops; at += every {
+		fs, m := newMemFS(), newModel()
+		fs.crashAt, fs.part = at, rng.Float64()
+		if !killed(func() { _, err = work(group(fs), m, 1, steps) }) {
+			t.Fatalf("op %d: not reached (%v)", at, err)
+		}
+		for range 3 {
+			points++
+			after := fs.afterPower(rng)
+			j, err := OpenWith(group(after))
+			if err != nil {
+				t.Fatalf("the machine fails in op %d: %v", at, err)
+			}
+			got := heldIn(j)
+			if !m.allowed(got) || len(realDamage(j)) > 0 {
+				t.Fatalf("the machine fails in op %d: %d held, damage %+v; differs from what was synced in %v", at, len(got), j.Damage(), differ(got, m.history[m.flushed]))
+			}
+			// What is written behind the end is not mixed with what stood there before.
+			s := &Saved{ID: "new", Class: "note", Body: message.Bytes("b")}
+			if room, err := j.Reserve(s.Size()); err != nil {
+				t.Fatal(err)
+			} else if room {
+				if err := errors.Join(j.Accepted(s), newModel().flush(j, true)); err != nil {
+					t.Fatal(err)
+				}
+				got["new"] = known{class: "note", body: "b"}
+			}
+			if j, err = OpenWith(group(after.afterPower(rng))); err != nil || !maps.Equal(heldIn(j), got) || len(realDamage(j)) > 0 {
+				t.Fatalf("op %d, opened again: %v, %v, want %v; damage %+v", at, err, heldIn(j), got, j.Damage())
+			}
+		}
+	}
+	t.Logf("%d failures of the machine", points)
+}
+
 // TestFailedWrites has each write fail from some op on: the journal says so, takes nothing more on, and what it had
 // flushed is there when it is opened again.
 func TestFailedWrites(t *testing.T) {
 	dry := newMemFS()
-	if _, err := work(dry, newModel(), 2, 3000); err != nil {
+	if _, err := work(small(dry), newModel(), 2, 3000); err != nil {
 		t.Fatal(err)
 	}
 	for at := 5; at <= dry.ops; at += 3 {
 		fs, m := newMemFS(), newModel()
 		fs.failAt, fs.err = at, syscall.EIO
-		j, err := work(fs, m, 2, 3000)
+		j, err := work(small(fs), m, 2, 3000)
 		if err == nil && len(m.history) == 1 {
 			continue // no room from the beginning: all was turned away
 		}
@@ -224,7 +322,7 @@
 				}
 			}
 		}
-		again, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit})
+		again, err := OpenWith(small(fs.after()))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -238,7 +336,7 @@
 // until there is room again.
 func TestDiskFull(t *testing.T) {
 	fs := newMemFS()
-	j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+	j, err := OpenWith(small(fs))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -306,7 +404,7 @@
 func TestFolderStaysInItsLimit(t *testing.T) {
 	for seed := range uint64(20) {
 		fs := newMemFS()
-		if _, err := work(fs, newModel(), seed, 4000); err != nil {
+		if _, err := work(small(fs), newModel(), seed, 4000); err != nil {
 			t.Fatal(err)
 		}
 		if fs.most > smallLimit {
@@ -319,7 +417,7 @@
 func filled(t *testing.T) (*memFS, map[string]known) {
 	t.Helper()
 	fs, m := newMemFS(), newModel()
-	j, err := work(fs, m, 5, 1500)
+	j, err := work(small(fs), m, 5, 1500)
 	if err == nil {
 		err = j.Flush()
 	}
@@ -346,7 +444,7 @@
 		}
 		at := rng.IntN(len(text))
 		text[at] ^= 1 << rng.IntN(8)
-		j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+		j, err := OpenWith(small(fs))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -390,7 +488,7 @@
 		for i := range size {
 			text[at+i] = byte(rng.Uint32())
 		}
-		j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+		j, err := OpenWith(small(fs))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -448,7 +546,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+	j, err := OpenWith(small(fs))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -482,7 +580,7 @@
 		}
 	}
 	before := fs.after()
-	if _, err := OpenWith(Options{FS: fs, Limit: smallLimit}); err == nil || !strings.Contains(err.Error(), "newer program") {
+	if _, err := OpenWith(small(fs)); err == nil || !strings.Contains(err.Error(), "newer program") {
 		t.Fatalf("opened: %v", err)
 	}
 	for n, f := range before.files {
@@ -495,17 +593,17 @@
 // TestLocked: two forwarders can't use one folder, and the second is told so.
 func TestLocked(t *testing.T) {
 	dir := t.TempDir()
-	j, err := Open(dir, 3e6)
+	j, err := Open(dir, Options{Limit: 3e6})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(dir, 3e6); err == nil || !strings.Contains(err.Error(), "in use by another forwarder") {
+	if _, err := Open(dir, Options{Limit: 3e6}); err == nil || !strings.Contains(err.Error(), "in use by another forwarder") {
 		t.Errorf("the second one: %v", err)
 	}
 	if err := j.Close(); err != nil {
 		t.Fatal(err)
 	}
-	j, err = Open(dir, 3e6)
+	j, err = Open(dir, Options{Limit: 3e6})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -573,7 +671,7 @@
 func TestDamagedCopiesCount(t *testing.T) {
 	fs, limit := newMemFS(), int64(3e6-diskMargin)
 	for i := range 5 {
-		fs.files[fmt.Sprintf("%016x-00000001.seg.damaged", i)] = &memFile{fs, make([]byte, limit/fewSegments/512*512)}
+		fs.files[fmt.Sprintf("%016x-00000001.seg.damaged", i)] = &memFile{fs: fs, text: make([]byte, limit/fewSegments/512*512)}
 	}
 	j, err := OpenWith(Options{FS: fs, Limit: limit})
 	if err != nil {
@@ -605,7 +703,7 @@
 	fs := newMemFS()
 	open := func() *Journal {
 		t.Helper()
-		j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+		j, err := OpenWith(small(fs))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/journal/old.go
+++ b/internal/journal/old.go
@@ -103,7 +103,7 @@
 		if s.flags&takingOver == 0 {
 			continue
 		}
-		s.flags = 0
+		s.flags &^= takingOver
 		if _, err := s.file.WriteAt(s.header(), 0); err != nil {
 			return fmt.Errorf("journal: %w", err)
 		}
--- a/internal/journal/old_test.go
+++ b/internal/journal/old_test.go
@@ -49,11 +49,11 @@
 	text, want := oldFile()
 	begin := func() *memFS {
 		fs := newMemFS()
-		fs.files[oldName] = &memFile{fs, append([]byte(nil), text...)}
+		fs.files[oldName] = &memFile{fs: fs, text: append([]byte(nil), text...)}
 		return fs
 	}
 	dry := begin()
-	j, err := OpenWith(Options{FS: dry, Limit: smallLimit})
+	j, err := OpenWith(small(dry))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,13 +67,13 @@
 		for _, part := range []float64{0, 0.5, 1} {
 			fs := begin()
 			fs.crashAt, fs.part = at, part
-			if !killed(func() { OpenWith(Options{FS: fs, Limit: smallLimit}) }) {
+			if !killed(func() { OpenWith(small(fs)) }) {
 				t.Fatalf("op %d of %d not reached", at, dry.ops)
 			}
 			second := fs.after()
 			second.crashAt, second.part = at, 1 // and once more in the next start
-			killed(func() { OpenWith(Options{FS: second, Limit: smallLimit}) })
-			j, err := OpenWith(Options{FS: second.after(), Limit: smallLimit})
+			killed(func() { OpenWith(small(second)) })
+			j, err := OpenWith(small(second.after()))
 			if err != nil {
 				t.Fatalf("killed in op %d, %v of it done: %v", at, part, err)
 			}
@@ -88,12 +88,12 @@
 func TestOldBesideSegments(t *testing.T) {
 	fs, want := filled(t)
 	text, _ := oldFile()
-	fs.files[oldName] = &memFile{fs, text}
-	if _, err := OpenWith(Options{FS: fs, Limit: smallLimit}); err == nil || !strings.Contains(err.Error(), "Move") {
+	fs.files[oldName] = &memFile{fs: fs, text: text}
+	if _, err := OpenWith(small(fs)); err == nil || !strings.Contains(err.Error(), "Move") {
 		t.Fatalf("opened: %v", err)
 	}
 	delete(fs.files, oldName)
-	j, err := OpenWith(Options{FS: fs, Limit: smallLimit})
+	j, err := OpenWith(small(fs))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -23,7 +23,7 @@
 
 type kind byte
 
-// The kinds of records, and their payloads. Every one but seal and index begins with the message's
+// The kinds of records, and their payloads. Every one but seal, synced and index begins with the message's
 // number (uvarint) and the count of its records (1 byte).
 const (
 	kindState   kind = 'A' // a message as it is: taken on, or moved here by compaction
@@ -33,11 +33,12 @@
 	kindClosed  kind = 'C' // nothing is owed any more
 	kindIndex   kind = 'X' // number and count of each record since the last index or the segment's begin
 	kindSeal    kind = 'Z' // the segment is complete
+	kindSynced  kind = 'Y' // the offset (uvarint) before which all is synced: written before anyone hears of it
 )
 
 func (k kind) known() bool {
 	switch k {
-	case kindState, kindSending, kindOutcome, kindEnd, kindClosed, kindIndex, kindSeal:
+	case kindState, kindSending, kindOutcome, kindEnd, kindClosed, kindIndex, kindSeal, kindSynced:
 		return true
 	}
 	return false
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -28,6 +28,7 @@
 	seen map[touch]bool // records since the last index, if something was passed over there
 	gap  int            // the damage that the next index will tell of, as an index into the list plus one
 	next uint64         // number of the next index
+	text []byte         // of the segment
 }
 
 // replay reads all segments. What a kill cut off at the end of the last one is left out; damage anywhere
@@ -42,10 +43,18 @@
 			j.segs = append(j.segs, &segment{name: name, seq: seq, nonce: nonce})
 		} else if strings.HasSuffix(name, spareEnd) {
 			j.spares = append(j.spares, name)
-		} else if strings.HasSuffix(name, damagedEnd) && j.most > keptFree+1 {
-			j.most-- // it takes the place of a segment
+		} else if strings.HasSuffix(name, damagedEnd) {
+			size, err := j.sizeOf(name)
+			if err != nil {
+				return err
+			}
+			j.aside += (size + 511) / 512 * 512
 		}
 	}
+	if j.aside > j.limit/2 && !readOnly {
+		slog.Warn("copies of damaged segments take more than half of what the folder may hold: remove them", "bytes", j.aside)
+		j.aside = j.limit / 2
+	}
 	slices.SortFunc(j.segs, func(a, b *segment) int {
 		if a.seq < b.seq {
 			return -1
@@ -59,6 +68,9 @@
 		j.flags = takingOver
 	}
 	if !readOnly {
+		if err := j.fit(); err != nil {
+			return err
+		}
 		if err := j.checkSpares(); err != nil {
 			return err
 		}
@@ -75,6 +87,7 @@
 		}
 	}
 	for _, s := range j.live {
+		s.j = j
 		j.need += cost(s.Size())
 		j.largest = max(j.largest, stateBytes(s.Size()))
 	}
@@ -94,7 +107,7 @@
 		}
 		size, err := f.Size()
 		f.Close()
-		if err != nil || size != j.size || len(j.segs)+len(kept) >= j.most {
+		if err != nil || size != j.size || j.limit == 0 || int64(len(j.segs)+len(kept)+1)*j.size > j.limit-j.aside {
 			if err := j.fs.Remove(name); err != nil {
 				return fmt.Errorf("journal: %w", err)
 			}
@@ -119,7 +132,10 @@
 	if s.size, err = f.Size(); err != nil {
 		return fmt.Errorf("journal: %s: %w", s.name, err)
 	}
-	text := make([]byte, s.size)
+	if int64(cap(r.text)) < s.size {
+		r.text = make([]byte, s.size)
+	}
+	text := r.text[:s.size]
 	if n, err := f.ReadAt(text, 0); err != nil && n < len(text) {
 		return fmt.Errorf("journal: reading %s: %w", s.name, err)
 	}
@@ -149,6 +165,11 @@
 			if !ok && atEnd {
 				break // the end, or what a kill cut off
 			}
+			if !ok && last && s.flags&grouped != 0 && syncedBefore(text, s.nonce, next) <= off {
+				// A failing machine kept what was written behind it and not this: nobody was told of either.
+				j.cut = true
+				break
+			}
 			if !ok {
 				bytes := int64(len(text)) - off
 				if next >= 0 {
@@ -167,7 +188,7 @@
 			sealed = true
 			break
 		}
-		if err := r.apply(s, k, payload); err != nil {
+		if err := r.apply(place{s, off - int64(recordHead+len(payload)), recordHead + len(payload)}, k, payload); err != nil {
 			j.note(Damage{File: s.name, Offset: off, What: err.Error()})
 			r.gap = len(j.damage)
 		}
@@ -176,7 +197,7 @@
 		r.unknown()
 	}
 	if last {
-		j.end = off
+		j.end, j.syncedAt = off, off
 		j.sealed = sealed // killed between the end of one and the beginning of the next
 		j.batch, j.since, j.batches = j.batch[:0], 0, r.next
 		for t := range r.seen {
@@ -222,25 +243,28 @@
 }
 
 // apply takes one record.
-func (r *replayer) apply(seg *segment, k kind, p []byte) error {
+func (r *replayer) apply(at place, k kind, p []byte) error {
 	j := r.j
-	if k == kindIndex {
+	switch k {
+	case kindIndex:
 		return r.index(p)
+	case kindSynced:
+		return nil
 	}
-	n, w := binary.Uvarint(p)
-	if w <= 0 || len(p) < w+1 {
+	n, count, rest, ok := numbered(p)
+	if !ok {
 		return errShort
 	}
-	count, rest := p[w], p[w+1:]
 	r.seen[touch{n, count}] = true
 	j.next = max(j.next, n+1)
 	s := r.byN[n]
 	if k == kindState {
-		m, err := decodeState(rest)
+		m, body, err := decodeState(rest)
 		if err != nil {
 			return err
 		}
-		m.n, m.records = n, count+1
+		m.n, m.records, m.j, m.at = n, count+1, j, at
+		j.memory.decide(m, body, false)
 		if s != nil {
 			r.forget(s)
 		}
@@ -248,7 +272,7 @@
 			r.forget(old)
 		}
 		j.live[m.ID], r.byN[n] = m, m
-		seg.add(m, int64(recordHead+len(p)+indexEntry))
+		at.seg.add(m, int64(at.size+indexEntry))
 		return nil
 	}
 	if s == nil {
@@ -276,8 +300,18 @@
 	return nil
 }
 
+// numbered splits the payload of a record of a message.
+func numbered(p []byte) (n uint64, count byte, rest []byte, ok bool) {
+	n, w := binary.Uvarint(p)
+	if w <= 0 || len(p) < w+1 {
+		return 0, 0, nil, false
+	}
+	return n, p[w], p[w+1:], true
+}
+
 func (r *replayer) forget(s *Saved) {
 	s.leave()
+	r.j.memory.leave(s)
 	delete(r.byN, s.n)
 	if r.j.live[s.ID] == s {
 		delete(r.j.live, s.ID)
@@ -353,7 +387,7 @@
 
 // keepAside copies a damaged segment, if there is room, before its file serves again.
 func (j *Journal) keepAside(s *segment, text []byte) {
-	if j.most == 0 || j.allocated()+1 > j.most-keptFree {
+	if j.bytes()+s.size+keptFree*j.size > j.limit {
 		return
 	}
 	f, err := j.fs.Open(s.name+damagedEnd, true)
@@ -362,6 +396,50 @@
 	}
 	defer f.Close()
 	if _, err := f.WriteAt(text, 0); err == nil {
-		j.most-- // it takes the place of a segment
+		j.aside += s.size
+	}
+}
+
+// fit makes segments as small as what the disk has left calls for, in halves, so that the same disk gives the same size
+// at the next start.
+func (j *Journal) fit() error {
+	if j.limit == 0 {
+		return nil
+	}
+	left, err := j.fs.Free()
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	for _, s := range j.segs {
+		size, err := j.sizeOf(s.name)
+		if err != nil {
+			return err
+		}
+		s.size = size
+		left += size
+	}
+	for _, name := range j.spares {
+		size, err := j.sizeOf(name)
+		if err != nil {
+			return err
+		}
+		left += size
+	}
+	for j.size/2 >= smallestSeg && j.size*fewSegments > left {
+		j.size = j.size / 2 / 512 * 512
+	}
+	return nil
+}
+
+func (j *Journal) sizeOf(name string) (int64, error) {
+	f, err := j.fs.Open(name, false)
+	if err != nil {
+		return 0, fmt.Errorf("journal: %w", err)
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return 0, fmt.Errorf("journal: %s: %w", name, err)
 	}
+	return size, nil
 }
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -11,16 +11,17 @@
 // A segment is a file of records. Its name, and its header again, tell its place and its nonce:
 //
 //	0   "SRJL"
-//	4   version (2 bytes, little-endian), now 2; the single file of old was 1
-//	6   flags (2): 1 while the journal of old is being taken over
+//	4   version (2 bytes, little-endian), now 3; 2 had no synced offsets, the single file of old was 1
+//	6   flags (2): 1 while the journal of old is being taken over; 2 if what is synced is written down (sync.go)
 //	8   sequence number (8)
 //	16  nonce (4)
 //	20  the first message number that was not given yet (8)
 //	28  CRC-32C of all that
 const (
 	segmentHead = 32
-	version     = 2
+	version     = 3
 	takingOver  = 1
+	grouped     = 2
 
 	segmentEnd = ".seg"
 	spareEnd   = ".spare"
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -4,8 +4,6 @@
 	"encoding/binary"
 	"errors"
 	"time"
-
-	"scaleroute/internal/message"
 )
 
 // The payload of a state, behind number and count. Its length depends on nothing that changes, so that a
@@ -16,13 +14,14 @@
 const (
 	flagOpen = 1 << iota
 	flagMayHaveRun
+	flagLost // its body could not be read when it was to be moved
 )
 
 func encodeState(s *Saved, body []byte) []byte {
 	p := make([]byte, 0, 24+s.Size())
 	p = binary.LittleEndian.AppendUint64(p, uint64(s.Deadline.UnixMilli()))
 	p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Dest)))
-	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun, s.End)
+	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost, s.End)
 	p = binary.LittleEndian.AppendUint32(p, uint32(min(s.Wait.Milliseconds(), 1<<32-1)))
 	p = append(p, byte(len(s.ID)), byte(len(s.Class)), byte(len(s.Origin)))
 	p = append(append(append(p, s.ID...), s.Class...), s.Origin...)
@@ -31,9 +30,10 @@
 
 var errShort = errors.New("a record that is too short")
 
-func decodeState(p []byte) (*Saved, error) {
+// decodeState returns a message, and its body, which is a part of p.
+func decodeState(p []byte) (*Saved, []byte, error) {
 	if len(p) < 22 {
-		return nil, errShort
+		return nil, nil, errShort
 	}
 	s := &Saved{Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(p))),
 		Dest: int(int32(binary.LittleEndian.Uint32(p[8:]))), Attempts: int(p[12]),
@@ -41,9 +41,11 @@
 		Wait: time.Duration(binary.LittleEndian.Uint32(p[15:])) * time.Millisecond}
 	id, class, origin, rest := int(p[19]), int(p[20]), int(p[21]), p[22:]
 	if len(rest) < id+class+origin {
-		return nil, errShort
+		return nil, nil, errShort
 	}
 	s.ID, s.Class, s.Origin = string(rest[:id]), string(rest[id:id+class]), string(rest[id+class:id+class+origin])
-	s.Body = message.Bytes(append([]byte(nil), rest[id+class+origin:]...))
-	return s, nil
+	if p[13]&flagLost != 0 {
+		s.Body = lostBody{}
+	}
+	return s, rest[id+class+origin:], nil
 }
--- a/internal/journal/tool.go
+++ b/internal/journal/tool.go
@@ -10,7 +10,7 @@
 // Read replays the journal in a folder and changes nothing there; the folder may be in use.
 func Read(dir string) (*Journal, error) {
 	for try := 0; ; try++ {
-		j, err := OpenWith(Options{FS: osFS{dir: dir, readOnly: true}, ReadOnly: true})
+		j, err := OpenWith(Options{FS: osFS{dir: dir, readOnly: true}, ReadOnly: true, Memory: readMemory})
 		if !errors.Is(err, fs.ErrNotExist) || try == readTries {
 			return j, err
 		}
@@ -18,7 +18,10 @@
 	}
 }
 
-const readTries = 10
+const (
+	readTries  = 10
+	readMemory = 3 * mostBody // for bodies; a reader takes on nothing, and so is not held by the rest
+)
 
 // Copy writes what a journal holds into a folder without one, and returns how many messages that are.
 func Copy(from *Journal, dir string) (n int, err error) {
@@ -27,7 +30,7 @@
 	for _, s := range held {
 		bytes += cost(s.Size())
 	}
-	j, err := Open(dir, min(math.MaxInt64/4, max(4*bytes, 64<<20)))
+	j, err := Open(dir, Options{Limit: min(math.MaxInt64/4, max(4*bytes, 64<<20))})
 	if err != nil {
 		return 0, err
 	}
@@ -40,7 +43,7 @@
 			return n, fmt.Errorf("journal: no room for %s (%w)", s.ID, err)
 		}
 		copied := *s
-		copied.seg, copied.before, copied.after = nil, nil, nil
+		copied.seg, copied.before, copied.after, copied.at, copied.resident = nil, nil, nil, place{}, 0
 		if err := j.Accepted(&copied); err != nil {
 			return n, err
 		}
