--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -30,7 +30,10 @@
 	Sync() error               // what was written outlasts the machine
 }
 
-// osFS is a folder of the operating system.
+// Folder is a folder of the operating system.
+func Folder(dir string) FS { return osFS{dir: dir} }
+
+// osFS is one.
 type osFS struct {
 	dir      string
 	readOnly bool
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -224,6 +224,10 @@
 	}
 	for j.allocated() < keptFree && j.allocate() {
 	}
+	if err := j.provide(); err != nil {
+		j.Close()
+		return nil, err
+	}
 	if err := j.restate(); err != nil {
 		j.Close()
 		return nil, err
@@ -529,9 +533,14 @@
 	if err := j.begin(); err != nil {
 		return err
 	}
-	for len(j.spares) == 0 && !j.allocate() { // the next roll must find one
-		if j.segs[0].size > j.size && j.enlarge() {
-			break // of a limit that was lowered: to be moved it needs more than it has
+	return j.provide()
+}
+
+// provide has the next roll find a spare segment.
+func (j *Journal) provide() error {
+	for len(j.spares) == 0 && !j.allocate() {
+		if (j.bytes() > j.limit || j.segs[0].size > j.size) && j.enlarge() {
+			break // the limit was lowered: what stands in larger segments must be moved before it is met
 		}
 		if done, err := j.move(j.size); err != nil || !done {
 			return err
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -425,8 +425,8 @@
 		}
 		left += size
 	}
-	for j.size/2 >= smallestSeg && j.size*fewSegments > left {
-		j.size = j.size / 2 / 512 * 512
+	for j.size > smallestSeg && j.size*fewSegments > left {
+		j.size = max(j.size/2/512*512, smallestSeg)
 	}
 	return nil
 }
--- a/internal/journal/sync.go
+++ b/internal/journal/sync.go
@@ -50,8 +50,12 @@
 // Covered tells whether all that had been written by then is synced.
 func (j *Journal) Covered(written int64) bool { return j.synced >= written }
 
-// Synced notes that all that had been written by then is synced, and with [Group] writes that down.
-func (j *Journal) Synced(written int64) error {
+// Synced notes that all that had been written by then is synced, and with [Group] writes that down. An error says that it
+// could not be: what it would have covered may be gone, and a second try would not say so, so that nothing more is written.
+func (j *Journal) Synced(written int64, err error) error {
+	if err != nil && j.err == nil {
+		j.err = fmt.Errorf("journal: syncing: %w", err)
+	}
 	if j.err != nil || written <= j.synced {
 		return j.err
 	}
@@ -98,7 +102,7 @@
 		return nil
 	}
 	if err := sync(); err != nil {
-		return err
+		return fmt.Errorf("journal: syncing: %w", err)
 	}
 	j.synced = written
 	return nil
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -6,12 +6,11 @@
 	"time"
 )
 
-// Check says from the record whether a rule was broken. It is made once the
-// forwarder has had its time: what is not over then is lost.
+// Check says from the record whether a rule was broken. What is not over and has had its time is lost.
 func (l *Log) Check(limits Limits) *Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := &Verdict{Calls: len(l.calls)}
+	v := &Verdict{Calls: len(l.calls), at: time.Now()}
 	byID := map[string][]*Call{}
 	for _, c := range l.calls {
 		byID[c.ID] = append(byID[c.ID], c)
@@ -80,6 +79,9 @@
 	switch {
 	case !end.IsZero():
 		v.Delivered++
+	case !noticed && v.at.Before(h.Deadline.Add(limits.Overdue)):
+		v.Unfinished++ // the run ended before its time
+		return
 	case !noticed:
 		v.say(&v.Lost, "%s for %d was taken on and has no end", h.ID, h.Destination)
 		return
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -240,6 +240,8 @@
 	Calls     int `json:"calls"`
 	Unheard   int `json:"unheard"` // requests without an answer within the client's time
 
+	Unfinished int `json:"unfinished,omitempty"` // messages whose time was not over when the run ended
+
 	Lost        int `json:"lost"`
 	Twice       int `json:"twice"`
 	DrainBroken int `json:"drain_broken"`
@@ -247,6 +249,8 @@
 	WrongGroup  int `json:"wrong_group"`
 
 	Examples []string `json:"examples,omitempty"` // of broken rules, some
+
+	at time.Time // when it was given
 }
 
 // Broken tells whether any rule was broken.
