--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -423,11 +423,11 @@
 		j.lose(s, err)
 		body = nil
 	}
-	size := j.record(kindState, s, encodeState(s, body))
+	at, size := j.record(kindState, s, encodeState(s, body))
 	if j.err == nil {
 		s.leave()
 		j.active().add(s, int64(size+indexEntry))
-		j.unplaced = append(j.unplaced, unplaced{s, place{j.active(), j.end + int64(len(j.buf)-size), size}})
+		j.unplaced = append(j.unplaced, unplaced{s, place{j.active(), at, size}})
 	}
 	return j.err
 }
@@ -472,10 +472,10 @@
 	j.Release(s.Size())
 }
 
-// record buffers a record of a message, and returns its size.
-func (j *Journal) record(k kind, s *Saved, rest []byte) int {
+// record buffers a record of a message, and returns its offset and size.
+func (j *Journal) record(k kind, s *Saved, rest []byte) (at int64, size int) {
 	if j.err != nil {
-		return 0
+		return 0, 0
 	}
 	var few [32]byte
 	payload := binary.AppendUvarint(few[:0], s.n)
@@ -483,16 +483,17 @@
 	n := recordHead + len(payload)
 	if j.left() < n+indexEntry {
 		if j.err = j.roll(); j.err != nil {
-			return 0
+			return 0, 0
 		}
 	}
+	at = j.end + int64(len(j.buf))
 	j.put(k, payload)
 	j.batch = append(j.batch, touch{s.n, s.records})
 	s.records++
 	if j.since += n; j.since >= indexEvery {
 		j.index()
 	}
-	return n
+	return at, n
 }
 
 // left is the room in the last segment for records and their places in the index, which is still to come.
--- a/internal/journal/room_test.go
+++ b/internal/journal/room_test.go
@@ -120,7 +120,7 @@
 	o := Options{FS: fs, Limit: 3e6, Memory: 300_000}
 	j := mustOpen(t, o)
 	n := 0
-	for take(t, j, fmt.Sprint("m", n), strings.Repeat("b", 700)) {
+	for take(t, j, fmt.Sprint("m", n), strings.Repeat("b", 2000)) {
 		n++
 	}
 	if want := int(o.Memory * 2 / 3 / heldBytes); n != want {
@@ -129,6 +129,11 @@
 	if j.memory.bodies > o.Memory/3 {
 		t.Errorf("%d bytes of bodies in memory", j.memory.bodies)
 	}
+	for id, k := range heldIn(j) {
+		if k.body != strings.Repeat("b", 2000) {
+			t.Errorf("%s: the body is %q", id, k.body)
+		}
+	}
 	o.FS = fs.after()
 	j = mustOpen(t, o)
 	if len(j.live) != n || take(t, j, "more", "b") {
