--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -7,6 +7,8 @@
 
 import (
 	"errors"
+	"flag"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -14,8 +16,25 @@
 
 	"scaleroute/internal/config"
 	"scaleroute/internal/journal"
+	"scaleroute/internal/operator"
 )
 
+// loadOperators reads what operators have set, if a file is named.
+func loadOperators(file string) (*operator.Config, error) {
+	if file == "" {
+		return operator.Default(), nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("reading -operators: %w", err)
+	}
+	set, err := operator.Decode(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return set, nil
+}
+
 // exitDisk is the exit status when the disk that the journal is on has failed: EX_IOERR of sysexits.h. What had been
 // written is there at the next start.
 const exitDisk = 74
@@ -31,9 +50,18 @@
 		<-term
 		close(stop)
 	}()
-	c, err := config.Load(os.Getenv)
+	operators := flag.String("operators", "", "the resolved operators' `file`, as scaleroutectl compile writes it; none: nothing is set")
+	flag.Parse()
+	set, err := loadOperators(*operators)
+	if err == nil && flag.NArg() > 0 {
+		err = fmt.Errorf("%q is no flag: see -help", flag.Arg(0))
+	}
+	var c *config.Config
+	if err == nil {
+		c, err = config.Load(os.Getenv)
+	}
 	if err == nil {
-		err = run(c, stop, hup)
+		err = run(c, set, stop, hup)
 	}
 	if err != nil {
 		slog.Error("scaleroute", "err", err)
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -18,6 +18,7 @@
 	"scaleroute/internal/engine"
 	"scaleroute/internal/front/resp2"
 	"scaleroute/internal/journal"
+	"scaleroute/internal/operator"
 )
 
 // How a planned stop goes, counted from SIGTERM. SIGKILL can come 3.7 s after it.
@@ -39,18 +40,19 @@
 // run runs the forwarder until stop is closed and the planned stop is over. On
 // each value from hup it reads its configuration again. An error means that it
 // could not start or can't go on.
-func run(c *config.Config, stop <-chan struct{}, hup <-chan os.Signal) error {
+func run(c *config.Config, operators *operator.Config, stop <-chan struct{}, hup <-chan os.Signal) error {
 	memory := int64(c.Limits.MemoryMB) << 20
 	// The journal's file counts as memory too; connections and the runtime need some.
 	debug.SetMemoryLimit(memory * 6 / 10)
-	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100})
+	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100,
+		Durability: operator.Durabilities[operators.Journal.Durability]})
 	if err != nil {
 		return err
 	}
 	defer j.Close()
 	p := agent.New(c.Discovery)
 	set := c.Settings
-	l, err := engine.New(engine.Config{Settings: set, Journal: j, Finals: map[string]engine.Finals{"": p},
+	l, err := engine.New(engine.Config{Settings: set, Journal: j, SyncEvery: time.Duration(operators.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
 		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})})
 	if err != nil {
 		return err
--- a/cmd/scaleroutectl/journal.go
+++ b/cmd/scaleroutectl/journal.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -17,43 +16,64 @@
 	"scaleroute/internal/journal"
 )
 
-// journalCommand carries out one command and tells whether something was found that is not well.
-func journalCommand(name string, args []string, out io.Writer) (found bool, err error) {
-	flags := flag.NewFlagSet("journal "+name, flag.ContinueOnError)
-	flags.SetOutput(io.Discard)
-	asJSON := flags.Bool("json", false, "")
-	if err := flags.Parse(args); err != nil {
-		return false, fmt.Errorf("%w\n%s", err, usage)
-	}
-	want := 1
-	if name == "repair" {
-		want = 2
+// journalCommands look into the folder that NODE_STATE of a forwarder names.
+type journalCommands struct {
+	Verify verifyCommand `cmd:"" help:"What can't be read, and what it hit."`
+	Stat   statCommand   `cmd:"" help:"What is held, by destination, class, age and attempts."`
+	Dump   dumpCommand   `cmd:"" help:"What is held, a line of JSON each."`
+	Repair repairCommand `cmd:"" help:"Write what is held into a new folder."`
+}
+
+type source struct {
+	Folder string `arg:"" type:"existingdir" help:"NODE_STATE of a forwarder. Nothing in it is changed, and it may be in use: what is written meanwhile may then be missing."`
+}
+
+type (
+	verifyCommand struct {
+		source
+		JSON bool `help:"One line of JSON."`
 	}
-	if flags.NArg() != want {
-		return false, fmt.Errorf("journal %s takes %d folders, flags before them\n%s", name, want, usage)
+	statCommand struct {
+		source
+		JSON bool `help:"One line of JSON."`
 	}
-	folder := flags.Arg(0)
-	if info, err := os.Stat(folder); err != nil {
-		return false, err
-	} else if !info.IsDir() {
-		return false, fmt.Errorf("%s is no folder: name the one that NODE_STATE names", folder)
+	dumpCommand   struct{ source }
+	repairCommand struct {
+		source
+		To string `arg:"" name:"new-folder" help:"A folder that is not there yet."`
 	}
-	j, err := journal.Read(folder)
+)
+
+// read reads the folder's journal for a command.
+func (f source) read(do func(*journal.Journal) error) error {
+	j, err := journal.Read(f.Folder)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer j.Close()
-	switch name {
-	case "verify":
-		return verify(j, *asJSON, out)
-	case "stat":
-		return false, stat(j, *asJSON, out, time.Now())
-	case "dump":
-		return false, dump(j, out)
-	case "repair":
-		return false, repair(j, flags.Arg(1), out)
-	}
-	return false, fmt.Errorf("there is no journal %s\n%s", name, usage)
+	return do(j)
+}
+
+func (c *verifyCommand) Run(out io.Writer) error {
+	return c.read(func(j *journal.Journal) error {
+		found, err := verify(j, c.JSON, out)
+		if err == nil && found {
+			err = errFound
+		}
+		return err
+	})
+}
+
+func (c *statCommand) Run(out io.Writer) error {
+	return c.read(func(j *journal.Journal) error { return stat(j, c.JSON, out, time.Now()) })
+}
+
+func (c *dumpCommand) Run(out io.Writer) error {
+	return c.read(func(j *journal.Journal) error { return dump(j, out) })
+}
+
+func (c *repairCommand) Run(out io.Writer) error {
+	return c.read(func(j *journal.Journal) error { return repair(j, c.To, out) })
 }
 
 func verify(j *journal.Journal, asJSON bool, out io.Writer) (found bool, err error) {
--- a/cmd/scaleroutectl/main.go
+++ b/cmd/scaleroutectl/main.go
@@ -1,40 +1,70 @@
-// Command scaleroutectl is the operators' tool.
-//
-//	scaleroutectl journal verify|stat|dump [-json] FOLDER
-//	scaleroutectl journal repair FOLDER NEW-FOLDER
+// Command scaleroutectl is the operators' tool: scaleroutectl --help lists its commands.
 //
 // It exits with 0 if all is well, 1 if something was found, and 2 if it could not do what was asked.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
 )
 
-const usage = `usage: scaleroutectl journal verify [-json] FOLDER        what can't be read, and what it hit
-       scaleroutectl journal stat [-json] FOLDER          what is held, by destination, class, age and attempts
-       scaleroutectl journal dump FOLDER                  what is held, a line of JSON each
-       scaleroutectl journal repair FOLDER NEW-FOLDER     what is held, into a new folder
+type commands struct {
+	Journal journalCommands `cmd:"" help:"Look into the journal of a forwarder."`
+	Check   checkCommand    `cmd:"" help:"Say all that is wrong with an operators' file."`
+	Fmt     fmtCommand      `cmd:"" help:"Lay operators' files out; comments stay."`
+	Compile compileCommand  `cmd:"" help:"Check an operators' file and write the resolved form that the daemon reads."`
+}
 
-FOLDER is NODE_STATE of a forwarder. Nothing in it is changed, and it may be in use; what is
-written meanwhile may then be missing.
-`
+// errFound tells that a command has carried out what was asked, and found something.
+var errFound = errors.New("something was found")
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run(args []string, out, errs io.Writer) int {
-	if len(args) < 2 || args[0] != "journal" {
-		fmt.Fprint(errs, usage)
-		return 2
-	}
-	found, err := journalCommand(args[1], args[2:], out)
+func run(args []string, out, errs io.Writer) (status int) {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("scaleroutectl"), kong.Description("The operators' tool of scaleroute."), kong.Writers(out, errs),
+		kong.UsageOnError(), kong.Exit(func(code int) { panic(exit(code)) }), kong.BindTo(out, (*io.Writer)(nil)), kong.Bind(stderr{errs}))
 	if err != nil {
 		fmt.Fprintln(errs, "scaleroutectl:", err)
 		return 2
 	}
-	if found {
+	defer func() {
+		switch e := recover().(type) {
+		case nil:
+		case exit: // after --help
+			status = int(e)
+		default:
+			panic(e)
+		}
+	}()
+	for i, a := range args { // -json as well as --json
+		if a == "--" {
+			break
+		}
+		if len(a) > 2 && a[0] == '-' && a[1] != '-' && !strings.Contains(a, "=") {
+			args[i] = "-" + a
+		}
+	}
+	ctx, err := parser.Parse(args)
+	if err == nil {
+		err = ctx.Run()
+	}
+	switch {
+	case errors.Is(err, errFound):
 		return 1
+	case err != nil:
+		fmt.Fprintln(errs, "scaleroutectl:", err)
+		return 2
 	}
 	return 0
 }
+
+type exit int
+
+// stderr is where findings go.
+type stderr struct{ io.Writer }
--- /dev/null
+++ b/cmd/scaleroutectl/operators.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"scaleroute/internal/opfile"
+)
+
+type checkCommand struct {
+	File string `arg:"" type:"existingfile" help:"An operators' file; what it includes is read too."`
+	JSON bool   `help:"One line of JSON for each finding."`
+}
+
+// Run exits with 0 if the file may be used, also if there are warnings.
+func (c *checkCommand) Run(out io.Writer, errs stderr) error {
+	r, err := opfile.Load(c.File, os.LookupEnv)
+	if err != nil {
+		return err
+	}
+	if err := tell(r, c.JSON, out, errs); err != nil {
+		return err
+	}
+	if r.Config == nil {
+		return errFound
+	}
+	return nil
+}
+
+// tell says what was found in a file.
+func tell(r *opfile.Result, asJSON bool, out io.Writer, errs stderr) error {
+	if !asJSON {
+		return hcl.NewDiagnosticTextWriter(errs, r.Files, 100, false).WriteDiagnostics(r.Diags)
+	}
+	for _, d := range r.Diags {
+		line := map[string]any{"error": d.Severity == hcl.DiagError, "what": d.Summary, "remedy": d.Detail}
+		if d.Subject != nil {
+			line["file"], line["line"], line["column"] = d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column
+		}
+		if err := json.NewEncoder(out).Encode(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type fmtCommand struct {
+	Files []string `arg:"" type:"existingfile" help:"Operators' files."`
+	Write bool     `short:"w" xor:"how" help:"Write them back."`
+	Check bool     `xor:"how" help:"Only name those that would change, and exit with 1 if there are any."`
+}
+
+func (c *fmtCommand) Run(out io.Writer) error {
+	changed := false
+	for _, name := range c.Files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		laid, err := opfile.Format(text, name)
+		if err != nil {
+			return err
+		}
+		same := bytes.Equal(text, laid)
+		changed = changed || !same
+		switch {
+		case c.Check && !same:
+			fmt.Fprintln(out, name)
+		case c.Check || c.Write && same:
+		case c.Write:
+			err = replace(name, laid)
+		default:
+			_, err = out.Write(laid)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if c.Check && changed {
+		return errFound
+	}
+	return nil
+}
+
+type compileCommand struct {
+	File string `arg:"" type:"existingfile" help:"An operators' file; what it includes is read too."`
+	To   string `short:"o" required:"" placeholder:"FILE" help:"The resolved file. It is replaced whole, or not at all."`
+}
+
+func (c *compileCommand) Run(out io.Writer, errs stderr) error {
+	r, err := opfile.Load(c.File, os.LookupEnv)
+	if err != nil {
+		return err
+	}
+	if err := tell(r, false, out, errs); err != nil {
+		return err
+	}
+	if r.Config == nil {
+		return errFound
+	}
+	text, err := json.MarshalIndent(r.Config, "", "  ")
+	if err != nil {
+		return err
+	}
+	return replace(c.To, append(text, '\n'))
+}
+
+// replace puts a file in the place of another in one step.
+func replace(name string, text []byte) (err error) {
+	if to, e := filepath.EvalSymlinks(name); e == nil {
+		name = to
+	}
+	f, err := os.CreateTemp(filepath.Dir(name), ".scaleroutectl-")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			os.Remove(f.Name())
+		}
+	}()
+	mode := os.FileMode(0o644)
+	if info, e := os.Stat(name); e == nil {
+		mode = info.Mode().Perm()
+	}
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Chmod(mode), f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), name)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,9 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// connectPrice is what a new connection costs, in calls, where the settings don't tell: a round trip and some CPU.
+const connectPrice = "0.06"
+
 // Of the descriptors clients get two fifths (they use a third for requests), calls and idle
 // connections to targets the rest, but for these: the listener, the journal and its successor,
 // discovery, notices, the runtime's own, and a client that waits for room.
@@ -107,6 +110,9 @@
 	}
 	pairs := map[string]string{}
 	flatten(pairs, "", raw.Settings)
+	if pairs["Costs.Handshake"] == "" { // unpriced, no connection would be worth keeping
+		pairs["Costs.Handshake"] = connectPrice
+	}
 	pairs["InitSeed"] = strconv.FormatUint(seed, 10)
 	if c.Settings, err = wire.Settings(pairs); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,100 @@
+// Package operator is what operators have set, resolved: includes merged, defaults applied, the environment read. It does no
+// I/O. The daemon reads this form only; scaleroutectl makes it from the operators' file (package opfile), so that the lean
+// daemon carries no parser of that language.
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"scaleroute/internal/journal"
+)
+
+// Format is the version of the resolved form that this program writes and reads.
+const Format = 1
+
+// Config is the resolved form.
+type Config struct {
+	Format  int     `json:"format"`
+	Journal Journal `json:"journal"`
+	// Where says which place set what: a path of keys, such as journal.durability, and a file with its line.
+	Where map[string]string `json:"where,omitempty"`
+}
+
+// Journal is how the state journal is kept.
+type Journal struct {
+	Durability string   `json:"durability"`           // process, interval or group: docs/journal.md
+	SyncEvery  Duration `json:"sync_every,omitempty"` // with interval alone
+}
+
+// Limits of what may be set.
+const (
+	LeastSyncEvery   = time.Millisecond
+	MostSyncEvery    = time.Minute
+	DefaultSyncEvery = 100 * time.Millisecond
+)
+
+// Durabilities by their names.
+var Durabilities = map[string]journal.Durability{"process": journal.Process, "interval": journal.Interval, "group": journal.Group}
+
+// Default is what holds where nothing is set.
+func Default() *Config { return &Config{Format: Format, Journal: Journal{Durability: "process"}} }
+
+// Problem is something that must not be as it is set.
+type Problem struct {
+	Key    string // of Where
+	What   string
+	Remedy string
+}
+
+// Check lists what can't be carried out, or would break a rule.
+func (c *Config) Check() (list []Problem) {
+	add := func(key, what, remedy string) { list = append(list, Problem{key, what, remedy}) }
+	d, known := Durabilities[c.Journal.Durability]
+	every := time.Duration(c.Journal.SyncEvery)
+	switch {
+	case !known:
+		add("journal.durability", fmt.Sprintf("there is no durability %q", c.Journal.Durability), `choose "process", "interval" or "group"`)
+	case d == journal.Interval && (every < LeastSyncEvery || every > MostSyncEvery):
+		add("journal.sync_every", fmt.Sprintf("the journal can't be synced every %v", every),
+			fmt.Sprintf("set from %v to %v; more often than that is durability \"group\"", LeastSyncEvery, MostSyncEvery))
+	case d != journal.Interval && every != 0:
+		add("journal.sync_every", fmt.Sprintf("with durability %q nothing is synced at intervals", c.Journal.Durability),
+			`remove sync_every, or set durability = "interval"`)
+	}
+	return list
+}
+
+// Decode reads the resolved form, and checks it again: it may have been made by another version, or by hand.
+func Decode(text []byte) (*Config, error) {
+	c := &Config{}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(c); err != nil {
+		return nil, fmt.Errorf("this is no resolved file; make one by scaleroutectl compile: %w", err)
+	}
+	if c.Format != Format {
+		return nil, fmt.Errorf("format %d, and this program reads %d: make it by the scaleroutectl of the same version", c.Format, Format)
+	}
+	for _, p := range c.Check() {
+		where := c.Where[p.Key]
+		if where == "" {
+			where = p.Key
+		}
+		return nil, fmt.Errorf("%s: %s: %s", where, p.What, p.Remedy)
+	}
+	return c, nil
+}
+
+// Duration is written with its unit.
+type Duration time.Duration
+
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
