Compare a resolved file with its source, and dump what has a body on disk

Need: an operator compares what runs with what is to run, and compile is to refuse what the platform's classes don't allow. dump went to an end at the first body that had moved in a folder in use; it says so in that line now.

--- a/cmd/scaleroutectl/journal.go
+++ b/cmd/scaleroutectl/journal.go
@@ -174,12 +174,14 @@
 func dump(j *journal.Journal, out io.Writer) error {
 	enc := json.NewEncoder(out)
 	for _, s := range j.Held() {
-		body, err := s.Body.Load()
-		if err != nil {
-			return err
-		}
 		line := map[string]any{"id": s.ID, "class": s.Class, "destination": s.Dest, "deadline": s.Deadline.UTC().Format(time.RFC3339Nano),
-			"attempts": s.Attempts, "open": s.Open, "may_have_run": s.Ran(), "body": base64.StdEncoding.EncodeToString(body)}
+			"attempts": s.Attempts, "open": s.Open, "may_have_run": s.Ran()}
+		// In a folder that is in use a body may have moved or ended since it was read; damage may have cost it.
+		if body, err := s.Body.Load(); err != nil {
+			line["body_error"] = err.Error()
+		} else {
+			line["body"] = base64.StdEncoding.EncodeToString(body)
+		}
 		if s.Origin != "" {
 			line["front"] = s.Origin
 		}
--- a/cmd/scaleroutectl/journal_test.go
+++ b/cmd/scaleroutectl/journal_test.go
@@ -155,6 +155,8 @@
 		t.Error(got)
 	}
 	tool(t, 2, "diff", two, bad)
+	tool(t, 0, "compile", two, "-o", out)
+	tool(t, 0, "diff", out, two) // what runs, and what it was made from
 	if got := tool(t, 0, "explain", two, "--class", "x", "--destination", "7"); !strings.Contains(got, "attempts: 2") || !strings.Contains(got, "two.hcl:3") {
 		t.Error(got)
 	}
@@ -163,6 +165,8 @@
 	}
 	platform := file("platform.json", `{"seed":"1","settings":{"Limits":{"MaxAttempts":2},"Classes":[{"Name":"a","Effect":"pure","OnTime":1000.0,"Deadline":3000.0,"Worth":1.0,"LateShare":0.4}]}}`)
 	tool(t, 0, "check", "--platform", platform, two)
+	tool(t, 1, "compile", "--platform", platform, three, "-o", out)
+	tool(t, 0, "diff", out, two)
 	if got := tool(t, 1, "check", "--platform", platform, three); !strings.Contains(got, "three.hcl:3: 3 attempts, and the platform allows 2") {
 		t.Error(got)
 	}
--- a/cmd/scaleroutectl/operators.go
+++ b/cmd/scaleroutectl/operators.go
@@ -36,17 +36,22 @@
 	if r.Config == nil {
 		return errFound
 	}
-	if c.Platform == "" {
+	return against(r.Config, c.Platform, c.JSON, out, errs)
+}
+
+// against says what the platform's configuration does not allow; an empty name checks nothing.
+func against(set *operator.Config, platform string, asJSON bool, out io.Writer, errs stderr) error {
+	if platform == "" {
 		return nil
 	}
-	p, err := config.Read(c.Platform)
+	p, err := config.Read(platform)
 	if err != nil {
 		return err
 	}
-	problems := r.Config.Against(p.Settings)
+	problems := set.Against(p.Settings)
 	for _, b := range problems {
-		where := cmp.Or(r.Config.Where[b.Key], b.Key)
-		if c.JSON {
+		where := cmp.Or(set.Where[b.Key], b.Key)
+		if asJSON {
 			err = json.NewEncoder(out).Encode(map[string]any{"error": true, "where": where, "what": b.What, "remedy": b.Remedy})
 		} else {
 			_, err = fmt.Fprintf(errs, "Error: %s: %s\n\n%s\n\n", where, b.What, b.Remedy)
@@ -61,8 +66,20 @@
 	return nil
 }
 
-// resolved loads a file that must be good.
+// resolved loads a file that must be good: an operators' file, or one that is resolved already, such as that of a running
+// daemon.
 func resolved(file string, out io.Writer, errs stderr) (*operator.Config, error) {
+	if filepath.Ext(file) == ".json" {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		set, err := operator.Decode(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		return set, nil
+	}
 	r, err := opfile.Load(file, os.LookupEnv)
 	if err == nil {
 		err = tell(r, false, out, errs)
@@ -77,7 +94,7 @@
 }
 
 type explainCommand struct {
-	File        string `arg:"" type:"existingfile" help:"An operators' file."`
+	File        string `arg:"" type:"existingfile" help:"An operators' file, or a resolved one (.json)."`
 	Class       string `required:"" help:"Class of the message."`
 	Destination int    `required:"" help:"Its destination."`
 	JSON        bool   `help:"One line of JSON for each figure."`
@@ -102,8 +119,8 @@
 }
 
 type diffCommand struct {
-	Old  string `arg:"" type:"existingfile"`
-	New  string `arg:"" type:"existingfile"`
+	Old  string `arg:"" type:"existingfile" help:"An operators' file, or a resolved one (.json)."`
+	New  string `arg:"" type:"existingfile" help:"The same."`
 	JSON bool   `help:"One line of JSON for each change."`
 }
 
@@ -191,6 +208,8 @@
 type compileCommand struct {
 	File string `arg:"" type:"existingfile" help:"An operators' file; what it includes is read too."`
 	To   string `short:"o" required:"" placeholder:"FILE" help:"The resolved file. It is replaced whole, or not at all."`
+
+	Platform string `type:"existingfile" help:"The platform's configuration (NODE_CONFIG): as with check."`
 }
 
 func (c *compileCommand) Run(out io.Writer, errs stderr) error {
@@ -204,6 +223,9 @@
 	if r.Config == nil {
 		return errFound
 	}
+	if err := against(r.Config, c.Platform, false, out, errs); err != nil {
+		return err
+	}
 	text, err := json.MarshalIndent(r.Config, "", "  ")
 	if err != nil {
 		return err
