Bound the messages held for a destination by the operators' file, and check the samples

Need: one slow organiser is not to fill what others need. A rule's number holds for each destination apart; more get -BUSY with a wait at once (TestHeldLimit, 2 held). Figures of limits are one list now, so that check, diff and explain know each alike; deploy/operators.hcl is checked by the tests.

--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -48,6 +48,14 @@
 	return nil
 }
 
+// held is how many messages may be held; nil if nothing is set.
+func (s *settings) held() func(class string, dest int) (string, int) {
+	if s.file == "" {
+		return nil
+	}
+	return func(class string, dest int) (string, int) { return s.limits.Load().Held(class, dest) }
+}
+
 // reload takes what the file sets now, whole or not at all. Messages that are held keep the limits they were taken on
 // with.
 func (s *settings) reload() {
--- a/cmd/scaleroutectl/journal_test.go
+++ b/cmd/scaleroutectl/journal_test.go
@@ -129,6 +129,14 @@
 	}
 	good := file("good.hcl", "journal {\ndurability=\"group\" # why\n}\n")
 	bad, out := file("bad.hcl", "journal {\n  sync_every = 3\n}\n"), filepath.Join(dir, "out.json")
+	samples, err := filepath.Glob("../../deploy/*.hcl")
+	if err != nil || len(samples) == 0 {
+		t.Fatal("no samples", err)
+	}
+	for _, s := range samples {
+		tool(t, 0, "check", s)
+		tool(t, 0, "fmt", "-check", s)
+	}
 	tool(t, 0, "check", good)
 	if got := tool(t, 1, "check", bad); !strings.Contains(got, "bad.hcl line 2") || !strings.Contains(got, `"3ms"`) {
 		t.Error(got)
--- a/deploy/operators.hcl
+++ b/deploy/operators.hcl
@@ -8,3 +8,14 @@
 journal {
   durability = env.SCALEROUTE_DURABILITY # +OK is told only when a sync has covered the message
 }
+
+limits "handovers" {
+  classes  = ["signature-handover"]
+  attempts = 3
+}
+
+limits "slow organiser" {
+  destinations = [12]
+  answer       = "800ms" # its own system answers within 500 ms
+  held         = 2000
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -55,6 +55,7 @@
 	cancel  context.CancelFunc // ends that call; nil if none is out
 	ended   bool               // a notice is owed, or nothing any more
 	cost    int64              // of the room
+	cap     intake.Cap         // under which it is counted, if a rule says so
 }
 
 // batch is what may show outside once the journal is synced so far.
@@ -70,6 +71,9 @@
 	Back     Back
 	// SyncEvery is how often a journal is synced that is synced at intervals.
 	SyncEvery time.Duration
+	// Held is how many messages of a class may be held for a destination at once, and the rule under which they
+	// are counted; 0 for no limit. Nil for none.
+	Held func(class string, destination int) (rule string, most int)
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -91,6 +95,8 @@
 	events    []decide.Event
 	arrived   []*entry // in this round
 	shares    intake.Shares
+	caps      intake.Caps
+	held      func(class string, destination int) (string, int)
 	effects   []func() // after the journal has been written
 	waiting   []batch  // until it has been synced, where that is promised
 	syncing   bool
@@ -107,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery,
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, held: c.Held,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
@@ -345,6 +351,12 @@
 	}
 	s := &journal.Saved{ID: m.ID, Origin: m.Origin, Class: m.Class, Dest: m.Destination, Body: m.Body,
 		Deadline: m.Read.Add(min(m.Left, class.Deadline) - intakeSlack)}
+	if l.held != nil {
+		if rule, most := l.held(m.Class, m.Destination); most > 0 && !l.caps.Admits(intake.Cap{Rule: rule, Destination: m.Destination}, most) {
+			turnAway(refused(diskWait))
+			return nil
+		}
+	}
 	if !l.shares.Admits(m.Destination, s.Cost(), l.journal.Full(), len(l.dests)) {
 		turnAway(refused(diskWait))
 		return nil
@@ -428,11 +440,21 @@
 	l.entries[e.saved.ID] = e
 	e.cost = e.saved.Cost()
 	l.shares.Add(e.saved.Dest, e.cost)
+	if l.held == nil {
+		return
+	}
+	if rule, most := l.held(e.saved.Class, e.saved.Dest); most > 0 {
+		e.cap = intake.Cap{Rule: rule, Destination: e.saved.Dest}
+		l.caps.Add(e.cap, 1)
+	}
 }
 
 func (l *Engine) leave(e *entry) {
 	delete(l.entries, e.saved.ID)
 	l.shares.Add(e.saved.Dest, -e.cost)
+	if e.cap.Rule != "" {
+		l.caps.Add(e.cap, -1)
+	}
 }
 
 // forget closes a message for which nothing is owed any more.
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -27,6 +27,7 @@
 	list     List
 	journal  journal.Options
 	fails    bool // the loop may end with an error
+	held     func(class string, destination int) (string, int)
 }
 
 // memoryBack is a back whose calls all succeed at once.
@@ -81,7 +82,7 @@
 		}
 		t.Cleanup(func() { j.Close() })
 	}
-	l, err := New(Config{Settings: w.settings, Journal: j, SyncEvery: time.Millisecond,
+	l, err := New(Config{Settings: w.settings, Journal: j, SyncEvery: time.Millisecond, Held: w.held,
 		Back: &memoryBack{names: map[string]bool{}, calls: n.calls}, Finals: map[string]Finals{"": noFinals{}}})
 	if err != nil {
 		t.Fatal(err)
@@ -128,6 +129,25 @@
 	return held
 }
 
+// TestHeldLimit: with as many held as a rule allows, the next one is refused with a wait; one that is withdrawn makes room.
+func TestHeldLimit(t *testing.T) {
+	n := startLoop(t, func(w *world) {
+		w.held = func(class string, dest int) (string, int) { return "few", 2 }
+	})
+	first := n.loop.Take(note("a"))
+	n.loop.Take(note("b"))
+	if got := n.loop.Take(note("c")); first.Kind != Taken || got.Kind != Refused || got.Wait <= 0 {
+		t.Fatalf("the first: %+v; the third: %+v", first, got)
+	}
+	if got := n.loop.Take(note("a")); got.Kind == Refused {
+		t.Errorf("one that is held already: %+v", got)
+	}
+	first.Written(false)
+	if got := n.loop.Take(note("c")); got.Kind != Taken {
+		t.Errorf("after one was withdrawn: %+v", got)
+	}
+}
+
 // TestIntakeOrder: a message is in the journal when its client hears +OK, and
 // is sent only after that; one whose +OK can't be written is not sent at all.
 func TestIntakeOrder(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,6 +12,28 @@
 	divided = 0.9  // of the room
 )
 
+// Caps counts what is held under rules that set a number for each destination apart. The zero value has counted nothing.
+type Caps struct{ held map[Cap]int }
+
+// Cap is what one number holds for.
+type Cap struct {
+	Rule        string
+	Destination int
+}
+
+// Admits tells whether one more may be held where so many may be.
+func (c *Caps) Admits(k Cap, most int) bool { return c.held[k] < most }
+
+// Add counts one more, or with -1 one less.
+func (c *Caps) Add(k Cap, n int) {
+	if c.held == nil {
+		c.held = map[Cap]int{}
+	}
+	if c.held[k] += n; c.held[k] <= 0 {
+		delete(c.held, k)
+	}
+}
+
 // Shares knows what each destination holds. The zero value holds nothing.
 type Shares struct {
 	held map[int]int64 // bytes
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 )
@@ -64,11 +63,11 @@
 		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.class, b.class), cmp.Compare(a.dest, b.dest))
 	})
 	type pair struct{ old, new string }
-	for _, key := range []string{"attempts", "answer"} {
+	for n, key := range figureNames {
 		said := map[scope]pair{}
 		for _, s := range sorted {
-			a, from := before.figure(key, s)
-			b, to := after.figure(key, s)
+			a, from := before.figure(n, s)
+			b, to := after.figure(n, s)
 			p := pair{a, b}
 			said[s] = p
 			if a == b || s != (scope{}) && slices.ContainsFunc(s.parents(), func(o scope) bool { q, known := said[o]; return known && q == p }) {
@@ -101,17 +100,10 @@
 }
 
 // figure is what holds for a scope, and the rule that says so.
-func (l *Limits) figure(key string, s scope) (value, rule string) {
-	by := l.attempts
-	if key == "answer" {
-		by = l.answer
-	}
+func (l *Limits) figure(n int, s scope) (value, rule string) {
 	for _, o := range append([]scope{s}, s.parents()...) {
-		if r := by[o]; r != nil {
-			if key == "answer" {
-				return time.Duration(r.Answer).String(), r.Name
-			}
-			return fmt.Sprint(r.Attempts), r.Name
+		if r := l.by[n][o]; r != nil {
+			return r.show(n), r.Name
 		}
 	}
 	return unset, ""
@@ -121,8 +113,8 @@
 func (c *Config) Explain(class string, dest int) (list []Change) {
 	l := c.NewLimits()
 	s := scope{class, dest, true}
-	for _, key := range []string{"attempts", "answer"} {
-		v, rule := l.figure(key, s)
+	for n, key := range figureNames {
+		v, rule := l.figure(n, s)
 		list = append(list, Change{For: s.String(), Key: key, New: v, To: c.Where["limits."+rule+"."+key]})
 	}
 	return list
--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -17,10 +17,37 @@
 	Destinations []int    `json:"destinations,omitempty"` // none: all
 	Attempts     int      `json:"attempts,omitempty"`     // for one message; 0: not set
 	Answer       Duration `json:"answer,omitempty"`       // how long one attempt may wait for its answer; 0: not set
+	Held         int      `json:"held,omitempty"`         // messages held at once, for each destination apart; 0: not set
+}
+
+// The figures that a limit may set.
+const (
+	attempts = iota
+	answer
+	held
+	figures
+)
+
+var figureNames = [figures]string{"attempts", "answer", "held"}
+
+// figure is one of them; 0 if it is not set.
+func (l *Limit) figure(n int) int64 {
+	return [figures]int64{int64(l.Attempts), int64(l.Answer), int64(l.Held)}[n]
+}
+
+// show is one of them as it is written.
+func (l *Limit) show(n int) string {
+	if n == answer {
+		return time.Duration(l.Answer).String()
+	}
+	return fmt.Sprint(l.figure(n))
 }
 
 // mostAttempts bounds what may be written; the platform's own limit is less.
-const mostAttempts = 100
+const (
+	mostAttempts = 100
+	mostHeld     = 10_000_000
+)
 
 // scope is one kind of message that rules name: a class or any, a destination or any.
 type scope struct {
@@ -53,54 +80,64 @@
 
 // Limits finds the limits that hold for a message.
 type Limits struct {
-	attempts, answer map[scope]*Limit
+	by [figures]map[scope]*Limit
 }
 
 // NewLimits makes the index of rules that Check has passed.
 func (c *Config) NewLimits() *Limits {
-	l := &Limits{map[scope]*Limit{}, map[scope]*Limit{}}
+	l := &Limits{}
+	for n := range l.by {
+		l.by[n] = map[scope]*Limit{}
+	}
 	for i := range c.Limits {
 		rule := &c.Limits[i]
 		for _, s := range rule.scopes() {
-			if rule.Attempts > 0 {
-				l.attempts[s] = rule
-			}
-			if rule.Answer > 0 {
-				l.answer[s] = rule
+			for n := range l.by {
+				if rule.figure(n) > 0 {
+					l.by[n][s] = rule
+				}
 			}
 		}
 	}
 	return l
 }
 
-// Of returns the rules that set the attempts and the time for an answer of a message; nil where none does.
-func (l *Limits) Of(class string, dest int) (attempts, answer *Limit) {
+// of returns the rule that sets a figure for a message; nil where none does.
+func (l *Limits) of(n int, class string, dest int) *Limit {
 	for _, s := range wider(class, dest) {
-		if attempts == nil {
-			attempts = l.attempts[s]
-		}
-		if answer == nil {
-			answer = l.answer[s]
+		if rule := l.by[n][s]; rule != nil {
+			return rule
 		}
 	}
-	return attempts, answer
+	return nil
 }
 
-// For is Of in the module's terms.
+// For is what the decision module applies.
 func (l *Limits) For(class string, dest int) (m decide.Limits) {
-	attempts, answer := l.Of(class, dest)
-	if attempts != nil {
-		m.Attempts = attempts.Attempts
+	if rule := l.of(attempts, class, dest); rule != nil {
+		m.Attempts = rule.Attempts
 	}
-	if answer != nil {
-		m.Answer = time.Duration(answer.Answer)
+	if rule := l.of(answer, class, dest); rule != nil {
+		m.Answer = time.Duration(rule.Answer)
 	}
 	return m
 }
 
+// Held is how many messages may be held at once for a destination, and the rule under which they are counted; 0 for no
+// limit.
+func (l *Limits) Held(class string, dest int) (rule string, most int) {
+	if r := l.of(held, class, dest); r != nil {
+		return r.Name, r.Held
+	}
+	return "", 0
+}
+
 func (c *Config) checkLimits(add func(key, what, remedy string)) {
 	named := map[string]bool{}
-	attempts, answer := map[scope]string{}, map[scope]string{}
+	var by [figures]map[scope]string
+	for n := range by {
+		by[n] = map[scope]string{}
+	}
 	for i := range c.Limits {
 		l := &c.Limits[i]
 		key := "limits." + l.Name
@@ -114,25 +151,24 @@
 		if l.Answer != 0 && (l.Answer < Duration(time.Millisecond) || l.Answer > Duration(time.Hour)) {
 			add(key+".answer", fmt.Sprintf("no answer can be waited for %v", time.Duration(l.Answer)), "set from 1ms to 1h")
 		}
-		if l.Attempts == 0 && l.Answer == 0 {
-			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set attempts or answer, or take them out")
+		if l.Held < 0 || l.Held > mostHeld {
+			add(key+".held", fmt.Sprintf("%d messages held", l.Held), fmt.Sprintf("set from 1 to %d", mostHeld))
+		}
+		if l.Attempts == 0 && l.Answer == 0 && l.Held == 0 {
+			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set attempts, answer or held, or take them out")
 		}
 		for _, s := range l.scopes() {
-			for _, figure := range []struct {
-				name string
-				set  bool
-				by   map[scope]string
-			}{{"attempts", l.Attempts != 0, attempts}, {"answer", l.Answer != 0, answer}} {
-				if !figure.set {
+			for n, name := range figureNames {
+				if l.figure(n) == 0 {
 					continue
 				}
-				if other := figure.by[s]; other != "" {
-					at := c.Where["limits."+other+"."+figure.name]
-					add(key+"."+figure.name, fmt.Sprintf("%s for %v is set by %q too", figure.name, s, other),
+				if other := by[n][s]; other != "" {
+					at := c.Where["limits."+other+"."+name]
+					add(key+"."+name, fmt.Sprintf("%s for %v is set by %q too", name, s, other),
 						fmt.Sprintf("neither is more specific: leave it in one of them (the other: %s)", cmp.Or(at, other)))
 					continue
 				}
-				figure.by[s] = l.Name
+				by[n][s] = l.Name
 			}
 		}
 	}
@@ -201,14 +237,10 @@
 	}
 	slices.Sort(sorted)
 	for _, k := range set.Classes {
-		attempts, answer := limits.attempts, limits.answer
-		most := func(m map[scope]*Limit) *Limit {
-			return cmp.Or(m[scope{class: k.Name}], m[scope{}])
-		}
+		most := func(n int) *Limit { return cmp.Or(limits.by[n][scope{class: k.Name}], limits.by[n][scope{}]) }
 		check(k, scope{class: k.Name}, most(attempts), most(answer))
 		for _, d := range sorted {
-			a, b := limits.Of(k.Name, d)
-			check(k, scope{k.Name, d, true}, a, b)
+			check(k, scope{k.Name, d, true}, limits.of(attempts, k.Name, d), limits.of(answer, k.Name, d))
 		}
 	}
 	return list
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -320,7 +320,7 @@
 		l.fail(block.DefRange(), "limits take one name", `Write limits "NAME" { ... }.`)
 		return
 	}
-	l.known(block.Body, "limits", "classes", "destinations", "attempts", "answer")
+	l.known(block.Body, "limits", "classes", "destinations", "attempts", "answer", "held")
 	rule, wrong := operator.Limit{Name: block.Labels[0]}, len(l.diags)
 	key := "limits." + rule.Name
 	if at, twice := l.limAt[key]; twice {
@@ -345,10 +345,13 @@
 					l.fail(at, "destinations are a list of whole numbers", `Write destinations = [7, 12], or leave it out for all.`)
 				}
 			}
-		case "attempts":
+		case "attempts", "held":
 			if v, ok := l.value(a); ok {
-				if list, ok := numbers(cty.TupleVal([]cty.Value{v})); !ok || list[0] < 1 {
-					l.fail(at, "attempts are a whole number, 1 or more", "Write attempts = 2.")
+				list, ok := numbers(cty.TupleVal([]cty.Value{v}))
+				if !ok || list[0] < 1 {
+					l.fail(at, name+" is a whole number, 1 or more", fmt.Sprintf("Write %s = 2.", name))
+				} else if name == "held" {
+					rule.Held = list[0]
 				} else {
 					rule.Attempts = list[0]
 				}
