--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -55,7 +55,7 @@
 	if err := operators.apply(&set); err != nil {
 		return err
 	}
-	l, err := engine.New(engine.Config{Settings: set, Journal: j, Held: operators.held(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
+	l, err := engine.New(engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
 		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})})
 	if err != nil {
 		return err
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
 	"scaleroute/internal/operator"
 )
 
@@ -48,12 +49,12 @@
 	return nil
 }
 
-// held is how many messages may be held; nil if nothing is set.
-func (s *settings) held() func(class string, dest int) (string, int) {
+// intake is what the engine asks for; nil if nothing is set.
+func (s *settings) intake() func(class string, dest int) engine.Limits {
 	if s.file == "" {
 		return nil
 	}
-	return func(class string, dest int) (string, int) { return s.limits.Load().Held(class, dest) }
+	return func(class string, dest int) engine.Limits { return s.limits.Load().Intake(class, dest) }
 }
 
 // reload takes what the file sets now, whole or not at all. Messages that are held keep the limits they were taken on
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -64,6 +64,13 @@
 	Final(Final) // does not wait
 }
 
+// Limits tighten what is taken on; at 0 they don't.
+type Limits struct {
+	Whole time.Duration // how long a message may be delivered in all
+	Held  int           // messages held at once, for each destination apart
+	Rule  string        // under which those are counted
+}
+
 // Answer is what a front tells its client at once.
 type Answer struct {
 	Kind Kind
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -71,9 +71,8 @@
 	Back     Back
 	// SyncEvery is how often a journal is synced that is synced at intervals.
 	SyncEvery time.Duration
-	// Held is how many messages of a class may be held for a destination at once, and the rule under which they
-	// are counted; 0 for no limit. Nil for none.
-	Held func(class string, destination int) (rule string, most int)
+	// Limits are those of a class towards a destination; nil for none.
+	Limits func(class string, destination int) Limits
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -96,7 +95,7 @@
 	arrived   []*entry // in this round
 	shares    intake.Shares
 	caps      intake.Caps
-	held      func(class string, destination int) (string, int)
+	limits    func(class string, destination int) Limits
 	effects   []func() // after the journal has been written
 	waiting   []batch  // until it has been synced, where that is promised
 	syncing   bool
@@ -113,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, held: c.Held,
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
@@ -349,13 +348,18 @@
 		turnAway(rejected("unknown destination"))
 		return nil
 	}
+	left, limits := min(m.Left, class.Deadline), Limits{}
+	if l.limits != nil {
+		limits = l.limits(m.Class, m.Destination)
+	}
+	if limits.Whole > 0 {
+		left = min(left, limits.Whole)
+	}
 	s := &journal.Saved{ID: m.ID, Origin: m.Origin, Class: m.Class, Dest: m.Destination, Body: m.Body,
-		Deadline: m.Read.Add(min(m.Left, class.Deadline) - intakeSlack)}
-	if l.held != nil {
-		if rule, most := l.held(m.Class, m.Destination); most > 0 && !l.caps.Admits(intake.Cap{Rule: rule, Destination: m.Destination}, most) {
-			turnAway(refused(diskWait))
-			return nil
-		}
+		Deadline: m.Read.Add(left - intakeSlack)}
+	if limits.Held > 0 && !l.caps.Admits(intake.Cap{Rule: limits.Rule, Destination: m.Destination}, limits.Held) {
+		turnAway(refused(diskWait))
+		return nil
 	}
 	if !l.shares.Admits(m.Destination, s.Cost(), l.journal.Full(), len(l.dests)) {
 		turnAway(refused(diskWait))
@@ -440,11 +444,11 @@
 	l.entries[e.saved.ID] = e
 	e.cost = e.saved.Cost()
 	l.shares.Add(e.saved.Dest, e.cost)
-	if l.held == nil {
+	if l.limits == nil {
 		return
 	}
-	if rule, most := l.held(e.saved.Class, e.saved.Dest); most > 0 {
-		e.cap = intake.Cap{Rule: rule, Destination: e.saved.Dest}
+	if i := l.limits(e.saved.Class, e.saved.Dest); i.Held > 0 {
+		e.cap = intake.Cap{Rule: i.Rule, Destination: e.saved.Dest}
 		l.caps.Add(e.cap, 1)
 	}
 }
--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
 )
 
 // Limit bounds what is done for some messages. Each of its figures holds on its own: one that a rule does not set comes from
@@ -17,6 +18,7 @@
 	Destinations []int    `json:"destinations,omitempty"` // none: all
 	Attempts     int      `json:"attempts,omitempty"`     // for one message; 0: not set
 	Answer       Duration `json:"answer,omitempty"`       // how long one attempt may wait for its answer; 0: not set
+	Whole        Duration `json:"whole,omitempty"`        // how long a message may be delivered in all; 0: not set
 	Held         int      `json:"held,omitempty"`         // messages held at once, for each destination apart; 0: not set
 }
 
@@ -24,21 +26,22 @@
 const (
 	attempts = iota
 	answer
+	whole
 	held
 	figures
 )
 
-var figureNames = [figures]string{"attempts", "answer", "held"}
+var figureNames = [figures]string{"attempts", "answer", "whole", "held"}
 
 // figure is one of them; 0 if it is not set.
 func (l *Limit) figure(n int) int64 {
-	return [figures]int64{int64(l.Attempts), int64(l.Answer), int64(l.Held)}[n]
+	return [figures]int64{int64(l.Attempts), int64(l.Answer), int64(l.Whole), int64(l.Held)}[n]
 }
 
 // show is one of them as it is written.
 func (l *Limit) show(n int) string {
-	if n == answer {
-		return time.Duration(l.Answer).String()
+	if n == answer || n == whole {
+		return time.Duration(l.figure(n)).String()
 	}
 	return fmt.Sprint(l.figure(n))
 }
@@ -47,6 +50,8 @@
 const (
 	mostAttempts = 100
 	mostHeld     = 10_000_000
+	leastWhole   = 100 * time.Millisecond
+	mostWhole    = 24 * time.Hour
 )
 
 // scope is one kind of message that rules name: a class or any, a destination or any.
@@ -123,13 +128,16 @@
 	return m
 }
 
-// Held is how many messages may be held at once for a destination, and the rule under which they are counted; 0 for no
-// limit.
-func (l *Limits) Held(class string, dest int) (rule string, most int) {
-	if r := l.of(held, class, dest); r != nil {
-		return r.Name, r.Held
+// Intake is what the engine applies when a message comes: its time, and how many may be held at once for the
+// destination under which rule; 0 for no limit.
+func (l *Limits) Intake(class string, dest int) (i engine.Limits) {
+	if rule := l.of(whole, class, dest); rule != nil {
+		i.Whole = time.Duration(rule.Whole)
 	}
-	return "", 0
+	if rule := l.of(held, class, dest); rule != nil {
+		i.Rule, i.Held = rule.Name, rule.Held
+	}
+	return i
 }
 
 func (c *Config) checkLimits(add func(key, what, remedy string)) {
@@ -151,11 +159,14 @@
 		if l.Answer != 0 && (l.Answer < Duration(time.Millisecond) || l.Answer > Duration(time.Hour)) {
 			add(key+".answer", fmt.Sprintf("no answer can be waited for %v", time.Duration(l.Answer)), "set from 1ms to 1h")
 		}
+		if l.Whole != 0 && (l.Whole < Duration(leastWhole) || l.Whole > Duration(mostWhole)) {
+			add(key+".whole", fmt.Sprintf("no message can be delivered within %v", time.Duration(l.Whole)), fmt.Sprintf("set from %v to %v", leastWhole, mostWhole))
+		}
 		if l.Held < 0 || l.Held > mostHeld {
 			add(key+".held", fmt.Sprintf("%d messages held", l.Held), fmt.Sprintf("set from 1 to %d", mostHeld))
 		}
-		if l.Attempts == 0 && l.Answer == 0 && l.Held == 0 {
-			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set attempts, answer or held, or take them out")
+		if l.Attempts == 0 && l.Answer == 0 && l.Whole == 0 && l.Held == 0 {
+			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set attempts, answer, whole or held, or take them out")
 		}
 		for _, s := range l.scopes() {
 			for n, name := range figureNames {
@@ -211,25 +222,30 @@
 	}
 	limits := c.NewLimits()
 	told := map[string]bool{}
-	check := func(k decide.Class, s scope, attempts, answer *Limit) {
+	check := func(k decide.Class, s scope, attempts, answer, whole *Limit) {
 		if answer == nil {
 			return
 		}
+		has, said := k.Deadline, fmt.Sprintf("class %s has %v", k.Name, k.Deadline)
+		if whole != nil && time.Duration(whole.Whole) < has {
+			by := "limits." + whole.Name + ".whole"
+			has, said = time.Duration(whole.Whole), fmt.Sprintf("whole is %v (%s)", time.Duration(whole.Whole), cmp.Or(c.Where[by], by))
+		}
 		n, by := 1, ""
 		if attempts != nil {
 			n, by = attempts.Attempts, "limits."+attempts.Name+".attempts"
 		}
 		need := time.Duration(n) * time.Duration(answer.Answer)
 		key := "limits." + answer.Name + ".answer"
-		if need <= k.Deadline || told[key+by+k.Name] {
+		if need <= has || told[key+by+k.Name] {
 			return
 		}
 		told[key+by+k.Name] = true
-		what := fmt.Sprintf("for %v, %d attempts of %v need %v, and class %s has %v", s, n, time.Duration(answer.Answer), need, k.Name, k.Deadline)
+		what := fmt.Sprintf("for %v, %d attempts of %v need %v, and %s", s, n, time.Duration(answer.Answer), need, said)
 		if by != "" {
 			what += fmt.Sprintf(" (the attempts: %s)", cmp.Or(c.Where[by], by))
 		}
-		add(key, what, fmt.Sprintf("set answer to %v at most, or fewer attempts", (k.Deadline/time.Duration(n)).Truncate(time.Millisecond)))
+		add(key, what, fmt.Sprintf("set answer to %v at most, or fewer attempts", (has/time.Duration(n)).Truncate(time.Millisecond)))
 	}
 	sorted := make([]int, 0, len(dests))
 	for d := range dests {
@@ -238,9 +254,9 @@
 	slices.Sort(sorted)
 	for _, k := range set.Classes {
 		most := func(n int) *Limit { return cmp.Or(limits.by[n][scope{class: k.Name}], limits.by[n][scope{}]) }
-		check(k, scope{class: k.Name}, most(attempts), most(answer))
+		check(k, scope{class: k.Name}, most(attempts), most(answer), most(whole))
 		for _, d := range sorted {
-			check(k, scope{k.Name, d, true}, limits.of(attempts, k.Name, d), limits.of(answer, k.Name, d))
+			check(k, scope{k.Name, d, true}, limits.of(attempts, k.Name, d), limits.of(answer, k.Name, d), limits.of(whole, k.Name, d))
 		}
 	}
 	return list
