Have the lab check what operators set, and reload the file under load

Need: limits are to be seen in the stand-ins' record, not only in the module. -operators gives the program a resolved file and counts calls, their time and the end of each message against it; -reloads sends SIGHUP, every other time with the file cut in half. Three records with one limit broken each are judged so by TestCheck.

--- a/cmd/scaleroute-lab/lab_test.go
+++ b/cmd/scaleroute-lab/lab_test.go
@@ -33,7 +33,7 @@
 func TestRulesInTheLab(t *testing.T) {
 	r := played(t, small(t))
 	if r.Broken() || r.CutOff {
-		t.Errorf("%s %q", r.rules(), r.Examples)
+		t.Errorf("%s %q", r.verdict(), r.Examples)
 	}
 	if r.Kills != 2 {
 		t.Errorf("%d kills, 2 were asked for", r.Kills)
@@ -54,7 +54,7 @@
 	o.sickness, o.kills, o.drains, o.left = "silent", 0, 0, 8*time.Second
 	r := played(t, o)
 	if r.Broken() || r.HealthyDone < r.Healthy {
-		t.Errorf("%d of %d delivered; %s %q", r.HealthyDone, r.Healthy, r.rules(), r.Examples)
+		t.Errorf("%d of %d delivered; %s %q", r.HealthyDone, r.Healthy, r.verdict(), r.Examples)
 	}
 }
 
--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -43,11 +43,13 @@
 	drains   int
 	seed     uint64
 
-	program string
-	relay   bool
-	json    bool
-	quiet   bool
-	profile string
+	program   string
+	operators string
+	reloads   int
+	relay     bool
+	json      bool
+	quiet     bool
+	profile   string
 }
 
 func main() {
@@ -78,6 +80,8 @@
 	flag.IntVar(&o.drains, "drains", 4, "endpoints that are drained and then deleted, and come back, evenly spread")
 	flag.Uint64Var(&o.seed, "seed", 1, "for random numbers")
 	flag.StringVar(&o.program, "program", "", "the program; built from the module of the current folder if empty")
+	flag.StringVar(&o.operators, "operators", "", "a resolved operators' file for the program; what it sets is checked in the record")
+	flag.IntVar(&o.reloads, "reloads", 0, "times that the program is told (SIGHUP) to read that file again, every other time spoilt")
 	flag.BoolVar(&o.relay, "relay", false, "run a bare relay in the place of the program, for a comparison")
 	flag.BoolVar(&o.json, "json", false, "report as one line of JSON")
 	flag.BoolVar(&o.quiet, "quiet", false, "show no progress")
@@ -135,6 +139,8 @@
 		return fmt.Errorf("-sick %v: a share, from 0 to 1", o.sick)
 	case o.left <= 0 || o.limit <= 0 || o.limit > 2*time.Hour:
 		return fmt.Errorf("-left and -limit: above 0, and two hours at most")
+	case o.reloads < 0 || o.reloads > 10_000 || o.reloads > 0 && o.operators == "":
+		return fmt.Errorf("-reloads: from 0 to 10000, and -operators names the file")
 	case o.kills < 0 || o.kills > 1000 || o.drains < 0 || o.drains > 10_000:
 		return fmt.Errorf("-kills and -drains: from 0 to 1000, and to 10000")
 	}
--- /dev/null
+++ b/cmd/scaleroute-lab/operators.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"scaleroute/internal/operator"
+	"scaleroute/internal/standin"
+)
+
+// operators is a resolved operators' file that the program is given.
+type operators struct {
+	path   string // the program's own copy
+	text   []byte
+	limits *operator.Limits
+}
+
+// setOperators gives the program a copy of a file.
+func (p *program) setOperators(file string) (*operators, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	set, err := operator.Decode(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	o := &operators{path: filepath.Join(p.dir, "operators.json"), text: text, limits: set.NewLimits()}
+	p.command = append(p.command, "-operators", o.path)
+	return o, os.WriteFile(o.path, text, 0o600)
+}
+
+// of is what is set for a message.
+func (o *operators) of(unsafe bool, destination int) standin.Set {
+	class := standin.Safe
+	if unsafe {
+		class = standin.Unsafe
+	}
+	calls, intake := o.limits.For(class, destination), o.limits.Intake(class, destination)
+	return standin.Set{Attempts: calls.Attempts, Answer: calls.Answer, Whole: intake.Whole}
+}
+
+// reload has the program read its file again: cut short, which it must not take, or whole.
+func (o *operators) reload(p *program, spoilt bool) error {
+	text := o.text
+	if spoilt {
+		text = text[:len(text)/2]
+	}
+	next := o.path + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(next, o.path); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.killed {
+		return nil
+	}
+	return p.cmd.Process.Signal(syscall.SIGHUP)
+}
--- a/cmd/scaleroute-lab/report.go
+++ b/cmd/scaleroute-lab/report.go
@@ -13,6 +13,7 @@
 // report is what a run came to.
 type report struct {
 	options *options
+	rules   standin.Limits
 	*standin.Verdict
 
 	Seconds    float64 `json:"seconds"`
@@ -49,7 +50,7 @@
 
 // fill works the report out from the record.
 func (r *report) fill(w *standin.World, p *program, cpu time.Duration, sick map[int]bool) {
-	r.Verdict = w.Log.Check(standin.Rules)
+	r.Verdict = w.Log.Check(r.rules)
 	r.CPUSeconds = cpu.Seconds()
 	r.CPUMicros = float64(cpu.Microseconds()) / float64(max(1, r.Handed))
 	r.PeakMB = float64(p.peakKB) / 1024
@@ -102,19 +103,22 @@
 	if r.Kills > 0 {
 		row("kills", "%d, the longest restart %d ms", r.Kills, r.StartMS)
 	}
-	row("rules", "%s", r.rules())
+	if o.reloads > 0 {
+		row("reloads", "%d, every other one of a spoilt file", o.reloads)
+	}
+	row("rules", "%s", r.verdict())
 	t.Flush()
 	for _, e := range r.Examples {
 		fmt.Fprintln(out, "  "+e)
 	}
 }
 
-func (r *report) rules() string {
+func (r *report) verdict() string {
 	if !r.Broken() {
 		return "kept: none lost, none twice, no drain or wait broken"
 	}
-	return fmt.Sprintf("BROKEN: %d lost, %d twice, %d drains, %d waits, %d to a wrong group", r.Lost, r.Twice,
-		r.DrainBroken, r.WaitBroken, r.WrongGroup)
+	return fmt.Sprintf("BROKEN: %d lost, %d twice, %d drains, %d waits, %d to a wrong group, %d beyond what is set", r.Lost, r.Twice,
+		r.DrainBroken, r.WaitBroken, r.WrongGroup, r.LimitBroken)
 }
 
 // progress shows one line that changes, on a terminal only.
--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -30,6 +30,13 @@
 	if err := p.prepare(ctx, o); err != nil {
 		return nil, err
 	}
+	var set *operators
+	if o.operators != "" {
+		var err error
+		if set, err = p.setOperators(o.operators); err != nil {
+			return nil, err
+		}
+	}
 	progress.say("starting %d endpoints", o.destinations*o.endpoints)
 	world, err := standin.New(standin.Shape{Destinations: o.destinations, Endpoints: o.endpoints, Hosts: o.hosts})
 	if err != nil {
@@ -54,14 +61,17 @@
 	defer p.kill()
 	world.Clients.At(p.address)
 
-	r := &report{options: o}
+	r := &report{options: o, rules: standin.Rules}
+	if set != nil {
+		r.rules.Set = set.of
+	}
 	rng := rand.New(rand.NewPCG(o.seed, 0x51))
 	sick := sickOnes(rng, o)
 	began, cpu := time.Now(), p.used()
 	stopTroubles := make(chan struct{})
 	var troubles sync.WaitGroup
 	var failed error
-	troubles.Go(func() { failed = play(ctx, o, world, p, sick, healthy, stopTroubles) })
+	troubles.Go(func() { failed = play(ctx, o, world, p, set, sick, healthy, stopTroubles) })
 	jobs := make(chan standin.Job)
 	go hand(ctx, o, rng, jobs)
 	watch := time.NewTicker(250 * time.Millisecond)
@@ -184,7 +194,7 @@
 }
 
 // play carries out the troubles that were asked for.
-func play(ctx context.Context, o *options, w *standin.World, p *program, sick map[int]bool, healthy standin.Script, stop <-chan struct{}) error {
+func play(ctx context.Context, o *options, w *standin.World, p *program, set *operators, sick map[int]bool, healthy standin.Script, stop <-chan struct{}) error {
 	span := o.limit
 	if o.rate > 0 {
 		span = min(span, time.Duration(float64(o.messages)/o.rate*float64(time.Second)))
@@ -232,6 +242,9 @@
 	for i := range o.kills {
 		steps = append(steps, step{span * time.Duration(i+1) / time.Duration(o.kills+1), func() error { return restart(w, p) }})
 	}
+	for i := range o.reloads {
+		steps = append(steps, step{span * time.Duration(i+1) / time.Duration(o.reloads+1), func() error { return set.reload(p, i%2 == 0) }})
+	}
 	for i := range o.drains {
 		e := w.Endpoints[(i*7919)%len(w.Endpoints)]
 		at := span * time.Duration(2*i+1) / time.Duration(2*o.drains+2)
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -26,6 +26,7 @@
 		handed[h.ID] = h
 		l.checkEnd(v, limits, h, byID[h.ID], ends)
 		checkTwice(v, h, byID[h.ID], ends[h.ID])
+		l.checkSet(v, limits, h, byID[h.ID], ends[h.ID])
 	}
 	for _, c := range l.calls {
 		h := handed[c.ID]
@@ -134,6 +135,29 @@
 	}
 }
 
+// checkSet looks for what goes beyond what operators have set: as many calls, each as long, and an end in time.
+func (l *Log) checkSet(v *Verdict, limits Limits, h *Handed, calls []*Call, n Notice) {
+	if limits.Set == nil {
+		return
+	}
+	set := limits.Set(h.Unsafe, h.Destination)
+	if set.Attempts > 0 && len(calls) > set.Attempts {
+		v.say(&v.LimitBroken, "%s was sent %d times, %d are set", h.ID, len(calls), set.Attempts)
+	}
+	for _, c := range calls {
+		if took := c.Ended.Sub(c.First); set.Answer > 0 && !c.Ended.IsZero() && took > set.Answer+limits.Overdue {
+			v.say(&v.LimitBroken, "%s was out to %s for %v, %v is set", h.ID, c.Endpoint.Name, took.Round(time.Millisecond), set.Answer)
+		}
+	}
+	end := n.At
+	if done := over(calls); !done.IsZero() {
+		end = done
+	}
+	if late := end.Sub(h.Sent); set.Whole > 0 && !end.IsZero() && late > set.Whole+limits.Overdue && l.since(end).Before(h.Sent) {
+		v.say(&v.LimitBroken, "%s ended after %v, %v is set", h.ID, late.Round(time.Millisecond), set.Whole)
+	}
+}
+
 // since is the last start of the forwarder before a time: what it was told before that it does not know.
 func (l *Log) since(at time.Time) (start time.Time) {
 	for _, r := range l.starts {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -29,6 +29,11 @@
 		log  *Log
 		want Verdict
 	}{
+		{"more attempts than set", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 10, 20, 503, Never), call(one, 30, 40, 503, Never), done}},
+			Verdict{Delivered: 1, LimitBroken: 1}},
+		{"a longer call than set", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 100, 1500, 200, Yes)}}, Verdict{Delivered: 1, LimitBroken: 1}},
+		{"a later end than set", &Log{handed: []*Handed{handed(false)}, notices: []Notice{{ID: "m", Result: "bounced", At: at(4400)}}},
+			Verdict{Refused: 1, LimitBroken: 1}},
 		{"delivered", &Log{handed: []*Handed{handed(true)}, calls: []*Call{done}}, Verdict{Delivered: 1}},
 		{"no end", &Log{handed: []*Handed{handed(true)}}, Verdict{Lost: 1}},
 		{"no end yet", &Log{handed: []*Handed{{ID: "m", Destination: 1, Deadline: time.Now().Add(time.Hour), Answer: Taken, Last: true}}},
@@ -38,9 +43,9 @@
 		{"dead", &Log{handed: []*Handed{handed(true)}, calls: []*Call{call(one, 10, 20, 500, May)},
 			notices: []Notice{{ID: "m", Result: "dead", At: at(30)}}}, Verdict{Failed: 1}},
 		{"late, and let through", &Log{handed: []*Handed{handed(true)}, notices: []Notice{{ID: "m", Result: "dead", At: at(5200)}}},
-			Verdict{Failed: 1, Late: 1}},
+			Verdict{Failed: 1, Late: 1, LimitBroken: 1}},
 		{"overdue", &Log{handed: []*Handed{handed(true)}, notices: []Notice{{ID: "m", Result: "dead", At: at(5400)}}},
-			Verdict{Failed: 1, Late: 1, Lost: 1}},
+			Verdict{Failed: 1, Late: 1, Lost: 1, LimitBroken: 1}},
 		{"overdue as it was away", &Log{handed: []*Handed{handed(true)}, notices: []Notice{{ID: "m", Result: "dead", At: at(5400)}},
 			starts: []Restart{{Ended: at(4900), Ready: at(5100)}}}, Verdict{Failed: 1, Late: 1}},
 		{"refused though it may have run", &Log{handed: []*Handed{handed(true)}, calls: []*Call{call(one, 10, 20, 500, May)},
@@ -68,7 +73,9 @@
 			told: []Told{{"one", Draining, at(900)}, {"one", Serving, at(1500)}}}, Verdict{Delivered: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got := c.log.Check(Rules)
+			rules := Rules
+			rules.Set = func(bool, int) Set { return Set{Attempts: 2, Answer: time.Second, Whole: 4 * time.Second} }
+			got := c.log.Check(rules)
 			got.Handed, got.Calls, got.Examples, got.at = 0, 0, nil, time.Time{}
 			if !reflect.DeepEqual(*got, c.want) {
 				t.Errorf("got %+v, want %+v", *got, c.want)
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -224,6 +224,16 @@
 	Wait     time.Duration // calls that come so soon after a told wait are let through
 	Overdue  time.Duration // an end may come so long after the time of a message is up
 	Recovery time.Duration // or so long after a restarted forwarder is ready
+
+	// Set is what operators have set for a message; nil for nothing.
+	Set func(unsafe bool, destination int) Set
+}
+
+// Set is what operators have set for a message; at 0 nothing.
+type Set struct {
+	Attempts int
+	Answer   time.Duration // for one call
+	Whole    time.Duration // until its end
 }
 
 // Rules are the limits of the protocol.
@@ -247,6 +257,7 @@
 	DrainBroken int `json:"drain_broken"`
 	WaitBroken  int `json:"wait_broken"`
 	WrongGroup  int `json:"wrong_group"`
+	LimitBroken int `json:"limit_broken"`
 
 	Examples []string `json:"examples,omitempty"` // of broken rules, some
 
@@ -255,7 +266,7 @@
 
 // Broken tells whether any rule was broken.
 func (v *Verdict) Broken() bool {
-	return v.Lost+v.Twice+v.DrainBroken+v.WaitBroken+v.WrongGroup > 0
+	return v.Lost+v.Twice+v.DrainBroken+v.WaitBroken+v.WrongGroup+v.LimitBroken > 0
 }
 
 func (v *Verdict) say(count *int, format string, args ...any) {
