Decode the resolved file in one place, and share the dry run of fault tests

Three callers read and named the resolved file each in their own way, and two fault tests wrote the same dry run out.

--- a/cmd/scaleroute-lab/operators.go
+++ b/cmd/scaleroute-lab/operators.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -23,9 +22,9 @@
 	if err != nil {
 		return nil, err
 	}
-	set, err := operator.Decode(text)
+	set, err := operator.Decode(file, text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return nil, err
 	}
 	o := &operators{path: filepath.Join(p.dir, "operators.json"), text: text, limits: set.NewLimits()}
 	p.command = append(p.command, "-operators", o.path)
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -29,11 +29,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading -operators: %w", err)
 	}
-	set, err := operator.Decode(text)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	return set, nil
+	return operator.Decode(file, text)
 }
 
 // apply checks the limits against the platform's settings, and has the module ask for them.
--- a/cmd/scaleroutectl/operators.go
+++ b/cmd/scaleroutectl/operators.go
@@ -74,11 +74,7 @@
 		if err != nil {
 			return nil, err
 		}
-		set, err := operator.Decode(text)
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", file, err)
-		}
-		return set, nil
+		return operator.Decode(file, text)
 	}
 	r, err := opfile.Load(file, os.LookupEnv)
 	if err == nil {
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -63,6 +63,29 @@
 // small is a folder in which some bodies stay in memory and some do not.
 func small(fs FS) Options { return Options{FS: fs, Limit: smallLimit, Memory: 40_000} }
 
+func durable(fs FS, d Durability) Options {
+	o := small(fs)
+	o.Durability = d
+	return o
+}
+
+// dryRun runs the workload without a fault: how often it changes the file system, and how many of those to try.
+func dryRun(t *testing.T, d Durability, steps int, segments uint64) (j *Journal, ops, every int) {
+	t.Helper()
+	dry := newMemFS()
+	j, err := work(durable(dry, d), newModel(), 1, steps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if j.moved == 0 || j.active().seq < segments {
+		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.moved, j.active().seq)
+	}
+	if testing.Short() || raceEnabled {
+		return j, dry.ops, 7
+	}
+	return j, dry.ops, 1
+}
+
 // flush flushes and, where that is asked for, syncs: the model may then rely on what is there.
 func (m *model) flush(j *Journal, sync bool) error {
 	if err := j.Flush(); err != nil {
@@ -174,20 +197,9 @@
 // forgotten. The journal then takes the same workload on from there.
 func TestEveryFaultPoint(t *testing.T) {
 	const steps = 5000
-	dry := newMemFS()
-	j, err := work(small(dry), newModel(), 1, steps)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if j.moved == 0 || j.active().seq < 20 {
-		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.moved, j.active().seq)
-	}
-	every := 1
-	if testing.Short() || raceEnabled {
-		every = 7
-	}
-	points := 0
-	for at := 1; at <= dry.ops; at += every {
+	j, ops, every := dryRun(t, Process, steps, 20)
+	points, err := 0, error(nil)
+	for at := 1; at <= ops; at += every {
 		for _, part := range []float64{0, 0.4, 0.99, 1} {
 			points++
 			fs, m := newMemFS(), newModel()
@@ -244,25 +256,11 @@
 // synced is there, and of the rest a beginning.
 func TestEveryPowerFailure(t *testing.T) {
 	const steps = 2500
-	group := func(fs FS) Options {
-		o := small(fs)
-		o.Durability = Group
-		return o
-	}
-	dry := newMemFS()
-	j, err := work(group(dry), newModel(), 1, steps)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if j.moved == 0 || j.active().seq < 8 {
-		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.moved, j.active().seq)
-	}
-	every, points := 1, 0
-	if testing.Short() || raceEnabled {
-		every = 11
-	}
+	group := func(fs FS) Options { return durable(fs, Group) }
+	_, ops, every := dryRun(t, Group, steps, 8)
+	points, err := 0, error(nil)
 	rng := rand.New(rand.NewPCG(6, 6))
-	for at := 1; at <= dry.ops; at += every {
+	for at := 1; at <= ops; at += every {
 		fs, m := newMemFS(), newModel()
 		fs.crashAt, fs.part = at, rng.Float64()
 		if !killed(func() { _, err = work(group(fs), m, 1, steps) }) {
@@ -305,11 +303,7 @@
 }
 
 func failWrites(t *testing.T, d Durability, why syscall.Errno) {
-	on := func(fs FS) Options {
-		o := small(fs)
-		o.Durability = d
-		return o
-	}
+	on := func(fs FS) Options { return durable(fs, d) }
 	dry := newMemFS()
 	if _, err := work(on(dry), newModel(), 2, 3000); err != nil {
 		t.Fatal(err)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -79,8 +79,17 @@
 	return fmt.Errorf("%s: %s: %s", cmp.Or(c.Where[p.Key], p.Key), p.What, p.Remedy)
 }
 
-// Decode reads the resolved form, and checks it again: it may have been made by another version, or by hand.
-func Decode(text []byte) (*Config, error) {
+// Decode reads the resolved form, and checks it again: it may have been made by another version, or by hand. Errors begin
+// with the file's name.
+func Decode(file string, text []byte) (*Config, error) {
+	c, err := decode(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return c, nil
+}
+
+func decode(text []byte) (*Config, error) {
 	c := &Config{}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -133,7 +133,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if again, err := operator.Decode(text); err != nil || !reflect.DeepEqual(again, r.Config) {
+			if again, err := operator.Decode("x", text); err != nil || !reflect.DeepEqual(again, r.Config) {
 				t.Errorf("read back: %+v, %v; want %+v", again, err, r.Config)
 			}
 		})
