--- /dev/null
+++ b/internal/decide/among_test.go
@@ -0,0 +1,76 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestAmong: a message goes to none but the targets that it is narrowed to, prefers those named first, and leaves a
+// preferred one that fails for the next.
+func TestAmong(t *testing.T) {
+	targets := []Target{{ID: "a", Destination: 1}, {ID: "b", Destination: 1}, {ID: "c", Destination: 1}, {ID: "other", Destination: 2}}
+	for _, c := range []struct {
+		name  string
+		among *Among
+		fails string // this target fails every call
+		most  string // gets most of the calls
+		none  string // these get no call
+	}{
+		{"none", nil, "", "", "other"},
+		{"only", &Among{Only: []string{"b"}}, "", "b", "a c"},
+		{"only one that fails", &Among{Only: []string{"b"}}, "b", "b", "a c"},
+		{"another destination's", &Among{Only: []string{"other"}}, "", "", "a b c other"},
+		{"one that there is not", &Among{Only: []string{"zz"}}, "", "", "a b c other"},
+		{"preferred", &Among{Prefer: []string{"c", "a"}}, "", "c", "other"},
+		{"the preferred one fails", &Among{Prefer: []string{"c", "a"}}, "c", "a", "other"},
+		{"another destination's preferred", &Among{Prefer: []string{"other"}}, "", "", "other"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, err := New(Settings{Slots: 64, Seed: 7, ConnIdle: time.Minute, ConnectLimit: time.Second, AdviceLimit: time.Second, StartCapacity: 1,
+				TipMultiple: 2, Fall: time.Second, Classes: []Class{{Name: "note", Deadline: 10 * time.Second, Aim: 3 * time.Second, Worth: 1}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			events := []Event{TargetList{Scope: Whole, Targets: targets}}
+			got, attempts, ended, all := map[string]int{}, map[string]int{}, 0, 0
+			for now := time.Duration(0); now < 40*time.Second; now += 10 * time.Millisecond {
+				if now < 20*time.Second {
+					events = append(events, Message{ID: fmt.Sprint(now), Class: "note", Destination: 1, Left: 10 * time.Second, Among: c.among})
+				}
+				actions := f.Step(now, events)
+				events = []Event{Woken{}}
+				for _, a := range actions {
+					switch a := a.(type) {
+					case Send:
+						got[a.Target]++
+						all++
+						o := Outcome{Message: a.Message, Attempt: attempts[a.Message], Target: a.Target, Result: Done, Over: true, Took: 10 * time.Millisecond}
+						if a.Target == c.fails {
+							o.Result, o.Over = ConnectFailed, false
+						} else {
+							ended++
+						}
+						attempts[a.Message]++
+						events = append(events, o)
+					case Refuse, Fail:
+						ended++
+					}
+				}
+			}
+			if ended != 2000 {
+				t.Errorf("%d of 2,000 messages have ended", ended)
+			}
+			if c.most != "" && got[c.most]*2 < all {
+				t.Errorf("%v: %s was to get most", got, c.most)
+			}
+			for _, target := range targets {
+				if got[target.ID] > 0 && slices.Contains(strings.Fields(c.none), target.ID) {
+					t.Errorf("%v: %s was to get none", got, target.ID)
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -170,6 +170,7 @@
 	Left        time.Duration // until it is given up
 	Again       bool          // it was held by a forwarder that died
 	Repeat      bool          // a client's repeat, where clients mark it
+	Among       *Among        // which targets it may go to; nil: any of its destination
 
 	// What a restarted host knows of a message that it had taken before.
 	Recovered  bool // taken before the restart: it is owed its answer, and never turned away for lack of room
@@ -178,6 +179,12 @@
 	MayHaveRun bool // one of them may have run
 }
 
+// Among narrows and orders the targets that a message may go to. It permits none that would not be permitted without it.
+type Among struct {
+	Only   []string // no others; none: all
+	Prefer []string // these before the others, in this order, while nothing else speaks against them
+}
+
 // Result says how an attempt or a probe ended.
 type Result int
 
@@ -207,7 +214,7 @@
 	Target    string
 	Result    Result
 	Took      time.Duration
-	Wait      time.Duration // with Full: the wait that was told, or 0
+	Wait      time.Duration // the wait that was told, or 0
 	NoSlot    bool          // with NotSent: no slot was free
 	Over      bool          // the message needs no answer any more
 	Allowance Allowance
--- a/internal/decide/index.go
+++ b/internal/decide/index.go
@@ -106,6 +106,7 @@
 	granted bool // its next try has been granted
 	ran     bool // it may have run
 	ranZone string
+	only    string // the targets that it may go to; empty: all
 	state   groupState
 }
 
@@ -293,7 +294,7 @@
 
 // place puts a message that waits into its group.
 func (f *Forwarder) place(m *message) {
-	key := groupKey{class: m.class, worth: m.worth, again: m.tries > 0, granted: m.granted != nil, ran: m.mayRan}
+	key := groupKey{class: m.class, worth: m.worth, again: m.tries > 0, granted: m.granted != nil, ran: m.mayRan, only: m.among.key}
 	if m.mayRan {
 		key.ranZone = m.ranZone
 	}
--- a/internal/decide/index_test.go
+++ b/internal/decide/index_test.go
@@ -111,6 +111,24 @@
 	return l
 }
 
+// among draws targets for a message, mostly of its own destination.
+func (s *stream) among(dest int) *Among {
+	a := &Among{}
+	for i := range 3 * s.dests {
+		id := fmt.Sprint("t", i)
+		if s.targets[id].Destination != dest && !s.chance(.05) {
+			continue
+		}
+		if s.chance(.5) {
+			a.Only = append(a.Only, id)
+		}
+		if s.chance(.5) {
+			a.Prefer = append(a.Prefer, id)
+		}
+	}
+	return a
+}
+
 // events draws what happens next, and when.
 func (s *stream) events() []Event {
 	switch {
@@ -163,6 +181,9 @@
 			m.Open = m.MayHaveRun && m.Attempts > 0 && s.chance(.5)
 			s.tries[m.ID] = m.Attempts
 		}
+		if s.chance(.15) {
+			m.Among = s.among(m.Destination)
+		}
 		s.held[m.ID] = true
 		s.ids = append(s.ids, m.ID)
 		events = append(events, m)
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -61,6 +61,7 @@
 	goodsToClose  = 2    // good trial calls that close a route
 	warmShare     = 0.75 // of what the rule on return allows
 	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
+	preferCost    = 2    // calls out that an endpoint one place behind another seems to have too many
 	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
 
 	minRate     = 1.0 // calls a second that all senders together may make at least, whatever is refused
@@ -194,7 +195,8 @@
 	}
 	f.seq++
 	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
-		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left, limits: f.limits(c.Name, e.Destination)}
+		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left,
+		limits: f.limits(c.Name, e.Destination), among: among(e.Among)}
 	if f.overShare(e.Tenant) {
 		m.worth = c.Worth * f.set.OverShareWorth
 	}
@@ -538,7 +540,7 @@
 	r, c := t.route, m.class
 	switch {
 	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest, f.usedUp(m), f.now >= m.endsAt,
-		m.mayRan && !repeatable(m, t), m.line != nil && m.line.first != m:
+		m.mayRan && !repeatable(m, t), !m.among.permits(t), m.line != nil && m.line.first != m:
 		return never
 	}
 	from = m.from()
@@ -585,6 +587,7 @@
 				continue
 			}
 			cost := float64(t.out) + failCost*t.failing.get(f.now, forget) + evenOut*f.rng.Float64()
+			cost += preferCost * f.behind(m, t)
 			if f.now < t.avoidTil {
 				cost += 1e6
 			}
@@ -605,6 +608,15 @@
 	return best
 }
 
+// behind is how many targets a message would sooner go to; one that failed of late comes after all.
+func (f *Forwarder) behind(m *message, t *target) float64 {
+	i := slices.Index(m.among.Prefer, t.id)
+	if i < 0 || t.failed > 0 && f.now-t.uses.at < memory {
+		i = len(m.among.Prefer)
+	}
+	return float64(i)
+}
+
 func (f *Forwarder) send(m *message, c *call) {
 	r := c.route
 	r.all++
@@ -627,15 +639,11 @@
 	c.left++
 	f.unhold(m)
 	limit := f.timeout(m, c)
-	c.hasty = limit < f.fairTime(m.dest.routes)
+	c.hasty = limit < fairOf(f.usualTime(m.dest.routes))
 	f.do(Send{Message: m.id, Target: c.target.id, Timeout: limit})
 }
 
-// fairTime is how long a call must be waited for before silence says anything of its route.
-func (f *Forwarder) fairTime(routes []*route) time.Duration {
-	return fairOf(f.usualTime(routes))
-}
-
+// fairOf is how long a call must be waited for before silence says anything of its route.
 func fairOf(usual time.Duration) time.Duration { return max(minPatience, lateFactor*usual) }
 
 // timeout is how long to wait for an answer: what may be repeated is given up well after its
@@ -878,16 +886,7 @@
 		}
 		f.longer[a.m.class] = p
 	}
-	if r.mean == 0 {
-		r.mean = took
-	} else {
-		r.mean += (took - r.mean) / 8
-	}
-	if f.usual == 0 {
-		f.usual = took
-	} else {
-		f.usual += (took - f.usual) / 64
-	}
+	r.mean, f.usual = follow(r.mean, took, 8), follow(f.usual, took, 64)
 	if !r.open {
 		return
 	}
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -37,6 +37,7 @@
 	ranSent  time.Duration // and when
 	after    time.Duration // not sent before this
 	granted  *route
+	among    *Among
 	seq      uint64
 }
 
@@ -680,7 +681,7 @@
 	}
 	f.seq++
 	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
-		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left}
+		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left, among: e.Among}
 	if f.overShare(e.Tenant) {
 		m.worth = c.Worth * f.set.OverShareWorth
 	}
@@ -1016,7 +1017,7 @@
 	r, c := t.route, m.class
 	switch {
 	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest, f.usedUp(m), f.now >= m.ends(),
-		m.mayRan && !repeatable(m, t), m.line != nil && m.line.queue[0] != m:
+		m.mayRan && !repeatable(m, t), m.among != nil && len(m.among.Only) > 0 && !slices.Contains(m.among.Only, t.id), m.line != nil && m.line.queue[0] != m:
 		return never
 	}
 	from = f.fromOf(m)
@@ -1063,6 +1064,7 @@
 				continue
 			}
 			cost := float64(t.out) + failCost*t.failing.get(f.now, forget) + evenOut*f.rng.Float64()
+			cost += 2 * f.preferred(m, t)
 			if f.now < t.avoidTil {
 				cost += 1e6
 			}
@@ -1083,6 +1085,19 @@
 	return best
 }
 
+// preferred is the place of a target in what its message prefers.
+func (f *scanner) preferred(m *message, t *target) float64 {
+	if m.among == nil {
+		return 0
+	}
+	for i, id := range m.among.Prefer {
+		if id == t.id && (t.failed == 0 || f.now >= t.uses.at+memory) {
+			return float64(i)
+		}
+	}
+	return float64(len(m.among.Prefer))
+}
+
 func (f *scanner) send(m *message, c *call) {
 	r := c.route
 	r.all++
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 	deadline time.Duration
 	worth    float64
 	limits   *Limits
+	among    *amongKey
 	attempts int // sends, as the host numbers them
 	tries    int // sends that were really made
 	out      int // attempts without an outcome
@@ -54,6 +56,25 @@
 	return m.after
 }
 
+// amongKey is an Among as groups are told apart by it.
+type amongKey struct {
+	Among
+	key string // the same for the same targets; empty for all
+}
+
+var anyTarget = &amongKey{}
+
+func among(a *Among) *amongKey {
+	if a == nil {
+		return anyTarget
+	}
+	return &amongKey{*a, strings.Join(slices.Compact(slices.Sorted(slices.Values(a.Only))), "\x00")}
+}
+
+func (a *amongKey) permits(t *target) bool {
+	return len(a.Only) == 0 || slices.Contains(a.Only, t.id)
+}
+
 // keyLine holds the messages of one key in the order taken.
 type keyLine struct {
 	key         string
@@ -214,6 +235,14 @@
 // decayingMean is a mean that follows new values and fades towards nought.
 type decayingMean struct{ decaying }
 
+// follow moves a mean, once there is one, towards a new value by one part in so many.
+func follow(mean, v, parts time.Duration) time.Duration {
+	if mean == 0 {
+		return v
+	}
+	return mean + (v-mean)/parts
+}
+
 // share counts one outcome as a share: 1 if it is of a kind, else 0.
 func share(of bool) float64 {
 	if of {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -54,6 +54,7 @@
 	Deadline time.Time
 	Body     message.Body
 	Origin   string // the front that took it
+	Among    *message.Among
 
 	Attempts   int
 	Open       bool // the last attempt has no outcome
@@ -78,7 +79,9 @@
 func (s *Saved) Ran() bool { return s.MayHaveRun || s.Open }
 
 // Size is what must be reserved for a message: all that is written of it but what each message needs.
-func (s *Saved) Size() int { return s.Body.Len() + len(s.Origin) + len(s.Class) + len(s.ID) }
+func (s *Saved) Size() int {
+	return s.Body.Len() + len(s.Origin) + len(s.Class) + len(s.ID) + amongBytes(s.Among)
+}
 
 // stateBytes bounds a record of a message's state and its place in an index.
 func stateBytes(size int) int64 { return int64(size) + recordHead + 48 + indexEntry }
@@ -96,6 +99,7 @@
 	ReadOnly bool  // only replay: nothing is written, and nothing can be
 
 	Durability Durability
+	Among      bool // messages may be told which endpoints they go to; older programs can't read such a folder
 }
 
 // Failing tells whether an error is the disk's: one that no setting mends.
@@ -123,6 +127,7 @@
 	largest int64  // state, of all that was held at once
 	noRoom  time.Time
 	flags   uint16 // of new segments
+	version uint16 // the same
 
 	durability Durability
 	unsynced   int64 // of written: up to here there is something that a sync must cover
@@ -179,7 +184,7 @@
 
 // OpenWith replays the journal of a file system, or begins one.
 func OpenWith(o Options) (*Journal, error) {
-	j := &Journal{fs: o.FS, live: map[string]*Saved{}, next: 1, durability: o.Durability, memory: memory{limit: o.Memory}}
+	j := &Journal{fs: o.FS, live: map[string]*Saved{}, next: 1, durability: o.Durability, version: plainVersion, memory: memory{limit: o.Memory}}
 	if o.Limit >= tinyLimit {
 		j.limit = o.Limit
 		j.size = min(max(o.Limit/fewSegments, smallestSeg), largestSeg, o.Limit/5) / 512 * 512
@@ -194,6 +199,12 @@
 	if j.limit == 0 {
 		return j, nil
 	}
+	for _, s := range j.live {
+		o.Among = o.Among || s.Among != nil
+	}
+	if o.Among {
+		j.version = version
+	}
 	if err := j.cutOff(); err != nil {
 		j.Close()
 		return nil, err
@@ -208,7 +219,7 @@
 			return nil, err
 		}
 	}
-	if j.active().flags&grouped != j.groupFlag() { // a segment is of one kind
+	if j.active().flags&grouped != j.groupFlag() || j.active().version != j.version { // a segment is of one kind
 		if err := j.roll(); err != nil {
 			j.Close()
 			return nil, err
@@ -301,7 +312,7 @@
 	if len(j.spares) == 0 && !j.allocate() {
 		return errNoRoom
 	}
-	s := &segment{seq: 1, nonce: rand.Uint32(), first: j.next, flags: j.flags | j.groupFlag(), size: j.size}
+	s := &segment{seq: 1, nonce: rand.Uint32(), first: j.next, version: j.version, flags: j.flags | j.groupFlag(), size: j.size}
 	if j.flags&takingOver != 0 {
 		s.size = 0
 	}
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -11,30 +11,32 @@
 // A segment is a file of records. Its name, and its header again, tell its place and its nonce:
 //
 //	0   "SRJL"
-//	4   version (2 bytes, little-endian), now 3; 2 had no synced offsets, the single file of old was 1
+//	4   version (2 bytes, little-endian), now 4; 3 has no names of endpoints, 2 had no synced offsets, the single file of old was 1
 //	6   flags (2): 1 while the journal of old is being taken over; 2 if what is synced is written down (sync.go)
 //	8   sequence number (8)
 //	16  nonce (4)
 //	20  the first message number that was not given yet (8)
 //	28  CRC-32C of all that
 const (
-	segmentHead = 32
-	version     = 3
-	takingOver  = 1
-	grouped     = 2
+	segmentHead  = 32
+	version      = 4
+	plainVersion = 3 // where no message is told which endpoints it goes to
+	takingOver   = 1
+	grouped      = 2
 
 	segmentEnd = ".seg"
 	spareEnd   = ".spare"
 )
 
 type segment struct {
-	name  string
-	seq   uint64
-	nonce uint32
-	first uint64 // message number not given when it was begun
-	flags uint16
-	file  File
-	size  int64 // of the file
+	name    string
+	seq     uint64
+	nonce   uint32
+	first   uint64 // message number not given when it was begun
+	flags   uint16
+	version uint16
+	file    File
+	size    int64 // of the file
 
 	live  int // messages whose state stands here
 	bytes int64
@@ -59,7 +61,7 @@
 func (s *segment) header() []byte {
 	h := make([]byte, 0, segmentHead)
 	h = append(h, "SRJL"...)
-	h = binary.LittleEndian.AppendUint16(h, version)
+	h = binary.LittleEndian.AppendUint16(h, s.version)
 	h = binary.LittleEndian.AppendUint16(h, s.flags)
 	h = binary.LittleEndian.AppendUint64(h, s.seq)
 	h = binary.LittleEndian.AppendUint32(h, s.nonce)
@@ -79,6 +81,7 @@
 	if v := binary.LittleEndian.Uint16(text[4:]); v > version {
 		return false, fmt.Errorf("journal: %s has format %d, and this program knows %d at most: use a newer program, or keep the folder and start with an empty one", s.name, v, version)
 	}
+	s.version = binary.LittleEndian.Uint16(text[4:])
 	s.flags = binary.LittleEndian.Uint16(text[6:])
 	s.first = binary.LittleEndian.Uint64(text[20:])
 	return binary.LittleEndian.Uint64(text[8:]) != s.seq || binary.LittleEndian.Uint32(text[16:]) != s.nonce, nil
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"errors"
 	"time"
+
+	"scaleroute/internal/message"
 )
 
 // The payload of a state, behind number and count. Its length depends on nothing that changes, so that a
@@ -14,20 +16,63 @@
 const (
 	flagOpen = 1 << iota
 	flagMayHaveRun
-	flagLost // its body could not be read when it was to be moved
+	flagLost  // its body could not be read when it was to be moved
+	flagAmong // behind the origin stand two lists of names: their count (1), and the length (1) and text of each
 )
 
 func encodeState(s *Saved, body []byte) []byte {
 	p := make([]byte, 0, 24+s.Size())
 	p = binary.LittleEndian.AppendUint64(p, uint64(s.Deadline.UnixMilli()))
 	p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Dest)))
-	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost, s.End)
+	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost|bit(s.Among != nil)*flagAmong, s.End)
 	p = binary.LittleEndian.AppendUint32(p, uint32(min(s.Wait.Milliseconds(), 1<<32-1)))
 	p = append(p, byte(len(s.ID)), byte(len(s.Class)), byte(len(s.Origin)))
 	p = append(append(append(p, s.ID...), s.Class...), s.Origin...)
+	if s.Among != nil {
+		for _, list := range [][]string{s.Among.Only, s.Among.Prefer} {
+			p = append(p, byte(len(list)))
+			for _, name := range list {
+				p = append(append(p, byte(len(name))), name...)
+			}
+		}
+	}
 	return append(p, body...)
 }
 
+// amongBytes is what an Among takes.
+func amongBytes(a *message.Among) (n int) {
+	if a == nil {
+		return 0
+	}
+	for _, list := range [][]string{a.Only, a.Prefer} {
+		n++
+		for _, name := range list {
+			n += 1 + len(name)
+		}
+	}
+	return n
+}
+
+// decodeAmong reads one and returns what stands behind it.
+func decodeAmong(p []byte) (a *message.Among, rest []byte, err error) {
+	a = &message.Among{}
+	for _, list := range []*[]string{&a.Only, &a.Prefer} {
+		if len(p) < 1 {
+			return nil, nil, errShort
+		}
+		n := int(p[0])
+		p = p[1:]
+		for range n {
+			if len(p) < 1 || len(p) < 1+int(p[0]) {
+				return nil, nil, errShort
+			}
+			*list = append(*list, string(p[1:1+p[0]]))
+			p = p[1+p[0]:]
+		}
+	}
+	return a, p, nil
+}
+
 var errShort = errors.New("a record that is too short")
 
 // decodeState returns a message, and its body, which is a part of p.
@@ -47,5 +92,12 @@
 	if p[13]&flagLost != 0 {
 		s.Body = lostBody{}
 	}
-	return s, rest[id+class+origin:], nil
+	rest = rest[id+class+origin:]
+	if p[13]&flagAmong != 0 {
+		var err error
+		if s.Among, rest, err = decodeAmong(rest); err != nil {
+			return nil, nil, err
+		}
+	}
+	return s, rest, nil
 }
--- a/internal/journal/tool.go
+++ b/internal/journal/tool.go
@@ -26,11 +26,13 @@
 // Copy writes what a journal holds into a folder without one, and returns how many messages that are.
 func Copy(from *Journal, dir string) (n int, err error) {
 	held := from.Held()
-	var bytes int64
+	o := Options{}
 	for _, s := range held {
-		bytes += cost(s.Size())
+		o.Limit += 4 * cost(s.Size())
+		o.Among = o.Among || s.Among != nil
 	}
-	j, err := Open(dir, Options{Limit: min(math.MaxInt64/4, max(4*bytes, 64<<20))})
+	o.Limit = min(math.MaxInt64/4, max(o.Limit, 64<<20))
+	j, err := Open(dir, o)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,9 +14,17 @@
 	Read        time.Time     // when its last byte had been read
 	Again       bool          // it was held by a forwarder that died
 	Repeat      bool          // a client's repeat after a refusal, where clients mark it
+	Among       *Among        // of its destination's endpoints; nil: any
 	Body        Body
 }
 
+// Among narrows and orders the endpoints that a message may go to. It permits none that would not be permitted without it.
+// Each list has 255 names of 255 bytes at most.
+type Among struct {
+	Only   []string // no others; none: all
+	Prefer []string // these before the others, in this order
+}
+
 // Body is the content of a message. It need not be in memory: whoever sends it
 // loads it for as long as the send lasts.
 type Body interface {
