Run operators' plug-ins in processes of their own, at intake, call, reply and end

Starlark files are hooks at four points; they run in bounded processes, asked one call at a time, with a circuit, a CPU budget and a fallback for each. Package plugin, free of I/O, says what a wish may do: never another destination's endpoints, a shorter wait, a may-have-run that never ran, or an id. Off by default.

--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -34,6 +34,7 @@
 		close(stop)
 	}()
 	operators := flag.String("operators", "", "the resolved operators' `file`, as scaleroutectl compile writes it; none: nothing is set")
+	host := flag.String("plugin-host", "", "the `program` that runs plug-ins; none: scaleroute-plugin-host beside this one")
 	flag.Parse()
 	set, err := loadOperators(*operators)
 	if err == nil && flag.NArg() > 0 {
@@ -44,7 +45,7 @@
 		c, err = config.Load(os.Getenv)
 	}
 	if err == nil {
-		err = run(c, &settings{file: *operators, now: set}, stop, hup)
+		err = run(c, &settings{file: *operators, now: set, host: *host}, stop, hup)
 	}
 	if err != nil {
 		slog.Error("scaleroute", "err", err)
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -44,8 +44,18 @@
 	memory := int64(c.Limits.MemoryMB) << 20
 	// The journal's file counts as memory too; connections and the runtime need some.
 	debug.SetMemoryLimit(memory * 6 / 10)
+	descriptors, err := operators.startPlugins()
+	if operators.plugins != nil {
+		defer operators.plugins.Close()
+	}
+	if err != nil {
+		return err
+	}
+	if c.Limits.Sockets -= descriptors; c.Limits.Endpoints() < 1 {
+		return fmt.Errorf("-operators: plug-ins need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
+	}
 	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100,
-		Durability: operator.Durabilities[operators.now.Journal.Durability]})
+		Durability: operator.Durabilities[operators.now.Journal.Durability], Extras: operators.file != ""})
 	if err != nil {
 		return err
 	}
@@ -55,8 +65,12 @@
 	if err := operators.apply(&set); err != nil {
 		return err
 	}
-	l, err := engine.New(engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
-		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})})
+	configuration := engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
+		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
+	if operators.plugins != nil {
+		configuration.Back, configuration.Ended = operators.plugins.Back(configuration.Back), operators.plugins.Ended
+	}
+	l, err := engine.New(configuration)
 	if err != nil {
 		return err
 	}
@@ -75,7 +89,11 @@
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	clients := resp2.New(ln, c.Limits.Clients(), l)
+	var taker resp2.Taker = l
+	if operators.plugins != nil {
+		taker = operators.plugins.Front(l)
+	}
+	clients := resp2.New(ln, c.Limits.Clients(), taker)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -96,6 +114,9 @@
 	wg.Go(func() { p.Deliver(ctx, l.Heard) })
 	wg.Go(func() { reload(ctx, hup, c.File, p, operators) })
 	wg.Go(func() { clients.Serve(ctx) })
+	if file := operators.now.PluginStatus; file != "" {
+		wg.Go(func() { operators.plugins.Publish(ctx, file, publishEvery) })
+	}
 	slog.Info("serving", "name", c.Name, "address", ln.Addr(), "discovery", c.Discovery)
 
 	select {
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -5,19 +5,52 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"sync/atomic"
+	"time"
 
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 	"scaleroute/internal/operator"
+	"scaleroute/internal/plugin/runner"
 )
 
 // settings is what operators have set, and the file that says so. Only its limits can change while the process runs.
 type settings struct {
 	file     string // empty: nothing is set
+	host     string // the program that runs plug-ins
 	now      *operator.Config
 	platform decide.Settings
 	limits   atomic.Pointer[operator.Limits]
+	plugins  *runner.Runner // nil if nothing is set
+	most     int            // processes of plug-ins: descriptors are kept for so many, and as many while they are replaced
+}
+
+const (
+	fewProcesses    = 4 // of plug-ins, that a reload may come to in any case
+	descriptorsEach = 3
+	publishEvery    = time.Second
+	pluginHost      = "scaleroute-plugin-host"
+)
+
+// startPlugins starts those that are set, and returns how many descriptors they may take. Whoever calls it closes them.
+func (s *settings) startPlugins() (descriptors int, err error) {
+	if s.file == "" {
+		return 0, nil
+	}
+	if s.host == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return 0, err
+		}
+		s.host = filepath.Join(filepath.Dir(own), pluginHost)
+	}
+	s.most = max(fewProcesses, s.now.PluginProcesses())
+	s.plugins = runner.New([]string{s.host})
+	if err := s.plugins.Load(s.now.Specs()); err != nil {
+		return 0, fmt.Errorf("-operators: %w", err)
+	}
+	return 2 * descriptorsEach * s.most, nil
 }
 
 // loadOperators reads what operators have set, if a file is named.
@@ -63,9 +96,21 @@
 	if err == nil {
 		err = set.Error(set.Against(s.platform))
 	}
+	if set == nil {
+		set = s.now // for what is looked at below
+	}
 	if err == nil && set.Journal != s.now.Journal {
 		err = errors.New("the journal's settings can't change while it is in use: restart, or set them as they were")
 	}
+	if n := set.PluginProcesses(); err == nil && n > s.most {
+		err = fmt.Errorf("plug-ins with %d processes, and descriptors were kept for %d at the start: restart, or set fewer", n, s.most)
+	}
+	if err == nil && set.PluginStatus != s.now.PluginStatus {
+		err = errors.New("the file for the plug-ins' status can't change: restart, or set it as it was")
+	}
+	if err == nil {
+		err = s.plugins.Load(set.Specs())
+	}
 	if err != nil {
 		slog.Error("the operators' file is not taken; what was set stays", "err", err)
 		return
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -125,15 +125,19 @@
 	}
 	c.SetDeadline(end)
 	stop := context.AfterFunc(ctx, c.giveUp)
-	request := net.Buffers{fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: %s\r\nUser-Agent: scaleroute\r\n"+
-		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n", t.host.address, a.ID, timeout.Seconds(), len(body)), body}
+	head := fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: %s\r\nUser-Agent: scaleroute\r\n"+
+		"Req-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n", t.host.address, a.ID, timeout.Seconds(), len(body))
+	for _, f := range a.Header {
+		head = fmt.Appendf(head, "%s: %s\r\n", f.Name, f.Value)
+	}
+	request := net.Buffers{append(head, "\r\n"...), body}
 	if _, err := request.WriteTo(c.Conn); err != nil { // before its last byte
 		stop()
 		t.pool.close(c)
 		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		return o
 	}
-	resp, first, err := c.answer(ctx, end)
+	resp, first, err := c.answer(ctx, end, a.Reply)
 	o.Took = first.Sub(began)
 	switch {
 	case err == nil:
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"scaleroute/internal/engine"
 )
 
 const (
@@ -240,8 +242,8 @@
 }
 
 // answer reads an answer whole, behind any 1xx, and tells when it began - or
-// when there was no more to wait for. The body means nothing.
-func (c *conn) answer(ctx context.Context, end time.Time) (resp *http.Response, began time.Time, err error) {
+// when there was no more to wait for. The body means nothing to us; its beginning is kept where a reply is asked for.
+func (c *conn) answer(ctx context.Context, end time.Time, reply *engine.Reply) (resp *http.Response, began time.Time, err error) {
 	var upgraded, limited bool
 	for {
 		if limited { // by what came before, a 1xx
@@ -271,10 +273,19 @@
 	if resp.ContentLength > maxAnswer {
 		return nil, began, errSpoilt
 	}
+	var kept []byte
+	if reply != nil {
+		if kept, err = io.ReadAll(io.LimitReader(resp.Body, int64(reply.Most))); err != nil {
+			return nil, began, err
+		}
+	}
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return nil, began, err
 	}
 	resp.Close = resp.Close || upgraded
+	if reply != nil {
+		reply.Status, reply.Header, reply.Body = resp.StatusCode, resp.Header, kept
+	}
 	return resp, began, nil
 }
 
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -216,6 +216,7 @@
 	Took      time.Duration
 	Wait      time.Duration // the wait that was told, or 0
 	NoSlot    bool          // with NotSent: no slot was free
+	Hold      time.Duration // with NotSent: its message is not tried again before
 	Over      bool          // the message needs no answer any more
 	Allowance Allowance
 }
--- a/internal/decide/index_test.go
+++ b/internal/decide/index_test.go
@@ -162,6 +162,9 @@
 		if s.chance(.2) {
 			o.Allowance = Allowance{Told: true, Left: s.rng.Float64(), Rate: float64(s.rng.IntN(30))}
 		}
+		if o.Result == NotSent && s.chance(.3) {
+			o.Hold = time.Duration(s.rng.IntN(3000)) * time.Millisecond
+		}
 		if o.Over {
 			delete(s.held, id)
 		}
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -732,6 +732,7 @@
 	if o.Result == Full && o.Wait == 0 { // it is full now, and still will be in a tenth of a second
 		first = refusedBackoff
 	}
+	m.after = max(m.after, f.now+o.Hold)
 	if !notSent {
 		m.after = f.now + f.jitter(first<<max(0, m.tries-1))
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,9 +46,30 @@
 
 // Attempt is one attempt at a message.
 type Attempt struct {
-	ID      string
-	Body    message.Body
-	Timeout time.Duration // from now on
+	ID          string
+	Class       string
+	Destination int
+	Number      int // from 0
+	Body        message.Body
+	Header      []message.Field
+	Timeout     time.Duration // from now on
+	Reply       *Reply        // to be filled in, if it is wanted
+}
+
+// Reply is what a call was answered with.
+type Reply struct {
+	Most   int // bytes of the body that are wanted
+	Status int // 0 if there was no whole answer
+	Header map[string][]string
+	Body   []byte
+}
+
+// Ending is what became of a message that was taken on.
+type Ending struct {
+	ID          string
+	Class       string
+	Destination int
+	How         string // delivered, refused or failed
 }
 
 // Final is the final answer of a message that was taken on and not delivered.
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -73,6 +73,8 @@
 	SyncEvery time.Duration
 	// Limits are those of a class towards a destination; nil for none.
 	Limits func(class string, destination int) Limits
+	// Ended is told of each message that was taken on and is over, by the loop: it must not wait. nil if nobody asks.
+	Ended func(Ending)
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -96,6 +98,7 @@
 	shares    intake.Shares
 	caps      intake.Caps
 	limits    func(class string, destination int) Limits
+	ended     func(Ending)
 	effects   []func() // after the journal has been written
 	waiting   []batch  // until it has been synced, where that is promised
 	syncing   bool
@@ -112,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits,
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
@@ -190,7 +193,7 @@
 			continue
 		}
 		l.events = append(l.events, decide.Message{ID: s.ID, Class: s.Class, Destination: s.Dest,
-			Left: s.Deadline.Sub(now), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
+			Left: s.Deadline.Sub(now), Among: among(s.Extras), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
 	}
 	if n := len(l.entries); n > 0 {
 		slog.Info("taken up from the journal", "messages", n)
@@ -355,7 +358,7 @@
 	if limits.Whole > 0 {
 		left = min(left, limits.Whole)
 	}
-	s := &journal.Saved{ID: m.ID, Origin: m.Origin, Class: m.Class, Dest: m.Destination, Body: m.Body,
+	s := &journal.Saved{ID: m.ID, Origin: m.Origin, Class: m.Class, Dest: m.Destination, Body: m.Body, Extras: m.Extras,
 		Deadline: m.Read.Add(left - intakeSlack)}
 	if limits.Held > 0 && !l.caps.Admits(intake.Cap{Rule: limits.Rule, Destination: m.Destination}, limits.Held) {
 		turnAway(refused(diskWait))
@@ -378,10 +381,18 @@
 	l.keep(e)
 	l.arrived = append(l.arrived, e)
 	l.events = append(l.events, decide.Message{ID: m.ID, Class: m.Class, Destination: m.Destination,
-		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat})
+		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat, Among: among(m.Extras)})
 	return nil
 }
 
+// among is what the module is told of a message's endpoints.
+func among(x *message.Extras) *decide.Among {
+	if x == nil || len(x.Only)+len(x.Prefer) == 0 {
+		return nil
+	}
+	return &decide.Among{Only: x.Only, Prefer: x.Prefer}
+}
+
 // acked goes on with what waited until the client had its +OK.
 func (l *Engine) acked(ctx context.Context, a ackWritten) {
 	e := a.entry
@@ -426,6 +437,9 @@
 		e.cancel = nil
 	}
 	if o.Over {
+		if o.Result == decide.Done {
+			l.tellEnd(e, "delivered")
+		}
 		l.forget(e)
 	} else {
 		l.journal.Outcome(o.Message, !neverRan(o.Result))
@@ -546,7 +560,11 @@
 	l.journal.Sending(s.Message)
 	call, cancel := context.WithCancel(ctx)
 	e.cancel = cancel
-	n, try, decided := e.attempt, Attempt{ID: s.Message, Body: e.saved.Body, Timeout: s.Timeout}, time.Now()
+	n, try, decided := e.attempt, Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Dest, Number: e.attempt,
+		Body: e.saved.Body, Timeout: s.Timeout}, time.Now()
+	if x := e.saved.Extras; x != nil {
+		try.Header = x.Header
+	}
 	l.effects = append(l.effects, func() {
 		go func() {
 			if l.journal.Durability() == journal.Group { // it has waited for a sync
@@ -596,12 +614,23 @@
 		return
 	}
 	e.saved.End, e.saved.Wait = how, wait
+	if how == 'd' {
+		l.tellEnd(e, "failed")
+	} else {
+		l.tellEnd(e, "refused")
+	}
 	l.journal.Ended(id, how, wait)
 	if e.acked {
 		l.notify(e)
 	}
 }
 
+func (l *Engine) tellEnd(e *entry, how string) {
+	if l.ended != nil {
+		l.ended(Ending{e.saved.ID, e.saved.Class, e.saved.Dest, how})
+	}
+}
+
 // notify hands on the final answer that is owed, after the journal has been written.
 func (l *Engine) notify(e *entry) {
 	e.ended = true
--- a/internal/journal/among_test.go
+++ b/internal/journal/extras_test.go
@@ -6,13 +6,13 @@
 	"scaleroute/internal/message"
 )
 
-// TestFormatFollowsWhatIsHeld: a folder is readable for older programs as long as no message in it names endpoints, and
+// TestFormatFollowsWhatIsHeld: a folder is readable for older programs as long as no message in it has extras, and
 // again once none does.
 func TestFormatFollowsWhatIsHeld(t *testing.T) {
 	fs := newMemFS()
 	open := func(among bool, want uint16) *Journal {
 		t.Helper()
-		j, err := OpenWith(Options{FS: fs, Limit: smallLimit, Among: among})
+		j, err := OpenWith(Options{FS: fs, Limit: smallLimit, Extras: among})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -23,7 +23,7 @@
 	}
 	open(false, plainVersion).Close()
 	j := open(true, version)
-	s := &Saved{ID: "a", Class: "note", Body: message.Bytes("b"), Among: &message.Among{Only: []string{"s-1"}}}
+	s := &Saved{ID: "a", Class: "note", Body: message.Bytes("b"), Extras: &message.Extras{Only: []string{"s-1"}}}
 	if room, err := j.Reserve(s.Size()); err != nil || !room {
 		t.Fatal(room, err)
 	}
@@ -35,7 +35,7 @@
 	}
 	j.Close()
 	j = open(false, version) // it is still held
-	if got := named(j.Held()[0].Among); got != named(s.Among) {
+	if got := named(j.Held()[0].Extras); got != named(s.Extras) {
 		t.Fatalf("read back: %s", got)
 	}
 	j.Closed("a")
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -54,7 +54,7 @@
 	Deadline time.Time
 	Body     message.Body
 	Origin   string // the front that took it
-	Among    *message.Among
+	Extras   *message.Extras
 
 	Attempts   int
 	Open       bool // the last attempt has no outcome
@@ -80,7 +80,7 @@
 
 // Size is what must be reserved for a message: all that is written of it but what each message needs.
 func (s *Saved) Size() int {
-	return s.Body.Len() + len(s.Origin) + len(s.Class) + len(s.ID) + amongBytes(s.Among)
+	return s.Body.Len() + len(s.Origin) + len(s.Class) + len(s.ID) + extrasBytes(s.Extras)
 }
 
 // stateBytes bounds a record of a message's state and its place in an index.
@@ -99,7 +99,7 @@
 	ReadOnly bool  // only replay: nothing is written, and nothing can be
 
 	Durability Durability
-	Among      bool // messages may be told which endpoints they go to; older programs can't read such a folder
+	Extras     bool // messages may have extras; older programs can't read such a folder
 }
 
 // Failing tells whether an error is the disk's: one that no setting mends.
@@ -200,9 +200,9 @@
 		return j, nil
 	}
 	for _, s := range j.live {
-		o.Among = o.Among || s.Among != nil
+		o.Extras = o.Extras || s.Extras != nil
 	}
-	if o.Among {
+	if o.Extras {
 		j.version = version
 	}
 	if err := j.cutOff(); err != nil {
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -54,23 +54,23 @@
 	held := map[string]known{}
 	for _, s := range j.Held() {
 		body, _ := s.Body.Load()
-		held[s.ID] = known{s.Class, s.Origin, string(body), s.Dest, s.Attempts, s.Open, s.MayHaveRun, s.End, s.Wait, named(s.Among)}
+		held[s.ID] = known{s.Class, s.Origin, string(body), s.Dest, s.Attempts, s.Open, s.MayHaveRun, s.End, s.Wait, named(s.Extras)}
 	}
 	return held
 }
 
 // named is what a message is told of endpoints.
-func named(a *message.Among) string {
+func named(a *message.Extras) string {
 	if a == nil {
 		return ""
 	}
-	return fmt.Sprintf("%q before %q", a.Only, a.Prefer)
+	return fmt.Sprintf("%q before %q with %q", a.Only, a.Prefer, a.Header)
 }
 
 const smallLimit = 70_000
 
 // small is a folder in which some bodies stay in memory and some do not.
-func small(fs FS) Options { return Options{FS: fs, Limit: smallLimit, Memory: 40_000, Among: true} }
+func small(fs FS) Options { return Options{FS: fs, Limit: smallLimit, Memory: 40_000, Extras: true} }
 
 func durable(fs FS, d Durability) Options {
 	o := small(fs)
@@ -145,8 +145,9 @@
 			}
 			s := &Saved{ID: fmt.Sprint("m", rng.IntN(40)), Class: k.class, Origin: k.origin, Dest: k.dest, Body: message.Bytes(k.body), Deadline: time.UnixMilli(1)}
 			if rng.IntN(4) == 0 {
-				s.Among = &message.Among{Only: []string{"s-1", strings.Repeat("e", rng.IntN(256))}[:rng.IntN(3)], Prefer: []string{"s-2", ""}[:rng.IntN(3)]}
-				k.among = named(s.Among)
+				s.Extras = &message.Extras{Only: []string{"s-1", strings.Repeat("e", rng.IntN(256))}[:rng.IntN(3)], Prefer: []string{"s-2", ""}[:rng.IntN(3)],
+					Header: []message.Field{{Name: "X-Council", Value: strings.Repeat("v", rng.IntN(300))}}[:rng.IntN(2)]}
+				k.among = named(s.Extras)
 			}
 			if _, there := m.now[s.ID]; there {
 				continue
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -16,31 +16,36 @@
 const (
 	flagOpen = 1 << iota
 	flagMayHaveRun
-	flagLost  // its body could not be read when it was to be moved
-	flagAmong // behind the origin stand two lists of names: their count (1), and the length (1) and text of each
+	flagLost   // its body could not be read when it was to be moved
+	flagExtras // behind the origin stand two lists of names and one of fields: a count (1), then lengths (1, of a value 2) and texts
 )
 
 func encodeState(s *Saved, body []byte) []byte {
 	p := make([]byte, 0, 24+s.Size())
 	p = binary.LittleEndian.AppendUint64(p, uint64(s.Deadline.UnixMilli()))
 	p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Dest)))
-	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost|bit(s.Among != nil)*flagAmong, s.End)
+	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost|bit(s.Extras != nil)*flagExtras, s.End)
 	p = binary.LittleEndian.AppendUint32(p, uint32(min(s.Wait.Milliseconds(), 1<<32-1)))
 	p = append(p, byte(len(s.ID)), byte(len(s.Class)), byte(len(s.Origin)))
 	p = append(append(append(p, s.ID...), s.Class...), s.Origin...)
-	if s.Among != nil {
-		for _, list := range [][]string{s.Among.Only, s.Among.Prefer} {
+	if s.Extras != nil {
+		for _, list := range [][]string{s.Extras.Only, s.Extras.Prefer} {
 			p = append(p, byte(len(list)))
 			for _, name := range list {
 				p = append(append(p, byte(len(name))), name...)
 			}
 		}
+		p = append(p, byte(len(s.Extras.Header)))
+		for _, f := range s.Extras.Header {
+			p = append(append(p, byte(len(f.Name))), f.Name...)
+			p = append(binary.LittleEndian.AppendUint16(p, uint16(len(f.Value))), f.Value...)
+		}
 	}
 	return append(p, body...)
 }
 
-// amongBytes is what an Among takes.
-func amongBytes(a *message.Among) (n int) {
+// extrasBytes is what extras take.
+func extrasBytes(a *message.Extras) (n int) {
 	if a == nil {
 		return 0
 	}
@@ -50,25 +55,39 @@
 			n += 1 + len(name)
 		}
 	}
+	n++
+	for _, f := range a.Header {
+		n += 3 + len(f.Name) + len(f.Value)
+	}
 	return n
 }
 
-// decodeAmong reads one and returns what stands behind it.
-func decodeAmong(p []byte) (a *message.Among, rest []byte, err error) {
-	a = &message.Among{}
-	for _, list := range []*[]string{&a.Only, &a.Prefer} {
-		if len(p) < 1 {
-			return nil, nil, errShort
+// decodeExtras reads them and returns what stands behind.
+func decodeExtras(p []byte) (a *message.Extras, rest []byte, err error) {
+	a = &message.Extras{}
+	short := false
+	take := func(n int) (text []byte) {
+		if short = short || len(p) < n; !short {
+			text, p = p[:n], p[n:]
 		}
-		n := int(p[0])
-		p = p[1:]
-		for range n {
-			if len(p) < 1 || len(p) < 1+int(p[0]) {
-				return nil, nil, errShort
-			}
-			*list = append(*list, string(p[1:1+p[0]]))
-			p = p[1+p[0]:]
+		return text
+	}
+	length := func(bytes int) (n int) {
+		for i, b := range take(bytes) {
+			n |= int(b) << (8 * i)
 		}
+		return n
+	}
+	for _, list := range []*[]string{&a.Only, &a.Prefer} {
+		for range length(1) {
+			*list = append(*list, string(take(length(1))))
+		}
+	}
+	for range length(1) {
+		a.Header = append(a.Header, message.Field{Name: string(take(length(1))), Value: string(take(length(2)))})
+	}
+	if short {
+		return nil, nil, errShort
 	}
 	return a, p, nil
 }
@@ -93,9 +112,9 @@
 		s.Body = lostBody{}
 	}
 	rest = rest[id+class+origin:]
-	if p[13]&flagAmong != 0 {
+	if p[13]&flagExtras != 0 {
 		var err error
-		if s.Among, rest, err = decodeAmong(rest); err != nil {
+		if s.Extras, rest, err = decodeExtras(rest); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/internal/journal/tool.go
+++ b/internal/journal/tool.go
@@ -29,7 +29,7 @@
 	o := Options{}
 	for _, s := range held {
 		o.Limit += 4 * cost(s.Size())
-		o.Among = o.Among || s.Among != nil
+		o.Extras = o.Extras || s.Extras != nil
 	}
 	o.Limit = min(math.MaxInt64/4, max(o.Limit, 64<<20))
 	j, err := Open(dir, o)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,15 +14,23 @@
 	Read        time.Time     // when its last byte had been read
 	Again       bool          // it was held by a forwarder that died
 	Repeat      bool          // a client's repeat after a refusal, where clients mark it
-	Among       *Among        // of its destination's endpoints; nil: any
+	Extras      *Extras       // nil: none
 	Body        Body
 }
 
-// Among narrows and orders the endpoints that a message may go to. It permits none that would not be permitted without it.
-// Each list has 255 names of 255 bytes at most.
-type Among struct {
+// Extras is what was added to a message where it was taken on. It holds as long as the message does.
+type Extras struct {
+	// Endpoints of its destination, 255 names of 255 bytes at most each. They permit none that would not be permitted without.
 	Only   []string // no others; none: all
 	Prefer []string // these before the others, in this order
+	// Header goes along with each attempt: 255 fields, each of 255 bytes and 65,535.
+	Header []Field
+}
+
+// Field is one field of a header.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
 }
 
 // Body is the content of a message. It need not be in memory: whoever sends it
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -30,6 +30,9 @@
 	whole("journal.durability", old.Journal.Durability, new.Journal.Durability)
 	whole("journal.sync_every", every(old), every(new))
 
+	whole("plugin_status", cmp.Or(old.PluginStatus, "none"), cmp.Or(new.PluginStatus, "none"))
+	list = append(list, diffPlugins(old, new)...)
+
 	before, after := old.NewLimits(), new.NewLimits()
 	kinds := map[scope]bool{{}: true}
 	for _, c := range []*Config{old, new} {
@@ -117,5 +120,5 @@
 		v, rule := l.figure(n, s)
 		list = append(list, Change{For: s.String(), Key: key, New: v, To: c.Where["limits."+rule+"."+key]})
 	}
-	return list
+	return append(list, c.explainPlugins(class, dest)...)
 }
--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -220,6 +220,7 @@
 			dests[d] = true
 		}
 	}
+	c.pluginsAgainst(classes, names, add)
 	limits := c.NewLimits()
 	told := map[string]bool{}
 	check := func(k decide.Class, s scope, attempts, answer, whole *Limit) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,9 +18,12 @@
 
 // Config is the resolved form.
 type Config struct {
-	Format  int     `json:"format"`
-	Journal Journal `json:"journal"`
-	Limits  []Limit `json:"limits,omitempty"` // by name: their order means nothing
+	Format  int      `json:"format"`
+	Journal Journal  `json:"journal"`
+	Limits  []Limit  `json:"limits,omitempty"`  // by name: their order means nothing
+	Plugins []Plugin `json:"plugins,omitempty"` // the same
+	// PluginStatus is a file that tells what each plug-in has done, written anew as that changes; empty: none.
+	PluginStatus string `json:"plugin_status,omitempty"`
 	// Where says which place set what: a path of keys, such as journal.durability, and a file with its line.
 	Where map[string]string `json:"where,omitempty"`
 }
@@ -67,6 +70,7 @@
 			`remove sync_every, or set durability = "interval"`)
 	}
 	c.checkLimits(add)
+	c.checkPlugins(add)
 	return list
 }
 
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	l := &loader{getenv: getenv, files: map[string]*hcl.File{}, bodies: map[string]bool{},
-		env: map[string]cty.Value{}, envAt: map[string]hcl.Range{}, set: map[string]setting{}, limAt: map[string]hcl.Range{}}
+		env: map[string]cty.Value{}, envAt: map[string]hcl.Range{}, set: map[string]setting{}, limAt: map[string]hcl.Range{}, plugAt: map[string]hcl.Range{}}
 	l.read(path, nil, nil)
 	for _, b := range l.order { // declared anywhere, used anywhere
 		l.declare(b)
@@ -70,16 +70,18 @@
 }
 
 type loader struct {
-	getenv func(string) (string, bool)
-	files  map[string]*hcl.File
-	bodies map[string]bool // by the file's own path, links followed
-	order  []*hclsyntax.Body
-	env    map[string]cty.Value
-	envAt  map[string]hcl.Range
-	set    map[string]setting
-	limits []operator.Limit
-	limAt  map[string]hcl.Range // by key
-	diags  hcl.Diagnostics
+	getenv  func(string) (string, bool)
+	files   map[string]*hcl.File
+	bodies  map[string]bool // by the file's own path, links followed
+	order   []*hclsyntax.Body
+	env     map[string]cty.Value
+	envAt   map[string]hcl.Range
+	set     map[string]setting
+	limits  []operator.Limit
+	limAt   map[string]hcl.Range // by key
+	plugins []operator.Plugin
+	plugAt  map[string]hcl.Range
+	diags   hcl.Diagnostics
 }
 
 func (l *loader) fail(at hcl.Range, what, remedy string) {
@@ -287,10 +289,20 @@
 
 // body takes what one file sets.
 func (l *loader) body(b *hclsyntax.Body) {
-	l.known(b, "a file", "include", "env*", "journal*", "limits*")
+	l.known(b, "a file", "include", "env*", "journal*", "limits*", "plugin*", "plugins*")
 	for _, block := range b.Blocks {
-		if block.Type == "limits" {
+		switch block.Type {
+		case "limits":
 			l.limit(block)
+		case "plugin":
+			l.plugin(block)
+		case "plugins":
+			l.known(block.Body, "plugins", "status")
+			if a := block.Body.Attributes["status"]; a != nil {
+				if v, ok := l.text(a); ok {
+					l.put("plugin_status", v, a.Expr.Range())
+				}
+			}
 		}
 		if block.Type != "journal" {
 			continue
@@ -333,18 +345,8 @@
 		at := a.Expr.Range()
 		l.limAt[key+"."+name] = at
 		switch name {
-		case "classes":
-			if v, ok := l.value(a); ok {
-				if rule.Classes, ok = texts(v); !ok || len(rule.Classes) == 0 {
-					l.fail(at, "classes are a list of names", `Write classes = ["NAME"], or leave it out for all.`)
-				}
-			}
-		case "destinations":
-			if v, ok := l.value(a); ok {
-				if rule.Destinations, ok = numbers(v); !ok || len(rule.Destinations) == 0 {
-					l.fail(at, "destinations are a list of whole numbers", `Write destinations = [7, 12], or leave it out for all.`)
-				}
-			}
+		case "classes", "destinations":
+			l.bound(a, &rule.Classes, &rule.Destinations)
 		case "attempts", "held":
 			if v, ok := l.value(a); ok {
 				list, ok := numbers(cty.TupleVal([]cty.Value{v}))
@@ -366,9 +368,6 @@
 			}
 		}
 	}
-	slices.Sort(rule.Classes)
-	slices.Sort(rule.Destinations)
-	rule.Classes, rule.Destinations = slices.Compact(rule.Classes), slices.Compact(rule.Destinations)
 	if len(l.diags) == wrong {
 		l.limits = append(l.limits, rule)
 	}
@@ -465,11 +464,15 @@
 	c := operator.Default()
 	c.Limits = l.limits
 	slices.SortFunc(c.Limits, func(a, b operator.Limit) int { return strings.Compare(a.Name, b.Name) })
-	if len(l.set)+len(l.limAt) > 0 {
+	c.Plugins = l.plugins
+	slices.SortFunc(c.Plugins, func(a, b operator.Plugin) int { return strings.Compare(a.Name, b.Name) })
+	if len(l.set)+len(l.limAt)+len(l.plugAt) > 0 {
 		c.Where = map[string]string{}
 	}
-	for key, at := range l.limAt {
-		c.Where[key] = place(at)
+	for _, places := range []map[string]hcl.Range{l.limAt, l.plugAt} {
+		for key, at := range places {
+			c.Where[key] = place(at)
+		}
 	}
 	for key, s := range l.set {
 		c.Where[key] = place(s.at)
@@ -478,6 +481,8 @@
 			c.Journal.Durability = s.value.(string)
 		case "journal.sync_every":
 			c.Journal.SyncEvery = s.value.(operator.Duration)
+		case "plugin_status":
+			c.PluginStatus = s.value.(string)
 		}
 	}
 	if _, set := l.set["journal.sync_every"]; !set && c.Journal.Durability == "interval" {
@@ -485,8 +490,12 @@
 	}
 	for _, p := range c.Check() {
 		at := l.set[p.Key].at
-		if limit, ok := l.limAt[p.Key]; ok {
-			at = limit
+		for _, places := range []map[string]hcl.Range{l.limAt, l.plugAt} {
+			if place, ok := places[p.Key]; ok {
+				at = place
+			} else if place, ok := places[parent(p.Key)]; ok && at.Filename == "" { // a default
+				at = place
+			}
 		}
 		l.fail(at, p.What, strings.ToUpper(p.Remedy[:1])+p.Remedy[1:]+".")
 	}
--- /dev/null
+++ b/internal/plugin/script/script.go
@@ -0,0 +1,322 @@
+// Package script runs operators' code: Starlark, which has no files, network, clock or chance of its own, and counts its steps.
+// The functions intake, call, reply and final of a file are its hooks; docs/plugins.md is the reference of what they are given.
+package script
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/starlarkstruct"
+	"go.starlark.net/syntax"
+
+	"scaleroute/internal/message"
+	"scaleroute/internal/plugin"
+)
+
+const (
+	loadSteps = 1_000_000 // of the code outside functions
+	// MostSource bounds a file, in bytes.
+	MostSource = 256 << 10
+)
+
+// hooks has the parameters of each.
+var hooks = map[plugin.Point]int{plugin.Intake: 1, plugin.Call: 1, plugin.Reply: 2, plugin.Final: 2}
+
+// Program is a file that was compiled. Its calls share nothing but what the file's top level has made, which is frozen.
+// It is used by one goroutine at a time.
+type Program struct {
+	file  string
+	hooks map[plugin.Point]*starlark.Function
+	res   map[string]*regexp.Regexp
+}
+
+// Compile reads a file. The error has its lines, one for each thing that is wrong, with the place.
+func Compile(file, source string) (*Program, error) {
+	if len(source) > MostSource {
+		return nil, fmt.Errorf("%s: %d bytes; at most %d", file, len(source), MostSource)
+	}
+	p := &Program{file: file, hooks: map[plugin.Point]*starlark.Function{}, res: map[string]*regexp.Regexp{}}
+	t, _ := p.thread(loadSteps, &plugin.Result{})
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{Set: true, While: true, TopLevelControl: true}, t, file, source, p.builtins())
+	if err != nil {
+		return nil, p.placed(err)
+	}
+	globals.Freeze()
+	for _, point := range plugin.Points {
+		v := globals[string(point)]
+		if v == nil {
+			continue
+		}
+		f, ok := v.(*starlark.Function)
+		if !ok {
+			return nil, fmt.Errorf("%s: %s is a %s; it must be a function", file, point, v.Type())
+		}
+		if n := f.NumParams(); n != hooks[point] || f.HasVarargs() || f.HasKwargs() {
+			return nil, fmt.Errorf("%v: %s takes %d parameters; it is given %d: write def %s", f.Position(), point, n, hooks[point], signature(point))
+		}
+		p.hooks[point] = f
+	}
+	if len(p.hooks) == 0 {
+		return nil, fmt.Errorf("%s: there is no hook: define intake(message), call(message), reply(message, reply) or final(message, end)", file)
+	}
+	return p, nil
+}
+
+func signature(p plugin.Point) string {
+	return map[plugin.Point]string{plugin.Intake: "intake(message)", plugin.Call: "call(message)", plugin.Reply: "reply(message, reply)",
+		plugin.Final: "final(message, end)"}[p]
+}
+
+// Points lists the hooks that there are.
+func (p *Program) Points() (list []plugin.Point) {
+	for _, point := range plugin.Points {
+		if p.hooks[point] != nil {
+			list = append(list, point)
+		}
+	}
+	return list
+}
+
+var errSteps = errors.New("too many steps")
+
+func (p *Program) thread(steps uint64, r *plugin.Result) (t *starlark.Thread, over *bool) {
+	over = new(bool)
+	t = &starlark.Thread{Name: p.file, Print: func(t *starlark.Thread, text string) { addLine(r, text) }}
+	t.SetMaxExecutionSteps(steps)
+	t.OnMaxSteps = func(t *starlark.Thread) {
+		*over = true
+		t.Cancel(errSteps.Error())
+	}
+	t.SetLocal("result", r)
+	return t, over
+}
+
+func addLine(r *plugin.Result, text string) {
+	if len(r.Lines) < plugin.MostLines {
+		r.Lines = append(r.Lines, plugin.Line(text, plugin.MostLine))
+	}
+}
+
+// placed puts the place of the innermost line of the file in front of an error.
+func (p *Program) placed(err error) error {
+	var e *starlark.EvalError
+	if !errors.As(err, &e) {
+		return err // of syntax and names: they have their places
+	}
+	for _, f := range slices.Backward(e.CallStack) {
+		if f.Pos.Filename() == p.file && f.Pos.Line > 0 {
+			return fmt.Errorf("%v: in %s: %s", f.Pos, f.Name, e.Msg)
+		}
+	}
+	return fmt.Errorf("%s: %s", p.file, e.Msg)
+}
+
+// Run asks the hook of a point. Whatever the code does, there is a result.
+func (p *Program) Run(q *plugin.Request, steps uint64) (r *plugin.Result) {
+	hook := p.hooks[q.Point]
+	r = &plugin.Result{}
+	if hook == nil {
+		return r
+	}
+	t, over := p.thread(steps, r)
+	fail := func(text string, costly bool) {
+		*r = plugin.Result{Error: plugin.Line(text, 4*plugin.MostLine), Costly: costly, Steps: t.Steps, Lines: r.Lines, Counts: r.Counts}
+	}
+	defer func() {
+		if e := recover(); e != nil {
+			fail(fmt.Sprintf("%s: a function of ours panicked: %v", p.file, e), true)
+		}
+	}()
+	args := starlark.Tuple{messageOf(q)}
+	switch q.Point {
+	case plugin.Reply:
+		args = append(args, replyOf(q))
+	case plugin.Final:
+		args = append(args, starlark.String(q.End))
+	}
+	v, err := starlark.Call(t, hook, args, nil)
+	r.Steps = t.Steps
+	if err != nil {
+		fail(p.placed(err).Error(), *over)
+		return r
+	}
+	switch v := v.(type) {
+	case starlark.NoneType:
+	case *wish:
+		w := v.result
+		w.Steps, w.Lines, w.Counts = r.Steps, r.Lines, r.Counts
+		*r = w
+	default:
+		fail(fmt.Sprintf("%v: %s returned a %s; return change(...), refuse(...), not_delivered(...), wait(...) or None", hook.Position(), q.Point, v.Type()), false)
+	}
+	return r
+}
+
+func messageOf(q *plugin.Request) starlark.Value {
+	d := starlark.StringDict{
+		"id":          starlark.String(q.ID),
+		"class_name":  starlark.String(q.Class),
+		"destination": starlark.MakeInt(q.Destination),
+	}
+	if q.Point == plugin.Intake || q.Point == plugin.Call {
+		header := starlark.NewDict(len(q.Header))
+		for _, f := range q.Header {
+			header.SetKey(starlark.String(f.Name), starlark.String(f.Value)) // fresh and hashable: no error
+		}
+		d["body"], d["left"], d["header"] = starlark.String(q.Body), starlark.Float(q.Left), header
+	}
+	if q.Point == plugin.Intake {
+		list := make([]starlark.Value, len(q.Endpoints))
+		for i, e := range q.Endpoints {
+			list[i] = starlarkstruct.FromStringDict(starlark.String("endpoint"), starlark.StringDict{
+				"name": starlark.String(e.Name), "zone": starlark.String(e.Zone), "weight": starlark.Float(e.Weight)})
+		}
+		d["endpoints"] = starlark.NewList(list)
+	}
+	if q.Point == plugin.Call || q.Point == plugin.Reply {
+		d["endpoint"], d["attempt"] = starlark.String(q.Endpoint), starlark.MakeInt(q.Attempt)
+	}
+	return starlarkstruct.FromStringDict(starlark.String("message"), d)
+}
+
+func replyOf(q *plugin.Request) starlark.Value {
+	header := starlark.NewDict(len(q.ReplyHeader))
+	for _, name := range slices.Sorted(maps.Keys(q.ReplyHeader)) {
+		if v := q.ReplyHeader[name]; len(v) > 0 {
+			header.SetKey(starlark.String(name), starlark.String(v[0]))
+		}
+	}
+	return starlarkstruct.FromStringDict(starlark.String("reply"), starlark.StringDict{
+		"status": starlark.MakeInt(q.Status), "header": header, "body": starlark.String(q.ReplyBody)})
+}
+
+// wish is what a hook returns.
+type wish struct{ result plugin.Result }
+
+func (w *wish) String() string       { return "wish" }
+func (w *wish) Type() string         { return "wish" }
+func (w *wish) Freeze()              {}
+func (w *wish) Truth() starlark.Bool { return starlark.True }
+func (w *wish) Hash() (uint32, error) {
+	return 0, errors.New("a wish is no key")
+}
+
+func change(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+	var body, header, only, prefer starlark.Value
+	if err := starlark.UnpackArgs(b.Name(), args, kwargs, "body??", &body, "header??", &header, "only??", &only, "prefer??", &prefer); err != nil {
+		return nil, err
+	}
+	w := &wish{}
+	switch v := body.(type) {
+	case nil:
+	case starlark.String:
+		w.result.HasBody, w.result.Body = true, []byte(v)
+	case starlark.Bytes:
+		w.result.HasBody, w.result.Body = true, []byte(v)
+	default:
+		return nil, fmt.Errorf("change: body is a %s; give a string or bytes", v.Type())
+	}
+	if header != nil {
+		d, ok := header.(*starlark.Dict)
+		if !ok {
+			return nil, fmt.Errorf("change: header is a %s; give a dict of names and values", header.Type())
+		}
+		for _, item := range d.Items() {
+			name, ok := starlark.AsString(item[0])
+			value, ok2 := starlark.AsString(item[1])
+			if !ok || !ok2 {
+				return nil, errors.New("change: header has something that is no string")
+			}
+			if w.result.Header = append(w.result.Header, message.Field{Name: name, Value: value}); len(w.result.Header) > plugin.MostHeader {
+				return nil, fmt.Errorf("change: more than %d header fields", plugin.MostHeader)
+			}
+		}
+	}
+	for _, l := range []struct {
+		name string
+		from starlark.Value
+		to   *[]string
+	}{{"only", only, &w.result.Only}, {"prefer", prefer, &w.result.Prefer}} {
+		if l.from == nil {
+			continue
+		}
+		list, ok := l.from.(starlark.Iterable)
+		if !ok {
+			return nil, fmt.Errorf("change: %s is a %s; give a list of names of endpoints", l.name, l.from.Type())
+		}
+		for v := range starlark.Elements(list) {
+			name, ok := starlark.AsString(v)
+			if !ok {
+				return nil, fmt.Errorf("change: %s has a %s; give names of endpoints, such as message.endpoints[0].name", l.name, v.Type())
+			}
+			if *l.to = append(*l.to, name); len(*l.to) > plugin.MostNamed {
+				return nil, fmt.Errorf("change: %s names more than %d endpoints", l.name, plugin.MostNamed)
+			}
+		}
+		if len(*l.to) == 0 && l.name == "only" {
+			return nil, errors.New("change: only has no endpoint: leave it out for all, or refuse the message")
+		}
+	}
+	return w, nil
+}
+
+func refuse(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+	w := &wish{result: plugin.Result{Refuse: true}}
+	var after starlark.Value
+	if err := starlark.UnpackArgs(b.Name(), args, kwargs, "reason", &w.result.Reason, "retry_after??", &after); err != nil {
+		return nil, err
+	}
+	w.result.Reason = plugin.Line(w.result.Reason, plugin.MostReason)
+	return w, w.wait("refuse: retry_after", after)
+}
+
+func notDelivered(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+	w := &wish{result: plugin.Result{NotDelivered: true}}
+	var wait starlark.Value
+	if err := starlark.UnpackArgs(b.Name(), args, kwargs, "wait??", &wait); err != nil {
+		return nil, err
+	}
+	return w, w.wait("not_delivered: wait", wait)
+}
+
+func wait(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+	w := &wish{}
+	var v starlark.Value
+	if err := starlark.UnpackArgs(b.Name(), args, kwargs, "time", &v); err != nil {
+		return nil, err
+	}
+	return w, w.wait("wait", v)
+}
+
+func (w *wish) wait(where string, v starlark.Value) error {
+	if v == nil {
+		return nil
+	}
+	d, err := duration(v)
+	if err != nil {
+		return fmt.Errorf("%s: %w", where, err)
+	}
+	if d > plugin.MostWait {
+		return fmt.Errorf("%s: %v; at most %v", where, d, plugin.MostWait)
+	}
+	w.result.WaitMS = float64(d) / float64(time.Millisecond)
+	return nil
+}
+
+// duration reads a time with its unit; a bare number could be meant in two ways.
+func duration(v starlark.Value) (time.Duration, error) {
+	text, ok := starlark.AsString(v)
+	if !ok {
+		return 0, fmt.Errorf(`%v has no unit: write "%vs" for seconds or "%vms" for milliseconds`, v, v, v)
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, fmt.Errorf(`%.40q is no time: write a number and its unit, such as "250ms" or "3s"`, text)
+	}
+	return d, nil
+}
