--- a/cmd/scaleroute-lab/program.go
+++ b/cmd/scaleroute-lab/program.go
@@ -36,7 +36,7 @@
 // build makes the daemon from the module of the current folder.
 func build(ctx context.Context, to string, tags string) (string, error) {
 	path := filepath.Join(to, "scaleroute")
-	out, err := exec.CommandContext(ctx, "go", "build", "-tags", tags, "-o", path, "scaleroute/cmd/scaleroute").CombinedOutput()
+	out, err := exec.CommandContext(ctx, "go", "build", "-tags", tags, "-o", to, "scaleroute/cmd/scaleroute", "scaleroute/cmd/scaleroute-plugin-host").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("building the program (run this in the repository, or name one by -program): %w\n%s", err, out)
 	}
@@ -146,6 +146,36 @@
 	return p.cpu + time.Duration(user+system)*10*time.Millisecond // in ticks of 1/100 s
 }
 
+// usedByHosts is the CPU time of the processes that run plug-ins for the one that was started last.
+func (p *program) usedByHosts() (d time.Duration) {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	list, _ := filepath.Glob("/proc/[0-9]*/stat") // of a fixed pattern: no error
+	for _, name := range list {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(text), ") ")
+		f := strings.Fields(rest)
+		if len(f) < 15 {
+			continue
+		}
+		ticks := func(i int) time.Duration {
+			n, _ := strconv.ParseInt(f[i], 10, 64)
+			return time.Duration(n) * 10 * time.Millisecond
+		}
+		switch {
+		case f[1] == strconv.Itoa(pid):
+			d += ticks(11) + ticks(12)
+		case name == fmt.Sprintf("/proc/%d/stat", pid): // those that have ended
+			d += ticks(13) + ticks(14)
+		}
+	}
+	return d
+}
+
 // measure notes the largest resident memory so far.
 func (p *program) measure() {
 	p.mu.Lock()
--- a/cmd/scaleroute-lab/report.go
+++ b/cmd/scaleroute-lab/report.go
@@ -14,6 +14,8 @@
 type report struct {
 	options *options
 	rules   standin.Limits
+	bound   func(destination int) bool // has plug-ins
+	from    time.Time                  // they were set
 	*standin.Verdict
 
 	Seconds    float64 `json:"seconds"`
@@ -26,6 +28,12 @@
 	Kills      int     `json:"kills"`
 	StartMS    int64   `json:"longest_restart_ms"` // from the kill on, until it is ready
 
+	HostCPUSeconds float64  `json:"plugin_cpu_seconds,omitempty"`
+	Plugins        []string `json:"plugins,omitempty"`
+	PlainBefore    *times   `json:"plain_before_deliver_ms,omitempty"` // to destinations without plug-ins, before there were any
+	Plain          *times   `json:"plain_deliver_ms,omitempty"`        // and after
+	BoundMost      float64  `json:"bound_end_ms_max,omitempty"`        // until a message with plug-ins had its end, from when it was handed in
+
 	Answer  times `json:"answer_ms"`
 	Deliver times `json:"deliver_ms"`
 
@@ -59,6 +67,12 @@
 	r.Kills, r.StartMS = n, longest.Milliseconds()
 	r.Answer = timesOf(w.Clients.Answers())
 	r.Deliver = timesOf(w.Log.Deliveries(func(*standin.Handed) bool { return true }))
+	if r.bound != nil {
+		after, before := timesOf(w.Log.Deliveries(func(h *standin.Handed) bool { return !r.bound(h.Destination) && !h.Sent.Before(r.from) })),
+			timesOf(w.Log.Deliveries(func(h *standin.Handed) bool { return !r.bound(h.Destination) && h.Sent.Before(r.from) }))
+		r.Plain, r.PlainBefore = &after, &before
+		r.BoundMost = float64(w.Log.LongestEnd(func(h *standin.Handed) bool { return r.bound(h.Destination) }).Microseconds()) / 1000
+	}
 	well := func(h *standin.Handed) bool { return !sick[h.Destination] }
 	r.HealthyDeliver = timesOf(w.Log.Deliveries(well))
 	r.Healthy, r.HealthyDone, r.Healthy90S, r.HealthyAllS = w.Log.Progress(well)
@@ -103,6 +117,15 @@
 	if r.Kills > 0 {
 		row("kills", "%d, the longest restart %d ms", r.Kills, r.StartMS)
 	}
+	if r.Plain != nil {
+		row("without plug-ins", "p50 %.1f ms, p99 %.1f ms, longest %.0f ms; before they were set %.1f, %.1f, %.0f", r.Plain.P50, r.Plain.P99, r.Plain.Max,
+			r.PlainBefore.P50, r.PlainBefore.P99, r.PlainBefore.Max)
+		row("with plug-ins", "the last end after %.0f ms", r.BoundMost)
+		row("CPU of plug-ins", "%.1f us a message", r.HostCPUSeconds*1e6/float64(max(1, r.Handed)))
+		for _, s := range r.Plugins {
+			row("plug-in", "%s", s)
+		}
+	}
 	if o.reloads > 0 {
 		row("reloads", "%d, every other one of a spoilt file", o.reloads)
 	}
@@ -117,8 +140,8 @@
 	if !r.Broken() {
 		return "kept: none lost, none twice, no drain or wait broken"
 	}
-	return fmt.Sprintf("BROKEN: %d lost, %d twice, %d drains, %d waits, %d to a wrong group, %d beyond what is set", r.Lost, r.Twice,
-		r.DrainBroken, r.WaitBroken, r.WrongGroup, r.LimitBroken)
+	return fmt.Sprintf("BROKEN: %d lost, %d twice, %d drains, %d waits, %d to a wrong group, %d beyond what is set, %d changed, %d in two versions", r.Lost, r.Twice,
+		r.DrainBroken, r.WaitBroken, r.WrongGroup, r.LimitBroken, r.Changed, r.Versions)
 }
 
 // progress shows one line that changes, on a terminal only.
--- a/internal/operator/plugins.go
+++ b/internal/operator/plugins.go
@@ -149,7 +149,7 @@
 				}
 			}
 			list := strings.Join(names, ", ")
-			if all <= mostChain || told[list] {
+			if all <= mostChain || len(names) < 2 || told[list] { // one alone has its own bound
 				continue
 			}
 			told[list] = true
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -57,6 +57,13 @@
 
 const group = "journal {\n  durability = \"group\"\n}\n"
 
+const hook = "def intake(message):\n    pass\n"
+
+// plugged is a file with one plug-in, with more keys and more code.
+func plugged(keys, code string) map[string]string {
+	return map[string]string{"main.hcl": "plugin \"p\" {\n  file = \"p.star\"\n  " + keys + "\n}\n", "p.star": hook + code}
+}
+
 // TestFiles reads files with what may go wrong in them: each finding names file and line, and a remedy.
 func TestFiles(t *testing.T) {
 	one := func(text string) map[string]string { return map[string]string{"main.hcl": text} }
@@ -71,6 +78,20 @@
 		warns bool     // what is said does not keep the file from being used
 	}{
 		{name: "empty", files: one("")},
+		{name: "a plug-in", files: plugged("order = -1\n  time = \"20ms\"\n  memory = \"32MiB\"\n  on_failure = \"pass\"\n  classes = [\"note\"]", "")},
+		{name: "a plug-in's file that is not there", files: one("plugin \"p\" {\n  file = \"no.star\"\n}\n"), want: []string{"main.hcl:2 the plug-in's file can't be read: "}},
+		{name: "a plug-in without a file", files: one("plugin \"p\" {\n}\n"), want: []string{`main.hcl:1 the plug-in "p" has no file`}},
+		{name: "a plug-in's code", files: plugged("", "x = y"), want: []string{"main.hcl:2 the plug-in's code is not well: p.star:3:5: undefined: y"}},
+		{name: "a plug-in's memory without a unit", files: plugged("memory = 64", ""), want: []string{`main.hcl:3 memory = 64 has no unit: Write "64KiB" or "64MiB".`}},
+		{name: "a plug-in's memory in a text without a unit", files: plugged(`memory = "64"`, ""), want: []string{`main.hcl:3 memory: "64" is no number of bytes`}},
+		{name: "a plug-in's memory beyond all", files: plugged(`memory = "9223372036854775808GiB"`, ""), want: []string{"main.hcl:3 memory: "}},
+		{name: "a plug-in's time beyond a client's", files: plugged(`time = "300ms"`, ""), want: []string{"main.hcl:3 time is 300ms: Set from 1ms to 250ms."}},
+		{name: "a plug-in's key that there is not", files: plugged("step = 1", ""), want: []string{`main.hcl:3 plugin has no key "step": Did you mean "steps"?`}},
+		{name: "a plug-in that fails in another way", files: plugged(`on_failure = "ignore"`, ""), want: []string{`main.hcl:3 on_failure is "ignore": Choose "refuse"`}},
+		{name: "two plug-ins of one name", files: map[string]string{"main.hcl": "include = \"b.hcl\"\nplugin \"p\" {\n  file = \"p.star\"\n}\n", "b.hcl": "plugin \"p\" {\n  file = \"p.star\"\n}\n", "p.star": hook},
+			want: []string{`main.hcl:2 there are two plug-ins "p": The other is at b.hcl:1.`}},
+		{name: "two plug-ins of one order", files: map[string]string{"main.hcl": "include = \"b.hcl\"\nplugin \"p\" {\n  file = \"p.star\"\n}\n", "b.hcl": "plugin \"q\" {\n  file = \"p.star\"\n}\n", "p.star": hook},
+			want: []string{`b.hcl:1 plug-ins "p" and "q" are asked about the same messages and have the same order: Set order in one of them: the lower one is asked first (the other: main.hcl:2).`}},
 		{name: "group", files: one(group)},
 		{name: "CRLF, tabs and no last newline", files: one("journal {\r\n\tdurability = \"group\"\r\n}")},
 		{name: "an interval", files: interval(`"250ms"`)},
--- a/internal/plugin/script/script.go
+++ b/internal/plugin/script/script.go
@@ -8,8 +8,11 @@
 	"maps"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/agext/levenshtein"
+	"go.starlark.net/resolve"
 	"go.starlark.net/starlark"
 	"go.starlark.net/starlarkstruct"
 	"go.starlark.net/syntax"
@@ -105,8 +108,16 @@
 // placed puts the place of the innermost line of the file in front of an error.
 func (p *Program) placed(err error) error {
 	var e *starlark.EvalError
-	if !errors.As(err, &e) {
-		return err // of syntax and names: they have their places
+	var undefined resolve.ErrorList
+	switch {
+	case errors.As(err, &undefined):
+		var all []error
+		for _, u := range undefined {
+			all = append(all, fmt.Errorf("%v: %s%s", u.Pos, u.Msg, p.meant(u.Msg)))
+		}
+		return errors.Join(all...)
+	case !errors.As(err, &e):
+		return err // of syntax: it has its place
 	}
 	for _, f := range slices.Backward(e.CallStack) {
 		if f.Pos.Filename() == p.file && f.Pos.Line > 0 {
@@ -116,6 +127,20 @@
 	return fmt.Errorf("%s: %s", p.file, e.Msg)
 }
 
+// meant names what an undefined name looks like.
+func (p *Program) meant(what string) string {
+	name, ok := strings.CutPrefix(what, "undefined: ")
+	if !ok || strings.Contains(name, "(") {
+		return ""
+	}
+	for _, known := range slices.Sorted(maps.Keys(p.builtins())) {
+		if levenshtein.Distance(name, known, nil) <= max(1, len(known)/3) {
+			return fmt.Sprintf(" (did you mean %s?)", known)
+		}
+	}
+	return ""
+}
+
 // Run asks the hook of a point. Whatever the code does, there is a result.
 func (p *Program) Run(q *plugin.Request, steps uint64) (r *plugin.Result) {
 	hook := p.hooks[q.Point]
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -233,6 +233,8 @@
 	Set func(unsafe bool, destination int) Set
 	// Altered tells whether operators have messages for a destination altered; nil for none. Others go on unchanged.
 	Altered func(destination int) bool
+	// PerAttempt tells that messages that may be repeated may be altered for each attempt anew.
+	PerAttempt bool
 }
 
 // Set is what operators have set for a message; at 0 nothing.
@@ -267,6 +269,8 @@
 	Changed     int `json:"changed"`  // bodies or headers that nobody was to alter
 	Versions    int `json:"versions"` // messages that went out in two versions
 
+	Unaltered int `json:"unaltered,omitempty"` // calls that brought a body as it was handed in, though it could have been altered
+
 	Examples []string `json:"examples,omitempty"` // of broken rules, some
 
 	at time.Time // when it was given
