--- a/cmd/scaleroute-lab/program.go
+++ b/cmd/scaleroute-lab/program.go
@@ -146,6 +146,22 @@
 	return p.cpu + time.Duration(user+system)*10*time.Millisecond // in ticks of 1/100 s
 }
 
+// leftHosts counts processes that run plug-ins though the program has ended; it gives them some time.
+func (p *program) leftHosts() (n int) {
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		n = 0
+		list, _ := filepath.Glob("/proc/[0-9]*/cmdline") // of a fixed pattern: no error
+		for _, name := range list {
+			if text, err := os.ReadFile(name); err == nil && strings.HasPrefix(string(text), filepath.Join(p.dir, "scaleroute-plugin-host")) {
+				n++
+			}
+		}
+		if n == 0 || time.Now().After(end) {
+			return n
+		}
+	}
+}
+
 // usedByHosts is the CPU time of the processes that run plug-ins for the one that was started last.
 func (p *program) usedByHosts() (d time.Duration) {
 	p.mu.Lock()
--- a/cmd/scaleroute-lab/report.go
+++ b/cmd/scaleroute-lab/report.go
@@ -28,6 +28,7 @@
 	Kills      int     `json:"kills"`
 	StartMS    int64   `json:"longest_restart_ms"` // from the kill on, until it is ready
 
+	Left           int      `json:"processes_left,omitempty"` // of plug-ins, when the program had ended
 	HostCPUSeconds float64  `json:"plugin_cpu_seconds,omitempty"`
 	Plugins        []string `json:"plugins,omitempty"`
 	PlainBefore    *times   `json:"plain_before_deliver_ms,omitempty"` // to destinations without plug-ins, before there were any
@@ -136,7 +137,13 @@
 	}
 }
 
+// Broken tells whether a rule was broken, or a process of the program's is left.
+func (r *report) Broken() bool { return r.Verdict.Broken() || r.Left > 0 }
+
 func (r *report) verdict() string {
+	if r.Left > 0 {
+		return fmt.Sprintf("BROKEN: %d processes of plug-ins are left", r.Left)
+	}
 	if !r.Broken() {
 		return "kept: none lost, none twice, no drain or wait broken"
 	}
--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -65,10 +65,13 @@
 	if err := p.start(); err != nil {
 		return nil, err
 	}
-	defer p.kill()
+	r := &report{options: o, rules: standin.Rules}
+	defer func() {
+		p.kill()
+		r.Left = p.leftHosts()
+	}()
 	world.Clients.At(p.address)
 
-	r := &report{options: o, rules: standin.Rules}
 	if set != nil {
 		r.rules.Set = set.of
 		if set.plugins != nil {
--- a/internal/plugin/runner/pool.go
+++ b/internal/plugin/runner/pool.go
@@ -19,7 +19,7 @@
 	firstBackoff = 100 * time.Millisecond // before a process that ended is started again; doubles
 	mostBackoff  = 10 * time.Second
 	longLife     = 10 * time.Second // of a process: the next one is started as if it were the first
-	waitersEach  = 64               // for one process
+	waitersEach  = 1024             // for one process
 	logEvery     = time.Second      // lines on failures of one plug-in
 	keptErrors   = 8
 )
--- a/internal/plugin/runner/runner_test.go
+++ b/internal/plugin/runner/runner_test.go
@@ -257,7 +257,7 @@
 	r, k := loaded(t, version(0)), &taker{}
 	f := r.Front(k)
 	var wg sync.WaitGroup
-	const callers, each = 20, 50
+	const callers, each = 1000, 2 // at once
 	for range callers {
 		wg.Go(func() {
 			for range each {
--- a/internal/plugin/script/script.go
+++ b/internal/plugin/script/script.go
@@ -35,6 +35,7 @@
 type Program struct {
 	file  string
 	hooks map[plugin.Point]*starlark.Function
+	known starlark.StringDict // all that a file can use beside the language
 	res   map[string]*regexp.Regexp
 }
 
@@ -44,8 +45,9 @@
 		return nil, fmt.Errorf("%s: %d bytes; at most %d", file, len(source), MostSource)
 	}
 	p := &Program{file: file, hooks: map[plugin.Point]*starlark.Function{}, res: map[string]*regexp.Regexp{}}
+	p.known = p.builtins()
 	t, _ := p.thread(loadSteps, &plugin.Result{})
-	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{Set: true, While: true, TopLevelControl: true}, t, file, source, p.builtins())
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{Set: true, While: true, TopLevelControl: true}, t, file, source, p.known)
 	if err != nil {
 		return nil, p.placed(err)
 	}
@@ -133,7 +135,7 @@
 	if !ok || strings.Contains(name, "(") {
 		return ""
 	}
-	for _, known := range slices.Sorted(maps.Keys(p.builtins())) {
+	for _, known := range slices.Sorted(maps.Keys(p.known)) {
 		if levenshtein.Distance(name, known, nil) <= max(1, len(known)/3) {
 			return fmt.Sprintf(" (did you mean %s?)", known)
 		}
--- a/internal/plugin/script/script_test.go
+++ b/internal/plugin/script/script_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	"go.starlark.net/starlark"
+
 	"scaleroute/internal/plugin"
 	"scaleroute/internal/plugin/hostile"
 )
@@ -95,6 +97,20 @@
 	}
 }
 
+// TestPanicOfOurs: a function of ours that panics costs one call, and says so.
+func TestPanicOfOurs(t *testing.T) {
+	p, err := Compile("p.star", "def intake(message):\n    log(\"\")\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.known["log"] = starlark.NewBuiltin("log", func(*starlark.Thread, *starlark.Builtin, starlark.Tuple, []starlark.Tuple) (starlark.Value, error) {
+		panic("ours")
+	})
+	if r := p.Run(&plugin.Request{Point: plugin.Intake}, 1000); !r.Costly || !strings.Contains(r.Error, "panicked: ours") {
+		t.Errorf("%+v", r)
+	}
+}
+
 // TestBoundsOfOneCall: lines and counters are bounded, whatever the code does.
 func TestBoundsOfOneCall(t *testing.T) {
 	r := run(t, "def intake(message):\n    for i in range(1000):\n        log(\"\\n\" * 1000)\n        if i < 32:\n            count(str(i), 1 << 40)\n", &plugin.Request{Point: plugin.Intake})
