--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -314,11 +314,12 @@
 	w.SetAway(true)
 	ended := time.Now()
 	p.kill()
+	gone := time.Now()
 	if err := p.start(); err != nil {
 		return err
 	}
 	w.Clients.At(p.address)
 	w.SetAway(false)
-	w.Log.Restarted(standin.Restart{Ended: ended, Ready: time.Now()})
+	w.Log.Restarted(standin.Restart{Ended: ended, Gone: gone, Ready: time.Now()})
 	return nil
 }
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -28,12 +28,22 @@
 	journal  journal.Options
 	fails    bool // the loop may end with an error
 	limits   func(class string, destination int) Limits
+	hear     func(endpoint string, a Attempt)
+	ended    func(Ending)
+	dir      string // of the journal; its own if it is empty
 }
 
 // memoryBack is a back whose calls all succeed at once.
 type memoryBack struct {
 	names map[string]bool
 	calls chan string
+	hear  func(string, Attempt)
+}
+
+// memoryEndpoint is one of its endpoints.
+type memoryEndpoint struct {
+	*memoryBack
+	name string
 }
 
 func (b *memoryBack) List(l List) {
@@ -44,17 +54,20 @@
 
 func (b *memoryBack) Endpoint(name string) Caller {
 	if b.names[name] {
-		return b
+		return memoryEndpoint{b, name}
 	}
 	return nil
 }
 
-func (b *memoryBack) Call(_ context.Context, a Attempt) decide.Outcome {
+func (b memoryEndpoint) Call(_ context.Context, a Attempt) decide.Outcome {
+	if b.hear != nil {
+		b.hear(b.name, a)
+	}
 	b.calls <- a.ID
 	return decide.Outcome{Result: decide.Done, Over: true}
 }
 
-func (b *memoryBack) CloseIdle() {}
+func (memoryEndpoint) CloseIdle() {}
 
 // noFinals takes final answers and forgets them.
 type noFinals struct{}
@@ -71,6 +84,9 @@
 	if set != nil {
 		set(w)
 	}
+	if w.dir != "" {
+		n.dir = w.dir
+	}
 	j := (*journal.Journal)(nil)
 	if w.journal.FS == nil {
 		j = mustJournal(t, n.dir, int64(w.diskMB*1e6))
@@ -83,7 +99,7 @@
 		t.Cleanup(func() { j.Close() })
 	}
 	l, err := New(Config{Settings: w.settings, Journal: j, SyncEvery: time.Millisecond, Limits: w.limits,
-		Back: &memoryBack{names: map[string]bool{}, calls: n.calls}, Finals: map[string]Finals{"": noFinals{}}})
+		Back: &memoryBack{names: map[string]bool{}, calls: n.calls, hear: w.hear}, Ended: w.ended, Finals: map[string]Finals{"": noFinals{}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,7 +119,7 @@
 
 func mustJournal(t testing.TB, dir string, limit int64) *journal.Journal {
 	t.Helper()
-	j, err := journal.Open(dir, journal.Options{Limit: limit})
+	j, err := journal.Open(dir, journal.Options{Limit: limit, Extras: true})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -113,6 +113,10 @@
 			Wait: time.Duration(rapid.IntRange(0, 1000).Draw(t, "told")) * time.Second}
 		o.Over = o.Result == decide.Done
 		r := results(t)
+		if rapid.Bool().Draw(t, "of a reply only") {
+			r.Refuse, r.HasBody, r.Header, r.Only, r.Prefer = false, false, nil, nil, nil
+			r.WaitMS = float64(rapid.IntRange(0, 400_000).Draw(t, "asked"))
+		}
 		got, err := Caution(o, r)
 		switch {
 		case err != nil && got != o:
@@ -156,8 +160,9 @@
 				out = append(out, call{ticket, now})
 			}
 			if len(out) > 0 && (len(out) > 3 || rapid.Bool().Draw(t, "ends")) {
-				c := out[0]
-				out = out[1:]
+				i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+				c := out[i]
+				out = slices.Delete(out, i, i+1)
 				cpu := time.Duration(rapid.IntRange(0, 50).Draw(t, "cpu")) * time.Millisecond
 				costly := rapid.IntRange(0, 2).Draw(t, "costly") == 0
 				spent, longest = spent+cpu, max(longest, cpu)
--- a/internal/plugin/runner/runner.go
+++ b/internal/plugin/runner/runner.go
@@ -18,7 +18,10 @@
 	"scaleroute/internal/plugin"
 )
 
-const finalsWaiting = 1024 // ends that wait for observers; more are not shown to them
+const (
+	finalsWaiting = 1024                 // ends that wait for observers; more are not shown to them
+	retirePause   = 5 * time.Millisecond // between two looks whether a replaced version is still used
+)
 
 // Taker takes a message on or turns it away.
 type Taker interface {
@@ -33,6 +36,7 @@
 	wg      sync.WaitGroup
 	now     atomic.Pointer[set]
 	load    sync.Mutex
+	retired sync.WaitGroup // pools that were replaced, until they have ended
 	finals  chan engine.Ending
 	unseen  atomic.Uint64
 
@@ -43,7 +47,8 @@
 
 // set is what was loaded at once.
 type set struct {
-	pools []*pool // as messages meet them
+	pools []*pool      // as messages meet them
+	users atomic.Int64 // that may still ask them
 
 	mu      sync.Mutex
 	choices plugin.Choices
@@ -59,11 +64,27 @@
 	return r
 }
 
+// use returns the plug-ins that there are now; they stay until they are given back.
+func (r *Runner) use() *set {
+	for {
+		s := r.now.Load()
+		s.users.Add(1)
+		if r.now.Load() == s {
+			return s
+		}
+		s.users.Add(-1) // it was replaced meanwhile, and may have ended
+	}
+}
+
+func (s *set) giveBack() { s.users.Add(-1) }
+
 // Load takes plug-ins in the place of those there are: all of them, or none if one can't be started. Calls that are out to
-// the old ones end there. One that is the same as before goes on, with what is known of it.
+// the old ones end there. One that is the same as before goes on, with what is known of it. Those replaced before have ended
+// first, so that there are never more than two versions' processes.
 func (r *Runner) Load(specs []plugin.Spec) error {
 	r.load.Lock()
 	defer r.load.Unlock()
+	r.retired.Wait()
 	old := r.now.Load()
 	next := &set{choices: plugin.Choices{}}
 	kept := map[*pool]bool{}
@@ -92,10 +113,9 @@
 		if kept[p] {
 			continue
 		}
-		r.wg.Go(func() { // whoever had found it before has asked it by then, and each call is bounded
-			select {
-			case <-time.After(4*p.spec.Time + time.Second):
-			case <-r.ctx.Done():
+		r.retired.Go(func() {
+			for old.users.Load() > 0 { // each of them is bounded by its plug-ins' times
+				time.Sleep(retirePause)
 			}
 			p.close()
 		})
@@ -110,6 +130,7 @@
 // Close ends all processes. Nobody asks any more.
 func (r *Runner) Close() {
 	r.stop()
+	r.retired.Wait()
 	for _, p := range r.now.Load().pools {
 		p.close()
 	}
@@ -134,7 +155,17 @@
 
 // Take runs in the goroutine of the message's client. What the plug-ins take of its time counts in the message's time.
 func (f front) Take(m *message.Message) engine.Answer {
-	s := f.r.now.Load()
+	altered, answer := f.ask(m)
+	if altered == nil {
+		return answer
+	}
+	return f.next.Take(altered)
+}
+
+// ask asks the plug-ins. Without a message the answer is final.
+func (f front) ask(m *message.Message) (*message.Message, engine.Answer) {
+	s := f.r.use()
+	defer s.giveBack()
 	var d *plugin.Draft
 	for _, p := range s.pools {
 		if !p.spec.Binds(plugin.Intake, m.Class, m.Destination) {
@@ -144,7 +175,7 @@
 			body, err := m.Body.Load()
 			if err != nil {
 				slog.Error("a body can't be read", "id", m.ID, "err", err)
-				return engine.Answer{Kind: engine.Refused, Wait: p.spec.Wait}
+				return nil, engine.Answer{Kind: engine.Refused, Wait: p.spec.Wait}
 			}
 			d = &plugin.Draft{Body: body, Endpoints: f.r.endpoints(m.Destination)}
 		}
@@ -164,22 +195,22 @@
 		switch {
 		case err != nil && p.spec.Pass:
 		case err != nil:
-			return engine.Answer{Kind: engine.Refused, Wait: p.spec.Wait}
+			return nil, engine.Answer{Kind: engine.Refused, Wait: p.spec.Wait}
 		case d.Refused && d.Wait > 0:
-			return engine.Answer{Kind: engine.Refused, Wait: d.Wait}
+			return nil, engine.Answer{Kind: engine.Refused, Wait: d.Wait}
 		case d.Refused:
-			return engine.Answer{Kind: engine.Rejected, Why: "plug-in " + p.spec.Name + ": " + d.Reason}
+			return nil, engine.Answer{Kind: engine.Rejected, Why: "plug-in " + p.spec.Name + ": " + d.Reason}
 		}
 	}
 	if d == nil {
-		return f.next.Take(m)
+		return m, engine.Answer{}
 	}
 	altered := *m // the client's goroutine may still hold the old one
 	altered.Body = message.Bytes(d.Body)
 	if len(d.Only)+len(d.Prefer)+len(d.Header) > 0 {
 		altered.Extras = &message.Extras{Only: d.Only, Prefer: d.Prefer, Header: d.Header}
 	}
-	return f.next.Take(&altered)
+	return &altered, engine.Answer{}
 }
 
 func (s *set) admits(destination int, only []string) bool {
@@ -255,14 +286,41 @@
 
 func (c caller) CloseIdle() { c.next.CloseIdle() }
 
-// Call runs in the call's own goroutine.
+// Call runs in the call's own goroutine. A reply is shown to the plug-ins that there are when it comes.
 func (c caller) Call(ctx context.Context, a engine.Attempt) decide.Outcome {
-	s := c.r.now.Load()
+	if o, ready := c.prepare(ctx, &a); !ready {
+		return o
+	}
+	o := c.next.Call(ctx, a)
+	if a.Reply == nil || a.Reply.Status == 0 || o.Result == decide.NotSent {
+		return o
+	}
+	s := c.r.use()
+	defer s.giveBack()
+	for _, p := range s.pools {
+		if !p.spec.Binds(plugin.Reply, a.Class, a.Destination) {
+			continue
+		}
+		q := &plugin.Request{Point: plugin.Reply, ID: a.ID, Class: a.Class, Destination: a.Destination, Endpoint: c.name, Attempt: a.Number,
+			Status: a.Reply.Status, ReplyHeader: a.Reply.Header, ReplyBody: a.Reply.Body}
+		p.ask(q, func(r *plugin.Result) (err error) { // without its word the reply means what it says
+			o, err = plugin.Caution(o, r)
+			return err
+		})
+	}
+	return o
+}
+
+// prepare has the plug-ins set what an attempt sends. If it is not ready, its outcome is there.
+func (c caller) prepare(ctx context.Context, a *engine.Attempt) (o decide.Outcome, ready bool) {
+	s := c.r.use()
+	defer s.giveBack()
 	began := time.Now()
 	var content *plugin.Content
-	watched := false
 	for _, p := range s.pools {
-		watched = watched || p.spec.Binds(plugin.Reply, a.Class, a.Destination)
+		if p.spec.Binds(plugin.Reply, a.Class, a.Destination) {
+			a.Reply = &engine.Reply{Most: plugin.ReplyBody}
+		}
 		if !p.spec.Binds(plugin.Call, a.Class, a.Destination) {
 			continue
 		}
@@ -270,7 +328,7 @@
 			body, err := a.Body.Load()
 			if err != nil {
 				slog.Error("a body can't be read", "id", a.ID, "err", err)
-				return decide.Outcome{Result: decide.NotSent, Hold: p.spec.Wait}
+				return decide.Outcome{Result: decide.NotSent, Hold: p.spec.Wait}, false
 			}
 			content = &plugin.Content{Body: body, Header: a.Header}
 		}
@@ -285,34 +343,16 @@
 			return nil
 		})
 		if err != nil && !p.spec.Pass {
-			return decide.Outcome{Result: decide.NotSent, Hold: p.spec.Wait}
+			return decide.Outcome{Result: decide.NotSent, Hold: p.spec.Wait}, false
 		}
 	}
 	if content != nil {
 		a.Body, a.Header = message.Bytes(content.Body), content.Header
 		if a.Timeout -= time.Since(began); a.Timeout <= 0 || ctx.Err() != nil {
-			return decide.Outcome{Result: decide.NotSent}
+			return decide.Outcome{Result: decide.NotSent}, false
 		}
 	}
-	if watched {
-		a.Reply = &engine.Reply{Most: plugin.ReplyBody}
-	}
-	o := c.next.Call(ctx, a)
-	if !watched || a.Reply.Status == 0 || o.Result == decide.NotSent {
-		return o
-	}
-	for _, p := range s.pools {
-		if !p.spec.Binds(plugin.Reply, a.Class, a.Destination) {
-			continue
-		}
-		q := &plugin.Request{Point: plugin.Reply, ID: a.ID, Class: a.Class, Destination: a.Destination, Endpoint: c.name, Attempt: a.Number,
-			Status: a.Reply.Status, ReplyHeader: a.Reply.Header, ReplyBody: a.Reply.Body}
-		p.ask(q, func(r *plugin.Result) (err error) { // without its word the reply means what it says
-			o, err = plugin.Caution(o, r)
-			return err
-		})
-	}
-	return o
+	return o, true
 }
 
 // Ended is for the engine to tell of ends. It does not wait.
@@ -334,12 +374,14 @@
 		case <-r.ctx.Done():
 			return
 		case e := <-r.finals:
-			for _, p := range r.now.Load().pools {
+			s := r.use()
+			for _, p := range s.pools {
 				if p.spec.Binds(plugin.Final, e.Class, e.Destination) {
 					p.ask(&plugin.Request{Point: plugin.Final, ID: e.ID, Class: e.Class, Destination: e.Destination, End: e.How},
 						func(*plugin.Result) error { return errors.New("after the end nothing can be changed") })
 				}
 			}
+			s.giveBack()
 		}
 	}
 }
--- a/internal/plugin/runner/runner_test.go
+++ b/internal/plugin/runner/runner_test.go
@@ -20,13 +20,20 @@
 	"scaleroute/internal/plugin"
 	"scaleroute/internal/plugin/host"
 	"scaleroute/internal/plugin/hostile"
+	"scaleroute/internal/plugin/pipe"
 	"scaleroute/internal/plugin/script"
 )
 
 // TestMain lets the test program be the process that runs a plug-in.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 2 && os.Args[1] == "serve-plugin" {
-		os.Exit(host.Main())
+	if len(os.Args) == 2 {
+		switch os.Args[1] {
+		case "serve-plugin":
+			os.Exit(host.Main())
+		case "answer-late":
+			answerLate()
+			os.Exit(0)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -95,18 +102,19 @@
 		set        func(*plugin.Spec)
 		want       engine.Answer
 		body, more string
+		why        string // a part of the last error
 	}{
-		{"nothing", "return None", nil, engine.Answer{Kind: engine.Taken}, "body", ""},
-		{"altered", `return change(body = message.body.upper(), header = {"X-A": "1"}, only = ["b"], prefer = ["b"])`, nil, engine.Answer{Kind: engine.Taken}, "BODY", "[b] [b] [{X-A 1}]"},
-		{"refused", `return refuse("not\r\nhere")`, nil, engine.Answer{Kind: engine.Rejected, Why: "plug-in p: not  here"}, "", ""},
-		{"refused for a while", `return refuse("later", retry_after = "2s")`, nil, engine.Answer{Kind: engine.Refused, Wait: 2 * time.Second}, "", ""},
-		{"another's endpoint", `return change(only = ["other"])`, nil, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", ""},
-		{"one that drains", `return change(only = ["drains"])`, pass, engine.Answer{Kind: engine.Taken}, "body", ""},
-		{"another id", `return change(body = "x", header = {"Req-Id": "0"})`, pass, engine.Answer{Kind: engine.Taken}, "body", ""},
-		{"an endless loop", "while True:\n        pass", nil, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", ""},
-		{"an endless loop, passed", "while True:\n        pass", pass, engine.Answer{Kind: engine.Taken}, "body", ""},
-		{"a gigabyte", "x = \"x\"\n    for i in range(30):\n        x = x + x\n    return change(body = x)", nil, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", ""},
-		{"one step without end", "x = 3\n    for i in range(60):\n        x = x * x", impatient, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", ""},
+		{"nothing", "return None", nil, engine.Answer{Kind: engine.Taken}, "body", "", ""},
+		{"altered", `return change(body = message.body.upper(), header = {"X-A": "1"}, only = ["b"], prefer = ["b"])`, nil, engine.Answer{Kind: engine.Taken}, "BODY", "[b] [b] [{X-A 1}]", ""},
+		{"refused", `return refuse("not\r\nhere")`, nil, engine.Answer{Kind: engine.Rejected, Why: "plug-in p: not  here"}, "", "", ""},
+		{"refused for a while", `return refuse("later", retry_after = "2s")`, nil, engine.Answer{Kind: engine.Refused, Wait: 2 * time.Second}, "", "", ""},
+		{"another's endpoint", `return change(only = ["other"])`, nil, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", "", ""},
+		{"one that drains", `return change(only = ["drains"])`, pass, engine.Answer{Kind: engine.Taken}, "body", "", ""},
+		{"another id", `return change(body = "x", header = {"Req-Id": "0"})`, pass, engine.Answer{Kind: engine.Taken}, "body", "", ""},
+		{"an endless loop", "while True:\n        pass", nil, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", "", ""},
+		{"an endless loop, passed", "while True:\n        pass", pass, engine.Answer{Kind: engine.Taken}, "body", "", ""},
+		{"a gigabyte", "x = \"x\"\n    for i in range(30):\n        x = x + x\n    return change(body = x)", nil, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", "", "its process ended"},
+		{"one step without end", "x = 3\n    for i in range(60):\n        x = x * x", impatient, engine.Answer{Kind: engine.Refused, Wait: time.Second}, "", "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if c.set == nil {
@@ -116,6 +124,11 @@
 			if got := handIn(r.Front(k), "body"); got.Kind != c.want.Kind || got.Why != c.want.Why || got.Wait != c.want.Wait {
 				t.Fatalf("%+v, %+v is wanted; %+v", got, c.want, r.Status())
 			}
+			if c.why != "" {
+				if s := r.Status()[0]; len(s.Errors) == 0 || !strings.Contains(s.Errors[0].Error, c.why) {
+					t.Errorf("%+v", s)
+				}
+			}
 			if len(k.list) == 0 {
 				return
 			}
@@ -131,6 +144,46 @@
 	}
 }
 
+// answerLate is a process whose first answer comes too late, and names the message that it is about.
+func answerLate() {
+	c := pipe.New(os.Stdin, os.Stdout)
+	c.Receive(&pipe.Start{}, 0)
+	c.Send(pipe.Started{Points: []plugin.Point{plugin.Intake}}, nil)
+	for n := 0; ; n++ {
+		q, err := c.Question()
+		if err != nil {
+			return
+		}
+		if n == 0 {
+			time.Sleep(150 * time.Millisecond)
+		}
+		c.Answer(&plugin.Result{HasBody: true, Body: []byte(q.ID)})
+	}
+}
+
+// TestLateAnswer: an answer that comes after its time is never taken for that to the next question.
+func TestLateAnswer(t *testing.T) {
+	r, k := New([]string{command(t)[0], "answer-late"}), &taker{}
+	t.Cleanup(r.Close)
+	if err := r.Load([]plugin.Spec{spec(t, "p", "def intake(message):\n    pass\n", func(s *plugin.Spec) {
+		s.Time, s.Allowance.Failures = 100*time.Millisecond, 1000
+	})}); err != nil {
+		t.Fatal(err)
+	}
+	f := r.Front(k)
+	for i := range 40 {
+		f.Take(&message.Message{ID: fmt.Sprint(i), Class: "note", Destination: 7, Left: 3 * time.Second, Read: time.Now(), Body: message.Bytes("b")})
+	}
+	for _, m := range k.list {
+		if body, _ := m.Body.Load(); string(body) != m.ID {
+			t.Errorf("message %s got the body of %s", m.ID, body)
+		}
+	}
+	if s := r.Status()[0]; s.Failed == 0 {
+		t.Errorf("none was late: %+v", s)
+	}
+}
+
 // TestTwoThatDisagree: the lower order is asked first; the next sees what it made; both must permit an endpoint.
 func TestTwoThatDisagree(t *testing.T) {
 	first := spec(t, "z", "def intake(message):\n    return change(body = message.body + \"1\", only = [\"a\", \"b\"], prefer = [\"b\"], header = {\"X\": \"1\"})\n", func(s *plugin.Spec) { s.Order = 1 })
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -203,8 +203,8 @@
 // since is the last start of the forwarder before a time: what it was told before that it does not know.
 func (l *Log) since(at time.Time) (start time.Time) {
 	for _, r := range l.starts {
-		if r.Ended.Before(at) && r.Ended.After(start) {
-			start = r.Ended
+		if r.Gone.Before(at) && r.Gone.After(start) {
+			start = r.Gone
 		}
 	}
 	return start
@@ -257,7 +257,8 @@
 			to, _ := slices.BinarySearchFunc(waits, c.First, func(w *Call, t time.Time) int { return w.Ended.Compare(t) })
 			for i := to - 1; i >= 0 && c.First.Sub(waits[i].Ended) < most; i-- {
 				w := waits[i]
-				if after := c.First.Sub(w.Ended); !w.Ended.Before(since) && after > limits.Wait && after < w.Wait {
+				// A call of an earlier life may be answered after its end: nobody hears that.
+				if after := c.First.Sub(w.Ended); !w.First.Before(since) && after > limits.Wait && after < w.Wait {
 					v.say(&v.WaitBroken, "%s went to %d %v after a wait of %v was told", c.ID, c.Endpoint.Group,
 						after.Round(time.Millisecond), w.Wait)
 					break
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -23,7 +23,11 @@
 	out := call(one, 10, 50, 0, May)
 	out.Ended = time.Time{}
 	bounced := Notice{ID: "m", Result: "bounced", At: at(300)}
-	restart := []Restart{{Ended: at(30), Ready: at(90)}}
+	restart := []Restart{{Ended: at(30), Gone: at(31), Ready: at(90)}}
+	late := *waits
+	late.Ended = at(40) // when its process had ended
+	changed := *done
+	changed.Body = 1
 	for _, c := range []struct {
 		name string
 		log  *Log
@@ -47,7 +51,7 @@
 		{"overdue", &Log{handed: []*Handed{handed(true)}, notices: []Notice{{ID: "m", Result: "dead", At: at(5400)}}},
 			Verdict{Failed: 1, Late: 1, Lost: 1, LimitBroken: 1}},
 		{"overdue as it was away", &Log{handed: []*Handed{handed(true)}, notices: []Notice{{ID: "m", Result: "dead", At: at(5400)}},
-			starts: []Restart{{Ended: at(4900), Ready: at(5100)}}}, Verdict{Failed: 1, Late: 1}},
+			starts: []Restart{{Ended: at(4900), Gone: at(4901), Ready: at(5100)}}}, Verdict{Failed: 1, Late: 1}},
 		{"refused though it may have run", &Log{handed: []*Handed{handed(true)}, calls: []*Call{call(one, 10, 20, 500, May)},
 			notices: []Notice{bounced}}, Verdict{Refused: 1, Twice: 1}},
 		{"the same, and harmless", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 10, 20, 500, May)},
@@ -63,6 +67,10 @@
 		{"after a wait", &Log{handed: []*Handed{handed(false)}, calls: []*Call{waits, call(one, 1020, 1030, 200, Yes)}}, Verdict{Delivered: 1}},
 		{"a wait ends with a restart", &Log{handed: []*Handed{handed(false)}, calls: []*Call{waits, call(one, 200, 210, 200, Yes)},
 			starts: restart}, Verdict{Delivered: 1}},
+		{"a wait told to one that has ended", &Log{handed: []*Handed{handed(false)}, calls: []*Call{&late, call(one, 200, 210, 200, Yes)},
+			starts: restart}, Verdict{Delivered: 1}},
+		{"changed on its way, and another version of it", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 10, 20, 503, Never), &changed}},
+			Verdict{Delivered: 1, Changed: 1, Versions: 1}},
 		{"to one that drains", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 2000, 2010, 200, Yes)},
 			told: []Told{{"one", Draining, at(900)}}}, Verdict{Delivered: 1, DrainBroken: 1}},
 		{"gone counts from the drain on", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 2000, 2010, 200, Yes)},
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -92,7 +92,8 @@
 
 // Restart is an end of the forwarder and its next start.
 type Restart struct {
-	Ended time.Time
+	Ended time.Time // it was about to be ended
+	Gone  time.Time // it had ended: no call of it begins later
 	Ready time.Time
 }
 
