--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -143,7 +143,7 @@
 		var now, spent, longest, openUntil time.Duration
 		row := 0
 		for range 400 {
-			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond
 			if v, ticket := g.Admit(now); v == Run {
 				if now < openUntil {
 					t.Fatalf("asked at %v, and the circuit was to be open until %v", now, openUntil)
@@ -159,7 +159,7 @@
 				}
 				out = append(out, call{ticket, now})
 			}
-			if len(out) > 0 && (len(out) > 3 || rapid.Bool().Draw(t, "ends")) {
+			if len(out) > 0 && (len(out) > 3 || rapid.IntRange(0, 7).Draw(t, "ends") == 0) {
 				i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
 				c := out[i]
 				out = slices.Delete(out, i, i+1)
