Limit waits, calls out, rate, retry ratio and connect time by the operators' file

They can only tighten: a ratio over 0.2 or a wait under the module's own is refused, and waits that double count in the arithmetic of what can finish in time, with all places named. The module alone applies them; a rate bounds trial calls too.

--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -115,7 +115,11 @@
 		return o
 	}
 	end := began.Add(timeout)
-	c, err := t.pool.get(ctx, t.host, timeout)
+	connect := timeout
+	if a.Connect > 0 {
+		connect = min(connect, a.Connect)
+	}
+	c, err := t.pool.get(ctx, t.host, connect)
 	if err != nil {
 		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -107,6 +107,12 @@
 type Limits struct {
 	Attempts int           // for one message
 	Answer   time.Duration // how long one attempt may wait for its answer
+	Wait     time.Duration // before the first further try, still jittered; it doubles from there
+
+	// Of all messages for a destination together: they are asked for without a class.
+	Out   int     // calls out at once, of each route
+	Rate  float64 // calls a second, of each route, by this forwarder
+	Ratio float64 // further tries, as a share of first tries
 }
 
 // Weights says what the weight of a target means.
--- a/internal/decide/limits_test.go
+++ b/internal/decide/limits_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -51,3 +52,105 @@
 		}
 	}
 }
+
+// TestDestinationLimits: calls out at once, calls a second, further tries as a share of first tries and the first wait hold for
+// the destination that they are set for, also from the next message on after they were changed, and for no other.
+func TestDestinationLimits(t *testing.T) {
+	set := Limits{Out: 3, Rate: 40, Ratio: 0.05, Wait: 2 * time.Second}
+	f, err := New(Settings{Slots: 200, Seed: 5, MaxAttempts: 6, ConnIdle: time.Minute, ConnectLimit: time.Second, AdviceLimit: time.Second, StartCapacity: 1,
+		TipMultiple: 2, Fall: time.Second, Classes: []Class{{Name: "note", Deadline: 30 * time.Second, Aim: 3 * time.Second, Worth: 1}},
+		Limits: func(_ string, dest int) Limits {
+			if dest == 1 {
+				return set
+			}
+			return Limits{}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	type state struct {
+		out, most, sent, first, further int
+		paused                          time.Duration // before further tries, in all
+	}
+	type sent struct {
+		dest, attempt int
+		at, end       time.Duration
+	}
+	calls, last := map[string]sent{}, map[string]time.Duration{}
+	tries := map[string]int{}
+	down := false
+	count := map[int]*state{1: {}, 2: {}}
+	events := []Event{TargetList{Scope: Whole, Targets: []Target{{ID: "a", Destination: 1}, {ID: "b", Destination: 1}, {ID: "c", Destination: 2}}}}
+	run := func(from, to time.Duration, each int) {
+		count[1], count[2] = &state{out: count[1].out}, &state{out: count[2].out}
+		for now := from; now < to; now += 10 * time.Millisecond {
+			for i := range each {
+				for dest := 1; dest <= 2; dest++ {
+					events = append(events, Message{ID: fmt.Sprint(dest, now, i), Class: "note", Destination: dest, Left: 30 * time.Second})
+				}
+			}
+			for id, c := range calls {
+				if now >= c.end {
+					o := Outcome{Message: id, Attempt: c.attempt, Target: "x", Result: Done, Over: true, Took: c.end - c.at}
+					if down {
+						o.Result, o.Over = ConnectFailed, false
+						last[id] = now
+					} else if len(id)%7 == 0 || now/time.Millisecond%130 == 0 { // some fail
+						o.Result, o.Over = Errored, false
+						last[id] = now
+					}
+					events = append(events, o)
+					count[c.dest].out--
+					delete(calls, id)
+				}
+			}
+			for _, a := range f.Step(now, events) {
+				s, ok := a.(Send)
+				if !ok {
+					continue
+				}
+				dest := 1
+				if s.Target == "c" {
+					dest = 2
+				}
+				n := count[dest]
+				n.out++
+				n.sent++
+				n.most = max(n.most, n.out)
+				if tries[s.Message] > 0 {
+					n.further++
+					n.paused += now - last[s.Message]
+				} else {
+					n.first++
+				}
+				calls[s.Message] = sent{dest, tries[s.Message], now, now + 150*time.Millisecond}
+				tries[s.Message]++
+			}
+			events = []Event{Woken{}}
+		}
+	}
+	run(0, 10*time.Second, 1)
+	if one, two := *count[1], *count[2]; one.most > 3 || one.sent > 200+1 || float64(one.further) > 0.05*float64(one.first)+1 || two.most < 10 || two.sent < 900 || two.further == 0 {
+		t.Errorf("limited: %+v; not limited: %+v", one, two)
+	}
+	if one, two := count[1], count[2]; one.further == 0 || one.paused/time.Duration(max(1, one.further)) < 500*time.Millisecond || two.paused/time.Duration(max(1, two.further)) > 400*time.Millisecond {
+		t.Errorf("paused %v and %v before further tries", one.paused/time.Duration(max(1, one.further)), two.paused/time.Duration(max(1, two.further)))
+	}
+	set = Limits{Out: 2, Rate: 1000}
+	run(10*time.Second, 20*time.Second, 1)
+	if one := *count[1]; one.most > 3 || one.sent < 100 || one.sent > 10*1000/150*2+3 {
+		t.Errorf("with other limits: %+v", one)
+	}
+	set = Limits{Rate: 5}
+	run(20*time.Second, 30*time.Second, 1)
+	if one := *count[1]; one.sent > 55 {
+		t.Errorf("at 5 a second for 10 s: %+v", one)
+	}
+	set, down = Limits{}, true
+	run(30*time.Second, 35*time.Second, 1)
+	set = Limits{Rate: 0.1}
+	run(35*time.Second, 55*time.Second, 1)
+	if one := *count[1]; one.sent > 4 || one.sent < 1 {
+		t.Errorf("at one in ten seconds for 20 s, and down: %+v", one)
+	}
+}
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -495,8 +495,8 @@
 	case r.open && r.trials > 0:
 		return never
 	case r.open:
-		return f.nextTrial(r)
-	case len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
+		return max(f.nextTrial(r), r.dest.limits.paced(min(r.free, r.interval+adjustEvery)))
+	case len(r.calls) >= r.dest.limits.out(max(2, int(slotShare*float64(f.set.Slots)))):
 		return never
 	case f.now < r.free:
 		return min(r.free, r.interval+adjustEvery) // the pace may rise then
@@ -734,7 +734,7 @@
 	}
 	m.after = max(m.after, f.now+o.Hold)
 	if !notSent {
-		m.after = f.now + f.jitter(first<<max(0, m.tries-1))
+		m.after = f.now + f.jitter(max(first, m.limits.Wait)<<max(0, m.tries-1))
 	}
 	f.hold(m)
 }
@@ -1203,14 +1203,15 @@
 // budgetRoom tells whether one more further try fits the budget: those of the last seconds, and
 // those granted, stay under the ratio of the first tries. One is in hand where none was made.
 func (f *Forwarder) budgetRoom(r *route) bool {
-	return r.further.get(f.now, memory)+float64(r.reserved) <= r.ratio*r.firsts.get(f.now, memory)
+	room := r.dest.limits.ratio(r.ratio) * r.firsts.get(f.now, memory)
+	return r.further.get(f.now, memory)+float64(r.reserved) <= room
 }
 
 // ---- Pace.
 
 // paceAt is the rate in calls a second at which this sender may call a route.
 func (f *Forwarder) paceAt(r *route, at time.Duration) float64 {
-	p := r.rate
+	p := r.dest.limits.rate(r.rate)
 	if fair := f.fairPart(r); fair > 0 { // more than the own part only while others leave room
 		old := min(1, (at-r.heard).Seconds()/rateSpan.Seconds())
 		room := r.room + (1-r.room)*old // what was told a while ago says little of now
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -111,6 +111,7 @@
 type dest struct {
 	id     int
 	seq    uint64 // in the order of making
+	limits *Limits
 	routes []*route
 	out    int           // calls
 	served time.Duration // its last turn
@@ -357,6 +358,36 @@
 	return &l
 }
 
+// out, rate and ratio are figures of the module's own, cut to a destination's limits.
+func (l *Limits) out(n int) int {
+	if l.Out > 0 {
+		return min(n, l.Out)
+	}
+	return n
+}
+
+func (l *Limits) rate(rate float64) float64 {
+	if l.Rate > 0 {
+		return min(rate, l.Rate)
+	}
+	return rate
+}
+
+// paced is when the next call may begin where a rate is set.
+func (l *Limits) paced(from time.Duration) time.Duration {
+	if l.Rate > 0 {
+		return from
+	}
+	return 0
+}
+
+func (l *Limits) ratio(ratio float64) float64 {
+	if l.Ratio > 0 {
+		return min(ratio, l.Ratio)
+	}
+	return ratio
+}
+
 // within is a time for an answer, cut to the message's limit.
 func (m *message) within(t time.Duration) time.Duration {
 	if m.limits.Answer > 0 {
@@ -477,10 +508,13 @@
 	d := f.dests[id]
 	if d == nil {
 		f.seq++
-		d = &dest{id: id, seq: f.seq, delayed: heap[*message]{less: leavesFirst, place: delayPlace}}
+		d = &dest{id: id, seq: f.seq, limits: &f.platform, delayed: heap[*message]{less: leavesFirst, place: delayPlace}}
 		f.dests[id] = d
 		f.mayBeQuiet(d)
 	}
+	if f.set.Limits != nil { // what is set now
+		d.limits = f.limits("", id)
+	}
 	return d
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -53,6 +53,7 @@
 	Body        message.Body
 	Header      []message.Field
 	Timeout     time.Duration // from now on
+	Connect     time.Duration // the same, for a connection to be made; 0: as the back has it
 	Reply       *Reply        // to be filled in, if it is wanted
 }
 
@@ -87,9 +88,10 @@
 
 // Limits tighten what is taken on; at 0 they don't.
 type Limits struct {
-	Whole time.Duration // how long a message may be delivered in all
-	Held  int           // messages held at once, for each destination apart
-	Rule  string        // under which those are counted
+	Whole   time.Duration // how long a message may be delivered in all
+	Connect time.Duration // how long a connection may take
+	Held    int           // messages held at once, for each destination apart
+	Rule    string        // under which those are counted
 }
 
 // Answer is what a front tells its client at once.
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -565,6 +565,9 @@
 	if x := e.saved.Extras; x != nil {
 		try.Header = x.Header
 	}
+	if l.limits != nil {
+		try.Connect = l.limits(e.saved.Class, e.saved.Dest).Connect
+	}
 	l.effects = append(l.effects, func() {
 		go func() {
 			if l.journal.Durability() == journal.Group { // it has waited for a sync
--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"scaleroute/internal/decide"
@@ -20,6 +22,13 @@
 	Answer       Duration `json:"answer,omitempty"`       // how long one attempt may wait for its answer; 0: not set
 	Whole        Duration `json:"whole,omitempty"`        // how long a message may be delivered in all; 0: not set
 	Held         int      `json:"held,omitempty"`         // messages held at once, for each destination apart; 0: not set
+	Connect      Duration `json:"connect,omitempty"`      // how long a connection may take; 0: not set
+	Wait         Duration `json:"wait,omitempty"`         // before the first further try, jittered; it doubles from there; 0: not set
+
+	// Of all messages for a destination together, whatever their class.
+	Out   int     `json:"out,omitempty"`   // calls out at once; 0: not set
+	Rate  float64 `json:"rate,omitempty"`  // calls a second; 0: not set
+	Ratio float64 `json:"ratio,omitempty"` // further tries as a share of first tries; 0: not set
 }
 
 // The figures that a limit may set.
@@ -28,20 +37,31 @@
 	answer
 	whole
 	held
+	connect
+	wait
+	out
+	rate
+	ratio
 	figures
 )
 
-var figureNames = [figures]string{"attempts", "answer", "whole", "held"}
+var figureNames = [figures]string{"attempts", "answer", "whole", "held", "connect", "wait", "out", "rate", "ratio"}
+
+var allFigures = []int{attempts, answer, whole, held, connect, wait, out, rate, ratio}
 
 // figure is one of them; 0 if it is not set.
-func (l *Limit) figure(n int) int64 {
-	return [figures]int64{int64(l.Attempts), int64(l.Answer), int64(l.Whole), int64(l.Held)}[n]
+func (l *Limit) figure(n int) float64 {
+	return [figures]float64{float64(l.Attempts), float64(l.Answer), float64(l.Whole), float64(l.Held), float64(l.Connect), float64(l.Wait),
+		float64(l.Out), l.Rate, l.Ratio}[n]
 }
 
 // show is one of them as it is written.
 func (l *Limit) show(n int) string {
-	if n == answer || n == whole {
+	switch n {
+	case answer, whole, connect, wait:
 		return time.Duration(l.figure(n)).String()
+	case rate:
+		return fmt.Sprint(l.Rate, "/s")
 	}
 	return fmt.Sprint(l.figure(n))
 }
@@ -52,6 +72,13 @@
 	mostHeld     = 10_000_000
 	leastWhole   = 100 * time.Millisecond
 	mostWhole    = 24 * time.Hour
+	leastWait    = 100 * time.Millisecond // the module's own first wait
+	mostWait     = time.Minute
+	mostOut      = 100_000
+	leastRate    = 0.01
+	mostRate     = 1e6
+	leastRatio   = 0.01 // the module's own floor and cap: with more, repeats could exceed a third of first tries
+	mostRatio    = 0.2
 )
 
 // scope is one kind of message that rules name: a class or any, a destination or any.
@@ -98,7 +125,7 @@
 		rule := &c.Limits[i]
 		for _, s := range rule.scopes() {
 			for n := range l.by {
-				if rule.figure(n) > 0 {
+				if rule.figure(n) != 0 {
 					l.by[n][s] = rule
 				}
 			}
@@ -125,6 +152,18 @@
 	if rule := l.of(answer, class, dest); rule != nil {
 		m.Answer = time.Duration(rule.Answer)
 	}
+	if rule := l.of(wait, class, dest); rule != nil {
+		m.Wait = time.Duration(rule.Wait)
+	}
+	if rule := l.of(out, "", dest); rule != nil {
+		m.Out = rule.Out
+	}
+	if rule := l.of(rate, "", dest); rule != nil {
+		m.Rate = rule.Rate
+	}
+	if rule := l.of(ratio, "", dest); rule != nil {
+		m.Ratio = rule.Ratio
+	}
 	return m
 }
 
@@ -137,6 +176,9 @@
 	if rule := l.of(held, class, dest); rule != nil {
 		i.Rule, i.Held = rule.Name, rule.Held
 	}
+	if rule := l.of(connect, class, dest); rule != nil {
+		i.Connect = time.Duration(rule.Connect)
+	}
 	return i
 }
 
@@ -165,8 +207,28 @@
 		if l.Held < 0 || l.Held > mostHeld {
 			add(key+".held", fmt.Sprintf("%d messages held", l.Held), fmt.Sprintf("set from 1 to %d", mostHeld))
 		}
-		if l.Attempts == 0 && l.Answer == 0 && l.Whole == 0 && l.Held == 0 {
-			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set attempts, answer, whole or held, or take them out")
+		span := func(name string, d Duration, least, most time.Duration) {
+			if d != 0 && (d < Duration(least) || d > Duration(most)) {
+				add(key+"."+name, fmt.Sprintf("%s is %v", name, time.Duration(d)), fmt.Sprintf("set from %v to %v", least, most))
+			}
+		}
+		span("connect", l.Connect, 10*time.Millisecond, time.Minute)
+		span("wait", l.Wait, leastWait, mostWait)
+		number := func(name string, v, least, most float64, why string) {
+			if v != 0 && !(v >= least && v <= most) { // not a number counts as well
+				add(key+"."+name, fmt.Sprintf("%s is %v", name, v), fmt.Sprintf("set from %v to %v%s", least, most, why))
+			}
+		}
+		number("out", float64(l.Out), 1, mostOut, "")
+		number("rate", l.Rate, leastRate, mostRate, " a second")
+		number("ratio", l.Ratio, leastRatio, mostRatio, ": with more, repeats could exceed a third of first tries")
+		for _, n := range []int{out, rate, ratio} {
+			if l.figure(n) != 0 && len(l.Classes) > 0 {
+				add(key+"."+figureNames[n], fmt.Sprintf("%s counts all calls to a destination, and this block names classes", figureNames[n]), "set it in a block without classes")
+			}
+		}
+		if !slices.ContainsFunc(allFigures, func(n int) bool { return l.figure(n) != 0 }) {
+			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set "+strings.Join(figureNames[:figures-1], ", ")+" or "+figureNames[figures-1]+", or take them out")
 		}
 		for _, s := range l.scopes() {
 			for n, name := range figureNames {
@@ -223,8 +285,8 @@
 	c.pluginsAgainst(classes, names, add)
 	limits := c.NewLimits()
 	told := map[string]bool{}
-	check := func(k decide.Class, s scope, attempts, answer, whole *Limit) {
-		if answer == nil {
+	check := func(k decide.Class, s scope, attempts, answer, whole, wait *Limit) {
+		if answer == nil && wait == nil {
 			return
 		}
 		has, said := k.Deadline, fmt.Sprintf("class %s has %v", k.Name, k.Deadline)
@@ -236,17 +298,38 @@
 		if attempts != nil {
 			n, by = attempts.Attempts, "limits."+attempts.Name+".attempts"
 		}
-		need := time.Duration(n) * time.Duration(answer.Answer)
-		key := "limits." + answer.Name + ".answer"
+		if attempts == nil && wait != nil {
+			n = 2 // one further try, at least, is what the wait is before
+		}
+		var each, waits time.Duration
+		var what, key, remedy string
+		if answer != nil {
+			each, key = time.Duration(answer.Answer), "limits."+answer.Name+".answer"
+			what = fmt.Sprintf("%d attempts of %v", n, each)
+		}
+		if wait != nil && n > 1 {
+			// As long as they can get: each is drawn between nothing and twice the one before.
+			waits = time.Duration(min(float64(wait.Wait)*float64(uint64(1)<<min(n-1, 32)-1), float64(math.MaxInt64/4)))
+			at := "limits." + wait.Name + ".wait"
+			if key == "" {
+				key, what, remedy = at, fmt.Sprintf("waits of up to %v before %d attempts", waits, n), "set a shorter wait, or fewer attempts"
+			} else {
+				what += fmt.Sprintf(" and waits of up to %v (%s)", waits, cmp.Or(c.Where[at], at))
+			}
+		}
+		need := time.Duration(n)*each + waits
 		if need <= has || told[key+by+k.Name] {
 			return
 		}
 		told[key+by+k.Name] = true
-		what := fmt.Sprintf("for %v, %d attempts of %v need %v, and %s", s, n, time.Duration(answer.Answer), need, said)
+		what = fmt.Sprintf("for %v, %s need %v, and %s", s, what, need, said)
 		if by != "" {
 			what += fmt.Sprintf(" (the attempts: %s)", cmp.Or(c.Where[by], by))
 		}
-		add(key, what, fmt.Sprintf("set answer to %v at most, or fewer attempts", (has/time.Duration(n)).Truncate(time.Millisecond)))
+		if left := (has - waits) / time.Duration(n); answer != nil && left >= time.Millisecond {
+			remedy = fmt.Sprintf("set answer to %v at most, or fewer attempts", left.Truncate(time.Millisecond))
+		}
+		add(key, what, cmp.Or(remedy, "set a shorter wait, or fewer attempts"))
 	}
 	sorted := make([]int, 0, len(dests))
 	for d := range dests {
@@ -255,9 +338,9 @@
 	slices.Sort(sorted)
 	for _, k := range set.Classes {
 		most := func(n int) *Limit { return cmp.Or(limits.by[n][scope{class: k.Name}], limits.by[n][scope{}]) }
-		check(k, scope{class: k.Name}, most(attempts), most(answer), most(whole))
+		check(k, scope{class: k.Name}, most(attempts), most(answer), most(whole), most(wait))
 		for _, d := range sorted {
-			check(k, scope{k.Name, d, true}, limits.of(attempts, k.Name, d), limits.of(answer, k.Name, d), limits.of(whole, k.Name, d))
+			check(k, scope{k.Name, d, true}, limits.of(attempts, k.Name, d), limits.of(answer, k.Name, d), limits.of(whole, k.Name, d), limits.of(wait, k.Name, d))
 		}
 	}
 	return list
--- a/internal/operator/limits_test.go
+++ b/internal/operator/limits_test.go
@@ -53,7 +53,10 @@
 			if pick(3) == 0 {
 				l.Whole = Duration(time.Duration(1+pick(5)) * 700 * time.Millisecond)
 			}
-			if l.Attempts+int(l.Answer)+int(l.Whole) == 0 {
+			if pick(3) == 0 {
+				l.Wait = Duration(time.Duration(1+pick(4)) * 200 * time.Millisecond)
+			}
+			if l.Attempts+int(l.Answer)+int(l.Whole)+int(l.Wait) == 0 {
 				l.Attempts = 1
 			}
 			switch pick(3) {
@@ -82,8 +85,18 @@
 				if has == 0 || time.Duration(has) > k.Deadline {
 					has = int64(k.Deadline)
 				}
-				twice = twice || t1 || t2 || t3
-				bad = bad || max(1, n)*each > has
+				wait, t4 := oracle(c, k.Name, dest, func(l Limit) int64 { return int64(l.Wait) })
+				twice = twice || t1 || t2 || t3 || t4
+				tries := max(1, n)
+				if n == 0 && wait > 0 {
+					tries = 2
+				}
+				need := each // the first attempt, and then each with the wait before it, which doubles
+				for range tries - 1 {
+					need += wait + each
+					wait *= 2
+				}
+				bad = bad || need > has
 			}
 		}
 		checked := len(c.Check()) == 0
@@ -109,7 +122,8 @@
 			for _, dest := range []int{1, 2, 3} {
 				n, _ := oracle(c, k.Name, dest, func(l Limit) int64 { return int64(l.Attempts) })
 				each, _ := oracle(c, k.Name, dest, func(l Limit) int64 { return int64(l.Answer) })
-				if got := limits.For(k.Name, dest); int64(got.Attempts) != n || int64(got.Answer) != each {
+				pause, _ := oracle(c, k.Name, dest, func(l Limit) int64 { return int64(l.Wait) })
+				if got := limits.For(k.Name, dest); int64(got.Attempts) != n || int64(got.Answer) != each || int64(got.Wait) != pause {
 					t.Fatalf("%+v: for %s to %d got %+v, want %d and %v", c.Limits, k.Name, dest, got, n, time.Duration(each))
 				}
 			}
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -332,7 +333,7 @@
 		l.fail(block.DefRange(), "limits take one name", `Write limits "NAME" { ... }.`)
 		return
 	}
-	l.known(block.Body, "limits", "classes", "destinations", "attempts", "answer", "whole", "held")
+	l.known(block.Body, "limits", "classes", "destinations", "attempts", "answer", "whole", "held", "connect", "wait", "out", "rate", "ratio")
 	rule, wrong := operator.Limit{Name: block.Labels[0]}, len(l.diags)
 	key := "limits." + rule.Name
 	if at, twice := l.limAt[key]; twice {
@@ -347,24 +348,29 @@
 		switch name {
 		case "classes", "destinations":
 			l.bound(a, &rule.Classes, &rule.Destinations)
-		case "attempts", "held":
+		case "attempts", "held", "out":
 			if v, ok := l.value(a); ok {
 				list, ok := numbers(cty.TupleVal([]cty.Value{v}))
 				if !ok || list[0] < 1 {
 					l.fail(at, name+" is a whole number, 1 or more", fmt.Sprintf("Write %s = 2.", name))
-				} else if name == "held" {
-					rule.Held = list[0]
 				} else {
-					rule.Attempts = list[0]
+					*map[string]*int{"attempts": &rule.Attempts, "held": &rule.Held, "out": &rule.Out}[name] = list[0]
 				}
 			}
-		case "answer", "whole":
+		case "answer", "whole", "connect", "wait":
 			if d, ok := l.duration(a); ok && d == 0 {
 				l.fail(at, name+" needs time", fmt.Sprintf(`Write %s = "800ms".`, name))
-			} else if ok && name == "whole" {
-				rule.Whole = d
 			} else if ok {
-				rule.Answer = d
+				*map[string]*operator.Duration{"answer": &rule.Answer, "whole": &rule.Whole, "connect": &rule.Connect, "wait": &rule.Wait}[name] = d
+			}
+		case "rate":
+			rule.Rate = l.rate(a)
+		case "ratio":
+			if v, ok := l.value(a); ok && v.Type() == cty.Number {
+				rule.Ratio, _ = v.AsBigFloat().Float64()
+			}
+			if rule.Ratio <= 0 {
+				l.fail(at, "ratio is a share", "Write ratio = 0.1 for one further try in ten first ones.")
 			}
 		}
 	}
@@ -390,6 +396,29 @@
 	return list, true
 }
 
+// rate reads a number of calls with its unit of time.
+func (l *loader) rate(a *hclsyntax.Attribute) float64 {
+	v, ok := l.value(a)
+	if !ok {
+		return 0
+	}
+	at := a.Expr.Range()
+	if v.Type() == cty.Number {
+		n := v.AsBigFloat().Text('f', -1)
+		l.fail(at, fmt.Sprintf("%s = %s has no unit", a.Name, n), fmt.Sprintf(`Write "%s/s" for calls a second or "%s/m" for calls a minute.`, n, n))
+		return 0
+	}
+	per := map[string]float64{"s": 1, "m": 60, "h": 3600}
+	if v.Type() == cty.String {
+		number, unit, _ := strings.Cut(v.AsString(), "/")
+		if n, err := strconv.ParseFloat(strings.TrimSpace(number), 64); err == nil && n > 0 && per[strings.TrimSpace(unit)] > 0 {
+			return n / per[strings.TrimSpace(unit)]
+		}
+	}
+	l.fail(at, a.Name+" is a number of calls in a time", `Write "120/s" or "30/m".`)
+	return 0
+}
+
 // put notes one setting. Two files that set it alike agree; otherwise neither is taken for meant.
 func (l *loader) put(key string, value any, at hcl.Range) {
 	if old, twice := l.set[key]; twice && old.value != value {
