--- a/cmd/scaleroute-lab/operators.go
+++ b/cmd/scaleroute-lab/operators.go
@@ -41,7 +41,7 @@
 		class = standin.Unsafe
 	}
 	calls, intake := o.limits.For(class, destination), o.limits.Intake(class, destination)
-	return standin.Set{Attempts: calls.Attempts, Answer: calls.Answer, Whole: intake.Whole}
+	return standin.Set{Attempts: calls.Attempts, Answer: calls.Answer, Whole: intake.Whole, Out: calls.Out, Rate: calls.Rate}
 }
 
 // reload has the program read its file again: cut short, which it must not take, or whole.
--- a/internal/back/httpcall/call_test.go
+++ b/internal/back/httpcall/call_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -425,3 +428,34 @@
 		}
 	}
 }
+
+// TestConnectTime: where a time for connections is set, one that does not come up by then has failed, and never ran.
+func TestConnectTime(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	own, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", own.(*syscall.SockaddrInet4).Port)
+	for range 4 { // the queue of connections that nobody accepts is full then: more get no answer
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	b := testTargets()
+	b.List(engine.List{Endpoints: []engine.Endpoint{{Target: decide.Target{ID: "s"}, Address: address}}})
+	began := time.Now()
+	o := b.Endpoint("s").Call(t.Context(), engine.Attempt{ID: "7f", Body: message.Bytes("b"), Timeout: 30 * time.Second, Connect: 50 * time.Millisecond})
+	if o.Result != decide.ConnectFailed || time.Since(began) > 20*time.Second {
+		t.Errorf("%+v after %v", o, time.Since(began))
+	}
+}
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -37,6 +37,7 @@
 			v.say(&v.WrongGroup, "%s is for %d and went to %s of %d", c.ID, h.Destination, c.Endpoint.Name, c.Endpoint.Group)
 		}
 	}
+	l.checkDestinations(v, limits)
 	l.checkDrains(v, limits)
 	l.checkWaits(v, limits)
 	return v
@@ -200,6 +201,47 @@
 	}
 }
 
+const (
+	endLag   = 20 * time.Millisecond // until the forwarder's end of a call is seen at the endpoint's
+	rateSpan = 2 * time.Second
+	rateMore = 3 // calls in a span that a pace's one in hand, and what was on its way, may come to
+)
+
+// checkDestinations looks for more calls at once to a destination, or in a span, than operators have set.
+func (l *Log) checkDestinations(v *Verdict, limits Limits) {
+	if limits.Set == nil {
+		return
+	}
+	byGroup := map[int][]*Call{}
+	for _, c := range l.calls {
+		byGroup[c.Endpoint.Group] = append(byGroup[c.Endpoint.Group], c)
+	}
+	for group, calls := range byGroup {
+		set := limits.Set(false, group)
+		if set.Out == 0 && set.Rate == 0 {
+			continue
+		}
+		slices.SortFunc(calls, func(a, b *Call) int { return a.First.Compare(b.First) })
+		from := 0
+		var out []*Call
+		for i, c := range calls {
+			since := l.since(c.First) // a process knows nothing of the calls of the one before
+			out = slices.DeleteFunc(out, func(o *Call) bool {
+				return o.First.Before(since) || !o.Ended.IsZero() && o.Ended.Before(c.First.Add(endLag))
+			})
+			if out = append(out, c); set.Out > 0 && len(out) > set.Out {
+				v.say(&v.LimitBroken, "%d calls are out to %d at once, %d are set", len(out), group, set.Out)
+			}
+			for calls[from].First.Before(since) || c.First.Sub(calls[from].First) > rateSpan {
+				from++
+			}
+			if n := i - from + 1; set.Rate > 0 && float64(n) > set.Rate*rateSpan.Seconds()+rateMore {
+				v.say(&v.LimitBroken, "%d calls went to %d within %v, %v a second are set", n, group, rateSpan, set.Rate)
+			}
+		}
+	}
+}
+
 // since is the last start of the forwarder before a time: what it was told before that it does not know.
 func (l *Log) since(at time.Time) (start time.Time) {
 	for _, r := range l.starts {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -28,11 +29,28 @@
 	late.Ended = at(40) // when its process had ended
 	changed := *done
 	changed.Body = 1
+	many := func(e *Endpoint, n, each, takes int) (l *Log) {
+		l = &Log{handed: []*Handed{}}
+		for i := range n {
+			c := call(e, i*each, i*each+takes, 200, Yes)
+			c.ID = fmt.Sprint("n", i)
+			h := handed(false)
+			h.ID, h.Destination = c.ID, e.Group
+			l.calls, l.handed = append(l.calls, c), append(l.handed, h)
+		}
+		return l
+	}
+	busy := &Endpoint{Name: "busy", Group: 9}
 	for _, c := range []struct {
 		name string
 		log  *Log
 		want Verdict
 	}{
+		{"three out at once where two are set", many(busy, 3, 300, 950), Verdict{Delivered: 3, LimitBroken: 1}},
+		{"two out at once where two are set", many(busy, 4, 300, 550), Verdict{Delivered: 4}},
+		{"more in a span than set", many(busy, 14, 150, 100), Verdict{Delivered: 14, LimitBroken: 1}},
+		{"as many as set", many(busy, 14, 210, 100), Verdict{Delivered: 14}},
+
 		{"more attempts than set", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 10, 20, 503, Never), call(one, 30, 40, 503, Never), done}},
 			Verdict{Delivered: 1, LimitBroken: 1}},
 		{"a longer call than set", &Log{handed: []*Handed{handed(false)}, calls: []*Call{call(one, 100, 1500, 200, Yes)}}, Verdict{Delivered: 1, LimitBroken: 1}},
@@ -82,7 +100,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			rules := Rules
-			rules.Set = func(bool, int) Set { return Set{Attempts: 2, Answer: time.Second, Whole: 4 * time.Second} }
+			rules.Set = func(_ bool, dest int) Set {
+				if dest == 9 {
+					return Set{Out: 2, Rate: 5}
+				}
+				return Set{Attempts: 2, Answer: time.Second, Whole: 4 * time.Second}
+			}
 			got := c.log.Check(rules)
 			got.Handed, got.Calls, got.Examples, got.at = 0, 0, nil, time.Time{}
 			if !reflect.DeepEqual(*got, c.want) {
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -243,6 +243,10 @@
 	Attempts int
 	Answer   time.Duration // for one call
 	Whole    time.Duration // until its end
+
+	// Of all messages for a destination.
+	Out  int     // calls out at once
+	Rate float64 // calls a second
 }
 
 // Rules are the limits of the protocol.
