Take static endpoints with backups from the operators' file, merged with discovery's by a rule

Pools in the file, and package membership, free of I/O: an endpoint serves only while every source that names it says so; where it is, the highest source that names it says. The decision module calls a backup only while the others of its destination fail or are away. SIGHUP takes changed pools; a removed one is gone for new calls.

--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -18,6 +18,7 @@
 	"scaleroute/internal/engine"
 	"scaleroute/internal/front/resp2"
 	"scaleroute/internal/journal"
+	"scaleroute/internal/membership"
 	"scaleroute/internal/operator"
 )
 
@@ -84,6 +85,12 @@
 	if first != nil {
 		lists = append(lists, first.As(decide.Whole))
 	}
+	heard := func(list *agent.List) { l.List(list.Told()) }
+	if operators.file != "" {
+		operators.sources = &sources{to: l.List}
+		lists = operators.sources.start(operators.now.Endpoints(), lists...)
+		heard = func(list *agent.List) { operators.sources.tell(membership.Agent, list.Told()) }
+	}
 	l.Recover(lists...) // before any PING is answered
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -110,7 +117,7 @@
 	if c.Limits.MemoryMB >= roomyMB {
 		wg.Go(func() { spendMemory(ctx, memory/spentPart) })
 	}
-	wg.Go(func() { p.Watch(ctx, first, func(list *agent.List) { l.List(list.Told()) }) })
+	wg.Go(func() { p.Watch(ctx, first, heard) })
 	wg.Go(func() { p.Deliver(ctx, l.Heard) })
 	wg.Go(func() { reload(ctx, hup, c.File, p, operators) })
 	wg.Go(func() { clients.Serve(ctx) })
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -6,11 +6,14 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"reflect"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
+	"scaleroute/internal/membership"
 	"scaleroute/internal/operator"
 	"scaleroute/internal/plugin/runner"
 )
@@ -23,7 +26,8 @@
 	platform decide.Settings
 	limits   atomic.Pointer[operator.Limits]
 	plugins  *runner.Runner // nil if nothing is set
-	most     int            // processes of plug-ins: descriptors are kept for so many, and as many while they are replaced
+	sources  *sources
+	most     int // processes of plug-ins: descriptors are kept for so many, and as many while they are replaced
 }
 
 const (
@@ -119,5 +123,32 @@
 		slog.Info("set by operators", "for", c.For, "key", c.Key, "old", c.Old, "new", c.New, "where", c.To)
 	}
 	s.limits.Store(set.NewLimits())
+	if !reflect.DeepEqual(s.now.Pools, set.Pools) {
+		s.sources.tell(membership.File, set.Endpoints())
+	}
 	s.now = set
 }
+
+// sources are where endpoints are told, and the engine that hears what they come to together.
+type sources struct {
+	mu  sync.Mutex // what is told second is heard second
+	set membership.Set
+	to  func(engine.List)
+}
+
+// start tells what is known before the engine runs, and returns what it is to begin with.
+func (s *sources) start(file engine.List, lists ...engine.List) []engine.List {
+	s.set.Tell(membership.File, file)
+	for i := range lists {
+		lists[i] = s.set.Tell(membership.Agent, lists[i])
+	}
+	return lists
+}
+
+func (s *sources) tell(from membership.Source, l engine.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l = s.set.Tell(from, l); l.Scope == decide.Unavailable || l.Scope == decide.Whole || len(l.Endpoints) > 0 {
+		s.to(l)
+	}
+}
--- a/internal/decide/among_test.go
+++ b/internal/decide/among_test.go
@@ -11,22 +11,28 @@
 // TestAmong: a message goes to none but the targets that it is narrowed to, prefers those named first, and leaves a
 // preferred one that fails for the next.
 func TestAmong(t *testing.T) {
-	targets := []Target{{ID: "a", Destination: 1}, {ID: "b", Destination: 1}, {ID: "c", Destination: 1}, {ID: "other", Destination: 2}}
+	all := []Target{{ID: "a", Destination: 1}, {ID: "b", Destination: 1}, {ID: "c", Destination: 1}, {ID: "other", Destination: 2}}
 	for _, c := range []struct {
 		name  string
+		back  string // backups
 		among *Among
 		fails string // this target fails every call
 		most  string // gets most of the calls
 		none  string // these get no call
 	}{
-		{"none", nil, "", "", "other"},
-		{"only", &Among{Only: []string{"b"}}, "", "b", "a c"},
-		{"only one that fails", &Among{Only: []string{"b"}}, "b", "b", "a c"},
-		{"another destination's", &Among{Only: []string{"other"}}, "", "", "a b c other"},
-		{"one that there is not", &Among{Only: []string{"zz"}}, "", "", "a b c other"},
-		{"preferred", &Among{Prefer: []string{"c", "a"}}, "", "c", "other"},
-		{"the preferred one fails", &Among{Prefer: []string{"c", "a"}}, "c", "a", "other"},
-		{"another destination's preferred", &Among{Prefer: []string{"other"}}, "", "", "other"},
+		{"none", "", nil, "", "", "other"},
+		{"only", "", &Among{Only: []string{"b"}}, "", "b", "a c"},
+		{"only one that fails", "", &Among{Only: []string{"b"}}, "b", "b", "a c"},
+		{"another destination's", "", &Among{Only: []string{"other"}}, "", "", "a b c other"},
+		{"one that there is not", "", &Among{Only: []string{"zz"}}, "", "", "a b c other"},
+		{"preferred", "", &Among{Prefer: []string{"c", "a"}}, "", "c", "other"},
+		{"the preferred one fails", "", &Among{Prefer: []string{"c", "a"}}, "c", "a", "other"},
+		{"a backup is not called", "c", nil, "", "", "c other"},
+		{"not even where it is preferred", "c", &Among{Prefer: []string{"c"}}, "", "", "c other"},
+		{"where it alone is permitted", "c", &Among{Only: []string{"c"}}, "", "c", "a b"},
+		{"a backup for one that fails", "b c", nil, "a", "", "other"},
+		{"a backup that fails as well", "c", nil, "c", "", "c"},
+		{"another destination's preferred", "", &Among{Prefer: []string{"other"}}, "", "", "other"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, err := New(Settings{Slots: 64, Seed: 7, ConnIdle: time.Minute, ConnectLimit: time.Second, AdviceLimit: time.Second, StartCapacity: 1,
@@ -34,6 +40,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			targets := slices.Clone(all)
+			for i := range targets {
+				targets[i].Backup = slices.Contains(strings.Fields(c.back), targets[i].ID)
+			}
 			events := []Event{TargetList{Scope: Whole, Targets: targets}}
 			got, attempts, ended, all := map[string]int{}, map[string]int{}, 0, 0
 			for now := time.Duration(0); now < 40*time.Second; now += 10 * time.Millisecond {
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -147,6 +147,7 @@
 	Zone        string
 	State       TargetState
 	Weight      float64
+	Backup      bool // only while the others of its destination fail or are away
 }
 
 // ListScope says how a TargetList relates to the one before it.
--- a/internal/decide/index_test.go
+++ b/internal/decide/index_test.go
@@ -91,7 +91,7 @@
 		t, ok := s.targets[name]
 		if !ok {
 			d := s.rng.IntN(s.dests)
-			t = Target{ID: name, Destination: d, Kind: kinds[d%3], Zone: "ab"[s.rng.IntN(2):][:1], Weight: float64(s.rng.IntN(40))}
+			t = Target{ID: name, Destination: d, Kind: kinds[d%3], Zone: "ab"[s.rng.IntN(2):][:1], Weight: float64(s.rng.IntN(40)), Backup: s.chance(.2)}
 		}
 		t.State = []TargetState{Active, Active, Active, Draining, Gone}[s.rng.IntN(5)]
 		s.targets[name] = t
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -61,6 +61,7 @@
 	goodsToClose  = 2    // good trial calls that close a route
 	warmShare     = 0.75 // of what the rule on return allows
 	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
+	backupAfter   = 1000 // targets that come before a backup, as it were
 	preferCost    = 2    // calls out that an endpoint one place behind another seems to have too many
 	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
 
@@ -157,12 +158,13 @@
 
 // listed takes what a list says of one target.
 func (f *Forwarder) listed(t *target, e Target) {
-	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && e.State != Gone {
+	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && t.backup == e.Backup &&
+		e.State != Gone {
 		return
 	}
 	d := t.route.dest
 	f.settleAll(d)
-	t.state, t.zone, t.weight = e.State, e.Zone, e.Weight
+	t.state, t.zone, t.weight, t.backup = e.State, e.Zone, e.Weight, e.Backup
 	f.dropGone(t)
 	f.touch(d)
 }
@@ -608,12 +610,16 @@
 	return best
 }
 
-// behind is how many targets a message would sooner go to; one that failed of late comes after all.
+// behind is how many targets a message would sooner go to; one that failed of late comes after all
+// that it prefers, and backups before one that did.
 func (f *Forwarder) behind(m *message, t *target) float64 {
-	i := slices.Index(m.among.Prefer, t.id)
-	if i < 0 || t.failed > 0 && f.now-t.uses.at < memory {
+	i, failed := slices.Index(m.among.Prefer, t.id), t.failed > 0 && f.now-t.uses.at < memory
+	if i < 0 || failed {
 		i = len(m.among.Prefer)
 	}
+	if t.backup || failed && slices.ContainsFunc(t.route.targets, (*target).spare) {
+		i += backupAfter * (1 + int(share(!t.backup)) + 2*int(share(failed && t.backup)))
+	}
 	return float64(i)
 }
 
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -88,6 +88,7 @@
 	zone     string
 	state    TargetState
 	weight   float64
+	backup   bool
 	route    *route
 	out      int
 	free     []time.Duration // when each connection believed to be open and free became so
@@ -643,12 +644,12 @@
 
 // listed takes what a list says of one target.
 func (f *scanner) listed(t *target, e Target) {
-	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && e.State != Gone {
+	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && t.backup == e.Backup && e.State != Gone {
 		return
 	}
 	d := t.route.dest
 	f.settleAll(d)
-	t.state, t.zone, t.weight = e.State, e.Zone, e.Weight
+	t.state, t.zone, t.weight, t.backup = e.State, e.Zone, e.Weight, e.Backup
 	f.dropGone(t)
 	f.touch(d)
 }
@@ -1087,15 +1088,31 @@
 
 // preferred is the place of a target in what its message prefers.
 func (f *scanner) preferred(m *message, t *target) float64 {
-	if m.among == nil {
-		return 0
-	}
-	for i, id := range m.among.Prefer {
-		if id == t.id && (t.failed == 0 || f.now >= t.uses.at+memory) {
-			return float64(i)
+	var prefer []string
+	if m.among != nil {
+		prefer = m.among.Prefer
+	}
+	failed := t.failed > 0 && f.now < t.uses.at+memory
+	place := len(prefer)
+	for i, id := range prefer {
+		if id == t.id && !failed {
+			place = i
+			break
 		}
 	}
-	return float64(len(m.among.Prefer))
+	spare := false
+	for _, o := range t.route.targets {
+		spare = spare || o.backup && o.state == Active
+	}
+	switch { // a backup; one that failed, where there is a backup; a backup that failed
+	case t.backup && failed:
+		place += 3000
+	case t.backup:
+		place += 1000
+	case failed && spare:
+		place += 2000
+	}
+	return float64(place)
 }
 
 func (f *scanner) send(m *message, c *call) {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -139,6 +139,7 @@
 	zone     string
 	state    TargetState
 	weight   float64
+	backup   bool
 	route    *route
 	listed   uint64 // the whole list that had it last
 	out      int
@@ -149,6 +150,8 @@
 	failing  decayingMean // share of calls that left doubt
 }
 
+func (t *target) spare() bool { return t.backup && t.state == Active }
+
 // route is whatever a limit, a wait, an outage, a budget and a return belong to.
 type route struct {
 	name    string
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,117 @@
+// Package membership makes one list of endpoints out of what several sources tell of them. It does no I/O and reads no clock.
+//
+// The rule where sources disagree: an endpoint is known by its name. Whoever has named it can withdraw it: it serves only while
+// every source that names it says so, and one that took it back keeps it from serving until that source names it again or
+// nobody else does. Where it is, and whose, is told by the source with the highest rank that names it.
+package membership
+
+import (
+	"maps"
+	"slices"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
+)
+
+// Source is where endpoints are told; the higher one has the last word on where they are.
+type Source int
+
+// The sources.
+const (
+	Agent   Source = iota // the platform's discovery
+	File                  // the operators' file
+	sources               // how many there are
+)
+
+// said is what one source says of an endpoint; Gone stays as long as another source names it.
+type said struct {
+	known bool
+	engine.Endpoint
+}
+
+// Set is what all sources have told. The zero Set knows of none.
+type Set struct {
+	by     map[string]*[sources]said
+	merged map[string]engine.Endpoint
+}
+
+// Tell takes what a source tells, and returns what all together come to: everything where the source told everything, or else
+// what has changed.
+func (s *Set) Tell(from Source, l engine.List) engine.List {
+	if s.by == nil {
+		s.by, s.merged = map[string]*[sources]said{}, map[string]engine.Endpoint{}
+	}
+	if l.Scope == decide.Unavailable {
+		return l
+	}
+	whole := l.Scope != decide.Changes
+	touched := map[string]bool{}
+	if whole { // what it does not name any more it has taken back
+		for name, all := range s.by {
+			if all[from].known {
+				all[from].State = decide.Gone
+				touched[name] = true
+			}
+		}
+	}
+	for _, e := range l.Endpoints {
+		all := s.by[e.ID]
+		if all == nil {
+			all = &[sources]said{}
+			s.by[e.ID] = all
+		}
+		if e.State == decide.Gone && all[from].known { // a deletion need not say where it was
+			all[from].State = decide.Gone
+		} else {
+			all[from] = said{true, e}
+		}
+		touched[e.ID] = true
+	}
+	changes := engine.List{Scope: decide.Changes}
+	for _, name := range slices.Sorted(maps.Keys(touched)) {
+		e, there := s.merge(name)
+		old, was := s.merged[name]
+		switch {
+		case there:
+			s.merged[name] = e
+		case was:
+			delete(s.merged, name)
+			e = old
+			e.State = decide.Gone
+		default:
+			continue
+		}
+		if !there || !was || e != old {
+			changes.Endpoints = append(changes.Endpoints, e)
+		}
+	}
+	if !whole {
+		return changes
+	}
+	all := engine.List{Scope: l.Scope}
+	for _, name := range slices.Sorted(maps.Keys(s.merged)) {
+		all.Endpoints = append(all.Endpoints, s.merged[name])
+	}
+	return all
+}
+
+// merge works out what an endpoint is by all that was said of it, and forgets it if nobody names it any more.
+func (s *Set) merge(name string) (e engine.Endpoint, there bool) {
+	state := decide.Active
+	for from := range sources {
+		switch one := s.by[name][from]; {
+		case !one.known:
+		case one.State == decide.Gone:
+			state = max(state, decide.Draining) // by whoever still names it
+		default:
+			e, there = one.Endpoint, true
+			state = max(state, one.State)
+		}
+	}
+	if !there {
+		delete(s.by, name)
+		return e, false
+	}
+	e.State = state
+	return e, true
+}
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -31,6 +31,7 @@
 	whole("journal.sync_every", every(old), every(new))
 
 	whole("plugin_status", cmp.Or(old.PluginStatus, "none"), cmp.Or(new.PluginStatus, "none"))
+	list = append(list, diffPools(old, new)...)
 	list = append(list, diffPlugins(old, new)...)
 
 	before, after := old.NewLimits(), new.NewLimits()
@@ -120,5 +121,6 @@
 		v, rule := l.figure(n, s)
 		list = append(list, Change{For: s.String(), Key: key, New: v, To: c.Where["limits."+rule+"."+key]})
 	}
+	list = append(list, c.explainPool(dest)...)
 	return append(list, c.explainPlugins(class, dest)...)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	Format  int      `json:"format"`
 	Journal Journal  `json:"journal"`
 	Limits  []Limit  `json:"limits,omitempty"`  // by name: their order means nothing
+	Pools   []Pool   `json:"pools,omitempty"`   // the same
 	Plugins []Plugin `json:"plugins,omitempty"` // the same
 	// PluginStatus is a file that tells what each plug-in has done, written anew as that changes; empty: none.
 	PluginStatus string `json:"plugin_status,omitempty"`
@@ -70,6 +71,7 @@
 			`remove sync_every, or set durability = "interval"`)
 	}
 	c.checkLimits(add)
+	c.checkPools(add)
 	c.checkPlugins(add)
 	return list
 }
--- /dev/null
+++ b/internal/operator/pools.go
@@ -0,0 +1,149 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
+)
+
+// Pool is the endpoints of one destination that operators know, beside those that other sources tell of.
+type Pool struct {
+	Name        string         `json:"name"`
+	Destination int            `json:"destination"`
+	Endpoints   []PoolEndpoint `json:"endpoints"` // by name: their order means nothing
+}
+
+// PoolEndpoint is one of them. Its name is the same in all sources.
+type PoolEndpoint struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // an IP address and a port: no name is looked up
+	Zone    string `json:"zone,omitempty"`
+	Backup  bool   `json:"backup,omitempty"` // only while the others of the destination fail or are away
+	Drain   bool   `json:"drain,omitempty"`  // finishes what it has, and gets nothing new
+}
+
+const (
+	mostEndpoints = 100_000 // of all pools
+	mostName      = 255     // bytes
+)
+
+func (c *Config) checkPools(add func(key, what, remedy string)) {
+	pools, dests, names := map[string]bool{}, map[int]string{}, map[string]string{}
+	total := 0
+	for i := range c.Pools {
+		p := &c.Pools[i]
+		key := "pool." + p.Name
+		if pools[p.Name] {
+			add(key, fmt.Sprintf("there are two pools %q", p.Name), "give each a name of its own")
+		}
+		pools[p.Name] = true
+		if other, twice := dests[p.Destination]; twice {
+			add(key+".destination", fmt.Sprintf("destination %d has the pool %q too", p.Destination, other),
+				fmt.Sprintf("put all its endpoints into one (the other: %s)", cmp.Or(c.Where["pool."+other], other)))
+		}
+		dests[p.Destination] = p.Name
+		if len(p.Endpoints) == 0 {
+			add(key, fmt.Sprintf("the pool %q has no endpoint", p.Name), `write endpoint "NAME" { address = "10.0.0.7:8080" }, or take the pool out`)
+		}
+		addresses, primary := map[string]string{}, false
+		for _, e := range p.Endpoints {
+			at := key + "." + e.Name
+			total++
+			primary = primary || !e.Backup
+			if e.Name == "" || len(e.Name) > mostName {
+				add(at, fmt.Sprintf("%.40q is no name of an endpoint", e.Name), fmt.Sprintf("give it one of %d bytes at most", mostName))
+			}
+			if other, twice := names[e.Name]; twice {
+				add(at, fmt.Sprintf("there are two endpoints %q", e.Name), fmt.Sprintf("give each a name of its own: an endpoint is known by it (the other: %s)", cmp.Or(c.Where[other], other)))
+			}
+			names[e.Name] = at
+			a, err := netip.ParseAddrPort(e.Address)
+			if err != nil || a.Port() == 0 {
+				add(at+".address", fmt.Sprintf("%.80q is no address", e.Address), `write an IP address and a port, such as "10.0.0.7:8080" or "[fd00::7]:8080": no name is looked up`)
+			}
+			if other, twice := addresses[a.String()]; twice && err == nil {
+				add(at+".address", fmt.Sprintf("%s is %q already", e.Address, other), "take one of the two out: both would get calls as if they were two")
+			}
+			addresses[a.String()] = e.Name
+		}
+		if len(p.Endpoints) > 0 && !primary {
+			add(key, fmt.Sprintf("the pool %q has backups only", p.Name), "take backup = true from one of them: a backup stands in for others")
+		}
+	}
+	if total > mostEndpoints {
+		add("pool."+c.Pools[len(c.Pools)-1].Name, fmt.Sprintf("the pools have %d endpoints", total), fmt.Sprintf("set %d at most", mostEndpoints))
+	}
+}
+
+// Endpoints is what all pools tell, as a source of endpoints.
+func (c *Config) Endpoints() engine.List {
+	l := engine.List{Scope: decide.Whole}
+	for _, p := range c.Pools {
+		for _, e := range p.Endpoints {
+			state := decide.Active
+			if e.Drain {
+				state = decide.Draining
+			}
+			l.Endpoints = append(l.Endpoints, engine.Endpoint{Address: e.Address,
+				Target: decide.Target{ID: e.Name, Destination: p.Destination, Zone: e.Zone, State: state, Backup: e.Backup}})
+		}
+	}
+	return l
+}
+
+// show is an endpoint in one text.
+func (e PoolEndpoint) show(dest int) string {
+	words := []string{fmt.Sprintf("%s for %d", e.Address, dest)}
+	if e.Zone != "" {
+		words = append(words, "in zone "+e.Zone)
+	}
+	if e.Backup {
+		words = append(words, "as a backup")
+	}
+	if e.Drain {
+		words = append(words, "draining")
+	}
+	return strings.Join(words, " ")
+}
+
+// diffPools lists the endpoints that differ, by their names: which pool has them means nothing.
+func diffPools(old, new *Config) (list []Change) {
+	type one struct{ shown, at string }
+	by := func(c *Config) map[string]one {
+		m := map[string]one{}
+		for _, p := range c.Pools {
+			for _, e := range p.Endpoints {
+				m[e.Name] = one{e.show(p.Destination), c.Where["pool."+p.Name+"."+e.Name]}
+			}
+		}
+		return m
+	}
+	before, after := by(old), by(new)
+	all := maps.Clone(before)
+	maps.Copy(all, after)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		a, b := before[name], after[name]
+		if a.shown != b.shown {
+			list = append(list, Change{"endpoint " + name, "address and state", cmp.Or(a.shown, "not in this file"), cmp.Or(b.shown, "not in this file"), a.at, b.at})
+		}
+	}
+	return list
+}
+
+func (c *Config) explainPool(dest int) (list []Change) {
+	for _, p := range c.Pools {
+		if p.Destination != dest {
+			continue
+		}
+		for _, e := range p.Endpoints {
+			list = append(list, Change{For: fmt.Sprintf("destination %d", dest), Key: "endpoint " + e.Name, New: e.show(dest), To: c.Where["pool."+p.Name+"."+e.Name]})
+		}
+	}
+	return list
+}
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	l := &loader{getenv: getenv, files: map[string]*hcl.File{}, bodies: map[string]bool{},
-		env: map[string]cty.Value{}, envAt: map[string]hcl.Range{}, set: map[string]setting{}, limAt: map[string]hcl.Range{}, plugAt: map[string]hcl.Range{}}
+		env: map[string]cty.Value{}, envAt: map[string]hcl.Range{}, set: map[string]setting{}, places: map[string]hcl.Range{}}
 	l.read(path, nil, nil)
 	for _, b := range l.order { // declared anywhere, used anywhere
 		l.declare(b)
@@ -79,9 +79,9 @@
 	envAt   map[string]hcl.Range
 	set     map[string]setting
 	limits  []operator.Limit
-	limAt   map[string]hcl.Range // by key
+	pools   []operator.Pool
 	plugins []operator.Plugin
-	plugAt  map[string]hcl.Range
+	places  map[string]hcl.Range // of blocks and their keys
 	diags   hcl.Diagnostics
 }
 
@@ -290,11 +290,13 @@
 
 // body takes what one file sets.
 func (l *loader) body(b *hclsyntax.Body) {
-	l.known(b, "a file", "include", "env*", "journal*", "limits*", "plugin*", "plugins*")
+	l.known(b, "a file", "include", "env*", "journal*", "limits*", "pool*", "plugin*", "plugins*")
 	for _, block := range b.Blocks {
 		switch block.Type {
 		case "limits":
 			l.limit(block)
+		case "pool":
+			l.pool(block)
 		case "plugin":
 			l.plugin(block)
 		case "plugins":
@@ -336,15 +338,15 @@
 	l.known(block.Body, "limits", "classes", "destinations", "attempts", "answer", "whole", "held", "connect", "wait", "out", "rate", "ratio")
 	rule, wrong := operator.Limit{Name: block.Labels[0]}, len(l.diags)
 	key := "limits." + rule.Name
-	if at, twice := l.limAt[key]; twice {
+	if at, twice := l.places[key]; twice {
 		l.fail(block.DefRange(), fmt.Sprintf("there are two limits %q", rule.Name), fmt.Sprintf("The other is at %s. Give each a name of its own.", place(at)))
 		return
 	}
-	l.limAt[key] = block.DefRange()
+	l.places[key] = block.DefRange()
 	for _, name := range slices.Sorted(maps.Keys(block.Body.Attributes)) {
 		a := block.Body.Attributes[name]
 		at := a.Expr.Range()
-		l.limAt[key+"."+name] = at
+		l.places[key+"."+name] = at
 		switch name {
 		case "classes", "destinations":
 			l.bound(a, &rule.Classes, &rule.Destinations)
@@ -493,15 +495,14 @@
 	c := operator.Default()
 	c.Limits = l.limits
 	slices.SortFunc(c.Limits, func(a, b operator.Limit) int { return strings.Compare(a.Name, b.Name) })
-	c.Plugins = l.plugins
+	c.Pools, c.Plugins = l.pools, l.plugins
+	slices.SortFunc(c.Pools, func(a, b operator.Pool) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Plugins, func(a, b operator.Plugin) int { return strings.Compare(a.Name, b.Name) })
-	if len(l.set)+len(l.limAt)+len(l.plugAt) > 0 {
+	if len(l.set)+len(l.places) > 0 {
 		c.Where = map[string]string{}
 	}
-	for _, places := range []map[string]hcl.Range{l.limAt, l.plugAt} {
-		for key, at := range places {
-			c.Where[key] = place(at)
-		}
+	for key, at := range l.places {
+		c.Where[key] = place(at)
 	}
 	for key, s := range l.set {
 		c.Where[key] = place(s.at)
@@ -519,12 +520,10 @@
 	}
 	for _, p := range c.Check() {
 		at := l.set[p.Key].at
-		for _, places := range []map[string]hcl.Range{l.limAt, l.plugAt} {
-			if place, ok := places[p.Key]; ok {
-				at = place
-			} else if place, ok := places[parent(p.Key)]; ok && at.Filename == "" { // a default
-				at = place
-			}
+		if place, ok := l.places[p.Key]; ok {
+			at = place
+		} else if place, ok := l.places[parent(p.Key)]; ok && at.Filename == "" { // a default
+			at = place
 		}
 		l.fail(at, p.What, strings.ToUpper(p.Remedy[:1])+p.Remedy[1:]+".")
 	}
--- a/internal/opfile/plugins.go
+++ b/internal/opfile/plugins.go
@@ -35,18 +35,18 @@
 	p, wrong := operator.DefaultPlugin(), len(l.diags)
 	p.Name = block.Labels[0]
 	key := "plugin." + p.Name
-	if at, twice := l.plugAt[key]; twice {
+	if at, twice := l.places[key]; twice {
 		l.fail(block.DefRange(), fmt.Sprintf("there are two plug-ins %q", p.Name), fmt.Sprintf("The other is at %s. Give each a name of its own.", place(at)))
 		return
 	}
-	l.plugAt[key] = block.DefRange()
+	l.places[key] = block.DefRange()
 	durations := map[string]*operator.Duration{"time": &p.Time, "cpu": &p.CPU, "rest": &p.Rest, "wait": &p.Wait}
 	counts := map[string]*int{"order": &p.Order, "steps": &p.Steps, "processes": &p.Processes, "failures": &p.Failures}
 	sizes := map[string]*int{"memory": &p.Memory, "output": &p.Output}
 	for _, name := range slices.Sorted(maps.Keys(block.Body.Attributes)) {
 		a := block.Body.Attributes[name]
 		at := a.Expr.Range()
-		l.plugAt[key+"."+name] = at
+		l.places[key+"."+name] = at
 		switch name {
 		case "classes", "destinations":
 			l.bound(a, &p.Classes, &p.Destinations)
--- /dev/null
+++ b/internal/opfile/pools.go
@@ -0,0 +1,81 @@
+package opfile
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
+
+	"scaleroute/internal/operator"
+)
+
+// pool takes one pool with its endpoints.
+func (l *loader) pool(block *hclsyntax.Block) {
+	if len(block.Labels) != 1 {
+		l.fail(block.DefRange(), "a pool takes one name", `Write pool "NAME" { ... }.`)
+		return
+	}
+	l.known(block.Body, "pool", "destination", "endpoint*")
+	p, wrong := operator.Pool{Name: block.Labels[0]}, len(l.diags)
+	key := "pool." + p.Name
+	if at, twice := l.places[key]; twice {
+		l.fail(block.DefRange(), fmt.Sprintf("there are two pools %q", p.Name), fmt.Sprintf("The other is at %s. Give each a name of its own.", place(at)))
+		return
+	}
+	l.places[key] = block.DefRange()
+	if a := block.Body.Attributes["destination"]; a == nil {
+		l.fail(block.DefRange(), fmt.Sprintf("the pool %q has no destination", p.Name), "Write destination = 7.")
+	} else if v, ok := l.value(a); ok {
+		l.places[key+".destination"] = a.Expr.Range()
+		if list, ok := numbers(cty.TupleVal([]cty.Value{v})); ok {
+			p.Destination = list[0]
+		} else {
+			l.fail(a.Expr.Range(), "a destination is a whole number", "Write destination = 7.")
+		}
+	}
+	for _, b := range block.Body.Blocks {
+		if b.Type == "endpoint" {
+			l.endpoint(&p, b)
+		}
+	}
+	slices.SortFunc(p.Endpoints, func(a, b operator.PoolEndpoint) int { return strings.Compare(a.Name, b.Name) })
+	if len(l.diags) == wrong {
+		l.pools = append(l.pools, p)
+	}
+}
+
+func (l *loader) endpoint(p *operator.Pool, b *hclsyntax.Block) {
+	if len(b.Labels) != 1 {
+		l.fail(b.DefRange(), "an endpoint takes one name", `Write endpoint "NAME" { address = "10.0.0.7:8080" }.`)
+		return
+	}
+	l.known(b.Body, "endpoint", "address", "zone", "backup", "drain")
+	e := operator.PoolEndpoint{Name: b.Labels[0]}
+	key := "pool." + p.Name + "." + e.Name
+	if _, twice := l.places[key]; !twice {
+		l.places[key] = b.DefRange()
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Body.Attributes)) {
+		a := b.Body.Attributes[name]
+		l.places[key+"."+name] = a.Expr.Range()
+		switch name {
+		case "address":
+			e.Address, _ = l.text(a)
+		case "zone":
+			e.Zone, _ = l.text(a)
+		case "backup", "drain":
+			v, ok := l.value(a)
+			if ok && v.Type() != cty.Bool {
+				l.fail(a.Expr.Range(), name+" is true or false", fmt.Sprintf("Write %s = true, or leave it out.", name))
+			} else if ok && name == "backup" {
+				e.Backup = v.True()
+			} else if ok {
+				e.Drain = v.True()
+			}
+		}
+	}
+	p.Endpoints = append(p.Endpoints, e)
+}
