--- a/deploy/operators.hcl
+++ b/deploy/operators.hcl
@@ -19,3 +19,21 @@
   answer       = "800ms" # its own system answers within 500 ms
   held         = 2000
 }
+
+pool "tartu" {
+  destination = 12
+  endpoint "tartu-1" {
+    address = "127.0.0.1:8081"
+  }
+  endpoint "tartu-2" {
+    address = "127.0.0.1:8082"
+    backup  = true # only while tartu-1 fails or is away
+  }
+}
+
+limits "tartu" {
+  destinations = [12]
+  rate         = "20/s"
+  out          = 8
+  connect      = "200ms"
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,8 +1,8 @@
 // Package membership makes one list of endpoints out of what several sources tell of them. It does no I/O and reads no clock.
 //
 // The rule where sources disagree: an endpoint is known by its name. Whoever has named it can withdraw it: it serves only while
-// every source that names it says so, and one that took it back keeps it from serving until that source names it again or
-// nobody else does. Where it is, and whose, is told by the source with the highest rank that names it.
+// every source that names it says so. One that discovery took back does not serve until discovery names it again, or nobody
+// else does; one that the operators' file does not name any more is as if it had never been there. Where it is, and whose, is told by the source with the highest rank that names it.
 package membership
 
 import (
@@ -29,6 +29,13 @@
 	engine.Endpoint
 }
 
+// takeBack notes that a source names an endpoint no more. The file says what there is, and not what became of it.
+func (s *said) takeBack(from Source) {
+	if s.known, s.State = true, decide.Gone; from == File {
+		*s = said{}
+	}
+}
+
 // Set is what all sources have told. The zero Set knows of none.
 type Set struct {
 	by     map[string]*[sources]said
@@ -49,7 +56,7 @@
 	if whole { // what it does not name any more it has taken back
 		for name, all := range s.by {
 			if all[from].known {
-				all[from].State = decide.Gone
+				all[from].takeBack(from)
 				touched[name] = true
 			}
 		}
@@ -60,8 +67,8 @@
 			all = &[sources]said{}
 			s.by[e.ID] = all
 		}
-		if e.State == decide.Gone && all[from].known { // a deletion need not say where it was
-			all[from].State = decide.Gone
+		if e.State == decide.Gone { // it need not say where that was
+			all[from].takeBack(from)
 		} else {
 			all[from] = said{true, e}
 		}
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -78,6 +78,13 @@
 		warns bool     // what is said does not keep the file from being used
 	}{
 		{name: "empty", files: one("")},
+		{name: "pools", files: one("pool \"p\" {\n  destination = 7\n  endpoint \"a\" {\n    address = \"10.0.0.7:80\"\n  }\n  endpoint \"b\" {\n    address = \"[::1]:80\"\n    zone = \"z\"\n    backup = true\n    drain = true\n  }\n}\n")},
+		{name: "pools with all that can be wrong", files: one("pool \"p\" {\n  destinations = [7]\n  endpoint {\n  }\n  endpoint \"a\" {\n    adress = \"x\"\n    backup = \"yes\"\n  }\n}\npool \"p\" {}\npool {}\n"),
+			want: []string{`main.hcl:1 the pool "p" has no destination`, `main.hcl:2 pool has no key "destinations": Did you mean "destination"?`, "main.hcl:3 an endpoint takes one name",
+				`main.hcl:6 endpoint has no key "adress": Did you mean "address"?`, "main.hcl:7 backup is true or false", `main.hcl:10 there are two pools "p": The other is at main.hcl:1.`, "main.hcl:11 a pool takes one name"}},
+		{name: "pools that can't be", files: one("pool \"p\" {\n  destination = 7\n  endpoint \"a\" {\n    address = \"localhost:80\"\n    backup = true\n  }\n}\npool \"q\" {\n  destination = 7\n  endpoint \"a\" {\n    address = \"10.0.0.7:80\"\n  }\n  endpoint \"b\" {\n    address = \"10.0.0.7:80\"\n  }\n}\npool \"r\" {\n  destination = 8\n}\n"),
+			want: []string{`main.hcl:1 the pool "p" has backups only`, `main.hcl:4 "localhost:80" is no address: Write an IP address and a port`, `main.hcl:9 destination 7 has the pool "p" too: Put all its endpoints into one (the other: main.hcl:1).`,
+				`main.hcl:10 there are two endpoints "a": Give each a name of its own: an endpoint is known by it (the other: main.hcl:3).`, `main.hcl:14 10.0.0.7:80 is "a" already`, `main.hcl:17 the pool "r" has no endpoint`}},
 		{name: "a plug-in", files: plugged("order = -1\n  time = \"20ms\"\n  memory = \"32MiB\"\n  on_failure = \"pass\"\n  classes = [\"note\"]", "")},
 		{name: "a plug-in's file that is not there", files: one("plugin \"p\" {\n  file = \"no.star\"\n}\n"), want: []string{"main.hcl:2 the plug-in's file can't be read: "}},
 		{name: "a plug-in without a file", files: one("plugin \"p\" {\n}\n"), want: []string{`main.hcl:1 the plug-in "p" has no file`}},
