--- a/internal/decide/limits_test.go
+++ b/internal/decide/limits_test.go
@@ -78,7 +78,7 @@
 	}
 	calls, last := map[string]sent{}, map[string]time.Duration{}
 	tries := map[string]int{}
-	down := false
+	down, silent := false, false
 	count := map[int]*state{1: {}, 2: {}}
 	events := []Event{TargetList{Scope: Whole, Targets: []Target{{ID: "a", Destination: 1}, {ID: "b", Destination: 1}, {ID: "c", Destination: 2}}}}
 	run := func(from, to time.Duration, each int) {
@@ -92,7 +92,10 @@
 			for id, c := range calls {
 				if now >= c.end {
 					o := Outcome{Message: id, Attempt: c.attempt, Target: "x", Result: Done, Over: true, Took: c.end - c.at}
-					if down {
+					if silent && c.dest == 1 {
+						o.Result, o.Over = TimedOut, false
+						last[id] = now
+					} else if down {
 						o.Result, o.Over = ConnectFailed, false
 						last[id] = now
 					} else if len(id)%7 == 0 || now/time.Millisecond%130 == 0 { // some fail
@@ -123,7 +126,11 @@
 				} else {
 					n.first++
 				}
-				calls[s.Message] = sent{dest, tries[s.Message], now, now + 150*time.Millisecond}
+				took := 150 * time.Millisecond
+				if silent && dest == 1 {
+					took = s.Timeout
+				}
+				calls[s.Message] = sent{dest, tries[s.Message], now, now + took}
 				tries[s.Message]++
 			}
 			events = []Event{Woken{}}
@@ -146,10 +153,15 @@
 	if one := *count[1]; one.sent > 55 {
 		t.Errorf("at 5 a second for 10 s: %+v", one)
 	}
-	set, down = Limits{}, true
-	run(30*time.Second, 35*time.Second, 1)
+	set, silent = Limits{Out: 3}, true // calls last so long that the route is taken for silent
+	run(30*time.Second, 45*time.Second, 1)
+	if one := *count[1]; one.most > 3 || one.sent < 3 {
+		t.Errorf("with three out at once, and silent: %+v", one)
+	}
+	set, silent, down = Limits{}, false, true
+	run(45*time.Second, 55*time.Second, 1)
 	set = Limits{Rate: 0.1}
-	run(35*time.Second, 55*time.Second, 1)
+	run(55*time.Second, 75*time.Second, 1)
 	if one := *count[1]; one.sent > 4 || one.sent < 1 {
 		t.Errorf("at one in ten seconds for 20 s, and down: %+v", one)
 	}
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -494,11 +494,11 @@
 	switch {
 	case f.now < r.told:
 		return r.told
-	case r.open && r.trials > 0:
+	case r.open && r.trials > 0, r.dest.limits.full(len(r.calls)):
 		return never
 	case r.open:
 		return max(f.nextTrial(r), r.dest.limits.paced(min(r.free, r.interval+adjustEvery)))
-	case len(r.calls) >= r.dest.limits.out(max(2, int(slotShare*float64(f.set.Slots)))):
+	case len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
 		return never
 	case f.now < r.free:
 		return min(r.free, r.interval+adjustEvery) // the pace may rise then
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -361,14 +361,10 @@
 	return &l
 }
 
-// out, rate and ratio are figures of the module's own, cut to a destination's limits.
-func (l *Limits) out(n int) int {
-	if l.Out > 0 {
-		return min(n, l.Out)
-	}
-	return n
-}
+// full tells whether no more calls may be out, trial calls counted.
+func (l *Limits) full(out int) bool { return l.Out > 0 && out >= l.Out }
 
+// rate and ratio are figures of the module's own, cut to a destination's limits.
 func (l *Limits) rate(rate float64) float64 {
 	if l.Rate > 0 {
 		return min(rate, l.Rate)
