Give a plug-in's call all its time from when it has its process

Change: waiting has a time of its own, as long again; beyond it the plug-in is not asked, and nothing counts against it. All plug-ins of one message may run for 150 ms (250 before), since a client waits 400.

--- a/cmd/scaleroute-lab/plugins.go
+++ b/cmd/scaleroute-lab/plugins.go
@@ -71,7 +71,7 @@
 	for seed := p.seed<<32 + uint64(n)<<12; len(c.Plugins) < len(p.files)+p.hostile; seed++ {
 		// One that does not compile is no plug-in: check would have said so.
 		add("hostile.star", hostile.Source(seed, seed%2 == 0), nil, func(one *operator.Plugin) {
-			one.Time = operator.Duration(200 * time.Millisecond / time.Duration(p.hostile))
+			one.Time = operator.Duration(140 * time.Millisecond / time.Duration(p.hostile))
 			one.Memory, one.Steps = 16<<20, 100_000
 			one.OnFailure = []string{"pass", "pass", "pass", "refuse"}[seed/2%4]
 		})
--- a/internal/operator/plugins.go
+++ b/internal/operator/plugins.go
@@ -23,7 +23,7 @@
 	Points       []plugin.Point `json:"points"` // found in the source when it was compiled
 
 	Steps     int      `json:"steps"`
-	Time      Duration `json:"time"`   // for one answer, waiting included
+	Time      Duration `json:"time"`   // for one answer, and as long again to wait for a process
 	Memory    int      `json:"memory"` // bytes
 	Output    int      `json:"output"` // bytes of a body
 	Processes int      `json:"processes"`
@@ -44,8 +44,9 @@
 const (
 	mostPlugins   = 32
 	mostProcesses = 32 // of all plug-ins together
-	// mostChain is the longest that all plug-ins may take for one message at one point: a client waits 400 ms for its answer.
-	mostChain = 250 * time.Millisecond
+	// mostChain is the longest that all plug-ins may run for one message at one point. They may wait as long again for their
+	// processes, and a client waits 400 ms for its answer.
+	mostChain = 150 * time.Millisecond
 )
 
 // Spec is what the daemon runs.
@@ -153,7 +154,7 @@
 				continue
 			}
 			told[list] = true
-			add("plugin."+names[len(names)-1]+".time", fmt.Sprintf("at %s the plug-ins %s may take %v together for one message, and a client waits 400ms for its answer", point, list, all),
+			add("plugin."+names[len(names)-1]+".time", fmt.Sprintf("at %s the plug-ins %s may take %v together for one message, and as long again to wait for their processes; a client waits 400ms", point, list, all),
 				fmt.Sprintf("set their times to %v in all", mostChain))
 		}
 	}
--- a/internal/operator/plugins_test.go
+++ b/internal/operator/plugins_test.go
@@ -25,7 +25,7 @@
 			p.Name, p.Source = string(rune('a'+i)), "x"
 			p.Points = []plugin.Point{rapid.SampledFrom(plugin.Points).Draw(t, "point")}
 			p.Order = rapid.IntRange(0, 4).Draw(t, "order")
-			p.Time = Duration(rapid.SampledFrom([]time.Duration{50, 100, 200}).Draw(t, "time") * time.Millisecond)
+			p.Time = Duration(rapid.SampledFrom([]time.Duration{30, 70, 120}).Draw(t, "time") * time.Millisecond)
 			p.Classes = rapid.SampledFrom([][]string{nil, {"update"}, {"handover"}, {"update", "handover"}}).Draw(t, "classes")
 			p.Destinations = rapid.SampledFrom([][]int{nil, {1}, {2}, {1, 2}}).Draw(t, "destinations")
 			c.Plugins = append(c.Plugins, p)
@@ -41,7 +41,7 @@
 							continue
 						}
 						total += time.Duration(p.Time)
-						unsafe = unsafe || orders[p.Order] || total > 250*time.Millisecond || point == plugin.Call && class == "handover"
+						unsafe = unsafe || orders[p.Order] || total > 150*time.Millisecond || point == plugin.Call && class == "handover"
 						orders[p.Order] = true
 					}
 				}
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -92,7 +92,7 @@
 		{name: "a plug-in's memory without a unit", files: plugged("memory = 64", ""), want: []string{`main.hcl:3 memory = 64 has no unit: Write "64KiB" or "64MiB".`}},
 		{name: "a plug-in's memory in a text without a unit", files: plugged(`memory = "64"`, ""), want: []string{`main.hcl:3 memory: "64" is no number of bytes`}},
 		{name: "a plug-in's memory beyond all", files: plugged(`memory = "9223372036854775808GiB"`, ""), want: []string{"main.hcl:3 memory: "}},
-		{name: "a plug-in's time beyond a client's", files: plugged(`time = "300ms"`, ""), want: []string{"main.hcl:3 time is 300ms: Set from 1ms to 250ms."}},
+		{name: "a plug-in's time beyond a client's", files: plugged(`time = "300ms"`, ""), want: []string{"main.hcl:3 time is 300ms: Set from 1ms to 150ms."}},
 		{name: "a plug-in's key that there is not", files: plugged("step = 1", ""), want: []string{`main.hcl:3 plugin has no key "step": Did you mean "steps"?`}},
 		{name: "a plug-in that fails in another way", files: plugged(`on_failure = "ignore"`, ""), want: []string{`main.hcl:3 on_failure is "ignore": Choose "refuse"`}},
 		{name: "two plug-ins of one name", files: map[string]string{"main.hcl": "include = \"b.hcl\"\nplugin \"p\" {\n  file = \"p.star\"\n}\n", "b.hcl": "plugin \"p\" {\n  file = \"p.star\"\n}\n", "p.star": hook},
--- a/internal/plugin/runner/pool.go
+++ b/internal/plugin/runner/pool.go
@@ -173,7 +173,7 @@
 		p.note(func(s *Status) { s.Skipped++ })
 		return skipped{verdict}
 	}
-	r, held, err := p.exchange(q, began)
+	r, held, err := p.exchange(q)
 	cpu, costly := held, false
 	switch {
 	case err == errBusy:
@@ -230,7 +230,7 @@
 }
 
 // exchange makes one call, and tells how long it held a process.
-func (p *pool) exchange(q *plugin.Request, began time.Time) (r *plugin.Result, held time.Duration, err error) {
+func (p *pool) exchange(q *plugin.Request) (r *plugin.Result, held time.Duration, err error) {
 	if p.waiters.Add(1) > int32(p.spec.Processes*waitersEach) {
 		p.waiters.Add(-1)
 		return nil, 0, errBusy
@@ -253,13 +253,9 @@
 			continue
 		default:
 		}
+		// It has all its time from now on: to wait was not its doing, and it would be killed for that.
 		from := time.Now()
-		left := p.spec.Time - from.Sub(began)
-		if left <= 0 {
-			p.idle <- to
-			return nil, 0, errBusy
-		}
-		r, err = to.ask(q, left, p.spec.Output)
+		r, err = to.ask(q, p.spec.Time, p.spec.Output)
 		held = time.Since(from)
 		if err != nil {
 			to.cmd.Process.Kill() // its keeper starts another
--- a/internal/plugin/runner/runner_test.go
+++ b/internal/plugin/runner/runner_test.go
@@ -31,7 +31,10 @@
 		case "serve-plugin":
 			os.Exit(host.Main())
 		case "answer-late":
-			answerLate()
+			answer(150*time.Millisecond, 0)
+			os.Exit(0)
+		case "answer-slowly":
+			answer(600*time.Millisecond, 600*time.Millisecond)
 			os.Exit(0)
 		}
 	}
@@ -144,8 +147,8 @@
 	}
 }
 
-// answerLate is a process whose first answer comes too late, and names the message that it is about.
-func answerLate() {
+// answer is a process that takes a time for its first answer, and another for each more; they name the message they are about.
+func answer(first, more time.Duration) {
 	c := pipe.New(os.Stdin, os.Stdout)
 	c.Receive(&pipe.Start{}, 0)
 	c.Send(pipe.Started{Points: []plugin.Point{plugin.Intake}}, nil)
@@ -154,8 +157,8 @@
 		if err != nil {
 			return
 		}
-		if n == 0 {
-			time.Sleep(150 * time.Millisecond)
+		if time.Sleep(more); n == 0 {
+			time.Sleep(first - more)
 		}
 		c.Answer(&plugin.Result{HasBody: true, Body: []byte(q.ID)})
 	}
@@ -184,6 +187,25 @@
 	}
 }
 
+// TestWaitingIsNoFailure: a call that has waited for its process has all its time from then on; one that waits too long is not
+// asked, and neither counts against the plug-in or ends its process.
+func TestWaitingIsNoFailure(t *testing.T) {
+	r, k := New([]string{command(t)[0], "answer-slowly"}), &taker{}
+	t.Cleanup(r.Close)
+	if err := r.Load([]plugin.Spec{spec(t, "p", "def intake(message):\n    pass\n", func(s *plugin.Spec) { s.Time, s.Pass = time.Second, true })}); err != nil {
+		t.Fatal(err)
+	}
+	f := r.Front(k)
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Go(func() { handIn(f, "b") })
+	}
+	wg.Wait()
+	if s := r.Status()[0]; s.Changed < 2 || s.Changed+s.Skipped != 6 || s.Failed > 0 || s.Restarts > 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
 // TestTwoThatDisagree: the lower order is asked first; the next sees what it made; both must permit an endpoint.
 func TestTwoThatDisagree(t *testing.T) {
 	first := spec(t, "z", "def intake(message):\n    return change(body = message.body + \"1\", only = [\"a\", \"b\"], prefer = [\"b\"], header = {\"X\": \"1\"})\n", func(s *plugin.Spec) { s.Order = 1 })
--- a/internal/plugin/spec.go
+++ b/internal/plugin/spec.go
@@ -20,7 +20,7 @@
 	Source       string
 
 	Steps     uint64
-	Time      time.Duration // for one answer, waiting included
+	Time      time.Duration // for one answer, and as long again to wait for a process
 	Memory    int           // bytes
 	Output    int           // bytes of a body
 	Processes int
