--- a/internal/plugin/host/host.go
+++ b/internal/plugin/host/host.go
@@ -22,9 +22,12 @@
 
 // Exit statuses.
 const (
-	exitPipe  = 1 // the forwarder is gone, or what it wrote can't be read
-	exitHung  = 3 // a call took too long
-	headroom  = 24 << 20
+	exitPipe = 1 // the forwarder is gone, or what it wrote can't be read
+	exitHung = 3 // a call took too long
+)
+
+const (
+	headroom  = 24 << 20 // bytes of memory beside what a plug-in may use
 	niceness  = 5
 	heapShare = 2 // the collector works harder from this part of the memory on
 )
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -62,7 +62,7 @@
 				}
 			}
 			c.Apply(r, 100)
-			choices.Admit(1, d.Only)
+			choices.Admit(1, d.Only, listed)
 		}
 		known := func(n string) bool { return n == "a" || n == "b" || n == "c" }
 		if slices.ContainsFunc(append(slices.Clone(d.Only), d.Prefer...), func(n string) bool { return !known(n) }) {
@@ -90,6 +90,10 @@
 func TestChoicesAreBounded(t *testing.T) {
 	c := Choices{}
 	admitted := 0
+	var listed []Endpoint
+	for b := range 8 {
+		listed = append(listed, Endpoint{Name: string(rune('a' + b))})
+	}
 	for n := 1; n < 1<<8; n++ {
 		var only []string
 		for b := range 8 {
@@ -97,13 +101,16 @@
 				only = append(only, string(rune('a'+b)))
 			}
 		}
-		if c.Admit(7, only) {
+		if c.Admit(7, only, listed) {
 			admitted++
 		}
 	}
-	if admitted != MostChoices || !c.Admit(7, []string{"a"}) || !c.Admit(8, []string{"h", "a"}) || !c.Admit(7, nil) {
+	if admitted != MostChoices || !c.Admit(7, []string{"a"}, listed) || !c.Admit(8, []string{"h", "a"}, listed) || !c.Admit(7, nil, listed) {
 		t.Errorf("%d sets admitted, %d wanted; those there are must stay, and others' are apart", admitted, MostChoices)
 	}
+	if next := append(listed[1:], Endpoint{Name: "new"}); !c.Admit(7, []string{"new"}, next) {
+		t.Error("sets that name an endpoint which is gone keep others out")
+	}
 }
 
 // TestCautionOnly: a reply can be made to count for less and for no more, whatever is wished for.
--- a/internal/plugin/rules.go
+++ b/internal/plugin/rules.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -222,8 +223,9 @@
 // one set apart from the others.
 type Choices map[int]map[string]bool
 
-// Admit tells whether one more message may be narrowed so. It counts the set.
-func (c Choices) Admit(destination int, only []string) bool {
+// Admit tells whether one more message may be narrowed so. It counts the set, and lets go of those that name an endpoint
+// which is not listed any more: names come and go.
+func (c Choices) Admit(destination int, only []string, listed []Endpoint) bool {
 	if len(only) == 0 {
 		return true
 	}
@@ -232,6 +234,13 @@
 	if sets[key] {
 		return true
 	}
+	if len(sets) >= MostChoices {
+		maps.DeleteFunc(sets, func(key string, _ bool) bool {
+			return slices.ContainsFunc(strings.Split(key, "\x00"), func(name string) bool {
+				return !slices.ContainsFunc(listed, func(e Endpoint) bool { return e.Name == name })
+			})
+		})
+	}
 	if len(sets) >= MostChoices {
 		return false
 	}
--- a/internal/plugin/runner/runner.go
+++ b/internal/plugin/runner/runner.go
@@ -186,7 +186,7 @@
 			if err := next.Apply(r, p.spec.Output); err != nil {
 				return err
 			}
-			if !s.admits(m.Destination, next.Only) {
+			if !s.admits(m.Destination, next.Only, d.Endpoints) {
 				return fmt.Errorf("messages for destination %d are narrowed to %d sets of endpoints already; %q is one more", m.Destination, plugin.MostChoices, next.Only)
 			}
 			*d = next
@@ -213,10 +213,10 @@
 	return &altered, engine.Answer{}
 }
 
-func (s *set) admits(destination int, only []string) bool {
+func (s *set) admits(destination int, only []string, listed []plugin.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.choices.Admit(destination, only)
+	return s.choices.Admit(destination, only, listed)
 }
 
 func (r *Runner) endpoints(destination int) []plugin.Endpoint {
