--- a/internal/plugin/runner/runner_test.go
+++ b/internal/plugin/runner/runner_test.go
@@ -379,7 +379,7 @@
 	if testing.Short() || raceEnabled {
 		programs = 16
 	}
-	before := runtime.NumGoroutine()
+	before, heap := runtime.NumGoroutine(), heapInUse()
 	r := New(command(t))
 	r.list(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{{Target: decide.Target{ID: "a", Destination: 7}}}})
 	calls := 0
@@ -419,11 +419,21 @@
 			t.Fatalf("%d goroutines, %d at the start", runtime.NumGoroutine(), before)
 		}
 	}
+	if after := heapInUse(); after > heap+4<<20 {
+		t.Errorf("%d bytes of heap, %d at the start", after, heap)
+	}
 	if n := children(t); n != 0 {
 		t.Errorf("%d processes are left", n)
 	}
 }
 
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 // children counts the processes that this one has.
 func children(t *testing.T) (n int) {
 	t.Helper()
