Say what to do when the program that runs plug-ins is not there

Need: an operator whose daemon does not find scaleroute-plugin-host was shown the error of the system alone, without a remedy.

--- a/internal/plugin/runner/process.go
+++ b/internal/plugin/runner/process.go
@@ -52,7 +52,7 @@
 	p := &process{cmd: cmd, conn: pipe.New(bufio.NewReaderSize(from, 16<<10), to), to: to, from: from, gone: make(chan struct{})}
 	if err := cmd.Start(); err != nil {
 		p.close()
-		return nil, fmt.Errorf("starting a process for plug-ins: %w", err)
+		return nil, fmt.Errorf("no process for plug-ins can be started: put scaleroute-plugin-host beside the daemon, or name it by -plugin-host: %w", err)
 	}
 	go func() { // ends with the process, which is killed wherever it is given up
 		cmd.Wait()
--- a/internal/plugin/runner/runner_test.go
+++ b/internal/plugin/runner/runner_test.go
@@ -164,6 +164,19 @@
 	}
 }
 
+// TestNoHost: without the program that runs plug-ins nothing is loaded, and what there was stays.
+func TestNoHost(t *testing.T) {
+	r, k := loaded(t, spec(t, "p", "def intake(message):\n    return change(body = \"asked\")\n")), &taker{}
+	r.command = []string{filepath.Join(t.TempDir(), "none")}
+	if err := r.Load([]plugin.Spec{spec(t, "q", "def intake(message):\n    pass\n")}); err == nil || !strings.Contains(err.Error(), "-plugin-host") {
+		t.Errorf("%v", err)
+	}
+	handIn(r.Front(k), "b")
+	if body, _ := k.list[0].Body.Load(); string(body) != "asked" {
+		t.Errorf("%q: the old one is not asked any more", body)
+	}
+}
+
 // TestLateAnswer: an answer that comes after its time is never taken for that to the next question.
 func TestLateAnswer(t *testing.T) {
 	r, k := New([]string{command(t)[0], "answer-late"}), &taker{}
