--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -98,7 +98,7 @@
 	}
 	var taker resp2.Taker = l
 	if operators.plugins != nil {
-		taker = operators.plugins.Front(l)
+		taker = router{operators, operators.plugins.Front(l)}
 	}
 	clients := resp2.New(ln, c.Limits.Clients(), taker)
 
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -25,6 +25,7 @@
 	now      *operator.Config
 	platform decide.Settings
 	limits   atomic.Pointer[operator.Limits]
+	routes   atomic.Pointer[operator.Routes]
 	plugins  *runner.Runner // nil if nothing is set
 	sources  *sources
 	most     int // processes of plug-ins: descriptors are kept for so many, and as many while they are replaced
@@ -76,18 +77,27 @@
 		return fmt.Errorf("-operators: %w", err)
 	}
 	if s.file != "" {
+		routes, err := s.now.NewRoutes()
+		if err != nil {
+			return fmt.Errorf("-operators: %w", err)
+		}
+		s.routes.Store(routes)
 		s.limits.Store(s.now.NewLimits())
-		set.Limits = func(class string, dest int) decide.Limits { return s.limits.Load().For(class, dest) }
+		set.Limits = func(class string, dest int, route string) decide.Limits {
+			return s.limits.Load().For(class, dest, route)
+		}
 	}
 	return nil
 }
 
 // intake is what the engine asks for; nil if nothing is set.
-func (s *settings) intake() func(class string, dest int) engine.Limits {
+func (s *settings) intake() func(class string, dest int, route string) engine.Limits {
 	if s.file == "" {
 		return nil
 	}
-	return func(class string, dest int) engine.Limits { return s.limits.Load().Intake(class, dest) }
+	return func(class string, dest int, route string) engine.Limits {
+		return s.limits.Load().Intake(class, dest, route)
+	}
 }
 
 // reload takes what the file sets now, whole or not at all. Messages that are held keep the limits they were taken on
@@ -112,6 +122,10 @@
 	if err == nil && set.PluginStatus != s.now.PluginStatus {
 		err = errors.New("the file for the plug-ins' status can't change: restart, or set it as it was")
 	}
+	var routes *operator.Routes
+	if err == nil {
+		routes, err = set.NewRoutes()
+	}
 	if err == nil {
 		err = s.plugins.Load(set.Specs())
 	}
@@ -126,6 +140,7 @@
 	if !reflect.DeepEqual(s.now.Pools, set.Pools) {
 		s.sources.tell(membership.File, set.Endpoints())
 	}
+	s.routes.Store(routes) // the engine has heard of a pool before a route leads there
 	s.now = set
 }
 
--- a/cmd/scaleroutectl/operators.go
+++ b/cmd/scaleroutectl/operators.go
@@ -15,6 +15,7 @@
 	"scaleroute/internal/config"
 	"scaleroute/internal/operator"
 	"scaleroute/internal/opfile"
+	"scaleroute/internal/route"
 )
 
 type checkCommand struct {
@@ -90,10 +91,12 @@
 }
 
 type explainCommand struct {
-	File        string `arg:"" type:"existingfile" help:"An operators' file, or a resolved one (.json)."`
-	Class       string `required:"" help:"Class of the message."`
-	Destination int    `required:"" help:"Its destination."`
-	JSON        bool   `help:"One line of JSON for each figure."`
+	File        string            `arg:"" type:"existingfile" help:"An operators' file, or a resolved one (.json)."`
+	Class       string            `required:"" help:"Class of the message."`
+	Destination int               `required:"" help:"The destination that its client names."`
+	Front       string            `default:"resp2" help:"The front that it comes by."`
+	Field       map[string]string `placeholder:"NAME=VALUE" help:"What its client says beside; any number of them."`
+	JSON        bool              `help:"One line of JSON for each figure."`
 }
 
 func (c *explainCommand) Run(out io.Writer, errs stderr) error {
@@ -101,7 +104,12 @@
 	if err != nil {
 		return err
 	}
-	for _, e := range set.Explain(c.Class, c.Destination) {
+	list, err := set.Explain(&route.Message{Front: c.Front, Class: c.Class, Destination: c.Destination,
+		Field: func(name string) (string, bool) { v, there := c.Field[name]; return v, there }})
+	if err != nil {
+		return err
+	}
+	for _, e := range list {
 		if c.JSON {
 			err = json.NewEncoder(out).Encode(e)
 		} else {
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -80,10 +80,10 @@
 	Forwarders   int                // how many there are, this one included
 	Weights      Weights            // what Target.Weight holds
 
-	Slots        int                                        // calls out at once
-	MaxHeld      int                                        // messages held at once; 0 for no limit
-	MaxAttempts  int                                        // attempts for one message; 0 for no limit
-	Limits       func(class string, destination int) Limits // a pure function; nil for none
+	Slots        int                                                      // calls out at once
+	MaxHeld      int                                                      // messages held at once; 0 for no limit
+	MaxAttempts  int                                                      // attempts for one message; 0 for no limit
+	Limits       func(class string, destination int, route string) Limits // a pure function; nil for none
 	SecondCopies bool
 	MayProbe     bool
 	MayCancel    bool
@@ -147,7 +147,8 @@
 	Zone        string
 	State       TargetState
 	Weight      float64
-	Backup      bool // only while the others of its destination fail or are away
+	Backup      bool    // only while the others of its destination fail or are away
+	Share       float64 // its part of the calls against the others of its route; 0 is 1
 }
 
 // ListScope says how a TargetList relates to the one before it.
@@ -177,6 +178,7 @@
 	Left        time.Duration // until it is given up
 	Again       bool          // it was held by a forwarder that died
 	Repeat      bool          // a client's repeat, where clients mark it
+	Route       string        // by which it came, for its limits
 	Among       *Among        // which targets it may go to; nil: any of its destination
 
 	// What a restarted host knows of a message that it had taken before.
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -159,12 +159,12 @@
 // listed takes what a list says of one target.
 func (f *Forwarder) listed(t *target, e Target) {
 	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && t.backup == e.Backup &&
-		e.State != Gone {
+		e.State != Gone && t.share == shareOf(e) {
 		return
 	}
 	d := t.route.dest
 	f.settleAll(d)
-	t.state, t.zone, t.weight, t.backup = e.State, e.Zone, e.Weight, e.Backup
+	t.state, t.zone, t.weight, t.backup, t.share = e.State, e.Zone, e.Weight, e.Backup, shareOf(e)
 	f.dropGone(t)
 	f.touch(d)
 }
@@ -198,7 +198,7 @@
 	f.seq++
 	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
 		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left,
-		limits: f.limits(c.Name, e.Destination), among: among(e.Among)}
+		limits: f.limits(c.Name, e.Destination, e.Route), among: among(e.Among)}
 	if f.overShare(e.Tenant) {
 		m.worth = c.Worth * f.set.OverShareWorth
 	}
@@ -588,8 +588,8 @@
 			if f.mayGo(m, t) > f.now {
 				continue
 			}
-			cost := float64(t.out) + failCost*t.failing.get(f.now, forget) + evenOut*f.rng.Float64()
-			cost += preferCost * f.behind(m, t)
+			cost := (float64(t.out)+evenOut*f.rng.Float64())/t.share + t.ahead()
+			cost += failCost*t.failing.get(f.now, forget) + preferCost*f.behind(m, t)
 			if f.now < t.avoidTil {
 				cost += 1e6
 			}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -140,6 +140,8 @@
 	state    TargetState
 	weight   float64
 	backup   bool
+	share    float64 // of the calls, against others
+	turn     float64 // calls by its share: when its next one is due, on its route's count
 	route    *route
 	listed   uint64 // the whole list that had it last
 	out      int
@@ -150,6 +152,21 @@
 	failing  decayingMean // share of calls that left doubt
 }
 
+// shareOf is what a list says of a target's share.
+func shareOf(e Target) float64 { return cmp.Or(max(e.Share, 0), 1) }
+
+// due is a target's place among the turns of its route. One that was away, or was passed over while it failed, has one turn in hand and no
+// more: what it missed must not come down on it when it is back.
+func (t *target) due() float64 { return max(t.turn, t.route.turn-1/t.share) }
+
+// ahead is how many turns a target is ahead of those of its route that have had least for their shares; 0 where all have one share.
+func (t *target) ahead() float64 {
+	if !t.route.shared {
+		return 0
+	}
+	return t.due() - t.route.turn
+}
+
 func (t *target) spare() bool { return t.backup && t.state == Active }
 
 // route is whatever a limit, a wait, an outage, a budget and a return belong to.
@@ -159,6 +176,8 @@
 	targets []*target
 	calls   []*call // out, in the order sent
 	trials  int     // trial calls out
+	shared  bool    // its targets have different shares
+	turn    float64 // of the call that was made last
 	touched time.Duration
 
 	told time.Duration // told to wait until then
@@ -350,11 +369,11 @@
 }
 
 // limits are those of a class towards a destination, the platform's included.
-func (f *Forwarder) limits(class string, dest int) *Limits {
+func (f *Forwarder) limits(class string, dest int, route string) *Limits {
 	if f.set.Limits == nil {
 		return &f.platform
 	}
-	l := f.set.Limits(class, dest)
+	l := f.set.Limits(class, dest, route)
 	if most := f.set.MaxAttempts; most > 0 && (l.Attempts == 0 || l.Attempts > most) {
 		l.Attempts = most
 	}
@@ -416,11 +435,14 @@
 // target finds a listed endpoint, or makes it and its route.
 func (f *Forwarder) target(e Target) *target {
 	if t := f.targets[e.ID]; t != nil {
-		return t
+		if t.route.dest.id == e.Destination || e.State == Gone {
+			return t
+		}
+		f.moveAway(t)
 	}
 	kind := f.kinds[e.Kind]
 	kind.PerCall = max(kind.PerCall, 1)
-	t := &target{id: e.ID, kind: kind, zone: e.Zone, state: Gone}
+	t := &target{id: e.ID, kind: kind, zone: e.Zone, state: Gone, share: 1}
 	f.targets[e.ID] = t
 	d := f.destination(e.Destination)
 	f.settleAll(d)
@@ -437,6 +459,22 @@
 	return t
 }
 
+// moveAway takes a target from its destination for good, since its name stands at another one now. Calls that are out to it go on.
+func (f *Forwarder) moveAway(t *target) {
+	f.listed(t, Target{Zone: t.zone, State: Gone, Weight: t.weight})
+	if f.targets[t.id] != t {
+		return
+	}
+	delete(f.targets, t.id)
+	for f.targets[t.id] != nil || !strings.HasSuffix(t.id, movedAway) {
+		t.id += movedAway
+	}
+	f.targets[t.id] = t
+}
+
+// movedAway stands behind the name of a target that was moved, and in no name of a list.
+const movedAway = "\x00"
+
 // dropGone forgets a target that is gone once no call to it is out. What it taught the route that it
 // shared with others stays; a route of its own goes with it.
 func (f *Forwarder) dropGone(t *target) {
@@ -512,7 +550,7 @@
 		f.mayBeQuiet(d)
 	}
 	if f.set.Limits != nil { // what is set now
-		d.limits = f.limits("", id)
+		d.limits = f.limits("", id, "")
 	}
 	return d
 }
@@ -677,6 +715,9 @@
 		f.suspect(c)
 	}
 	t.out++
+	r.shared = slices.ContainsFunc(r.targets, func(o *target) bool { return o.share != t.share })
+	r.turn = t.due()
+	t.turn = r.turn + 1/t.share
 	t.uses.add(f.now, max(f.set.ConnIdle, 1))
 	return c
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -48,7 +48,7 @@
 type Attempt struct {
 	ID          string
 	Class       string
-	Destination int
+	Destination int // that its client named
 	Number      int // from 0
 	Body        message.Body
 	Header      []message.Field
@@ -69,7 +69,7 @@
 type Ending struct {
 	ID          string
 	Class       string
-	Destination int
+	Destination int    // that its client named
 	How         string // delivered, refused or failed
 }
 
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -71,8 +71,8 @@
 	Back     Back
 	// SyncEvery is how often a journal is synced that is synced at intervals.
 	SyncEvery time.Duration
-	// Limits are those of a class towards a destination; nil for none.
-	Limits func(class string, destination int) Limits
+	// Limits are those of a class towards a destination, by a route if its name is not empty; nil for none.
+	Limits func(class string, destination int, route string) Limits
 	// Ended is told of each message that was taken on and is over, by the loop: it must not wait. nil if nobody asks.
 	Ended func(Ending)
 	// Finals by the front that took a message; the one under "" takes what no other does.
@@ -97,7 +97,7 @@
 	arrived   []*entry // in this round
 	shares    intake.Shares
 	caps      intake.Caps
-	limits    func(class string, destination int) Limits
+	limits    func(class string, destination int, route string) Limits
 	ended     func(Ending)
 	effects   []func() // after the journal has been written
 	waiting   []batch  // until it has been synced, where that is promised
@@ -193,7 +193,7 @@
 			continue
 		}
 		l.events = append(l.events, decide.Message{ID: s.ID, Class: s.Class, Destination: s.Dest,
-			Left: s.Deadline.Sub(now), Among: among(s.Extras), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
+			Left: s.Deadline.Sub(now), Among: among(s.Extras), Route: s.Extras.Took(), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
 	}
 	if n := len(l.entries); n > 0 {
 		slog.Info("taken up from the journal", "messages", n)
@@ -353,7 +353,7 @@
 	}
 	left, limits := min(m.Left, class.Deadline), Limits{}
 	if l.limits != nil {
-		limits = l.limits(m.Class, m.Destination)
+		limits = l.limits(m.Class, m.Destination, m.Extras.Took())
 	}
 	if limits.Whole > 0 {
 		left = min(left, limits.Whole)
@@ -381,7 +381,7 @@
 	l.keep(e)
 	l.arrived = append(l.arrived, e)
 	l.events = append(l.events, decide.Message{ID: m.ID, Class: m.Class, Destination: m.Destination,
-		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat, Among: among(m.Extras)})
+		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat, Among: among(m.Extras), Route: m.Extras.Took()})
 	return nil
 }
 
@@ -461,7 +461,7 @@
 	if l.limits == nil {
 		return
 	}
-	if i := l.limits(e.saved.Class, e.saved.Dest); i.Held > 0 {
+	if i := l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.Took()); i.Held > 0 {
 		e.cap = intake.Cap{Rule: i.Rule, Destination: e.saved.Dest}
 		l.caps.Add(e.cap, 1)
 	}
@@ -560,13 +560,13 @@
 	l.journal.Sending(s.Message)
 	call, cancel := context.WithCancel(ctx)
 	e.cancel = cancel
-	n, try, decided := e.attempt, Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Dest, Number: e.attempt,
+	n, try, decided := e.attempt, Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: e.attempt,
 		Body: e.saved.Body, Timeout: s.Timeout}, time.Now()
 	if x := e.saved.Extras; x != nil {
 		try.Header = x.Header
 	}
 	if l.limits != nil {
-		try.Connect = l.limits(e.saved.Class, e.saved.Dest).Connect
+		try.Connect = l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.Took()).Connect
 	}
 	l.effects = append(l.effects, func() {
 		go func() {
@@ -630,7 +630,7 @@
 
 func (l *Engine) tellEnd(e *entry, how string) {
 	if l.ended != nil {
-		l.ended(Ending{e.saved.ID, e.saved.Class, e.saved.Dest, how})
+		l.ended(Ending{e.saved.ID, e.saved.Class, e.saved.Extras.Asked(e.saved.Dest), how})
 	}
 }
 
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -310,14 +310,14 @@
 	if len(args) != 5 {
 		return nil, errors.New("ENQUEUE takes a key, an id, a list and a body")
 	}
-	req := &message.Message{ID: string(args[2]), Destination: -1, Body: message.Bytes(args[4]), Read: time.Now()}
+	req := &message.Message{ID: string(args[2]), Destination: -1, Fields: string(args[3]), Body: message.Bytes(args[4]), Read: time.Now()}
 	if !plainWord(req.ID) {
 		return nil, errors.New("bad id")
 	}
 	if req.Body.Len() > maxBody {
 		return nil, errors.New("body over 64 KiB")
 	}
-	for _, pair := range strings.Split(string(args[3]), ",") {
+	for _, pair := range strings.Split(req.Fields, ",") {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok {
 			return nil, errors.New("bad list of names and values")
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -11,7 +11,7 @@
 // A segment is a file of records. Its name, and its header again, tell its place and its nonce:
 //
 //	0   "SRJL"
-//	4   version (2 bytes, little-endian), now 4; 3 has no extras, 2 had no synced offsets, the single file of old was 1
+//	4   version (2 bytes, little-endian), now 5; 4 has no routes, 3 has no extras, 2 had no synced offsets, the single file of old was 1
 //	6   flags (2): 1 while the journal of old is being taken over; 2 if what is synced is written down (sync.go)
 //	8   sequence number (8)
 //	16  nonce (4)
@@ -19,7 +19,7 @@
 //	28  CRC-32C of all that
 const (
 	segmentHead  = 32
-	version      = 4
+	version      = 5
 	plainVersion = 3 // where no message has extras
 	takingOver   = 1
 	grouped      = 2
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -18,13 +18,14 @@
 	flagMayHaveRun
 	flagLost   // its body could not be read when it was to be moved
 	flagExtras // behind the origin stand two lists of names and one of fields: a count (1), then lengths (1, of a value 2) and texts
+	flagRoute  // behind those the length of a route's name (1), the name, and the destination asked for (4)
 )
 
 func encodeState(s *Saved, body []byte) []byte {
 	p := make([]byte, 0, 24+s.Size())
 	p = binary.LittleEndian.AppendUint64(p, uint64(s.Deadline.UnixMilli()))
 	p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Dest)))
-	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost|bit(s.Extras != nil)*flagExtras, s.End)
+	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost|bit(s.Extras != nil)*flagExtras|bit(s.Extras.Took() != "")*flagRoute, s.End)
 	p = binary.LittleEndian.AppendUint32(p, uint32(min(s.Wait.Milliseconds(), 1<<32-1)))
 	p = append(p, byte(len(s.ID)), byte(len(s.Class)), byte(len(s.Origin)))
 	p = append(append(append(p, s.ID...), s.Class...), s.Origin...)
@@ -41,6 +42,10 @@
 			p = append(binary.LittleEndian.AppendUint16(p, uint16(len(f.Value))), f.Value...)
 		}
 	}
+	if route := s.Extras.Took(); route != "" {
+		p = append(append(p, byte(len(route))), route...)
+		p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Extras.For)))
+	}
 	return append(p, body...)
 }
 
@@ -59,11 +64,14 @@
 	for _, f := range a.Header {
 		n += 3 + len(f.Name) + len(f.Value)
 	}
+	if a.Route != "" {
+		n += 5 + len(a.Route)
+	}
 	return n
 }
 
 // decodeExtras reads them and returns what stands behind.
-func decodeExtras(p []byte) (a *message.Extras, rest []byte, err error) {
+func decodeExtras(p []byte, routed bool) (a *message.Extras, rest []byte, err error) {
 	a = &message.Extras{}
 	short := false
 	take := func(n int) (text []byte) {
@@ -86,6 +94,10 @@
 	for range length(1) {
 		a.Header = append(a.Header, message.Field{Name: string(take(length(1))), Value: string(take(length(2)))})
 	}
+	if routed {
+		a.Route = string(take(length(1)))
+		a.For = int(int32(length(4)))
+	}
 	if short {
 		return nil, nil, errShort
 	}
@@ -114,7 +126,7 @@
 	rest = rest[id+class+origin:]
 	if p[13]&flagExtras != 0 {
 		var err error
-		if s.Extras, rest, err = decodeExtras(rest); err != nil {
+		if s.Extras, rest, err = decodeExtras(rest, p[13]&flagRoute != 0); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -2,7 +2,10 @@
 // message on its way. It decides nothing and does no I/O of its own.
 package message
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Message is one message as a front hands it in.
 type Message struct {
@@ -14,19 +17,54 @@
 	Read        time.Time     // when its last byte had been read
 	Again       bool          // it was held by a forwarder that died
 	Repeat      bool          // a client's repeat after a refusal, where clients mark it
+	Fields      string        // what its client said of it: names and values, as name=value, with commas between
 	Extras      *Extras       // nil: none
 	Body        Body
 }
 
+// Field finds what a message's client said of it under a name; the last one holds.
+func (m *Message) Field(name string) (value string, there bool) {
+	for rest, more := m.Fields, true; more; {
+		var pair string
+		pair, rest, more = strings.Cut(rest, ",")
+		if key, v, ok := strings.Cut(pair, "="); ok && key == name {
+			value, there = v, true
+		}
+	}
+	return value, there
+}
+
+// Asked is the destination that a message's client named; Destination is where it goes.
+func (m *Message) Asked() int { return m.Extras.Asked(m.Destination) }
+
 // Extras is what was added to a message where it was taken on. It holds as long as the message does.
 type Extras struct {
 	// Endpoints of its destination, 255 names of 255 bytes at most each. They permit none that would not be permitted without.
 	Only   []string // no others; none: all
 	Prefer []string // these before the others, in this order
+	// Route is the name of the route that it took, and For the destination that its client named; none: it goes there.
+	Route string // 255 bytes at most
+	For   int
 	// Header goes along with each attempt: 255 fields, each of 255 bytes and 65,535.
 	Header []Field
 }
 
+// Asked is the destination that a client named for a message that goes to another; it may be asked of nil.
+func (x *Extras) Asked(to int) int {
+	if x == nil || x.Route == "" {
+		return to
+	}
+	return x.For
+}
+
+// Took is the name of the route; it may be asked of nil.
+func (x *Extras) Took() string {
+	if x == nil {
+		return ""
+	}
+	return x.Route
+}
+
 // Field is one field of a header.
 type Field struct {
 	Name  string `json:"name"`
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"scaleroute/internal/route"
 )
 
 // Change is one thing that differs in effect between two versions.
@@ -23,14 +26,16 @@
 func Diff(old, new *Config) (list []Change) {
 	whole := func(key, a, b string) {
 		if a != b {
-			list = append(list, Change{"the journal", key, a, b, old.Where[key], new.Where[key]})
+			list = append(list, Change{of(key), key, a, b, old.Where[key], new.Where[key]})
 		}
 	}
 	every := func(c *Config) string { return time.Duration(c.Journal.SyncEvery).String() }
 	whole("journal.durability", old.Journal.Durability, new.Journal.Durability)
 	whole("journal.sync_every", every(old), every(new))
 
+	whole("unrouted", cmp.Or(old.Unrouted, Go), cmp.Or(new.Unrouted, Go))
 	whole("plugin_status", cmp.Or(old.PluginStatus, "none"), cmp.Or(new.PluginStatus, "none"))
+	list = append(list, diffRoutes(old, new)...)
 	list = append(list, diffPools(old, new)...)
 	list = append(list, diffPlugins(old, new)...)
 
@@ -44,19 +49,21 @@
 		}
 	}
 	// Where one rule names a class and another a destination, messages of both are a kind too.
+	// So are messages of a class by a route, and each route's own, as far as they go somewhere by one.
 	var classes []string
-	var dests []int
+	var places []scope
 	for s := range kinds {
 		switch {
-		case s.class != "" && !s.named:
+		case s.class != "" && !s.named && s.route == "":
 			classes = append(classes, s.class)
-		case s.class == "" && s.named:
-			dests = append(dests, s.dest)
+		case s.class == "" && (s.named || s.route != ""):
+			places = append(places, s)
 		}
 	}
 	for _, class := range classes {
-		for _, dest := range dests {
-			kinds[scope{class, dest, true}] = true
+		for _, s := range places {
+			s.class = class
+			kinds[s] = true
 		}
 	}
 	sorted := make([]scope, 0, len(kinds))
@@ -64,20 +71,20 @@
 		sorted = append(sorted, s)
 	}
 	slices.SortFunc(sorted, func(a, b scope) int {
-		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.class, b.class), cmp.Compare(a.dest, b.dest))
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.class, b.class), cmp.Compare(a.dest, b.dest), cmp.Compare(a.route, b.route))
 	})
 	type pair struct{ old, new string }
 	for n, key := range figureNames {
 		said := map[scope]pair{}
 		for _, s := range sorted {
-			a, from := before.figure(n, s)
-			b, to := after.figure(n, s)
+			a, from := before.figure(n, s, old)
+			b, to := after.figure(n, s, new)
 			p := pair{a, b}
 			said[s] = p
-			if a == b || s != (scope{}) && slices.ContainsFunc(s.parents(), func(o scope) bool { q, known := said[o]; return known && q == p }) {
+			if a == b || s != (scope{}) && slices.ContainsFunc(s.parents(new), func(o scope) bool { q, known := said[o]; return known && q == p }) {
 				continue
 			}
-			list = append(list, Change{s.String(), key, a, b, old.Where["limits."+from+"."+key], new.Where["limits."+to+"."+key]})
+			list = append(list, Change{new.shownOr(old, s), key, a, b, old.Where["limits."+from+"."+key], new.Where["limits."+to+"."+key]})
 		}
 	}
 	return list
@@ -90,22 +97,30 @@
 	if s.named {
 		n += 2
 	}
+	if s.route != "" {
+		n += 4
+	}
 	return n
 }
 
-// parents are the scopes that hold all that this one holds.
-func (s scope) parents() (list []scope) {
-	for _, o := range wider(s.class, s.dest) {
-		if rank(o) < rank(s) && (s.named || !o.named) {
+// parents are the scopes that hold all that this one holds, the most specific first. Where a route leads is told by a file.
+func (s scope) parents(c *Config) (list []scope) {
+	dest, named := s.dest, s.named
+	if r := c.names.routes[s.route]; r != nil {
+		dest, named = c.goalOf(r), true
+	}
+	all, least := wider(s.class, dest, s.route)
+	for _, o := range all[least:] {
+		if rank(o) < rank(s) && (named || !o.named) {
 			list = append(list, o)
 		}
 	}
-	return list
+	return slices.Compact(list)
 }
 
 // figure is what holds for a scope, and the rule that says so.
-func (l *Limits) figure(n int, s scope) (value, rule string) {
-	for _, o := range append([]scope{s}, s.parents()...) {
+func (l *Limits) figure(n int, s scope, c *Config) (value, rule string) {
+	for _, o := range append([]scope{s}, s.parents(c)...) {
 		if r := l.by[n][o]; r != nil {
 			return r.show(n), r.Name
 		}
@@ -113,14 +128,34 @@
 	return unset, ""
 }
 
-// Explain tells what holds for a message, and which place says so.
-func (c *Config) Explain(class string, dest int) (list []Change) {
-	l := c.NewLimits()
-	s := scope{class, dest, true}
+// Explain tells which way a message takes and what holds for it, and which place says so. The error says that the routes can't be used.
+func (c *Config) Explain(m *route.Message) (list []Change, err error) {
+	t, err := c.NewRoutes()
+	if err != nil {
+		return nil, err
+	}
+	l, dest := c.NewLimits(), m.Destination
+	s := scope{class: m.Class, dest: dest, named: true}
+	goes := Change{For: c.shown(s), Key: "goes", New: c.goal(dest)}
+	if r := t.Find(m); r != nil {
+		dest, s.route = r.To, r.Name
+		goes.New, goes.To = fmt.Sprintf("by route %q to %s", r.Name, c.goal(dest)), c.Where["route."+r.Name]
+	} else if c.Unrouted == Reject {
+		goes.New, goes.To = "rejected: it fits no route", c.Where["unrouted"]
+	}
+	list = append(list, goes)
+	s.dest = dest
 	for n, key := range figureNames {
-		v, rule := l.figure(n, s)
-		list = append(list, Change{For: s.String(), Key: key, New: v, To: c.Where["limits."+rule+"."+key]})
+		v, rule := l.figure(n, s, c)
+		list = append(list, Change{For: c.shown(s), Key: key, New: v, To: c.Where["limits."+rule+"."+key]})
 	}
 	list = append(list, c.explainPool(dest)...)
-	return append(list, c.explainPlugins(class, dest)...)
+	return append(list, c.explainPlugins(m.Class, m.Destination)...), nil
+}
+
+func of(key string) string {
+	if key == "unrouted" {
+		return "messages that fit no route"
+	}
+	return "the journal"
 }
--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -17,7 +17,9 @@
 type Limit struct {
 	Name         string   `json:"name"`
 	Classes      []string `json:"classes,omitempty"`      // none: all
-	Destinations []int    `json:"destinations,omitempty"` // none: all
+	Destinations []int    `json:"destinations,omitempty"` // where messages go; none: all
+	Pools        []string `json:"pools,omitempty"`        // the same, by the names of pools
+	Routes       []string `json:"routes,omitempty"`       // by which they came; none: any, or none
 	Attempts     int      `json:"attempts,omitempty"`     // for one message; 0: not set
 	Answer       Duration `json:"answer,omitempty"`       // how long one attempt may wait for its answer; 0: not set
 	Whole        Duration `json:"whole,omitempty"`        // how long a message may be delivered in all; 0: not set
@@ -29,6 +31,8 @@
 	Out   int     `json:"out,omitempty"`   // calls out at once; 0: not set
 	Rate  float64 `json:"rate,omitempty"`  // calls a second; 0: not set
 	Ratio float64 `json:"ratio,omitempty"` // further tries as a share of first tries; 0: not set
+
+	numbers []int // of the pools, once they are known
 }
 
 // The figures that a limit may set.
@@ -81,11 +85,12 @@
 	mostRatio    = 0.2
 )
 
-// scope is one kind of message that rules name: a class or any, a destination or any.
+// scope is one kind of message that rules name: a class or any, a destination or any, or a route.
 type scope struct {
 	class string
 	dest  int
 	named bool // the destination is
+	route string
 }
 
 // scopes are those that a rule names.
@@ -95,19 +100,34 @@
 		classes = []string{""}
 	}
 	for _, c := range classes {
-		if len(l.Destinations) == 0 {
+		if len(l.Destinations)+len(l.Pools)+len(l.Routes) == 0 {
 			list = append(list, scope{class: c})
 		}
-		for _, d := range l.Destinations {
-			list = append(list, scope{c, d, true})
+		for _, d := range l.goals() {
+			list = append(list, scope{class: c, dest: d, named: true})
+		}
+		for _, name := range l.Routes {
+			list = append(list, scope{class: c, route: name})
 		}
 	}
 	return list
 }
 
-// wider lists the scopes that hold a message, the most specific first: class and destination, destination, class, all.
-func wider(class string, dest int) [4]scope {
-	return [4]scope{{class, dest, true}, {"", dest, true}, {class, 0, false}, {}}
+// goals are the numbers of all destinations that a rule names.
+func (l *Limit) goals() []int {
+	if len(l.Pools) == 0 {
+		return l.Destinations
+	}
+	return append(slices.Clone(l.Destinations), l.numbers...)
+}
+
+// wider lists the scopes that hold a message, the most specific first: class and route, route, class and destination,
+// destination, class, all. Without a route the first two are no scopes of their own, and least says where it begins.
+func wider(class string, dest int, route string) (all [6]scope, least int) {
+	if route == "" {
+		least = 2
+	}
+	return [6]scope{{class: class, route: route}, {route: route}, {class: class, dest: dest, named: true}, {dest: dest, named: true}, {class: class}, {}}, least
 }
 
 // Limits finds the limits that hold for a message.
@@ -118,6 +138,7 @@
 // NewLimits makes the index of rules that Check has passed.
 func (c *Config) NewLimits() *Limits {
 	l := &Limits{}
+	c.index()
 	for n := range l.by {
 		l.by[n] = map[scope]*Limit{}
 	}
@@ -135,8 +156,9 @@
 }
 
 // of returns the rule that sets a figure for a message; nil where none does.
-func (l *Limits) of(n int, class string, dest int) *Limit {
-	for _, s := range wider(class, dest) {
+func (l *Limits) of(n int, class string, dest int, route string) *Limit {
+	all, least := wider(class, dest, route)
+	for _, s := range all[least:] {
 		if rule := l.by[n][s]; rule != nil {
 			return rule
 		}
@@ -145,23 +167,23 @@
 }
 
 // For is what the decision module applies.
-func (l *Limits) For(class string, dest int) (m decide.Limits) {
-	if rule := l.of(attempts, class, dest); rule != nil {
+func (l *Limits) For(class string, dest int, route string) (m decide.Limits) {
+	if rule := l.of(attempts, class, dest, route); rule != nil {
 		m.Attempts = rule.Attempts
 	}
-	if rule := l.of(answer, class, dest); rule != nil {
+	if rule := l.of(answer, class, dest, route); rule != nil {
 		m.Answer = time.Duration(rule.Answer)
 	}
-	if rule := l.of(wait, class, dest); rule != nil {
+	if rule := l.of(wait, class, dest, route); rule != nil {
 		m.Wait = time.Duration(rule.Wait)
 	}
-	if rule := l.of(out, "", dest); rule != nil {
+	if rule := l.of(out, "", dest, ""); rule != nil {
 		m.Out = rule.Out
 	}
-	if rule := l.of(rate, "", dest); rule != nil {
+	if rule := l.of(rate, "", dest, ""); rule != nil {
 		m.Rate = rule.Rate
 	}
-	if rule := l.of(ratio, "", dest); rule != nil {
+	if rule := l.of(ratio, "", dest, ""); rule != nil {
 		m.Ratio = rule.Ratio
 	}
 	return m
@@ -169,14 +191,14 @@
 
 // Intake is what the engine applies when a message comes: its time, and how many may be held at once for the
 // destination under which rule; 0 for no limit.
-func (l *Limits) Intake(class string, dest int) (i engine.Limits) {
-	if rule := l.of(whole, class, dest); rule != nil {
+func (l *Limits) Intake(class string, dest int, route string) (i engine.Limits) {
+	if rule := l.of(whole, class, dest, route); rule != nil {
 		i.Whole = time.Duration(rule.Whole)
 	}
-	if rule := l.of(held, class, dest); rule != nil {
+	if rule := l.of(held, class, dest, route); rule != nil {
 		i.Rule, i.Held = rule.Name, rule.Held
 	}
-	if rule := l.of(connect, class, dest); rule != nil {
+	if rule := l.of(connect, class, dest, route); rule != nil {
 		i.Connect = time.Duration(rule.Connect)
 	}
 	return i
@@ -184,6 +206,7 @@
 
 func (c *Config) checkLimits(add func(key, what, remedy string)) {
 	named := map[string]bool{}
+	c.index()
 	var by [figures]map[scope]string
 	for n := range by {
 		by[n] = map[scope]string{}
@@ -223,10 +246,16 @@
 		number("rate", l.Rate, leastRate, mostRate, " a second")
 		number("ratio", l.Ratio, leastRatio, mostRatio, ": with more, repeats could exceed a third of first tries")
 		for _, n := range []int{out, rate, ratio} {
-			if l.figure(n) != 0 && len(l.Classes) > 0 {
-				add(key+"."+figureNames[n], fmt.Sprintf("%s counts all calls to a destination, and this block names classes", figureNames[n]), "set it in a block without classes")
+			if l.figure(n) == 0 || len(l.Classes)+len(l.Routes) == 0 {
+				continue
+			}
+			what, remedy := "classes", "set it in a block without classes"
+			if len(l.Routes) > 0 {
+				what, remedy = "routes", "set it in a block that names the route's pool"
 			}
+			add(key+"."+figureNames[n], fmt.Sprintf("%s counts all calls to a destination, and this block names %s", figureNames[n], what), remedy)
 		}
+		c.checkNames(l, add)
 		if !slices.ContainsFunc(allFigures, func(n int) bool { return l.figure(n) != 0 }) {
 			add(key, fmt.Sprintf("the limits %q limit nothing", l.Name), "set "+strings.Join(figureNames[:figures-1], ", ")+" or "+figureNames[figures-1]+", or take them out")
 		}
@@ -237,7 +266,7 @@
 				}
 				if other := by[n][s]; other != "" {
 					at := c.Where["limits."+other+"."+name]
-					add(key+"."+name, fmt.Sprintf("%s for %v is set by %q too", name, s, other),
+					add(key+"."+name, fmt.Sprintf("%s for %s is set by %q too", name, c.shown(s), other),
 						fmt.Sprintf("neither is more specific: leave it in one of them (the other: %s)", cmp.Or(at, other)))
 					continue
 				}
@@ -247,13 +276,19 @@
 	}
 }
 
-func (s scope) String() string {
+func (s scope) String() string { return (*Config)(nil).shown(s) }
+
+// shown is a scope in words.
+func (c *Config) shown(s scope) string {
 	class, dest := "every class", "every destination"
 	if s.class != "" {
 		class = "class " + s.class
 	}
 	if s.named {
-		dest = fmt.Sprintf("destination %d", s.dest)
+		dest = c.goal(s.dest)
+	}
+	if s.route != "" {
+		dest = fmt.Sprintf("route %q", s.route)
 	}
 	return class + " and " + dest
 }
@@ -278,12 +313,15 @@
 		if set.MaxAttempts > 0 && l.Attempts > set.MaxAttempts {
 			add("limits."+l.Name+".attempts", fmt.Sprintf("%d attempts, and the platform allows %d", l.Attempts, set.MaxAttempts), "set fewer: a limit can only tighten")
 		}
-		for _, d := range l.Destinations {
-			dests[d] = true
-		}
 	}
 	c.pluginsAgainst(classes, names, add)
+	c.routesAgainst(names, add)
 	limits := c.NewLimits()
+	for i := range c.Limits {
+		for _, d := range c.Limits[i].goals() {
+			dests[d] = true
+		}
+	}
 	told := map[string]bool{}
 	check := func(k decide.Class, s scope, attempts, answer, whole, wait *Limit) {
 		if answer == nil && wait == nil {
@@ -322,7 +360,7 @@
 			return
 		}
 		told[key+by+k.Name] = true
-		what = fmt.Sprintf("for %v, %s need %v, and %s", s, what, need, said)
+		what = fmt.Sprintf("for %s, %s need %v, and %s", c.shown(s), what, need, said)
 		if by != "" {
 			what += fmt.Sprintf(" (the attempts: %s)", cmp.Or(c.Where[by], by))
 		}
@@ -340,7 +378,12 @@
 		most := func(n int) *Limit { return cmp.Or(limits.by[n][scope{class: k.Name}], limits.by[n][scope{}]) }
 		check(k, scope{class: k.Name}, most(attempts), most(answer), most(whole), most(wait))
 		for _, d := range sorted {
-			check(k, scope{k.Name, d, true}, limits.of(attempts, k.Name, d), limits.of(answer, k.Name, d), limits.of(whole, k.Name, d), limits.of(wait, k.Name, d))
+			check(k, scope{class: k.Name, dest: d, named: true}, limits.of(attempts, k.Name, d, ""), limits.of(answer, k.Name, d, ""), limits.of(whole, k.Name, d, ""), limits.of(wait, k.Name, d, ""))
+		}
+		for _, r := range c.limitedRoutes() {
+			if d := c.goalOf(r); len(r.Classes) == 0 || slices.Contains(r.Classes, k.Name) {
+				check(k, scope{class: k.Name, route: r.Name}, limits.of(attempts, k.Name, d, r.Name), limits.of(answer, k.Name, d, r.Name), limits.of(whole, k.Name, d, r.Name), limits.of(wait, k.Name, d, r.Name))
+			}
 		}
 	}
 	return list
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,15 +18,20 @@
 
 // Config is the resolved form.
 type Config struct {
-	Format  int      `json:"format"`
-	Journal Journal  `json:"journal"`
-	Limits  []Limit  `json:"limits,omitempty"`  // by name: their order means nothing
-	Pools   []Pool   `json:"pools,omitempty"`   // the same
-	Plugins []Plugin `json:"plugins,omitempty"` // the same
+	Format  int     `json:"format"`
+	Journal Journal `json:"journal"`
+	Limits  []Limit `json:"limits,omitempty"` // by name: their order means nothing
+	Pools   []Pool  `json:"pools,omitempty"`  // the same
+	Routes  []Route `json:"routes,omitempty"` // the same
+	// Unrouted says what becomes of a message that fits no route: go (to the destination that it names; empty is the same) or reject.
+	Unrouted string   `json:"unrouted,omitempty"`
+	Plugins  []Plugin `json:"plugins,omitempty"` // the same
 	// PluginStatus is a file that tells what each plug-in has done, written anew as that changes; empty: none.
 	PluginStatus string `json:"plugin_status,omitempty"`
 	// Where says which place set what: a path of keys, such as journal.durability, and a file with its line.
 	Where map[string]string `json:"where,omitempty"`
+
+	names names
 }
 
 // Journal is how the state journal is kept.
@@ -72,6 +77,7 @@
 	}
 	c.checkLimits(add)
 	c.checkPools(add)
+	c.checkRoutes(add)
 	c.checkPlugins(add)
 	return list
 }
--- a/internal/operator/plugins.go
+++ b/internal/operator/plugins.go
@@ -173,7 +173,7 @@
 	}
 	for _, class := range slices.Sorted(maps.Keys(classes)) {
 		for _, d := range slices.Sorted(maps.Keys(dests)) {
-			list = append(list, scope{class, d, true})
+			list = append(list, scope{class: class, dest: d, named: true})
 		}
 	}
 	return list
@@ -249,7 +249,7 @@
 		}
 		slices.SortFunc(bound, plugin.InOrder)
 		for _, s := range bound {
-			list = append(list, Change{For: scope{class, dest, true}.String(), Key: "plugin at " + string(point), New: s.Name + " " + s.Digest(), To: c.Where["plugin."+s.Name]})
+			list = append(list, Change{For: scope{class: class, dest: dest, named: true}.String(), Key: "plugin at " + string(point), New: s.Name + " " + s.Digest(), To: c.Where["plugin."+s.Name]})
 		}
 	}
 	return list
--- a/internal/operator/pools.go
+++ b/internal/operator/pools.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"net/netip"
 	"slices"
@@ -12,11 +13,44 @@
 	"scaleroute/internal/engine"
 )
 
-// Pool is the endpoints of one destination that operators know, beside those that other sources tell of.
+// Pool is the endpoints of one destination that operators know, beside those that other sources tell of; or, without a
+// destination, a place of its own where only routes lead.
 type Pool struct {
 	Name        string         `json:"name"`
-	Destination int            `json:"destination"`
-	Endpoints   []PoolEndpoint `json:"endpoints"` // by name: their order means nothing
+	Destination *int           `json:"destination,omitempty"`
+	Discovered  bool           `json:"discovered,omitempty"` // discovery alone tells of the endpoints
+	Endpoints   []PoolEndpoint `json:"endpoints,omitempty"`  // by name: their order means nothing
+}
+
+// Number is the destination that a pool is: its own, or one worked out from its name, which no client can name and which is the same after
+// each restart, as the journal has it. Two names of one number are refused.
+func (p *Pool) Number() int {
+	if p.Destination != nil {
+		return *p.Destination
+	}
+	h := fnv.New32a()
+	h.Write([]byte(p.Name))
+	return -1 - int(h.Sum32()>>1)
+}
+
+// show is a pool in words.
+func (p *Pool) show() string {
+	if p.Destination != nil {
+		return fmt.Sprintf("destination %d", *p.Destination)
+	}
+	return fmt.Sprintf("pool %q", p.Name)
+}
+
+// goal is a destination's number in words; the pools of nil are not known.
+func (c *Config) goal(number int) string {
+	if c != nil && number < 0 {
+		for i := range c.Pools {
+			if p := &c.Pools[i]; p.Number() == number {
+				return p.show()
+			}
+		}
+	}
+	return fmt.Sprintf("destination %d", number)
 }
 
 // PoolEndpoint is one of them. Its name is the same in all sources.
@@ -26,11 +60,13 @@
 	Zone    string `json:"zone,omitempty"`
 	Backup  bool   `json:"backup,omitempty"` // only while the others of the destination fail or are away
 	Drain   bool   `json:"drain,omitempty"`  // finishes what it has, and gets nothing new
+	Weight  int    `json:"weight,omitempty"` // its part of the calls, against the others of the pool; 0 is 1
 }
 
 const (
 	mostEndpoints = 100_000 // of all pools
 	mostName      = 255     // bytes
+	mostWeight    = 1000
 )
 
 func (c *Config) checkPools(add func(key, what, remedy string)) {
@@ -43,12 +79,23 @@
 			add(key, fmt.Sprintf("there are two pools %q", p.Name), "give each a name of its own")
 		}
 		pools[p.Name] = true
-		if other, twice := dests[p.Destination]; twice {
-			add(key+".destination", fmt.Sprintf("destination %d has the pool %q too", p.Destination, other),
+		switch other, twice := dests[p.Number()]; {
+		case twice && p.Destination != nil:
+			add(key+".destination", fmt.Sprintf("destination %d has the pool %q too", *p.Destination, other),
 				fmt.Sprintf("put all its endpoints into one (the other: %s)", cmp.Or(c.Where["pool."+other], other)))
+		case twice && other != p.Name:
+			add(key, fmt.Sprintf("the pools %q and %q can't be told apart in the journal: their names come to one number", other, p.Name), "give one of them another name")
 		}
-		dests[p.Destination] = p.Name
-		if len(p.Endpoints) == 0 {
+		dests[p.Number()] = p.Name
+		if p.Destination != nil && *p.Destination < 0 {
+			add(key+".destination", fmt.Sprintf("there is no destination %d", *p.Destination), "set 0 or more")
+		}
+		switch {
+		case p.Discovered && p.Destination == nil:
+			add(key, fmt.Sprintf("the pool %q is discovery's, and of no destination", p.Name), "write destination = 7 for the group that discovery lists")
+		case p.Discovered && len(p.Endpoints) > 0:
+			add(key, fmt.Sprintf("the pool %q is discovery's, and has endpoints of its own", p.Name), `take source = "discovery" out: endpoints and those of discovery are put together`)
+		case !p.Discovered && len(p.Endpoints) == 0:
 			add(key, fmt.Sprintf("the pool %q has no endpoint", p.Name), `write endpoint "NAME" { address = "10.0.0.7:8080" }, or take the pool out`)
 		}
 		addresses, primary := map[string]string{}, false
@@ -63,6 +110,9 @@
 				add(at, fmt.Sprintf("there are two endpoints %q", e.Name), fmt.Sprintf("give each a name of its own: an endpoint is known by it (the other: %s)", cmp.Or(c.Where[other], other)))
 			}
 			names[e.Name] = at
+			if e.Weight < 0 || e.Weight > mostWeight {
+				add(at+".weight", fmt.Sprintf("weight is %d", e.Weight), fmt.Sprintf("set from 1 to %d", mostWeight))
+			}
 			a, err := netip.ParseAddrPort(e.Address)
 			if err != nil || a.Port() == 0 {
 				add(at+".address", fmt.Sprintf("%.80q is no address", e.Address), `write an IP address and a port, such as "10.0.0.7:8080" or "[fd00::7]:8080": no name is looked up`)
@@ -91,21 +141,24 @@
 				state = decide.Draining
 			}
 			l.Endpoints = append(l.Endpoints, engine.Endpoint{Address: e.Address,
-				Target: decide.Target{ID: e.Name, Destination: p.Destination, Zone: e.Zone, State: state, Backup: e.Backup}})
+				Target: decide.Target{ID: e.Name, Destination: p.Number(), Zone: e.Zone, State: state, Backup: e.Backup, Share: float64(e.Weight)}})
 		}
 	}
 	return l
 }
 
 // show is an endpoint in one text.
-func (e PoolEndpoint) show(dest int) string {
-	words := []string{fmt.Sprintf("%s for %d", e.Address, dest)}
+func (e PoolEndpoint) show(p *Pool) string {
+	words := []string{e.Address + " for " + strings.TrimPrefix(p.show(), "destination ")}
 	if e.Zone != "" {
 		words = append(words, "in zone "+e.Zone)
 	}
 	if e.Backup {
 		words = append(words, "as a backup")
 	}
+	if e.Weight > 1 {
+		words = append(words, fmt.Sprint("of weight ", e.Weight))
+	}
 	if e.Drain {
 		words = append(words, "draining")
 	}
@@ -117,9 +170,10 @@
 	type one struct{ shown, at string }
 	by := func(c *Config) map[string]one {
 		m := map[string]one{}
-		for _, p := range c.Pools {
+		for i := range c.Pools {
+			p := &c.Pools[i]
 			for _, e := range p.Endpoints {
-				m[e.Name] = one{e.show(p.Destination), c.Where["pool."+p.Name+"."+e.Name]}
+				m[e.Name] = one{e.show(p), c.Where["pool."+p.Name+"."+e.Name]}
 			}
 		}
 		return m
@@ -137,12 +191,13 @@
 }
 
 func (c *Config) explainPool(dest int) (list []Change) {
-	for _, p := range c.Pools {
-		if p.Destination != dest {
+	for i := range c.Pools {
+		p := &c.Pools[i]
+		if p.Number() != dest {
 			continue
 		}
 		for _, e := range p.Endpoints {
-			list = append(list, Change{For: fmt.Sprintf("destination %d", dest), Key: "endpoint " + e.Name, New: e.show(dest), To: c.Where["pool."+p.Name+"."+e.Name]})
+			list = append(list, Change{For: p.show(), Key: "endpoint " + e.Name, New: e.show(p), To: c.Where["pool."+p.Name+"."+e.Name]})
 		}
 	}
 	return list
--- a/internal/plugin/runner/runner.go
+++ b/internal/plugin/runner/runner.go
@@ -168,7 +168,7 @@
 	defer s.giveBack()
 	var d *plugin.Draft
 	for _, p := range s.pools {
-		if !p.spec.Binds(plugin.Intake, m.Class, m.Destination) {
+		if !p.spec.Binds(plugin.Intake, m.Class, m.Asked()) {
 			continue
 		}
 		if d == nil {
@@ -179,7 +179,7 @@
 			}
 			d = &plugin.Draft{Body: body, Endpoints: f.r.endpoints(m.Destination)}
 		}
-		q := &plugin.Request{Point: plugin.Intake, ID: m.ID, Class: m.Class, Destination: m.Destination, Left: (m.Left - time.Since(m.Read)).Seconds(),
+		q := &plugin.Request{Point: plugin.Intake, ID: m.ID, Class: m.Class, Destination: m.Asked(), Left: (m.Left - time.Since(m.Read)).Seconds(),
 			Header: d.Header, Endpoints: d.Endpoints, Body: d.Body}
 		err := p.ask(q, func(r *plugin.Result) error {
 			next := *d
@@ -208,7 +208,12 @@
 	altered := *m // the client's goroutine may still hold the old one
 	altered.Body = message.Bytes(d.Body)
 	if len(d.Only)+len(d.Prefer)+len(d.Header) > 0 {
-		altered.Extras = &message.Extras{Only: d.Only, Prefer: d.Prefer, Header: d.Header}
+		extras := message.Extras{}
+		if m.Extras != nil { // its route
+			extras = *m.Extras
+		}
+		extras.Only, extras.Prefer, extras.Header = d.Only, d.Prefer, d.Header
+		altered.Extras = &extras
 	}
 	return &altered, engine.Answer{}
 }
--- /dev/null
+++ b/internal/route/diff.go
@@ -0,0 +1,179 @@
+package route
+
+import (
+	"slices"
+	"strings"
+)
+
+// Change is messages that go elsewhere.
+type Change struct {
+	For      *Some
+	Old, New *Rule // nil: none
+}
+
+// Diff lists the messages that take another way by b than by a: names, order and the text of routes mean nothing, and sameWay tells whether two
+// routes lead to the same place (one may be nil). It names the widest kinds of messages, and only those narrower ones for which the change is
+// another one.
+//
+// That nothing is missed: take a message whose way changes, by the rule r of a and s of b. It is one of the kind that fits both.
+// Any rule that the whole kind fits, the message fits too, so that r and s are first for the kind as they are for the message.
+// And r or s must have changed: had both been there, alike, in both tables, one of them would have been first in both.
+func Diff(a, b *Table, sameWay func(x, y *Rule) bool) (list []Change) {
+	before, after := a.parts(), b.parts()
+	changed := func(p part, others map[string]part) bool {
+		o, there := others[p.key]
+		return !there || p.rule.Order != o.rule.Order || !sameWay(p.rule, o.rule)
+	}
+	said := map[string]bool{}
+	type ways struct {
+		kind *Some
+		Change
+	}
+	var told []ways
+	look := func(s *Some) {
+		if text := s.String(); said[text] {
+			return
+		} else {
+			said[text] = true
+		}
+		x, y := a.Whole(s), b.Whole(s)
+		if sameWay(x, y) {
+			return
+		}
+		for _, w := range told { // said of all that are like these
+			if sameWay(w.Old, x) && sameWay(w.New, y) && s.inside(w.kind) {
+				return
+			}
+		}
+		told = append(told, ways{s, Change{s, x, y}})
+		list = append(list, Change{s, x, y})
+	}
+	var both, moved []part
+	for _, p := range sortedParts(before) {
+		both = append(both, p)
+		if changed(p, after) {
+			moved = append(moved, p)
+		}
+	}
+	for _, p := range sortedParts(after) {
+		if _, known := before[p.key]; !known {
+			both = append(both, p)
+			moved = append(moved, p)
+		}
+	}
+	for _, p := range moved {
+		look(p.some())
+	}
+	// What fits two of them, by destination: most name one.
+	byDest := map[int][]part{}
+	var anywhere []part
+	for _, p := range both {
+		if len(p.rule.Destinations) > 0 {
+			byDest[p.cell.dest] = append(byDest[p.cell.dest], p)
+		} else {
+			anywhere = append(anywhere, p)
+		}
+	}
+	for _, p := range moved {
+		if len(p.rule.Destinations) == 0 {
+			for _, o := range both {
+				p.meet(o, look)
+			}
+			continue
+		}
+		for _, o := range byDest[p.cell.dest] {
+			p.meet(o, look)
+		}
+		for _, o := range anywhere {
+			p.meet(o, look)
+		}
+	}
+	return list
+}
+
+// part is one cell of a rule.
+type part struct {
+	rule *Rule
+	cell cell
+	key  string // the same for the same messages
+}
+
+func (t *Table) parts() map[string]part {
+	m := map[string]part{}
+	for _, r := range t.rules {
+		for c := range r.cells() {
+			p := part{rule: r, cell: c}
+			p.key = p.some().String()
+			if o, twice := m[p.key]; !twice || r.Order < o.rule.Order { // the other is never taken
+				m[p.key] = p
+			}
+		}
+	}
+	return m
+}
+
+func sortedParts(m map[string]part) []part {
+	list := make([]part, 0, len(m))
+	for _, p := range m {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b part) int {
+		x, y := a.rule.form(), b.rule.form()
+		if n := -compareRank(&x, &y); n != 0 { // the widest first
+			return n
+		}
+		return strings.Compare(a.key, b.key)
+	})
+	return list
+}
+
+func (p *part) some() *Some {
+	s := &Some{Front: p.cell.front, Class: p.cell.class, Destination: p.cell.dest, Named: len(p.rule.Destinations) > 0, Fields: map[string][]Match{}}
+	for _, f := range p.rule.Fields {
+		s.Fields[f.Name] = []Match{f.Match}
+	}
+	return s
+}
+
+// meet looks at the messages that fit two parts, if there are any and they are not all of one.
+func (p *part) meet(o part, look func(*Some)) {
+	s := &Some{Front: p.cell.front, Class: p.cell.class, Destination: p.cell.dest, Named: len(p.rule.Destinations) > 0}
+	switch {
+	case len(o.rule.Destinations) == 0:
+	case s.Named && s.Destination != o.cell.dest:
+		return
+	default:
+		s.Destination, s.Named = o.cell.dest, true
+	}
+	if !agree(&s.Class, o.cell.class) || !agree(&s.Front, o.cell.front) {
+		return
+	}
+	fields, meet := join(p.rule, o.rule)
+	if !meet {
+		return
+	}
+	s.Fields = fields
+	look(s)
+}
+
+func agree(have *string, other string) bool {
+	if *have == "" {
+		*have = other
+	}
+	return other == "" || *have == other
+}
+
+// inside tells whether all of s are of a wider kind.
+func (s *Some) inside(o *Some) bool {
+	if o.Named && (!s.Named || s.Destination != o.Destination) || o.Class != "" && s.Class != o.Class || o.Front != "" && s.Front != o.Front {
+		return false
+	}
+	for name, all := range o.Fields {
+		for _, m := range all {
+			if !slices.ContainsFunc(s.Fields[name], func(own Match) bool { return own.implies(m) }) {
+				return false
+			}
+		}
+	}
+	return true
+}
