Check in the lab where routes lead messages, under reloads and kills

Need: that messages go where explain says had only been shown without the program.

Change: scaleroute-lab -routes N makes N routes between the destinations, others in each reload, and checks each call against the versions that may have been in use.

--- a/cmd/scaleroute-lab/lab_test.go
+++ b/cmd/scaleroute-lab/lab_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// TestRoutesInTheLab: 100 generated routes, replaced by others under load, with kills: each message goes where they say, and no
+// rule is broken. With the goals of other routes the check finds fault.
+func TestRoutesInTheLab(t *testing.T) {
+	o := small(t)
+	o.routes, o.reloads, o.messages, o.sick = 100, 8, 1200, 0.2
+	if r := played(t, o); r.Broken() || r.CutOff || r.HealthyDone < r.Healthy*8/10 {
+		t.Errorf("%s %q; %d of %d", r.verdict(), r.Examples, r.HealthyDone, r.Healthy)
+	}
+	o = small(t)
+	o.routes, o.kills, o.routesWrong = 100, 0, true
+	if r := played(t, o); r.WrongGroup == 0 {
+		t.Error("messages that go by other routes are not seen")
+	}
+}
+
 func TestOptionsAreChecked(t *testing.T) {
 	for name, set := range map[string]func(*options){
 		"destinations": func(o *options) { o.destinations = 0 },
--- a/cmd/scaleroute-lab/operators.go
+++ b/cmd/scaleroute-lab/operators.go
@@ -16,6 +16,7 @@
 	limits *operator.Limits
 
 	plugins *plugins // nil if the file was given
+	routes  *routes  // the same
 	version int
 }
 
@@ -52,6 +53,11 @@
 		}
 		o.version++
 	}
+	if o.routes != nil && !spoilt {
+		if err := o.next(); err != nil {
+			return err
+		}
+	}
 	text := o.text
 	if spoilt {
 		text = text[:len(text)/2]
--- a/cmd/scaleroute-lab/report.go
+++ b/cmd/scaleroute-lab/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -74,7 +75,12 @@
 		r.Plain, r.PlainBefore = &after, &before
 		r.BoundMost = float64(w.Log.LongestEnd(func(h *standin.Handed) bool { return r.bound(h.Destination) }).Microseconds()) / 1000
 	}
-	well := func(h *standin.Handed) bool { return !sick[h.Destination] }
+	well := func(h *standin.Handed) bool {
+		if r.rules.Goals != nil {
+			return !slices.ContainsFunc(r.rules.Goals(h), func(d int) bool { return sick[d] })
+		}
+		return !sick[h.Destination]
+	}
 	r.HealthyDeliver = timesOf(w.Log.Deliveries(well))
 	r.Healthy, r.HealthyDone, r.Healthy90S, r.HealthyAllS = w.Log.Progress(well)
 }
--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -44,6 +44,12 @@
 			return nil, err
 		}
 	}
+	if o.routes > 0 {
+		var err error
+		if set, err = p.setRoutes(&routes{n: o.routes, destinations: o.destinations, seed: o.seed}); err != nil {
+			return nil, err
+		}
+	}
 	progress.say("starting %d endpoints", o.destinations*o.endpoints)
 	world, err := standin.New(standin.Shape{Destinations: o.destinations, Endpoints: o.endpoints, Hosts: o.hosts})
 	if err != nil {
@@ -74,6 +80,18 @@
 
 	if set != nil {
 		r.rules.Set = set.of
+		if set.routes != nil {
+			r.rules.Goals = set.routes.goals
+			if o.routesWrong {
+				other := &routes{n: o.routes, destinations: o.destinations, seed: o.seed + 1}
+				ways, err := other.version(0).NewRoutes()
+				if err != nil {
+					return nil, err
+				}
+				other.told = []routesTold{{ways: ways}}
+				r.rules.Goals = other.goals
+			}
+		}
 		if set.plugins != nil {
 			r.rules.Altered = func(d int) bool { return slices.Contains(set.plugins.bound, d) }
 			r.rules.PerAttempt = true // a hook call may be among them
@@ -204,6 +222,9 @@
 			}
 		}
 		j := standin.Job{Class: standin.Safe, Destination: i % o.destinations, Left: o.left, Body: body}
+		if o.routes > 0 {
+			j.Fields = campaign(rng)
+		}
 		if rng.Float64() < 0.23 {
 			j.Class, j.Unsafe = standin.Unsafe, true
 		}
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -35,6 +35,7 @@
 	fewProcesses    = 4 // of plug-ins, that a reload may come to in any case
 	descriptorsEach = 3
 	publishEvery    = time.Second
+	mostLogged      = 50 // changes of routes at one reload: diff has all
 	pluginHost      = "scaleroute-plugin-host"
 )
 
@@ -133,15 +134,16 @@
 		slog.Error("the operators' file is not taken; what was set stays", "err", err)
 		return
 	}
-	for _, c := range operator.Diff(s.now, set) {
-		slog.Info("set by operators", "for", c.For, "key", c.Key, "old", c.Old, "new", c.New, "where", c.To)
-	}
+	old := s.now
 	s.limits.Store(set.NewLimits())
 	if !reflect.DeepEqual(s.now.Pools, set.Pools) {
 		s.sources.tell(membership.File, set.Endpoints())
 	}
 	s.routes.Store(routes) // the engine has heard of a pool before a route leads there
 	s.now = set
+	for _, c := range operator.DiffMost(old, set, mostLogged) {
+		slog.Info("set by operators", "for", c.For, "key", c.Key, "old", c.Old, "new", c.New, "where", c.To)
+	}
 }
 
 // sources are where endpoints are told, and the engine that hears what they come to together.
--- a/cmd/scaleroutectl/operators.go
+++ b/cmd/scaleroutectl/operators.go
@@ -50,12 +50,15 @@
 		return err
 	}
 	problems := set.Against(p.Settings)
-	for _, b := range problems {
-		where := cmp.Or(set.Where[b.Key], b.Key)
+	for i, b := range append(problems, set.WarningsAgainst(p.Settings)...) {
+		where, level := cmp.Or(set.Where[b.Key], b.Key), "Error"
+		if i >= len(problems) {
+			level = "Warning"
+		}
 		if asJSON {
-			err = json.NewEncoder(out).Encode(map[string]any{"error": true, "where": where, "what": b.What, "remedy": b.Remedy})
+			err = json.NewEncoder(out).Encode(map[string]any{"error": level == "Error", "where": where, "what": b.What, "remedy": b.Remedy})
 		} else {
-			_, err = fmt.Fprintf(errs, "Error: %s: %s\n\n%s\n\n", where, b.What, b.Remedy)
+			_, err = fmt.Fprintf(errs, "%s: %s: %s\n\n%s\n\n", level, where, b.What, b.Remedy)
 		}
 		if err != nil {
 			return err
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -23,7 +24,12 @@
 
 // Diff lists what changes in effect from one version to another: names, order, files and text mean nothing. For messages it
 // names the widest kinds that a change holds for and, below them, only those for which it is another.
-func Diff(old, new *Config) (list []Change) {
+func Diff(old, new *Config) (list []Change) { return diff(old, new, math.MaxInt) }
+
+// DiffMost is Diff that looks for so many kinds of messages that go elsewhere.
+func DiffMost(old, new *Config, most int) []Change { return diff(old, new, most) }
+
+func diff(old, new *Config, most int) (list []Change) {
 	whole := func(key, a, b string) {
 		if a != b {
 			list = append(list, Change{of(key), key, a, b, old.Where[key], new.Where[key]})
@@ -35,7 +41,7 @@
 
 	whole("unrouted", cmp.Or(old.Unrouted, Go), cmp.Or(new.Unrouted, Go))
 	whole("plugin_status", cmp.Or(old.PluginStatus, "none"), cmp.Or(new.PluginStatus, "none"))
-	list = append(list, diffRoutes(old, new)...)
+	list = append(list, diffRoutes(old, new, most)...)
 	list = append(list, diffPools(old, new)...)
 	list = append(list, diffPlugins(old, new)...)
 
--- a/internal/operator/routes.go
+++ b/internal/operator/routes.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
 	"github.com/agext/levenshtein"
 
+	"scaleroute/internal/decide"
 	"scaleroute/internal/route"
 )
 
@@ -322,21 +324,24 @@
 			}
 		}
 	}
+}
+
+// WarningsAgainst lists routes that never match since the platform has no other classes than those that others go before them for.
+func (c *Config) WarningsAgainst(set decide.Settings) (list []Problem) {
 	rules, err := c.rules()
 	if err != nil {
-		return
+		return nil // said by Check
 	}
 	t, err := route.New(rules)
 	if err != nil {
-		return
+		return nil
 	}
-	known := map[string]bool{} // found without the platform's classes
-	c.hidden(t, nil, func(key, _, _ string) { known[key] = true })
-	c.hidden(t, names, func(key, what, remedy string) {
-		if !known[key] {
-			add(key, what, remedy)
-		}
-	})
+	var names []string
+	for _, k := range set.Classes {
+		names = append(names, k.Name)
+	}
+	c.hidden(t, names, func(key, what, remedy string) { list = append(list, Problem{key, what, remedy}) })
+	return list
 }
 
 // Warnings lists what can be carried out and is likely not meant.
@@ -383,13 +388,13 @@
 }
 
 // diffRoutes lists the messages that go elsewhere.
-func diffRoutes(old, new *Config) (list []Change) {
+func diffRoutes(old, new *Config, most int) (list []Change) {
 	a, err := old.NewRoutes()
 	b, err2 := new.NewRoutes()
 	if errors.Join(err, err2) != nil {
 		return []Change{{For: "routes", Key: "goes", Old: fmt.Sprint(cmp.Or(err, err2)), New: "can't be told"}}
 	}
-	place := func(r *route.Rule) string { // the same number is the same place
+	place := func(r *route.Rule) string {
 		switch {
 		case r == nil:
 			return "by no route"
@@ -398,13 +403,22 @@
 		}
 		return old.goal(a.to[r.Name])
 	}
+	way := func(r *route.Rule) int { // the same number is the same place
+		switch {
+		case r == nil:
+			return math.MinInt
+		case b.mine[r]:
+			return b.to[r.Name]
+		}
+		return a.to[r.Name]
+	}
 	where := func(c *Config, r *route.Rule) string {
 		if r == nil {
 			return ""
 		}
 		return c.Where["route."+r.Name]
 	}
-	for _, c := range route.Diff(a.table, b.table, func(x, y *route.Rule) bool { return place(x) == place(y) }) {
+	for _, c := range route.Diff(a.table, b.table, most, way) {
 		list = append(list, Change{c.For.String(), "goes", place(c.Old), place(c.New), where(old, c.Old), where(new, c.New)})
 	}
 	return list
--- a/internal/route/diff.go
+++ b/internal/route/diff.go
@@ -11,45 +11,41 @@
 	Old, New *Rule // nil: none
 }
 
-// Diff lists the messages that take another way by b than by a: names, order and the text of routes mean nothing, and sameWay tells whether two
-// routes lead to the same place (one may be nil). It names the widest kinds of messages, and only those narrower ones for which the change is
-// another one.
+// Diff lists the messages that take another way by b than by a: names, order and the text of routes mean nothing, and way tells the place that a
+// route leads to (nil leads somewhere, too). It names the widest kinds of messages, and only those narrower ones for which the change is
+// another one. It ends when it has found most of them.
 //
 // That nothing is missed: take a message whose way changes, by the rule r of a and s of b. It is one of the kind that fits both.
 // Any rule that the whole kind fits, the message fits too, so that r and s are first for the kind as they are for the message.
 // And r or s must have changed: had both been there, alike, in both tables, one of them would have been first in both.
-func Diff(a, b *Table, sameWay func(x, y *Rule) bool) (list []Change) {
+func Diff(a, b *Table, most int, way func(*Rule) int) (list []Change) {
 	before, after := a.parts(), b.parts()
 	changed := func(p part, others map[string]part) bool {
 		o, there := others[p.key]
-		return !there || p.rule.Order != o.rule.Order || !sameWay(p.rule, o.rule)
+		return !there || p.rule.Order != o.rule.Order || way(p.rule) != way(o.rule)
 	}
 	said := map[string]bool{}
-	type ways struct {
-		kind *Some
-		Change
-	}
-	var told []ways
+	told := map[[2]int][]*Some{}
 	look := func(s *Some) {
+		if len(list) >= most {
+			return
+		}
 		if text := s.String(); said[text] {
 			return
 		} else {
 			said[text] = true
 		}
 		x, y := a.Whole(s), b.Whole(s)
-		if sameWay(x, y) {
+		ways := [2]int{way(x), way(y)}
+		if ways[0] == ways[1] || slices.ContainsFunc(told[ways], s.inside) { // or said of all that are like these
 			return
 		}
-		for _, w := range told { // said of all that are like these
-			if sameWay(w.Old, x) && sameWay(w.New, y) && s.inside(w.kind) {
-				return
-			}
-		}
-		told = append(told, ways{s, Change{s, x, y}})
+		told[ways] = append(told[ways], s)
 		list = append(list, Change{s, x, y})
 	}
 	var both, moved []part
 	for _, p := range sortedParts(before) {
+		p.old, p.new = p.rule, after[p.key].rule
 		both = append(both, p)
 		if changed(p, after) {
 			moved = append(moved, p)
@@ -57,10 +53,17 @@
 	}
 	for _, p := range sortedParts(after) {
 		if _, known := before[p.key]; !known {
+			p.new = p.rule
 			both = append(both, p)
 			moved = append(moved, p)
 		}
 	}
+	// One must be first by a and the other by b.
+	pair := func(p, o part) {
+		if len(list) < most && (p.old != nil && o.new != nil && way(p.old) != way(o.new) || o.old != nil && p.new != nil && way(o.old) != way(p.new)) {
+			p.meet(o, look)
+		}
+	}
 	for _, p := range moved {
 		look(p.some())
 	}
@@ -77,15 +80,15 @@
 	for _, p := range moved {
 		if len(p.rule.Destinations) == 0 {
 			for _, o := range both {
-				p.meet(o, look)
+				pair(p, o)
 			}
 			continue
 		}
 		for _, o := range byDest[p.cell.dest] {
-			p.meet(o, look)
+			pair(p, o)
 		}
 		for _, o := range anywhere {
-			p.meet(o, look)
+			pair(p, o)
 		}
 	}
 	return list
@@ -93,9 +96,10 @@
 
 // part is one cell of a rule.
 type part struct {
-	rule *Rule
-	cell cell
-	key  string // the same for the same messages
+	rule     *Rule
+	cell     cell
+	key      string // the same for the same messages
+	old, new *Rule  // that have it; nil: none
 }
 
 func (t *Table) parts() map[string]part {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -21,6 +21,7 @@
 	Class       string
 	Destination int
 	Unsafe      bool
+	Fields      string        // said beside, as name=value with commas
 	Left        time.Duration // from when it is first handed in
 	Body        []byte
 }
@@ -86,7 +87,7 @@
 	w, began := c.clients.world, time.Now()
 	var before *Handed
 	for try := 0; ; try++ {
-		h := &Handed{ID: w.newID(j.Destination), Destination: j.Destination, Unsafe: j.Unsafe, Body: sum(j.Body), Sent: time.Now(),
+		h := &Handed{ID: w.newID(j.Destination), Destination: j.Destination, Unsafe: j.Unsafe, Fields: j.Fields, Body: sum(j.Body), Sent: time.Now(),
 			Deadline: began.Add(j.Left), Again: try > 0}
 		left := time.Until(h.Deadline)
 		if left <= 0 {
@@ -127,6 +128,9 @@
 			c.conn, c.r, c.used = conn, bufio.NewReader(conn), false
 		}
 		names := fmt.Sprintf("c=%s,d=%d,dest=%d", j.Class, left.Milliseconds(), j.Destination)
+		if j.Fields != "" {
+			names += "," + j.Fields
+		}
 		if try > 0 {
 			names += ",r=1"
 		}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -41,6 +41,7 @@
 	ID          string
 	Destination int
 	Unsafe      bool
+	Fields      string // said beside
 	Body        uint64 // a sum of its bytes
 	Sent        time.Time
 	Deadline    time.Time
@@ -234,6 +235,8 @@
 	Set func(unsafe bool, destination int) Set
 	// Altered tells whether operators have messages for a destination altered; nil for none. Others go on unchanged.
 	Altered func(destination int) bool
+	// Goals are the groups that a message may go to; nil where each goes to its destination.
+	Goals func(*Handed) []int
 	// PerAttempt tells that messages that may be repeated may be altered for each attempt anew.
 	PerAttempt bool
 }
