Deliver to SMTP and LMTP endpoints of a pool, knowing to the byte what may have run

Change: internal/back/smtpcall, for endpoints with protocol smtp or lmtp of pools with a sender and a recipient. What ends before the last byte of the dot never ran; after it only a reply says. A 5xx is an outcome of its own in the module: it never ran, is not tried again, and is no failure of the endpoint. A stand-in mail server is scripted by stage.

--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -8,11 +8,13 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
 	"scaleroute/internal/agent"
 	"scaleroute/internal/back/httpcall"
+	"scaleroute/internal/back/smtpcall"
 	"scaleroute/internal/config"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
@@ -52,8 +54,11 @@
 	if err != nil {
 		return err
 	}
+	if operators.mail = operators.now.HasMail(); operators.mail {
+		descriptors += mailIdle
+	}
 	if c.Limits.Sockets -= descriptors; c.Limits.Endpoints() < 1 {
-		return fmt.Errorf("-operators: plug-ins need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
+		return fmt.Errorf("-operators: plug-ins and connections for mail need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
 	}
 	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100,
 		Durability: operator.Durabilities[operators.now.Journal.Durability], Extras: operators.file != ""})
@@ -68,6 +73,13 @@
 	}
 	configuration := engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
 		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
+	if operators.mail {
+		name := c.Name
+		if name == "" || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' }) {
+			name = "scaleroute"
+		}
+		configuration.Back = backs{configuration.Back, smtpcall.New(smtpcall.Config{Name: name, Idle: mailIdle, ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
+	}
 	if operators.plugins != nil {
 		configuration.Back, configuration.Ended = operators.plugins.Back(configuration.Back), operators.plugins.Ended
 	}
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -28,7 +28,8 @@
 	routes   atomic.Pointer[operator.Routes]
 	plugins  *runner.Runner // nil if nothing is set
 	sources  *sources
-	most     int // processes of plug-ins: descriptors are kept for so many, and as many while they are replaced
+	mail     bool // there are endpoints that take mail: descriptors are kept for them
+	most     int  // processes of plug-ins: descriptors are kept for so many, and as many while they are replaced
 }
 
 const (
@@ -123,6 +124,9 @@
 	if err == nil && set.PluginStatus != s.now.PluginStatus {
 		err = errors.New("the file for the plug-ins' status can't change: restart, or set it as it was")
 	}
+	if err == nil && set.HasMail() && !s.mail {
+		err = errors.New("the first endpoint that takes mail needs descriptors that were not kept for it at the start: restart, or leave it out")
+	}
 	var routes *operator.Routes
 	if err == nil {
 		routes, err = set.NewRoutes()
--- /dev/null
+++ b/internal/back/smtpcall/smtpcall_test.go
@@ -0,0 +1,209 @@
+package smtpcall
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
+	"scaleroute/internal/message"
+	"scaleroute/internal/standin"
+)
+
+// at starts a stand-in server, and makes a back that knows it.
+func at(t *testing.T, protocol string, offer []string, script func(standin.MailStage, string) *standin.MailDo) (*standin.Mail, *Back) {
+	t.Helper()
+	m, err := standin.NewMail()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	m.Offer, m.Script = offer, script
+	b := New(Config{Name: "forwarder.test", Idle: 4, ConnIdle: time.Minute, ConnectLimit: time.Second})
+	b.List(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{{Address: engine.MailAddress{LMTP: protocol == engine.LMTP, At: m.Address(), From: "petitions@a.test", To: "office@b.test"}.String(), Target: decide.Target{ID: "m"}}}})
+	t.Cleanup(func() { b.Endpoint("m").CloseIdle() })
+	return m, b
+}
+
+func send(b *Back, id, body string, timeout time.Duration) decide.Outcome {
+	return b.Endpoint("m").Call(context.Background(), engine.Attempt{ID: id, Class: "note", Destination: 7, Body: message.Bytes(body), Timeout: timeout,
+		Header: []message.Field{{Name: "X-Long", Value: strings.Repeat("v", 1000)}}})
+}
+
+// TestMatrix has a server do everything that it may do at every stage, by SMTP and LMTP, with commands one by one and together. The expected
+// outcome is worked out here from the stage and what is done alone. Whatever it is, the next message goes well.
+func TestMatrix(t *testing.T) {
+	type done struct {
+		name string
+		do   standin.MailDo
+	}
+	all := []done{
+		{"2xx", standin.MailDo{Say: "250 fine\r\n", Ran: true}}, {"2xx without text", standin.MailDo{Say: "250\r\n", Ran: true}},
+		{"2xx in many lines", standin.MailDo{Say: "250-a\r\n250-b\r\n250 c\r\n", Ran: true}}, {"2xx cut after its first line", standin.MailDo{Say: "250-a\r\n25", Drop: true, Ran: true}},
+		{"2xx cut in its first line", standin.MailDo{Say: "250", Drop: true, Ran: true}}, {"354", standin.MailDo{Say: "354 go on\r\n"}},
+		{"4xx", standin.MailDo{Say: "451 4.7.1 later\r\n"}}, {"421", standin.MailDo{Say: "421 closing\r\n", Drop: true}}, {"452", standin.MailDo{Say: "452 too many\r\n"}},
+		{"5xx", standin.MailDo{Say: "550 5.1.1 never\r\n"}}, {"552", standin.MailDo{Say: "552 too large\r\n"}}, {"554", standin.MailDo{Say: "554 no\r\n"}},
+		{"codes that differ", standin.MailDo{Say: "450-a\r\n550 b\r\n"}}, {"noise", standin.MailDo{Say: "HTTP/1.1 200 OK\r\n"}}, {"a line too long", standin.MailDo{Say: "250 " + strings.Repeat("x", 3000) + "\r\n"}},
+		{"too many lines", standin.MailDo{Say: strings.Repeat("450-x\r\n", 200) + "450 x\r\n"}}, {"dropped", standin.MailDo{Drop: true}}, {"silent", standin.MailDo{Silent: true}},
+	}
+	// want is the table of docs/smtp.md once more.
+	want := func(s standin.MailStage, name string) decide.Result {
+		two, four, five := strings.HasPrefix(name, "2xx") && !strings.Contains(name, "cut"), strings.HasPrefix(name, "4"), strings.HasPrefix(name, "5")
+		switch {
+		case s == standin.MailDot && (two || name == "2xx cut after its first line"):
+			return decide.Done
+		case s == standin.MailDot && name == "2xx cut in its first line":
+			return decide.Reset
+		case s == standin.MailData && name == "354", s != standin.MailDot && s != standin.MailData && two:
+			return decide.Done // it goes on
+		case four:
+			return decide.Full
+		case five && s != standin.MailGreeting && s != standin.MailHello:
+			return decide.Rejected
+		case five:
+			return decide.Full
+		case s == standin.MailDot && name == "dropped":
+			return decide.Reset
+		case s == standin.MailDot && name == "silent":
+			return decide.TimedOut
+		case s == standin.MailDot:
+			return decide.Errored
+		}
+		return decide.ConnectFailed
+	}
+	n := 0
+	for _, protocol := range []string{engine.SMTP, engine.LMTP} {
+		for _, offer := range [][]string{nil, {"PIPELINING", "SIZE 100000", "8BITMIME"}} {
+			for _, s := range []standin.MailStage{standin.MailGreeting, standin.MailHello, standin.MailFrom, standin.MailTo, standin.MailData, standin.MailDot} {
+				for _, d := range all {
+					name := fmt.Sprint(protocol, " ", len(offer), " ", s, " ", d.name)
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						var again atomic.Bool
+						m, b := at(t, protocol, offer, func(stage standin.MailStage, id string) *standin.MailDo {
+							if stage != s || again.Load() || id == "HELO" {
+								return nil
+							}
+							return &d.do
+						})
+						expected := want(s, d.name)
+						if s == standin.MailHello && strings.HasPrefix(d.name, "5") && d.name != "554" && protocol == engine.SMTP {
+							expected = decide.Done // HELO does
+						}
+						timeout := 5 * time.Second
+						if d.do.Silent || s == standin.MailDot && d.name == "354" || d.name == "2xx" {
+							timeout = 300 * time.Millisecond
+						}
+						o := send(b, "one", "body", timeout)
+						if o.Result != expected || o.Over != (expected == decide.Done) {
+							t.Fatalf("%+v, want result %d", o, expected)
+						}
+						ran, _ := m.Ran("one")
+						if never := o.Result == decide.Full || o.Result == decide.Rejected || o.Result == decide.ConnectFailed; never && ran > 0 {
+							t.Error("it is said to have never run, and did")
+						}
+						if expected == decide.Done && ran != 1 {
+							t.Errorf("ran %d times", ran)
+						}
+						again.Store(true)
+						if o := send(b, "two", "next", 5*time.Second); o.Result != decide.Done {
+							t.Errorf("the next one: %+v", o)
+						}
+						if ran, body := m.Ran("two"); ran != 1 || body != "next" {
+							t.Errorf("the next one ran %d times with %q", ran, body)
+						}
+					})
+					n++
+				}
+			}
+		}
+	}
+	t.Logf("%d conversations", n)
+}
+
+// TestCutInTheBody: a connection that ends before the dot has done nothing, however far it came; bodies of every length arrive as they are.
+func TestCutInTheBody(t *testing.T) {
+	var cut atomic.Pointer[standin.MailDo]
+	m, b := at(t, engine.SMTP, nil, func(s standin.MailStage, _ string) *standin.MailDo {
+		if s == standin.MailBody {
+			return cut.Load()
+		}
+		return nil
+	})
+	for n, body := range []string{"", ".", "..\r\n.\r\n", "\x00\xff", strings.Repeat("x", 56), strings.Repeat("y", 57), strings.Repeat("z", 64<<10)} {
+		cut.Store(&standin.MailDo{After: 100 * n, Drop: true})
+		id := fmt.Sprint("cut", n)
+		if o := send(b, id, strings.Repeat("w", 3000), time.Second); o.Result != decide.ConnectFailed && o.Result != decide.Reset && o.Result != decide.Errored {
+			t.Errorf("%d: %+v", n, o)
+		}
+		if ran, _ := m.Ran(id); ran > 0 {
+			t.Errorf("%d: ran without its end", n)
+		}
+		cut.Store(nil)
+		id = fmt.Sprint("whole", n)
+		if o := send(b, id, body, time.Second); o.Result != decide.Done {
+			t.Errorf("%d: %+v", n, o)
+		}
+		if ran, got := m.Ran(id); ran != 1 || got != body {
+			t.Errorf("%d: ran %d times, %d bytes of %d", n, ran, len(got), len(body))
+		}
+	}
+	if o := send(b, "idle", "x", time.Second); o.Result != decide.Done {
+		t.Fatal(o)
+	}
+	had := m.Connections()
+	for n := range 20 {
+		if o := send(b, fmt.Sprint("more", n), "x", time.Second); o.Result != decide.Done {
+			t.Fatal(o)
+		}
+	}
+	if m.Connections() != had {
+		t.Errorf("%d new connections for 20 messages", m.Connections()-had)
+	}
+	m.Drop() // the idle one is dead: that is no failure of the next message
+	if o := send(b, "dead", "x", time.Second); o.Result != decide.Done {
+		t.Errorf("on a dead connection: %+v", o)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if o := b.Endpoint("m").Call(ctx, engine.Attempt{ID: "off", Body: message.Bytes("x"), Timeout: time.Second}); o.Result != decide.NotSent {
+		t.Errorf("called off before it began: %+v", o)
+	}
+}
+
+// TestSize: a message over what the server offers to take is not begun.
+func TestSize(t *testing.T) {
+	m, b := at(t, engine.SMTP, []string{"SIZE 5000"}, nil)
+	if o := send(b, "large", strings.Repeat("x", 5000), time.Second); o.Result != decide.Rejected {
+		t.Errorf("%+v", o)
+	}
+	if o := send(b, "small", "x", time.Second); o.Result != decide.Done || m.Connections() != 1 {
+		t.Errorf("%+v, %d connections", o, m.Connections())
+	}
+}
+
+// FuzzReply: whatever a server says, reading it ends, within bounds, and what is read means one thing.
+func FuzzReply(f *testing.F) {
+	for _, s := range []string{"250 ok\r\n", "250-a\r\n250 b\n", "25", "999 x\r\n", "250-a\r\n550 b\r\n", "354", "\r\n", "421\r\n", "2500\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		p, err := readReply(bufio.NewReaderSize(strings.NewReader(string(text)), mostLine))
+		if err != nil {
+			return
+		}
+		if p.code < 200 || p.code > 599 || len(p.lines) == 0 || len(p.lines) > mostLines || !strings.HasPrefix(string(text), fmt.Sprint(p.code)) {
+			t.Errorf("%q read as %+v", text, p)
+		}
+		for s := greeting; s <= dot; s++ {
+			if result, ok := meaning(s, p.code); ok != (result == decide.Done) {
+				t.Errorf("%d at %d: %v %v", p.code, s, result, ok)
+			}
+		}
+	})
+}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -207,8 +207,12 @@
 	Reset                // the connection broke; it may have run
 	Cancelled            // called off; it may have run
 	NotSent              // never sent, but counts as an attempt
+	Rejected             // answered that it will never be taken: it did not run, and is not tried again
 )
 
+// answered tells whether a target gave a definite answer to the message.
+func (r Result) answered() bool { return r == Done || r == Rejected }
+
 // Allowance is what a destination told of its limit.
 type Allowance struct {
 	Told bool
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -690,7 +690,7 @@
 	last := c.left == 0
 	if last {
 		f.endCall(c)
-		if o.Result == Done || o.Result == Errored || o.Result == Full || o.Result == NotSent {
+		if o.Result.answered() || o.Result == Errored || o.Result == Full || o.Result == NotSent {
 			t.free = append(t.free, f.now) // its connection is kept
 		}
 	}
@@ -720,7 +720,7 @@
 // again decides whether a message whose attempt failed waits for a further try or is answered.
 func (f *Forwarder) again(m *message, r *route, o Outcome) {
 	notSent := o.Result == NotSent
-	if f.usedUp(m) || m.mayRan && m.class.Effect == Unsafe || f.now >= m.ends() {
+	if o.Result == Rejected || f.usedUp(m) || m.mayRan && m.class.Effect == Unsafe || f.now >= m.ends() {
 		f.answer(m)
 		return
 	}
@@ -802,7 +802,7 @@
 // learn takes what the outcome of a call tells of its route and target.
 func (f *Forwarder) learn(r *route, c *call, o Outcome) {
 	switch o.Result {
-	case Done, Errored, Full:
+	case Done, Rejected, Errored, Full:
 		f.trust(r)
 	case TimedOut:
 		if c.sent > r.okSent {
@@ -820,7 +820,7 @@
 	} else if !c.missed && o.Result != ConnectFailed {
 		f.idleLoss[c.idle].put(f.now, forget, idleShare, 0)
 	}
-	good := o.Result == Done
+	good := o.Result.answered()
 	if o.Result == Cancelled {
 		return
 	}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -647,5 +647,5 @@
 
 // neverRan tells whether an outcome proves that the attempt did not run.
 func neverRan(r decide.Result) bool {
-	return r == decide.Full || r == decide.ConnectFailed || r == decide.NotSent
+	return r == decide.Full || r == decide.ConnectFailed || r == decide.NotSent || r == decide.Rejected
 }
--- a/internal/operator/pools.go
+++ b/internal/operator/pools.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"net/mail"
 	"net/netip"
 	"slices"
 	"strings"
@@ -19,9 +20,38 @@
 	Name        string         `json:"name"`
 	Destination *int           `json:"destination,omitempty"`
 	Discovered  bool           `json:"discovered,omitempty"` // discovery alone tells of the endpoints
+	Sender      string         `json:"sender,omitempty"`     // of the envelope, where endpoints take mail
+	Recipient   string         `json:"recipient,omitempty"`  // the same
 	Endpoints   []PoolEndpoint `json:"endpoints,omitempty"`  // by name: their order means nothing
 }
 
+// HasMail tells whether an endpoint takes mail.
+func (c *Config) HasMail() bool {
+	return slices.ContainsFunc(c.Pools, func(p Pool) bool { return p.mail() })
+}
+
+func (p *Pool) mail() bool {
+	return slices.ContainsFunc(p.Endpoints, func(e PoolEndpoint) bool { return e.Protocol != "" && e.Protocol != "http" })
+}
+
+// Protocols by which endpoints are called.
+var Protocols = []string{"http", engine.SMTP, engine.LMTP}
+
+// checkMail checks the addresses of an envelope.
+func (p *Pool) checkMail(add func(key, what, remedy string)) {
+	for _, a := range []struct{ key, text string }{{"sender", p.Sender}, {"recipient", p.Recipient}} {
+		key := "pool." + p.Name + "." + a.key
+		switch parsed, err := mail.ParseAddress(a.text); {
+		case a.text == "" && p.mail():
+			add(key, fmt.Sprintf("the pool %q has endpoints that take mail, and no %s", p.Name, a.key), fmt.Sprintf(`write %s = "petitions@example.org"`, a.key))
+		case a.text != "" && !p.mail():
+			add(key, fmt.Sprintf("the pool %q has a %s, and no endpoint that takes mail", p.Name, a.key), `write protocol = "smtp" or "lmtp" in its endpoints, or take it out`)
+		case a.text != "" && (err != nil || parsed.Address != a.text || strings.ContainsFunc(a.text, func(r rune) bool { return r <= ' ' || r > '~' || r == '<' || r == '>' || r == '"' }) || len(a.text) > 254):
+			add(key, fmt.Sprintf("%.80q is no mail address", a.text), "write a plain one of ASCII letters, such as petitions@example.org")
+		}
+	}
+}
+
 // Number is the destination that a pool is: its own, or one worked out from its name, which no client can name and which is the same after
 // each restart, as the journal has it. Two names of one number are refused.
 func (p *Pool) Number() int {
@@ -55,12 +85,13 @@
 
 // PoolEndpoint is one of them. Its name is the same in all sources.
 type PoolEndpoint struct {
-	Name    string `json:"name"`
-	Address string `json:"address"` // an IP address and a port: no name is looked up
-	Zone    string `json:"zone,omitempty"`
-	Backup  bool   `json:"backup,omitempty"` // only while the others of the destination fail or are away
-	Drain   bool   `json:"drain,omitempty"`  // finishes what it has, and gets nothing new
-	Weight  int    `json:"weight,omitempty"` // its part of the calls, against the others of the pool; 0 is 1
+	Name     string `json:"name"`
+	Address  string `json:"address"` // an IP address and a port: no name is looked up
+	Zone     string `json:"zone,omitempty"`
+	Backup   bool   `json:"backup,omitempty"`   // only while the others of the destination fail or are away
+	Drain    bool   `json:"drain,omitempty"`    // finishes what it has, and gets nothing new
+	Protocol string `json:"protocol,omitempty"` // http (empty is the same), smtp or lmtp
+	Weight   int    `json:"weight,omitempty"`   // its part of the calls, against the others of the pool; 0 is 1
 }
 
 const (
@@ -98,6 +129,7 @@
 		case !p.Discovered && len(p.Endpoints) == 0:
 			add(key, fmt.Sprintf("the pool %q has no endpoint", p.Name), `write endpoint "NAME" { address = "10.0.0.7:8080" }, or take the pool out`)
 		}
+		p.checkMail(add)
 		addresses, primary := map[string]string{}, false
 		for _, e := range p.Endpoints {
 			at := key + "." + e.Name
@@ -110,6 +142,9 @@
 				add(at, fmt.Sprintf("there are two endpoints %q", e.Name), fmt.Sprintf("give each a name of its own: an endpoint is known by it (the other: %s)", cmp.Or(c.Where[other], other)))
 			}
 			names[e.Name] = at
+			if e.Protocol != "" && !slices.Contains(Protocols, e.Protocol) {
+				add(at+".protocol", fmt.Sprintf("there is no protocol %q", e.Protocol), Nearest(e.Protocol, Protocols))
+			}
 			if e.Weight < 0 || e.Weight > mostWeight {
 				add(at+".weight", fmt.Sprintf("weight is %d", e.Weight), fmt.Sprintf("set from 1 to %d", mostWeight))
 			}
@@ -140,7 +175,11 @@
 			if e.Drain {
 				state = decide.Draining
 			}
-			l.Endpoints = append(l.Endpoints, engine.Endpoint{Address: e.Address,
+			address := e.Address
+			if e.Protocol != "" && e.Protocol != "http" {
+				address = engine.MailAddress{LMTP: e.Protocol == engine.LMTP, At: address, From: p.Sender, To: p.Recipient}.String()
+			}
+			l.Endpoints = append(l.Endpoints, engine.Endpoint{Address: address,
 				Target: decide.Target{ID: e.Name, Destination: p.Number(), Zone: e.Zone, State: state, Backup: e.Backup, Share: float64(e.Weight)}})
 		}
 	}
@@ -150,6 +189,9 @@
 // show is an endpoint in one text.
 func (e PoolEndpoint) show(p *Pool) string {
 	words := []string{e.Address + " for " + strings.TrimPrefix(p.show(), "destination ")}
+	if e.Protocol != "" && e.Protocol != "http" {
+		words = append(words, fmt.Sprintf("by %s from %s to %s", e.Protocol, p.Sender, p.Recipient))
+	}
 	if e.Zone != "" {
 		words = append(words, "in zone "+e.Zone)
 	}
--- a/internal/opfile/pools.go
+++ b/internal/opfile/pools.go
@@ -18,7 +18,7 @@
 		l.fail(block.DefRange(), "a pool takes one name", `Write pool "NAME" { ... }.`)
 		return
 	}
-	l.known(block.Body, "pool", "destination", "source", "endpoint*")
+	l.known(block.Body, "pool", "destination", "source", "sender", "recipient", "endpoint*")
 	p, wrong := operator.Pool{Name: block.Labels[0]}, len(l.diags)
 	key := "pool." + p.Name
 	if at, twice := l.places[key]; twice {
@@ -38,6 +38,12 @@
 			l.fail(a.Expr.Range(), fmt.Sprintf("there is no source %q", v), `Write source = "discovery", or endpoints.`)
 		}
 	}
+	for _, name := range []string{"sender", "recipient"} {
+		if a := block.Body.Attributes[name]; a != nil {
+			l.places[key+"."+name] = a.Expr.Range()
+			*map[string]*string{"sender": &p.Sender, "recipient": &p.Recipient}[name], _ = l.text(a)
+		}
+	}
 	for _, b := range block.Body.Blocks {
 		if b.Type == "endpoint" {
 			l.endpoint(&p, b)
@@ -54,7 +60,7 @@
 		l.fail(b.DefRange(), "an endpoint takes one name", `Write endpoint "NAME" { address = "10.0.0.7:8080" }.`)
 		return
 	}
-	l.known(b.Body, "endpoint", "address", "zone", "backup", "drain", "weight")
+	l.known(b.Body, "endpoint", "address", "zone", "backup", "drain", "weight", "protocol")
 	e := operator.PoolEndpoint{Name: b.Labels[0]}
 	key := "pool." + p.Name + "." + e.Name
 	if _, twice := l.places[key]; !twice {
@@ -66,6 +72,8 @@
 		switch name {
 		case "address":
 			e.Address, _ = l.text(a)
+		case "protocol":
+			e.Protocol, _ = l.text(a)
 		case "zone":
 			e.Zone, _ = l.text(a)
 		case "weight":
