Send second copies of what may be repeated, where operators set it by route or class

Change: the key copy in limits. The module sends one second copy, to another endpoint that serves, once the first call has been out so long, as a further try within the budget, while half of the slots are free, and calls the other off when one is delivered.

--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -167,7 +167,7 @@
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%v},"known":%s,
 		"settings":{"Azs":["a"],"Kinds":["std"],"Siblings":1,"Weights":"nominal","Discovery":"automatic","Tenants":[],
 		"FamilyInfo":{"Workers":8,"Late":"line","PerCall":[1],"SeparateRoutes":[false],"Carriage":[0.0]},
-		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":1500.0,"Cancel":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
+		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":1500.0,"Cancel":true,"SecondCopies":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
 		"Invariants":{"Cold":100.0,"DrainGrace":1000.0,"Fall":3000.0,"StartCapacity":0.9,"TipMultiple":2.0},
 		"Classes":[{"Name":"harmless","Effect":"pure","OnTime":60000.0,"Deadline":300000.0,"Worth":1.0,"LateShare":0.4},
 		{"Name":"unsafe","Effect":"side_effect","OnTime":60000.0,"Deadline":300000.0,"Worth":3.0,"LateShare":0.4}]}}`,
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -108,6 +108,7 @@
 	Attempts int           // for one message
 	Answer   time.Duration // how long one attempt may wait for its answer
 	Wait     time.Duration // before the first further try, still jittered; it doubles from there
+	Copy     time.Duration // until a second copy goes out of what may be repeated, where Settings.SecondCopies
 
 	// Of all messages for a destination together: they are asked for without a class.
 	Out   int     // calls out at once, of each route
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -115,23 +115,13 @@
 	f.answerInTime()
 	f.watchCalls()
 	f.sendWaiting()
+	f.sendCopies()
 	f.watchNew()
 	f.freeSlots()
 	f.setWake()
 	return f.actions
 }
 
-func (f *Forwarder) do(a Action) { f.actions = append(f.actions, a) }
-
-// before tells whether a time is still to come; the host is then asked for a Step at that time.
-func (f *Forwarder) before(t time.Duration) bool {
-	if f.now < t {
-		f.next = min(f.next, t)
-		return true
-	}
-	return false
-}
-
 // ---- The list of targets.
 
 func (f *Forwarder) list(l TargetList) {
@@ -541,7 +531,8 @@
 func (f *Forwarder) mayGo(m *message, t *target) (from time.Duration) {
 	r, c := t.route, m.class
 	switch {
-	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest, f.usedUp(m), f.now >= m.endsAt,
+	case m.over || m.out > 0 && !m.copying || t.state != Active || r.dest != m.dest, m.outAt(t),
+		f.usedUp(m), f.now >= m.endsAt,
 		m.mayRan && !repeatable(m, t), !m.among.permits(t), m.line != nil && m.line.first != m:
 		return never
 	}
@@ -623,6 +614,23 @@
 	return float64(i)
 }
 
+// sendCopies sends a second copy of what may be repeated, where operators say so, once its first call
+// has been out as long as they say: to another target, within the budget, while half the slots are free.
+func (f *Forwarder) sendCopies() {
+	for f.copies.len() > 0 && !f.before(f.copies.min().copyAt) {
+		m := f.copies.pop()
+		r := m.sent.call.route
+		if r.open || 2*f.calls.n >= f.set.Slots || f.routeGate(r) > f.now || !f.roomIn(r.kind()) {
+			continue
+		}
+		m.copying = true
+		if t := f.chooseTarget(m, []*route{r}); t != nil && !t.backup && t.avoidTil <= f.now {
+			f.send(m, f.startCall(t))
+		}
+		m.copying = false
+	}
+}
+
 func (f *Forwarder) send(m *message, c *call) {
 	r := c.route
 	r.all++
@@ -637,7 +645,7 @@
 		m.granted = nil
 	}
 	a := &attempt{n: m.attempts, m: m, call: c}
-	m.sent = a
+	m.sent, m.other = a, m.sent
 	c.parts = append(c.parts, a)
 	m.attempts++
 	m.tries++
@@ -646,6 +654,10 @@
 	f.unhold(m)
 	limit := f.timeout(m, c)
 	c.hasty = limit < fairOf(f.usualTime(m.dest.routes))
+	if m.limits.Copy > 0 && f.set.SecondCopies && m.class.Effect == Pure && m.tries == 1 && !c.trial {
+		m.copyAt = f.now + m.limits.Copy
+		f.copies.fix(m)
+	}
 	f.do(Send{Message: m.id, Target: c.target.id, Timeout: limit})
 }
 
@@ -677,13 +689,14 @@
 
 func (f *Forwarder) outcome(o Outcome) {
 	m := f.msgs[o.Message]
-	if m == nil || m.sent == nil || m.sent.n != o.Attempt {
+	a := m.ended(o.Attempt)
+	if a == nil {
 		return
 	}
-	c := m.sent.call
+	c := a.call
 	r, t, d := c.route, c.target, c.route.dest
 	f.settleAll(d)
-	m.sent = nil
+	f.copies.remove(m)
 	r.told = max(r.told, f.now+o.Wait) // told to any one message of a call, it holds all
 	m.out--
 	c.left--
@@ -711,7 +724,7 @@
 	}
 	if o.Over || m.over {
 		f.forget(m)
-	} else {
+	} else if m.out == 0 {
 		f.again(m, r, o)
 	}
 	f.touch(d)
@@ -1135,15 +1148,6 @@
 	return freed
 }
 
-func (a *attempt) notPure() bool { return a.m.class.Effect != Pure }
-
-func (f *Forwarder) callOff(c *call) {
-	c.called = true
-	for _, a := range c.parts {
-		f.do(Cancel{Message: a.m.id, Attempt: a.n})
-	}
-}
-
 // ---- The retry budget.
 
 // settle closes the budget's intervals that are over, each at its end: the budget halves when many
@@ -1277,16 +1281,3 @@
 	}
 	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r, f.now), min(r.rate, sent)*cutTo)
 }
-
-// ---- For the host.
-
-// setWake asks for a Step when the next thing falls due, unless one is coming before that.
-func (f *Forwarder) setWake() {
-	if f.ends.len() > 0 {
-		f.before(f.ends.min().endsAt)
-	}
-	if f.next < never && (f.wakeAt <= f.now || f.next < f.wakeAt) {
-		f.wakeAt = f.next
-		f.do(Wake{After: f.next - f.now})
-	}
-}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -38,6 +38,9 @@
 	after    time.Duration // not sent before this
 	granted  *route        // the route whose budget has granted its next try, or nil
 	sent     *attempt      // the one that is out, or nil
+	other    *attempt      // sent before that one, and out still
+	copyAt   time.Duration // when a second copy is due
+	copying  bool          // one is being sent
 
 	// While it waits.
 	group       *group
@@ -46,8 +49,24 @@
 	endsAt      time.Duration // when it must be answered
 	endsPlace   int
 	delayPlace  int
+	copyPlace   int
 }
 
+// ended takes the attempt of a number off those that are out, and returns it; m may be nil.
+func (m *message) ended(n int) (a *attempt) {
+	switch {
+	case m == nil:
+	case m.sent != nil && m.sent.n == n:
+		a, m.sent, m.other = m.sent, m.other, nil
+	case m.other != nil && m.other.n == n:
+		a, m.other = m.other, nil
+	}
+	return a
+}
+
+// outAt tells whether an attempt is out to a target.
+func (m *message) outAt(t *target) bool { return m.sent != nil && m.sent.call.target == t }
+
 // from is when a message may be sent at the earliest.
 func (m *message) from() time.Duration {
 	if m.line != nil && m.tries == 0 {
@@ -306,6 +325,7 @@
 	stop    time.Duration // when the host ends
 	next    time.Duration // when something falls due that no event will tell
 
+	copies    heap[*message]            // those with a call out for which a second copy is due at a time
 	ends      heap[*message]            // those that wait, by when they must be answered
 	ready     heap[*dest]               // those with messages that may perhaps go, by turn
 	shy       [kindsOfDoubt]heap[*dest] // those held by a bound on calls in doubt
@@ -347,6 +367,9 @@
 		ends: heap[*message]{less: func(a, b *message) bool {
 			return a.endsAt < b.endsAt || a.endsAt == b.endsAt && a.seq < b.seq
 		}, place: func(m *message) *int { return &m.endsPlace }},
+		copies: heap[*message]{less: func(a, b *message) bool {
+			return a.copyAt < b.copyAt || a.copyAt == b.copyAt && a.seq < b.seq
+		}, place: func(m *message) *int { return &m.copyPlace }},
 		ready: heap[*dest]{less: sooner, place: func(d *dest) *int { return &d.readyPlace }},
 		gates: heap[*dest]{less: func(a, b *dest) bool { return a.gate < b.gate }, place: func(d *dest) *int { return &d.gatePlace }},
 		quiet: heap[*dest]{less: func(a, b *dest) bool { return a.quietAt < b.quietAt }, place: func(d *dest) *int { return &d.quietPlace }},
@@ -679,6 +702,10 @@
 			m.granted = nil
 		}
 		f.unhold(m)
+		f.copies.remove(m)
+		if m.out > 0 && m.limits.Copy > 0 && m.sent != nil && f.set.MayCancel { // its other copy, if there is one, serves nobody any more
+			f.do(Cancel{Message: m.id, Attempt: m.sent.n})
+		}
 	}
 	if m.out > 0 {
 		return
@@ -857,3 +884,34 @@
 	f.do(CloseIdle{Target: t.id})
 	t.free = nil
 }
+
+func (f *Forwarder) do(a Action) { f.actions = append(f.actions, a) }
+
+// before tells whether a time is still to come; the host is then asked for a Step at that time.
+func (f *Forwarder) before(t time.Duration) bool {
+	if f.now < t {
+		f.next = min(f.next, t)
+		return true
+	}
+	return false
+}
+
+func (a *attempt) notPure() bool { return a.m.class.Effect != Pure }
+
+func (f *Forwarder) callOff(c *call) {
+	c.called = true
+	for _, a := range c.parts {
+		f.do(Cancel{Message: a.m.id, Attempt: a.n})
+	}
+}
+
+// setWake asks for a Step when the next thing falls due, unless one is coming before that.
+func (f *Forwarder) setWake() {
+	if f.ends.len() > 0 {
+		f.before(f.ends.min().endsAt)
+	}
+	if f.next < never && (f.wakeAt <= f.now || f.next < f.wakeAt) {
+		f.wakeAt = f.next
+		f.do(Wake{After: f.next - f.now})
+	}
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -18,6 +18,7 @@
 	diskWait    = time.Second           // advice when the journal has no room
 	mailbox     = 1024
 	drainMost   = 256 // events of one Step
+	mostCalls   = 2   // out at once for one message
 )
 
 // What the loop is told, besides [List] and [decide.Stopping].
@@ -48,14 +49,29 @@
 // entry is a message that the loop holds.
 type entry struct {
 	saved   *journal.Saved
-	answer  chan<- reply       // its client waits for an answer; nil after that
-	acked   bool               // the client has its +OK
-	pending *decide.Send       // decided before that
-	attempt int                // number of the call that is out
-	cancel  context.CancelFunc // ends that call; nil if none is out
-	ended   bool               // a notice is owed, or nothing any more
-	cost    int64              // of the room
-	cap     intake.Cap         // under which it is counted, if a rule says so
+	answer  chan<- reply  // its client waits for an answer; nil after that
+	acked   bool          // the client has its +OK
+	pending []decide.Send // decided before that, in order
+	calls   []out         // two at most: one, and a second copy
+	ended   bool          // a notice is owed, or nothing any more
+	cost    int64         // of the room
+	cap     intake.Cap    // under which it is counted, if a rule says so
+}
+
+// out is a call that is out.
+type out struct {
+	attempt int
+	cancel  context.CancelFunc
+}
+
+// callOver takes a call off those that are out.
+func (e *entry) callOver(attempt int) {
+	e.calls = slices.DeleteFunc(e.calls, func(c out) bool {
+		if c.attempt == attempt {
+			c.cancel()
+		}
+		return c.attempt == attempt
+	})
 }
 
 // batch is what may show outside once the journal is synced so far.
@@ -402,20 +418,28 @@
 	e.acked = true
 	switch {
 	case !a.ok: // the client will hand it in again: nothing is owed
-		if e.pending != nil {
-			l.unsent(e, e.pending.Target)
-		}
+		l.unsendPending(e)
 		l.events = append(l.events, decide.Withdrawn{Message: e.saved.ID})
 		l.forget(e)
 	case e.saved.End != 0:
 		l.notify(e)
-	case e.pending != nil:
-		s := *e.pending
+	default:
+		pending := e.pending
 		e.pending = nil
-		l.send(ctx, s)
+		for _, s := range pending {
+			l.send(ctx, s)
+		}
 	}
 }
 
+// unsendPending tells the module that what was decided is not carried out.
+func (l *Engine) unsendPending(e *entry) {
+	for _, s := range e.pending {
+		l.unsent(e, s.Target)
+	}
+	e.pending = nil
+}
+
 // unsent tells the module that a send was not carried out. It counts as an
 // attempt there, and so it must here: an outcome with another number than the
 // module's would be passed over, and its slot and message never come free.
@@ -432,11 +456,11 @@
 	if e == nil {
 		return // ended meanwhile; the module still counts its call
 	}
-	if e.cancel != nil {
-		e.cancel()
-		e.cancel = nil
-	}
+	e.callOver(o.Attempt)
 	if o.Over {
+		for _, c := range e.calls { // a second copy serves nobody any more
+			c.cancel()
+		}
 		if o.Result == decide.Done {
 			l.tellEnd(e, "delivered")
 		}
@@ -547,20 +571,20 @@
 		return
 	}
 	if !e.acked {
-		e.pending, e.attempt = &s, e.saved.Attempts
+		e.pending = append(e.pending, s)
 		return
 	}
 	to := l.back.Endpoint(s.Target)
-	if to == nil || e.cancel != nil || e.ended {
-		slog.Error("a send that can't be made", "id", s.Message, "target", s.Target, "out", e.cancel != nil)
+	if to == nil || len(e.calls) == mostCalls || e.ended {
+		slog.Error("a send that can't be made", "id", s.Message, "target", s.Target, "out", len(e.calls))
 		l.unsent(e, s.Target)
 		return
 	}
-	e.attempt = e.saved.Attempts
+	n := e.saved.Attempts
 	l.journal.Sending(s.Message)
 	call, cancel := context.WithCancel(ctx)
-	e.cancel = cancel
-	n, try, decided := e.attempt, Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: e.attempt,
+	e.calls = append(e.calls, out{n, cancel})
+	try, decided := Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: n,
 		Body: e.saved.Body, Timeout: s.Timeout}, time.Now()
 	if x := e.saved.Extras; x != nil {
 		try.Header = x.Header
@@ -585,14 +609,16 @@
 
 func (l *Engine) callOff(c decide.Cancel) {
 	e := l.entries[c.Message]
-	switch {
-	case e == nil || e.attempt != c.Attempt:
-	case e.cancel != nil:
-		cancel := e.cancel
-		l.effects = append(l.effects, cancel)
-	case e.pending != nil:
-		l.unsent(e, e.pending.Target)
-		e.pending = nil
+	if e == nil {
+		return
+	}
+	for _, o := range e.calls {
+		if o.attempt == c.Attempt {
+			l.effects = append(l.effects, o.cancel)
+		}
+	}
+	if n := c.Attempt - e.saved.Attempts; n >= 0 && n < len(e.pending) { // their numbers go on in order: all or none
+		l.unsendPending(e)
 	}
 }
 
--- a/internal/operator/limits.go
+++ b/internal/operator/limits.go
@@ -27,6 +27,8 @@
 	Connect      Duration `json:"connect,omitempty"`      // how long a connection may take; 0: not set
 	Wait         Duration `json:"wait,omitempty"`         // before the first further try, jittered; it doubles from there; 0: not set
 
+	Copy Duration `json:"copy,omitempty"` // until a second copy goes out of what may be repeated; 0: none
+
 	// Of all messages for a destination together, whatever their class.
 	Out   int     `json:"out,omitempty"`   // calls out at once; 0: not set
 	Rate  float64 `json:"rate,omitempty"`  // calls a second; 0: not set
@@ -43,26 +45,27 @@
 	held
 	connect
 	wait
+	second
 	out
 	rate
 	ratio
 	figures
 )
 
-var figureNames = [figures]string{"attempts", "answer", "whole", "held", "connect", "wait", "out", "rate", "ratio"}
+var figureNames = [figures]string{"attempts", "answer", "whole", "held", "connect", "wait", "copy", "out", "rate", "ratio"}
 
-var allFigures = []int{attempts, answer, whole, held, connect, wait, out, rate, ratio}
+var allFigures = []int{attempts, answer, whole, held, connect, wait, second, out, rate, ratio}
 
 // figure is one of them; 0 if it is not set.
 func (l *Limit) figure(n int) float64 {
-	return [figures]float64{float64(l.Attempts), float64(l.Answer), float64(l.Whole), float64(l.Held), float64(l.Connect), float64(l.Wait),
+	return [figures]float64{float64(l.Attempts), float64(l.Answer), float64(l.Whole), float64(l.Held), float64(l.Connect), float64(l.Wait), float64(l.Copy),
 		float64(l.Out), l.Rate, l.Ratio}[n]
 }
 
 // show is one of them as it is written.
 func (l *Limit) show(n int) string {
 	switch n {
-	case answer, whole, connect, wait:
+	case answer, whole, connect, wait, second:
 		return time.Duration(l.figure(n)).String()
 	case rate:
 		return fmt.Sprint(l.Rate, "/s")
@@ -78,6 +81,7 @@
 	mostWhole    = 24 * time.Hour
 	leastWait    = 100 * time.Millisecond // the module's own first wait
 	mostWait     = time.Minute
+	leastCopy    = 10 * time.Millisecond
 	mostOut      = 100_000
 	leastRate    = 0.01
 	mostRate     = 1e6
@@ -177,6 +181,9 @@
 	if rule := l.of(wait, class, dest, route); rule != nil {
 		m.Wait = time.Duration(rule.Wait)
 	}
+	if rule := l.of(second, class, dest, route); rule != nil {
+		m.Copy = time.Duration(rule.Copy)
+	}
 	if rule := l.of(out, "", dest, ""); rule != nil {
 		m.Out = rule.Out
 	}
@@ -237,6 +244,7 @@
 		}
 		span("connect", l.Connect, 10*time.Millisecond, time.Minute)
 		span("wait", l.Wait, leastWait, mostWait)
+		span("copy", l.Copy, leastCopy, time.Minute)
 		number := func(name string, v, least, most float64, why string) {
 			if v != 0 && !(v >= least && v <= most) { // not a number counts as well
 				add(key+"."+name, fmt.Sprintf("%s is %v", name, v), fmt.Sprintf("set from %v to %v%s", least, most, why))
@@ -323,7 +331,11 @@
 		}
 	}
 	told := map[string]bool{}
-	check := func(k decide.Class, s scope, attempts, answer, whole, wait *Limit) {
+	check := func(k decide.Class, s scope, of func(n int) *Limit) {
+		attempts, answer, whole, wait := of(attempts), of(answer), of(whole), of(wait)
+		if copied := of(second); copied != nil {
+			c.checkCopy(set, k, s, copied, attempts, answer, told, add)
+		}
 		if answer == nil && wait == nil {
 			return
 		}
@@ -375,16 +387,39 @@
 	}
 	slices.Sort(sorted)
 	for _, k := range set.Classes {
-		most := func(n int) *Limit { return cmp.Or(limits.by[n][scope{class: k.Name}], limits.by[n][scope{}]) }
-		check(k, scope{class: k.Name}, most(attempts), most(answer), most(whole), most(wait))
+		check(k, scope{class: k.Name}, func(n int) *Limit { return cmp.Or(limits.by[n][scope{class: k.Name}], limits.by[n][scope{}]) })
 		for _, d := range sorted {
-			check(k, scope{class: k.Name, dest: d, named: true}, limits.of(attempts, k.Name, d, ""), limits.of(answer, k.Name, d, ""), limits.of(whole, k.Name, d, ""), limits.of(wait, k.Name, d, ""))
+			check(k, scope{class: k.Name, dest: d, named: true}, func(n int) *Limit { return limits.of(n, k.Name, d, "") })
 		}
 		for _, r := range c.limitedRoutes() {
 			if d := c.goalOf(r); len(r.Classes) == 0 || slices.Contains(r.Classes, k.Name) {
-				check(k, scope{class: k.Name, route: r.Name}, limits.of(attempts, k.Name, d, r.Name), limits.of(answer, k.Name, d, r.Name), limits.of(whole, k.Name, d, r.Name), limits.of(wait, k.Name, d, r.Name))
+				check(k, scope{class: k.Name, route: r.Name}, func(n int) *Limit { return limits.of(n, k.Name, d, r.Name) })
 			}
 		}
 	}
 	return list
 }
+
+// checkCopy looks at a second copy of one class: it must be safe to repeat, and the copy must come to something.
+func (c *Config) checkCopy(set decide.Settings, k decide.Class, s scope, copied, attempts, answer *Limit, told map[string]bool, add func(key, what, remedy string)) {
+	key := "limits." + copied.Name + ".copy"
+	say := func(what, remedy string) {
+		if !told[key+what] {
+			told[key+what] = true
+			add(key, what, remedy)
+		}
+	}
+	at := func(l *Limit, name string) string {
+		return cmp.Or(c.Where["limits."+l.Name+"."+name], l.Name)
+	}
+	switch {
+	case !set.SecondCopies:
+		say("the platform allows no second copies", "take copy out")
+	case k.Effect != decide.Pure:
+		say(fmt.Sprintf("a second copy of a message of class %s could take effect twice, and the block holds for %s", k.Name, c.shown(s)), "name in it only classes that are safe to repeat")
+	case attempts != nil && attempts.Attempts < 2:
+		say(fmt.Sprintf("a second copy is an attempt, and for %s one is allowed (%s)", c.shown(s), at(attempts, "attempts")), "allow two, or take copy out")
+	case answer != nil && answer.Answer <= copied.Copy:
+		say(fmt.Sprintf("for %s the first call is given up after %v (%s), and the copy would go out after %v", c.shown(s), time.Duration(answer.Answer), at(answer, "answer"), time.Duration(copied.Copy)), "set copy below answer")
+	}
+}
--- a/internal/operator/limits_test.go
+++ b/internal/operator/limits_test.go
@@ -51,7 +51,7 @@
 // TestNoUnsafeLimits makes 100,000 sets of limits and has them judged by the checker and by brute force over all messages that
 // there can be: none that is unsafe or means two things is accepted, and none that is safe refused.
 func TestNoUnsafeLimits(t *testing.T) {
-	set := decide.Settings{MaxAttempts: 4, Classes: []decide.Class{{Name: "status", Deadline: 3 * time.Second}, {Name: "handover", Deadline: 2 * time.Second}}}
+	set := decide.Settings{MaxAttempts: 4, SecondCopies: true, Classes: []decide.Class{{Name: "status", Deadline: 3 * time.Second}, {Name: "handover", Effect: decide.Unsafe, Deadline: 2 * time.Second}}}
 	// Where messages go: named by rules or not, and by which route. To a pool any class may come, by a route that is set later.
 	ways := []struct {
 		dest  int
@@ -73,7 +73,10 @@
 			if pick(3) == 0 {
 				l.Wait = Duration(time.Duration(1+pick(4)) * 200 * time.Millisecond)
 			}
-			if l.Attempts+int(l.Answer)+int(l.Whole)+int(l.Wait) == 0 {
+			if pick(7) == 0 {
+				l.Copy = Duration(time.Duration(1+pick(2)) * 400 * time.Millisecond)
+			}
+			if l.Attempts+int(l.Answer)+int(l.Whole)+int(l.Wait)+int(l.Copy) == 0 {
 				l.Attempts = 1
 			}
 			switch pick(3) {
@@ -110,7 +113,10 @@
 					has = int64(k.Deadline)
 				}
 				wait, t4 := oracle(c, k.Name, way.dest, way.route, func(l Limit) int64 { return int64(l.Wait) })
-				twice = twice || t1 || t2 || t3 || t4
+				second, t5 := oracle(c, k.Name, way.dest, way.route, func(l Limit) int64 { return int64(l.Copy) })
+				twice = twice || t1 || t2 || t3 || t4 || t5
+				// A handover must not go out twice; a status update's copy must have an attempt, and time before the first is given up.
+				bad = bad || second > 0 && (k.Name == "handover" || n == 1 || each > 0 && each <= second)
 				tries := max(1, n)
 				if n == 0 && wait > 0 {
 					tries = 2
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -331,7 +331,7 @@
 		l.fail(block.DefRange(), "limits take one name", `Write limits "NAME" { ... }.`)
 		return
 	}
-	l.known(block.Body, "limits", "classes", "destinations", "pools", "routes", "attempts", "answer", "whole", "held", "connect", "wait", "out", "rate", "ratio")
+	l.known(block.Body, "limits", "classes", "destinations", "pools", "routes", "attempts", "answer", "whole", "held", "connect", "wait", "copy", "out", "rate", "ratio")
 	rule, wrong := operator.Limit{Name: block.Labels[0]}, len(l.diags)
 	key := "limits." + rule.Name
 	if at, twice := l.places[key]; twice {
@@ -359,11 +359,11 @@
 					*map[string]*int{"attempts": &rule.Attempts, "held": &rule.Held, "out": &rule.Out}[name] = list[0]
 				}
 			}
-		case "answer", "whole", "connect", "wait":
+		case "answer", "whole", "connect", "wait", "copy":
 			if d, ok := l.duration(a); ok && d == 0 {
 				l.fail(at, name+" needs time", fmt.Sprintf(`Write %s = "800ms".`, name))
 			} else if ok {
-				*map[string]*operator.Duration{"answer": &rule.Answer, "whole": &rule.Whole, "connect": &rule.Connect, "wait": &rule.Wait}[name] = d
+				*map[string]*operator.Duration{"answer": &rule.Answer, "whole": &rule.Whole, "connect": &rule.Connect, "wait": &rule.Wait, "copy": &rule.Copy}[name] = d
 			}
 		case "rate":
 			rule.Rate = l.rate(a)
