--- a/cmd/scaleroute/mail_test.go
+++ b/cmd/scaleroute/mail_test.go
@@ -53,15 +53,16 @@
 	set := operator.Default()
 	var all []*standin.Mail
 	for i := range servers {
-		m, err := standin.NewMail()
+		var offer []string
+		if i%2 == 0 {
+			offer = []string{"PIPELINING", "SIZE 1000000"}
+		}
+		m, err := standin.NewMail(offer, script)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(m.Close)
-		m.Script, all = script, append(all, m)
-		if i%2 == 0 {
-			m.Offer = []string{"PIPELINING", "SIZE 1000000"}
-		}
+		all = append(all, m)
 		dest := 100 + i
 		set.Pools = append(set.Pools, operator.Pool{Name: fmt.Sprint("p", i), Destination: &dest, Sender: "petitions@a.test", Recipient: "office@b.test",
 			Endpoints: []operator.PoolEndpoint{{Name: fmt.Sprint("m", i), Address: m.Address(), Protocol: []string{"smtp", "lmtp"}[i/2%2]}}})
--- a/internal/back/smtpcall/smtpcall_test.go
+++ b/internal/back/smtpcall/smtpcall_test.go
@@ -16,14 +16,13 @@
 )
 
 // at starts a stand-in server, and makes a back that knows it.
-func at(t *testing.T, protocol string, offer []string, script func(standin.MailStage, string) *standin.MailDo) (*standin.Mail, *Back) {
+func at(t *testing.T, protocol string, offer []string, script standin.MailScript) (*standin.Mail, *Back) {
 	t.Helper()
-	m, err := standin.NewMail()
+	m, err := standin.NewMail(offer, script)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(m.Close)
-	m.Offer, m.Script = offer, script
 	b := New(Config{Name: "forwarder.test", Idle: 4, ConnIdle: time.Minute, ConnectLimit: time.Second})
 	b.List(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{{Address: engine.MailAddress{LMTP: protocol == engine.LMTP, At: m.Address(), From: "petitions@a.test", To: "office@b.test"}.String(), Target: decide.Target{ID: "m"}}}})
 	t.Cleanup(func() { b.Endpoint("m").CloseIdle() })
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -220,7 +220,7 @@
 
 // FuzzFile: whatever a file holds, reading and formatting it end, without a panic, and a formatted file is stable.
 func FuzzFile(f *testing.F) {
-	for _, seed := range []string{group, "include = [\"*\"]", "env \"A\" { default = \"x\" }", "journal {\n sync_every = 1e999\n}", "\ufeffa=1", "a = \"${env.B}\"", "journal { sync_every = null }"} {
+	for _, seed := range []string{group, pooled + "route \"r\" {\n fields = { a = \"/x/\" }\n pool = \"p\"\n}", "unrouted = null", "include = [\"*\"]", "env \"A\" { default = \"x\" }", "journal {\n sync_every = 1e999\n}", "\ufeffa=1", "a = \"${env.B}\"", "journal { sync_every = null }"} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/internal/standin/mail.go
+++ b/internal/standin/mail.go
@@ -34,10 +34,13 @@
 	After  int    // with MailBody: bytes of the message that are read before
 }
 
-// Mail is a mail server on a loopback address. Its Script is asked at each stage; nil does the usual: take every message.
+// MailScript says what a server does at a stage; nil is the usual. The id is known at the dot.
+type MailScript func(stage MailStage, id string) *MailDo
+
+// Mail is a mail server on a loopback address.
 type Mail struct {
-	Offer  []string // extensions, in answer to EHLO and LHLO
-	Script func(stage MailStage, id string) *MailDo
+	offer []string // extensions, in answer to EHLO and LHLO
+	ask   MailScript
 
 	ln       net.Listener
 	wg       sync.WaitGroup
@@ -48,13 +51,13 @@
 	bodies   map[string]string // what it held
 }
 
-// NewMail starts one.
-func NewMail() (*Mail, error) {
+// NewMail starts one that offers these extensions and does as a script says; nil takes every message.
+func NewMail(offer []string, script MailScript) (*Mail, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	m := &Mail{ln: ln, conns: map[net.Conn]bool{}, ran: map[string]int{}, bodies: map[string]string{}}
+	m := &Mail{offer: offer, ask: script, ln: ln, conns: map[net.Conn]bool{}, ran: map[string]int{}, bodies: map[string]string{}}
 	m.wg.Go(m.serve)
 	return m, nil
 }
@@ -128,10 +131,10 @@
 }
 
 func (m *Mail) script(s MailStage, id string) *MailDo {
-	if m.Script == nil {
+	if m.ask == nil {
 		return nil
 	}
-	return m.Script(s, id)
+	return m.ask(s, id)
 }
 
 func (m *Mail) converse(c net.Conn) {
@@ -148,7 +151,7 @@
 		on := true
 		switch word := strings.ToUpper(strings.TrimSpace(line)); {
 		case strings.HasPrefix(word, "EHLO"), strings.HasPrefix(word, "LHLO"):
-			lines := append([]string{"stand-in"}, m.Offer...)
+			lines := append([]string{"stand-in"}, m.offer...)
 			usual := ""
 			for i, l := range lines {
 				usual += "250" + map[bool]string{true: " ", false: "-"}[i == len(lines)-1] + l + "\r\n"
