Lay out a file without a last newline once and for all

Need: fuzzing found that a file that ends in a space and no newline was laid out otherwise the second time.

--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -556,6 +556,9 @@
 	if _, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos); diags.HasErrors() {
 		return nil, diags
 	}
+	if len(text) > 0 && text[len(text)-1] != '\n' { // first: it is laid out otherwise with it
+		text = append(slices.Clone(text), '\n')
+	}
 	for range 3 { // one pass may leave something for the next
 		next := hclwrite.Format(text)
 		if string(next) == string(text) {
@@ -563,8 +566,5 @@
 		}
 		text = next
 	}
-	if len(text) > 0 && text[len(text)-1] != '\n' {
-		text = append(text, '\n')
-	}
 	return text, nil
 }
