Read the longest messages with all that is added back, and bound what a route looks at

Cause: found in reading the change again. A record of a 64 KiB body with what plug-ins and a route may add (up to 52 KB) was over the 1 KiB that replay takes for plausible, so that a kill would have lost the message; fields of all plug-ins together could pass 255. RSET after a refusal by mail held the answer up for up to 200 ms. Idle mail connections of endpoints no longer called kept new ones from being kept. A long list of fields was scanned once for each of up to 256 forms of routes.

Change: records of 128 KiB; 32 header fields and 32 preferred endpoints of all plug-ins; RSET before the next message; the connection idle longest makes room, and a timer closes old ones; a field is looked for once, 32 names in all routes, values over 1,024 bytes fit no expression. Errors of forms and of mail in a reload name route, pool and line.

--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,7 +127,9 @@
 		err = errors.New("the file for the plug-ins' status can't change: restart, or set it as it was")
 	}
 	if err == nil && set.HasMail() && !s.mail {
-		err = errors.New("the first endpoint that takes mail needs descriptors that were not kept for it at the start: restart, or leave it out")
+		i := slices.IndexFunc(set.Pools, func(p operator.Pool) bool { return p.Mail() })
+		key := "pool." + set.Pools[i].Name
+		err = fmt.Errorf("%s: the first endpoint that takes mail needs descriptors that were not kept for it at the start: restart, or leave it out", cmp.Or(set.Where[key], key))
 	}
 	var routes *operator.Routes
 	if err == nil {
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,8 +34,9 @@
 	set    Config
 	byName map[string]*target
 
-	mu   sync.Mutex
-	idle int // of all targets
+	mu    sync.Mutex
+	idle  []*conn     // of all targets, the one idle longest first
+	timer *time.Timer // while any is
 }
 
 type target struct {
@@ -44,17 +46,18 @@
 	lmtp     bool
 	from, to string
 
-	idle []*conn // by the back's lock; the one used last is last
-	gone bool    // it is not listed any more: none is kept
+	gone bool // by the back's lock: it is not listed any more, and none is kept
 }
 
 type conn struct {
 	net.Conn
 	r        *bufio.Reader
 	used     time.Time
+	target   *target
 	pipeline bool  // PIPELINING (RFC 2920)
 	size     int64 // the largest message (RFC 1870); 0: not told
 	sizes    bool  // SIZE is offered
+	begun    bool  // a transaction was refused on it: RSET comes before the next, and holds no answer up
 }
 
 // New makes a Back without endpoints.
@@ -119,42 +122,61 @@
 // CloseIdle closes the idle connections to the endpoint. It waits for nothing: no QUIT is answered.
 func (t *target) CloseIdle() {
 	t.back.mu.Lock()
-	idle := t.idle
-	t.idle = nil
-	t.back.idle -= len(idle)
-	t.back.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
+	defer t.back.mu.Unlock()
+	t.back.idle = slices.DeleteFunc(t.back.idle, func(c *conn) bool {
+		if c.target == t {
+			c.Close()
+		}
+		return c.target == t
+	})
 }
 
 // take returns an idle connection that is young enough, or nil.
 func (t *target) take() *conn {
 	t.back.mu.Lock()
 	defer t.back.mu.Unlock()
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
-		t.idle = t.idle[:len(t.idle)-1]
-		t.back.idle--
-		if time.Since(c.used) < t.back.set.ConnIdle {
+	b := t.back
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		if c := b.idle[i]; c.target == t && time.Since(c.used) < b.set.ConnIdle {
+			b.idle = slices.Delete(b.idle, i, i+1)
 			return c
 		}
-		c.Close()
 	}
 	return nil
 }
 
+// expire closes the connections that have been idle for too long, and comes again while any is left.
+func (b *Back) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.idle) > 0 && time.Since(b.idle[0].used) >= b.set.ConnIdle {
+		b.idle[0].Close()
+		b.idle = slices.Delete(b.idle, 0, 1)
+	}
+	b.timer = nil
+	if len(b.idle) > 0 {
+		b.timer = time.AfterFunc(b.set.ConnIdle-time.Since(b.idle[0].used), b.expire)
+	}
+}
+
 func (t *target) keep(c *conn) {
 	t.back.mu.Lock()
 	defer t.back.mu.Unlock()
-	if t.gone || t.back.idle >= t.back.set.Idle {
+	if t.gone {
 		c.Close()
 		return
 	}
-	c.used = time.Now()
+	c.used, c.target = time.Now(), t
 	c.SetDeadline(time.Time{})
-	t.idle = append(t.idle, c)
-	t.back.idle++
+	b := t.back
+	b.idle = append(b.idle, c)
+	if len(b.idle) > b.set.Idle { // the one idle longest makes room, whoever's it is
+		b.idle[0].Close()
+		b.idle = slices.Delete(b.idle, 0, 1)
+	}
+	if b.timer == nil {
+		b.timer = time.AfterFunc(b.set.ConnIdle, b.expire)
+	}
 }
 
 // failure is why a transaction did not come to its end.
@@ -214,9 +236,8 @@
 		switch {
 		case !alive || f != nil && f.closed:
 			c.Close()
-		case f != nil && !t.reset(c):
-			c.Close()
 		default:
+			c.begun = f != nil
 			t.keep(c)
 		}
 		return o
@@ -289,6 +310,12 @@
 	if c.size > 0 && int64(len(text)) > c.size {
 		return &failure{result: decide.Rejected, err: fmt.Errorf("%d bytes, and the server takes %d", len(text), c.size)}
 	}
+	if c.begun {
+		if _, f := c.say(mail, "RSET\r\n"); f != nil {
+			return &failure{result: decide.ConnectFailed, closed: true, stale: true, err: f.err}
+		}
+		c.begun = false
+	}
 	from := fmt.Sprintf("MAIL FROM:<%s>", t.from)
 	if c.sizes {
 		from += fmt.Sprintf(" SIZE=%d", len(text))
@@ -352,18 +379,6 @@
 	return &failure{result: decide.Reset, closed: true, err: err}
 }
 
-// reset ends a transaction that was refused, so that the connection can be used again.
-func (t *target) reset(c *conn) bool {
-	c.SetDeadline(time.Now().Add(resetTime))
-	if _, err := fmt.Fprint(c, "RSET\r\n"); err != nil {
-		return false
-	}
-	r, err := readReply(c.r)
-	return err == nil && r.code/100 == 2
-}
-
-const resetTime = 200 * time.Millisecond
-
 // say sends a command and takes its reply.
 func (c *conn) say(s stage, format string, args ...any) (*reply, *failure) {
 	if _, err := fmt.Fprintf(c, format, args...); err != nil {
--- a/internal/engine/copies_test.go
+++ b/internal/engine/copies_test.go
@@ -12,7 +12,7 @@
 // TestSecondCopy: the engine has a second call out for a message where the module says so, and ends the first by its context, which nothing else
 // does here, once the second is answered; also where the module decides both before the client has its +OK.
 func TestSecondCopy(t *testing.T) {
-	gone, ends := make(chan string, 10), make(chan Ending, 100)
+	gone, begun, ends := make(chan string, 10), make(chan bool, 10), make(chan Ending, 100)
 	n := startLoop(t, func(w *world) {
 		w.settings.SecondCopies, w.settings.MayCancel, w.settings.Weights = true, true, decide.NoWeights
 		w.settings.Limits = func(string, int, string) decide.Limits { return decide.Limits{Copy: 20 * time.Millisecond} }
@@ -20,10 +20,14 @@
 		w.ended = func(e Ending) { ends <- e }
 		w.call = func(ctx context.Context, a Attempt) decide.Outcome {
 			if a.Number == 0 && a.ID[0] == 'c' {
+				begun <- true
 				<-ctx.Done()
 				gone <- a.ID
 				return decide.Outcome{Result: decide.Cancelled}
 			}
+			if a.ID[0] == 'c' { // else the first may be called off before it has begun
+				<-begun
+			}
 			return decide.Outcome{Result: decide.Done, Over: true, Took: time.Millisecond}
 		}
 	})
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -18,7 +18,7 @@
 const (
 	mark       = 0xc7
 	recordHead = 9
-	maxPayload = MaxBody + 1024
+	maxPayload = 2 * MaxBody // extras take as much as a body at most
 )
 
 type kind byte
--- a/internal/operator/pools.go
+++ b/internal/operator/pools.go
@@ -27,10 +27,11 @@
 
 // HasMail tells whether an endpoint takes mail.
 func (c *Config) HasMail() bool {
-	return slices.ContainsFunc(c.Pools, func(p Pool) bool { return p.mail() })
+	return slices.ContainsFunc(c.Pools, func(p Pool) bool { return p.Mail() })
 }
 
-func (p *Pool) mail() bool {
+// Mail tells whether an endpoint of the pool takes mail.
+func (p *Pool) Mail() bool {
 	return slices.ContainsFunc(p.Endpoints, func(e PoolEndpoint) bool { return e.Protocol != "" && e.Protocol != "http" })
 }
 
@@ -42,9 +43,9 @@
 	for _, a := range []struct{ key, text string }{{"sender", p.Sender}, {"recipient", p.Recipient}} {
 		key := "pool." + p.Name + "." + a.key
 		switch parsed, err := mail.ParseAddress(a.text); {
-		case a.text == "" && p.mail():
+		case a.text == "" && p.Mail():
 			add(key, fmt.Sprintf("the pool %q has endpoints that take mail, and no %s", p.Name, a.key), fmt.Sprintf(`write %s = "petitions@example.org"`, a.key))
-		case a.text != "" && !p.mail():
+		case a.text != "" && !p.Mail():
 			add(key, fmt.Sprintf("the pool %q has a %s, and no endpoint that takes mail", p.Name, a.key), `write protocol = "smtp" or "lmtp" in its endpoints, or take it out`)
 		case a.text != "" && (err != nil || parsed.Address != a.text || strings.ContainsFunc(a.text, func(r rune) bool { return r <= ' ' || r > '~' || r == '<' || r == '>' || r == '"' }) || len(a.text) > 254):
 			add(key, fmt.Sprintf("%.80q is no mail address", a.text), "write a plain one of ASCII letters, such as petitions@example.org")
--- a/internal/operator/routes.go
+++ b/internal/operator/routes.go
@@ -281,12 +281,16 @@
 	}
 	t, err := route.New(rules)
 	if err != nil {
-		add("route", err.Error(), "write fewer different forms: other fields, or other lengths of what a field begins with, are other forms")
+		key := "route." + c.Routes[0].Name
+		if e := (*route.Error)(nil); errors.As(err, &e) {
+			key = "route." + e.Route
+		}
+		add(key, err.Error(), "write fewer different forms: other fields, or other lengths of what a field begins with, are other forms")
 		return
 	}
 	pairs, err := t.Ambiguous()
 	if err != nil {
-		add("route", err.Error(), "there are no patterns needed where a text or a beginning will do")
+		add("route."+c.Routes[0].Name, err.Error(), "there are no patterns needed where a text or a beginning will do")
 		return
 	}
 	for _, p := range pairs {
--- a/internal/plugin/rules.go
+++ b/internal/plugin/rules.go
@@ -57,15 +57,19 @@
 	if err := d.known("prefer", r.Prefer); err != nil {
 		return err
 	}
+	header := merge(d.Header, r.Header)
+	if len(header) > 2*MostHeader {
+		return fmt.Errorf("%d header fields of all plug-ins together; at most %d", len(header), 2*MostHeader)
+	}
 	if len(r.Only) > 0 {
 		d.Only = only
 	}
 	for _, name := range r.Prefer {
-		if !slices.Contains(d.Prefer, name) {
+		if !slices.Contains(d.Prefer, name) && len(d.Prefer) < MostNamed { // those of an earlier plug-in go first
 			d.Prefer = append(d.Prefer, name)
 		}
 	}
-	d.Header = merge(d.Header, r.Header)
+	d.Header = header
 	if r.HasBody {
 		d.Body = r.Body
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,6 +22,8 @@
 	MostFields = 8    // of one route
 	MostName   = 64   // bytes of a field's name
 	MostText   = 512  // bytes of what is looked for in one
+	MostNames  = 32   // different fields of all routes: each is looked for once in a message
+	MostValue  = 1024 // bytes of a value that expressions look at: a longer one fits none
 	MostForms  = 256  // forms of routes: each message is looked up once in each
 	MostOrder  = 1000 // and not below its negative
 )
@@ -140,6 +142,7 @@
 	name   string
 	kind   kind
 	length int // of a prefix
+	at     int // in the table's names
 }
 
 // rank compares as forms go: the lower one first.
@@ -179,9 +182,15 @@
 // Table finds routes.
 type Table struct {
 	groups []*group // as they go
+	names  []string // of all fields
 	rules  []*Rule
 }
 
+// Error is what is wrong with one route.
+type Error struct{ Route, What string }
+
+func (e *Error) Error() string { return fmt.Sprintf("route %q %s", e.Route, e.What) }
+
 // New makes a Table. The error says that there are too many fields or forms.
 func New(rules []Rule) (*Table, error) {
 	t := &Table{}
@@ -189,7 +198,7 @@
 	for i := range rules {
 		r := &rules[i]
 		if len(r.Fields) > MostFields {
-			return nil, fmt.Errorf("route %q names %d fields; at most %d", r.Name, len(r.Fields), MostFields)
+			return nil, &Error{r.Name, fmt.Sprintf("names %d fields; at most %d", len(r.Fields), MostFields)}
 		}
 		t.rules = append(t.rules, r)
 		f := r.form()
@@ -197,7 +206,18 @@
 		g := forms[same]
 		if g == nil {
 			if len(forms) == MostForms {
-				return nil, fmt.Errorf("route %q is of one form more than the %d that there may be: each message is looked up in each", r.Name, MostForms)
+				return nil, &Error{r.Name, fmt.Sprintf("is of one form more than the %d that there may be: each message is looked up in each", MostForms)}
+			}
+			for n := range f.fields {
+				name := f.fields[n].name
+				at := slices.Index(t.names, name)
+				if at < 0 {
+					if at = len(t.names); at == MostNames {
+						return nil, &Error{r.Name, fmt.Sprintf("names the field %q, one more than the %d that all routes may name together", name, MostNames)}
+					}
+					t.names = append(t.names, name)
+				}
+				f.fields[n].at = at
 			}
 			g = &group{form: f, by: map[string][]*Rule{}}
 			forms[same] = g
@@ -227,7 +247,7 @@
 		if p.kind == prefix {
 			n = len(p.text)
 		}
-		f.fields = append(f.fields, formField{p.Name, p.kind, n})
+		f.fields = append(f.fields, formField{name: p.Name, kind: p.kind, length: n})
 	}
 	return f
 }
@@ -288,11 +308,20 @@
 func (t *Table) Find(m *Message) *Rule {
 	var buf [256]byte
 	var values [MostFields]string
+	var all [MostNames]struct {
+		value         string
+		there, looked bool
+	}
 next:
 	for _, g := range t.groups {
 		for n, p := range g.fields {
-			v, there := m.Field(p.name)
-			if !there || p.kind == prefix && len(v) < p.length {
+			said := &all[p.at]
+			if !said.looked {
+				said.value, said.there = m.Field(p.name)
+				said.looked = true
+			}
+			v := said.value
+			if !said.there || p.kind == prefix && len(v) < p.length {
 				continue next
 			}
 			values[n] = v
@@ -314,7 +343,7 @@
 
 func (r *Rule) patternsFit(values []string) bool {
 	for n, p := range r.Fields {
-		if p.kind == pattern && !p.fits(values[n]) {
+		if p.kind == pattern && (len(values[n]) > MostValue || !p.fits(values[n])) {
 			return false
 		}
 	}
@@ -327,24 +356,11 @@
 // Len is the number of routes.
 func (t *Table) Len() int { return len(t.rules) }
 
-// Forms is the number of forms.
-func (t *Table) Forms() int { return len(t.groups) }
-
 func compareRank(a, b *form) int {
 	x, y := a.rank(), b.rank()
 	return slices.Compare(x[:], y[:])
 }
 
-// Describe tells in words which messages a rule fits.
-func (r *Rule) Describe() string {
-	s := Some{Fields: map[string][]Match{}}
-	classes, dests, fronts := strings.Join(r.Classes, ", "), strings.Trim(fmt.Sprint(r.Destinations), "[]"), strings.Join(r.Fronts, ", ")
-	for _, f := range r.Fields {
-		s.Fields[f.Name] = []Match{f.Match}
-	}
-	return describe(classes, dests, len(r.Destinations) > 0, fronts, s.Fields)
-}
-
 func describe(classes, dests string, named bool, fronts string, fields map[string][]Match) string {
 	text := "messages of class " + cmp.Or(classes, "any")
 	if named {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -342,6 +342,33 @@
 		t.Error("so many fields are taken")
 	}
 	rules = nil
+	for n := range MostNames + 1 {
+		m, _ := ParseMatch("x")
+		rules = append(rules, Rule{Name: fmt.Sprint(n), Fields: []Field{{fmt.Sprint("f", n), m}}})
+	}
+	if _, err := New(rules); err == nil || !strings.Contains(err.Error(), `route "32" names the field "f32"`) {
+		t.Errorf("so many names: %v", err)
+	}
+	// A field is looked for once, however many forms name it, and a long value is no work for expressions.
+	p, _ := ParseMatch("/p*/")
+	rules = []Rule{{Name: "p", Fields: []Field{{"x", p}}}}
+	for n := range 100 {
+		m, _ := ParseMatch(strings.Repeat("q", n+1) + "*")
+		rules = append(rules, Rule{Name: fmt.Sprint(n), Fields: []Field{{"x", m}}})
+	}
+	some, err := New(rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	looks, size := 0, MostValue
+	m := &Message{Field: func(string) (string, bool) { looks++; return strings.Repeat("p", size), true }}
+	if got := some.Find(m); got == nil || got.Name != "p" || looks != 1 {
+		t.Errorf("%v after %d looks", got, looks)
+	}
+	if size++; some.Find(m) != nil {
+		t.Error("a longer value fits an expression")
+	}
+	rules = nil
 	for n := range 20_000 {
 		m, _ := ParseMatch(fmt.Sprintf("/p%d/", n))
 		rules = append(rules, Rule{Name: fmt.Sprint(n), Fields: []Field{{"x", m}}})
--- a/internal/route/some.go
+++ b/internal/route/some.go
@@ -20,14 +20,7 @@
 	return describe(s.Class, fmt.Sprint(s.Destination), s.Named, s.Front, s.Fields)
 }
 
-// within tells whether all of them fit a rule, as far as one cell of it goes.
-func (s *Some) within(r *Rule, c cell) bool {
-	if len(r.Destinations) > 0 && (!s.Named || s.Destination != c.dest) || len(r.Classes) > 0 && s.Class != c.class || len(r.Fronts) > 0 && s.Front != c.front {
-		return false
-	}
-	return s.fieldsWithin(r)
-}
-
+// fieldsWithin tells whether the fields of all of them fit a rule.
 func (s *Some) fieldsWithin(r *Rule) bool {
 	for _, f := range r.Fields {
 		if !slices.ContainsFunc(s.Fields[f.Name], func(m Match) bool { return m.implies(f.Match) }) {
@@ -124,7 +117,7 @@
 	For  *Some
 }
 
-// mostPairs bounds what is said at once, and mostTold how many looks it takes.
+// mostPairs bounds what is said at once, and mostLooks what it takes.
 const (
 	mostPairs = 100
 	mostLooks = 20_000_000
