--- a/cmd/scaleroute/main.go
+++ b/cmd/scaleroute/main.go
@@ -35,6 +35,7 @@
 	}()
 	operators := flag.String("operators", "", "the resolved operators' `file`, as scaleroutectl compile writes it; none: nothing is set")
 	host := flag.String("plugin-host", "", "the `program` that runs plug-ins; none: scaleroute-plugin-host beside this one")
+	steps := flag.Bool("log-steps", false, "log each event and decision, to be counted by scaleroute-lab fleet; slow, for a replay")
 	flag.Parse()
 	set, err := loadOperators(*operators)
 	if err == nil && flag.NArg() > 0 {
@@ -45,7 +46,7 @@
 		c, err = config.Load(os.Getenv)
 	}
 	if err == nil {
-		err = run(c, &settings{file: *operators, now: set, host: *host}, stop, hup)
+		err = run(c, &settings{file: *operators, now: set, host: *host, logSteps: *steps}, stop, hup)
 	}
 	if err != nil {
 		slog.Error("scaleroute", "err", err)
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -22,6 +22,7 @@
 	"scaleroute/internal/journal"
 	"scaleroute/internal/membership"
 	"scaleroute/internal/operator"
+	"scaleroute/internal/steplog"
 )
 
 // How a planned stop goes, counted from SIGTERM. SIGKILL can come 3.7 s after it.
@@ -66,8 +67,8 @@
 		return err
 	}
 	defer j.Close()
-	p := agent.New(c.Discovery)
 	set := c.Settings
+	p := agent.New(c.Discovery, agent.Fleet{Forwarders: set.Forwarders, Asks: set.MustAsk, AskEvery: set.AskEvery})
 	if err := operators.apply(&set); err != nil {
 		return err
 	}
@@ -83,6 +84,9 @@
 	if operators.plugins != nil {
 		configuration.Back, configuration.Ended = operators.plugins.Back(configuration.Back), operators.plugins.Ended
 	}
+	if operators.logSteps {
+		configuration.Steps = steplog.NewWriter(os.Stderr).Step
+	}
 	l, err := engine.New(configuration)
 	if err != nil {
 		return err
@@ -97,6 +101,10 @@
 	if first != nil {
 		lists = append(lists, first.As(decide.Whole))
 	}
+	known := first
+	if set.MustAsk && len(c.Known.Endpoints) > 0 {
+		known = &c.Known // what has changed since is less work than the whole list
+	}
 	heard := func(list *agent.List) { l.List(list.Told()) }
 	if operators.file != "" {
 		operators.sources = &sources{to: l.List}
@@ -129,7 +137,7 @@
 	if c.Limits.MemoryMB >= roomyMB {
 		wg.Go(func() { spendMemory(ctx, memory/spentPart) })
 	}
-	wg.Go(func() { p.Watch(ctx, first, heard) })
+	wg.Go(func() { p.Watch(ctx, known, heard) })
 	wg.Go(func() { p.Deliver(ctx, l.Heard) })
 	wg.Go(func() { reload(ctx, hup, c.File, p, operators) })
 	wg.Go(func() { clients.Serve(ctx) })
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -24,6 +24,7 @@
 type settings struct {
 	file     string // empty: nothing is set
 	host     string // the program that runs plug-ins
+	logSteps bool   // each step of the module is logged
 	now      *operator.Config
 	platform decide.Settings
 	limits   atomic.Pointer[operator.Limits]
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,9 +22,8 @@
 	holdMargin  = 1500 * time.Millisecond
 	listTime    = 2 * time.Second
 	noticeTime  = time.Second
-	retryPause  = 50 * time.Millisecond // also under the 200 ms in which a watch goes on
-	maxList     = 64 << 20              // bytes of a list
-	maxOther    = 4 << 10               // of any other answer
+	maxList     = 64 << 20 // bytes of a list
+	maxOther    = 4 << 10  // of any other answer
 	noticeBatch = 256
 
 	statusDraining = "DRAINING"
@@ -76,6 +75,8 @@
 
 // Platform speaks to discovery and takes notices to the platform.
 type Platform struct {
+	fleet Fleet
+
 	mu      sync.Mutex
 	agent   *agent
 	pending []notice
@@ -97,9 +98,9 @@
 	WaitMS int64  `json:"wait_ms,omitempty"`
 }
 
-// New makes a Platform that speaks to an address, host:port.
-func New(address string) *Platform {
-	return &Platform{agent: newAgent(address), wake: make(chan struct{}, 1)}
+// New makes a Platform that speaks to an address, host:port, as one of a fleet.
+func New(address string, fleet Fleet) *Platform {
+	return &Platform{fleet: fleet, agent: newAgent(address), wake: make(chan struct{}, 1)}
 }
 
 func newAgent(address string) *agent {
@@ -153,8 +154,12 @@
 	return err
 }
 
-// First fetches the whole list, if it comes in so short a time.
+// First fetches the whole list, if it comes in so short a time. Where the list must be asked for it returns nil: what has
+// changed since it was last told is told by the watch, and a fleet that starts together must not ask twice.
 func (p *Platform) First(limit time.Duration) (*List, error) {
+	if p.fleet.Asks {
+		return nil, nil
+	}
 	return p.current().list(context.Background(), -1, limit)
 }
 
@@ -163,6 +168,8 @@
 // from where the last one ended.
 func (p *Platform) Watch(ctx context.Context, known *List, tell func(*List)) {
 	from, last := int64(-1), p.current()
+	again := p.fleet.again()
+	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	if known != nil {
 		from = known.Index
 	}
@@ -170,15 +177,18 @@
 		a := p.current()
 		if a != last {
 			from, last = -1, a
+			again.worked()
 		}
 		l, err := a.list(ctx, from, listTime)
 		if err != nil {
 			if a.left.Err() == nil {
-				slog.Warn("discovery", "err", err)
-				pause(ctx, retryPause)
+				wait := again.failed()
+				slog.Warn("discovery", "err", err, "again_in", wait)
+				a.pause(ctx, wait)
 			}
 			continue
 		}
+		again.worked()
 		from = l.Index
 		tell(l)
 	}
@@ -257,6 +267,7 @@
 		json.NewEncoder(&lines).Encode(n) // ends the line; a struct of plain fields does not fail
 		refs = append(refs, n.Ref)
 	}
+	again := backoff{first: firstPause, most: noticePause, random: p.fleet.random}
 	for ctx.Err() == nil {
 		a := p.current()
 		var status int
@@ -282,14 +293,8 @@
 		if a.left.Err() != nil {
 			continue // at once at the new address
 		}
-		slog.Warn("notices not taken", "status", status, "err", err, "first", batch[0].Ref, "count", len(batch))
-		pause(ctx, retryPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		wait := again.failed()
+		slog.Warn("notices not taken", "status", status, "err", err, "first", batch[0].Ref, "count", len(batch), "again_in", wait)
+		a.pause(ctx, wait)
 	}
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
-	return New(s.Listener.Addr().String())
+	return New(s.Listener.Addr().String(), Fleet{})
 }
 
 // TestWatch: the whole list first, then each change from the version before,
--- /dev/null
+++ b/internal/agent/backoff.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// How long to wait before a call that failed is made again. All forwarders of a fleet call the same discovery and
+// fail in the same moment, so that what is harmless from one of them keeps it down when all do it: the waits grow with each
+// failure in a row, and each is drawn between nought and that (full jitter), which spreads the calls evenly.
+//
+// They begin at what a fleet of that size can be told in: discovery that must be asked for its list works on each call, and a
+// call that waits there for longer than its time-out was work for nothing. Nobody says what it can do; a tenth of a second
+// for each forwarder is what it is given at first, and whoever gets its list leaves room for the others.
+const (
+	firstPause  = 100 * time.Millisecond // of one forwarder; for the list, times as many as there are
+	listPause   = 30 * time.Second       // the longest for the list, or four times the former if that is more
+	noticePause = time.Second            // and for notices, which are owed to clients
+)
+
+// Fleet is what a Platform is told of those that call the same discovery.
+type Fleet struct {
+	Forwarders int            // how many there are, this one included
+	Asks       bool           // the list comes only when it is asked for, and asking is work there
+	AskEvery   time.Duration  // where that is so: who has not asked for so long is taken to be told what changed; 0: no such rule
+	Random     func() float64 // from 0 to 1; nil: the runtime's own
+}
+
+// turns is how long it takes until each of a fleet has had its turn at first.
+func (f Fleet) turns() time.Duration { return firstPause * time.Duration(max(1, f.Forwarders)) }
+
+// firstWait is the span over which a fleet spreads its first calls after a start of all of them: not so long that what changes
+// counts as told meanwhile.
+func (f Fleet) firstWait() time.Duration {
+	if !f.Asks {
+		return 0
+	}
+	span := f.turns()
+	if f.AskEvery > 0 {
+		span = min(span, f.AskEvery*3/4)
+	}
+	return span
+}
+
+func (f Fleet) random() float64 {
+	if f.Random != nil {
+		return f.Random()
+	}
+	return rand.Float64()
+}
+
+// again are the waits after list calls that failed.
+func (f Fleet) again() backoff {
+	return backoff{first: max(firstPause, f.firstWait()), most: max(listPause, 4*f.turns()), random: f.random}
+}
+
+// backoff is the waits between the failures in a row of one kind of call.
+type backoff struct {
+	first  time.Duration
+	most   time.Duration
+	next   time.Duration
+	random func() float64 // from 0 to 1
+}
+
+// failed is how long to wait after one more failure.
+func (b *backoff) failed() time.Duration {
+	b.next = min(b.most, max(b.first, 2*b.next))
+	return time.Duration(b.random() * float64(b.next))
+}
+
+// worked starts afresh.
+func (b *backoff) worked() { b.next = 0 }
+
+// pause waits so long, until ctx ends, or until the agent is left.
+func (a *agent) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.left.Done():
+	case <-t.C:
+	}
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -91,6 +91,8 @@
 	Limits func(class string, destination int, route string) Limits
 	// Ended is told of each message that was taken on and is over, by the loop: it must not wait. nil if nobody asks.
 	Ended func(Ending)
+	// Steps is shown each step of the module, by the loop: it must not wait. nil if nobody asks.
+	Steps func(now time.Duration, events []decide.Event, actions []decide.Action)
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -115,6 +117,7 @@
 	caps      intake.Caps
 	limits    func(class string, destination int, route string) Limits
 	ended     func(Ending)
+	steps     func(time.Duration, []decide.Event, []decide.Action)
 	effects   []func() // after the journal has been written
 	waiting   []batch  // until it has been synced, where that is promised
 	syncing   bool
@@ -131,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended,
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended, steps: c.Steps,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
@@ -510,7 +513,12 @@
 func (l *Engine) round(ctx context.Context) error {
 	events := l.events
 	l.events = nil
-	for _, a := range l.module.Step(time.Since(l.clock), events) {
+	now := time.Since(l.clock)
+	actions := l.module.Step(now, events)
+	if l.steps != nil {
+		l.steps(now, events, actions)
+	}
+	for _, a := range actions {
 		l.act(ctx, a)
 	}
 	for _, e := range l.arrived {
