--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -65,11 +65,17 @@
 	preferCost    = 2    // calls out that an endpoint one place behind another seems to have too many
 	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
 
-	minRate     = 1.0 // calls a second that all senders together may make at least, whatever is refused
-	leastPart   = 0.5 // of the own part: refusals don't cut the pace below
-	littleRoom  = 0.2 // with less of an allowance left, a sender keeps to its fair part
-	muchRoom    = 0.7 // with more, it may use it all
-	cutTo       = 0.7 // of what was sent, after a refusal
+	minRate     = 1.0  // calls a second that all senders together may make at least, whatever is refused
+	leastPart   = 0.5  // of the own part: refusals don't cut the pace below
+	fullUse     = 0.85 // of the equal part of a limit: with so much each the limit is not used up
+	evenRoom    = 0.5  // share of an allowance that is left where all senders together keep to the limit
+	littleRoom  = 0.2  // with less, a sender keeps to its own part
+	muchRoom    = 0.7  // with more, it may use it all
+	crowdUp     = 1.0  // a second: how soon more is taken to be asked for than fits, after refusals
+	crowdDown   = 0.3  // and while the allowance says so
+	mostCrowd   = 16   // times the limit that all senders together may ask for
+	steadyLimit = 0.3  // a told limit that differs by less is noise
+	cutTo       = 0.7  // of what was sent, after a refusal
 	paceUp      = 1.25
 	rateSpan    = 3 * time.Second
 	slotShare   = 0.5      // of the slots that one route may hold
@@ -838,8 +844,7 @@
 		return
 	}
 	if o.Allowance.Told {
-		r.limit, r.heard = o.Allowance.Rate, f.now
-		r.room = min(1, max(0, (o.Allowance.Left-littleRoom)/(muchRoom-littleRoom)))
+		f.heed(r, o)
 		r.spent = 0
 		if o.Allowance.Rate > 0 && o.Allowance.Left < nearlySpent {
 			r.spent = f.now + rateSpan
@@ -1164,12 +1169,6 @@
 	}
 }
 
-func (f *Forwarder) settleAll(d *dest) {
-	for _, r := range d.routes {
-		f.settle(r)
-	}
-}
-
 func (f *Forwarder) closeInterval(r *route, end time.Duration) {
 	if r.bound && r.fulls == 0 && r.good > 0 && !r.open && !f.warming(r, end) {
 		r.rate *= paceUp
@@ -1188,16 +1187,6 @@
 	r.seen, r.bad = 0, 0
 }
 
-// touch notes that something has changed at a destination: its pace is worked out anew, and it is
-// looked at before this Step is over.
-func (f *Forwarder) touch(d *dest) {
-	for _, r := range d.routes {
-		f.settle(r)
-		f.repace(r, f.now)
-	}
-	f.stirred(d)
-}
-
 // repace works out when a route may be called next, and whether its pace holds a message now.
 func (f *Forwarder) repace(r *route, at time.Duration) {
 	f.fill(r, at)
@@ -1222,10 +1211,16 @@
 // paceAt is the rate in calls a second at which this sender may call a route.
 func (f *Forwarder) paceAt(r *route, at time.Duration) float64 {
 	p := r.dest.limits.rate(r.rate)
-	if fair := f.fairPart(r); fair > 0 { // more than the own part only while others leave room
+	if fair := f.fairPart(r); fair > 0 {
 		old := min(1, (at-r.heard).Seconds()/rateSpan.Seconds())
 		room := r.room + (1-r.room)*old // what was told a while ago says little of now
-		p = min(p, max(f.part(r, at), fair*float64(f.set.Forwarders)*room))
+		limit, own := fair*float64(f.set.Forwarders), f.part(r, at)
+		if r.asked > limit { // each lets through the same share of its messages
+			own = max(fullUse*fair, own*limit/r.asked*(evenRoom+min(room, muchRoom)))
+		} else { // more than the own part while others leave room
+			own = max(own, limit*min(1, (room-littleRoom)/(muchRoom-littleRoom)))
+		}
+		p = min(p, own)
 	}
 	if f.warming(r, at) {
 		t := float64(at-r.warm0) / float64(f.set.Cold)
@@ -1248,6 +1243,25 @@
 	return max(f.fairPart(r), own)
 }
 
+// heed takes what an answer tells of a limit, and follows how much all senders together ask for. All hear the
+// same, so they come to the same; and a limit that falls is kept at once, as what is asked for stays.
+func (f *Forwarder) heed(r *route, o Outcome) {
+	limit, since := o.Allowance.Rate, min(f.now-r.heard, rateSpan).Seconds()
+	if limit <= 0 {
+		r.limit, r.asked = 0, 0
+		return
+	}
+	if r.limit > 0 && math.Abs(limit-r.limit) < steadyLimit*r.limit {
+		limit = r.limit + (limit-r.limit)/4
+	}
+	r.limit, r.room, r.heard = limit, o.Allowance.Left, f.now
+	rise := crowdDown * min(0, evenRoom-r.room)
+	if o.Result == Full && o.Allowance.Left < nearlySpent { // refused calls may use it up, too
+		r.room, rise = 0, crowdUp*min(1, r.fails)
+	}
+	r.asked = min(mostCrowd*limit, max(limit, r.asked*math.Exp(since*rise)))
+}
+
 // fairPart is an equal part of the limit of a route, where that is told; else 0.
 func (f *Forwarder) fairPart(r *route) float64 {
 	w := r.limit
@@ -1257,16 +1271,6 @@
 	return w / float64(f.set.Forwarders)
 }
 
-// fill counts what has come to a route's tokens since.
-func (f *Forwarder) fill(r *route, at time.Duration) {
-	if math.IsInf(r.pace, 1) {
-		r.tokens = 1
-	} else {
-		r.tokens = min(1, r.tokens+r.pace*(at-r.filled).Seconds())
-	}
-	r.filled = at
-}
-
 // refusedAtPace slows a route down after a refusal, once for each lot of refusals.
 func (f *Forwarder) refusedAtPace(r *route) {
 	r.fulls++
@@ -1275,9 +1279,6 @@
 	}
 	r.cutAt = f.now + adjustEvery
 	sent := r.sent.get(f.now, rateSpan) / rateSpan.Seconds()
-	least := leastPart
-	if r.limit > 0 { // an equal part of a limit that is told fits in, whatever was refused beyond it
-		least = 1
-	}
+	least := max(leastPart, share(r.limit > 0)) // paceAt sees to a told limit
 	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r, f.now), min(r.rate, sent)*cutTo)
 }
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -149,7 +149,8 @@
 	sent      decaying      // calls
 	limit     float64       // told limit in calls a second; 0 for none
 	heard     time.Duration // when the limit and the room were told
-	room      float64       // how much of the limit others leave, from 0 to 1
+	room      float64       // share of the limit's allowance that was left then
+	asked     float64       // calls a second that all senders together have messages for, as far as that tells
 }
 
 // decaying is a count that fades.
@@ -554,11 +555,17 @@
 	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
 	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
 
-	minRate     = 1.0 // calls a second that all senders together may make at least, whatever is refused
-	leastPart   = 0.5 // of the own part: refusals don't cut the pace below
-	littleRoom  = 0.2 // with less of an allowance left, a sender keeps to its fair part
-	muchRoom    = 0.7 // with more, it may use it all
-	cutTo       = 0.7 // of what was sent, after a refusal
+	minRate     = 1.0  // calls a second that all senders together may make at least, whatever is refused
+	leastPart   = 0.5  // of the own part: refusals don't cut the pace below
+	fullUse     = 0.85 // of the equal part of a limit: with so much each the limit is not used up
+	evenRoom    = 0.5  // share of an allowance that is left where all senders together keep to the limit
+	littleRoom  = 0.2  // with less, a sender keeps to its own part
+	muchRoom    = 0.7  // with more, it may use it all
+	crowdUp     = 1.0  // a second: how soon more is taken to be asked for than fits, after refusals
+	crowdDown   = 0.3  // and while the allowance says so
+	mostCrowd   = 16   // times the limit that all senders together may ask for
+	steadyLimit = 0.3  // a told limit that differs by less is noise
+	cutTo       = 0.7  // of what was sent, after a refusal
 	paceUp      = 1.25
 	rateSpan    = 3 * time.Second
 	slotShare   = 0.5
@@ -1363,8 +1370,7 @@
 		return
 	}
 	if o.Allowance.Told {
-		r.limit, r.heard = o.Allowance.Rate, f.now
-		r.room = min(1, max(0, (o.Allowance.Left-littleRoom)/(muchRoom-littleRoom)))
+		f.heed(r, o)
 		r.spent = 0
 		if o.Allowance.Rate > 0 && o.Allowance.Left < nearlySpent {
 			r.spent = f.now + rateSpan
@@ -1750,10 +1756,16 @@
 // paceAt is the rate in calls a second at which this sender may call a route.
 func (f *scanner) paceAt(r *route, at time.Duration) float64 {
 	p := r.rate
-	if fair := f.fairPart(r); fair > 0 { // more than the own part only while others leave room
+	if fair := f.fairPart(r); fair > 0 {
 		old := min(1, (at-r.heard).Seconds()/rateSpan.Seconds())
 		room := r.room + (1-r.room)*old // what was told a while ago says little of now
-		p = min(p, max(f.part(r, at), fair*float64(f.set.Forwarders)*room))
+		limit, own := fair*float64(f.set.Forwarders), f.part(r, at)
+		if r.asked > limit { // each lets through the same share of its messages
+			own = max(fullUse*fair, own*limit/r.asked*(evenRoom+min(room, muchRoom)))
+		} else { // more than the own part while others leave room
+			own = max(own, limit*min(1, (room-littleRoom)/(muchRoom-littleRoom)))
+		}
+		p = min(p, own)
 	}
 	if f.warming(r, at) {
 		t := float64(at-r.warm0) / float64(f.set.Cold)
@@ -1776,6 +1788,24 @@
 	return max(f.fairPart(r), own)
 }
 
+// heed takes what an answer tells of a limit.
+func (f *scanner) heed(r *route, o Outcome) {
+	limit, since := o.Allowance.Rate, min(f.now-r.heard, rateSpan).Seconds()
+	if limit <= 0 {
+		r.limit, r.asked = 0, 0
+		return
+	}
+	if r.limit > 0 && math.Abs(limit-r.limit) < steadyLimit*r.limit {
+		limit = r.limit + (limit-r.limit)/4
+	}
+	r.limit, r.room, r.heard = limit, o.Allowance.Left, f.now
+	rise := crowdDown * min(0, evenRoom-r.room)
+	if o.Result == Full && o.Allowance.Left < nearlySpent { // refused calls may use it up, too
+		r.room, rise = 0, crowdUp*min(1, r.fails)
+	}
+	r.asked = min(mostCrowd*limit, max(limit, r.asked*math.Exp(since*rise)))
+}
+
 // fairPart is an equal part of the limit of a route, where that is told; else 0.
 func (f *scanner) fairPart(r *route) float64 {
 	w := r.limit
@@ -1803,10 +1833,7 @@
 	}
 	r.cutAt = f.now + adjustEvery
 	sent := r.sent.get(f.now, rateSpan) / rateSpan.Seconds()
-	least := leastPart
-	if r.limit > 0 { // an equal part of a limit that is told fits in, whatever was refused beyond it
-		least = 1
-	}
+	least := max(leastPart, share(r.limit > 0)) // paceAt sees to a told limit
 	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r, f.now), min(r.rate, sent)*cutTo)
 }
 
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -246,8 +246,9 @@
 	cutAt  time.Duration
 	sent   decaying      // calls
 	limit  float64       // told limit in calls a second; 0 for none
-	heard  time.Duration // when the limit and the room were told
-	room   float64       // how much of the limit others leave, from 0 to 1
+	heard  time.Duration // when the limit was told
+	room   float64       // share of the limit's allowance that was left then
+	asked  float64       // calls a second that all senders together have messages for, as far as that tells
 }
 
 // decaying is a count that fades.
@@ -915,3 +916,29 @@
 		f.do(Wake{After: f.next - f.now})
 	}
 }
+
+func (f *Forwarder) settleAll(d *dest) {
+	for _, r := range d.routes {
+		f.settle(r)
+	}
+}
+
+// fill counts what has come to a route's tokens since.
+func (f *Forwarder) fill(r *route, at time.Duration) {
+	if math.IsInf(r.pace, 1) {
+		r.tokens = 1
+	} else {
+		r.tokens = min(1, r.tokens+r.pace*(at-r.filled).Seconds())
+	}
+	r.filled = at
+}
+
+// touch notes that something has changed at a destination: its pace is worked out anew, and it is
+// looked at before this Step is over.
+func (f *Forwarder) touch(d *dest) {
+	for _, r := range d.routes {
+		f.settle(r)
+		f.repace(r, f.now)
+	}
+	f.stirred(d)
+}
--- /dev/null
+++ b/internal/emulate/emulate.go
@@ -0,0 +1,363 @@
+// Package emulate runs many decision modules against one modelled destination in virtual time: what is harmless in one
+// forwarder and harmful when a fleet does it shows only in company. It has no sockets and does not sleep; one seed gives one
+// history.
+package emulate
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"scaleroute/internal/decide"
+)
+
+// Destination is what the forwarders call.
+type Destination struct {
+	Limit        func(at time.Duration) float64 // calls a second, of all senders together; nil for none
+	Span         time.Duration                  // the limit's allowance holds what it allows in this time
+	RefusedCount bool                           // refused calls use the allowance up, too
+	TellsWait    float64                        // share of refusals above the limit that tell a wait
+	Wait         time.Duration                  // that they tell
+	Capacity     float64                        // calls a second that it can work on when warm
+	Queue        time.Duration                  // of work that it lets wait; more is refused
+	Latency      time.Duration                  // each way
+	DownFrom     time.Duration                  // it refuses connections from then on
+	DownFor      time.Duration
+	ColdFrom     float64       // share of its capacity with which it comes back
+	Cold         time.Duration // it has all of it after this
+	ReportEvery  time.Duration // what answers tell of the allowance is refreshed so often
+}
+
+// Fleet is who calls it.
+type Fleet struct {
+	Forwarders int
+	Settings   decide.Settings                // Seed and Forwarders are set for each
+	Rate       func(at time.Duration) float64 // messages a second that are handed in, to all together
+	Shares     func(i int) float64            // weight of a forwarder's part of them; nil: equal parts
+	Unsafe     float64                        // share of them that may not be repeated
+	Left       time.Duration                  // how long each may be delivered
+}
+
+// Second counts what happened in one second.
+type Second struct {
+	Handed, Calls, Further   int
+	Done, InTime, Over, Down int // calls answered well, those within the aim, refused, not connected
+	Refused, Failed          int // messages
+}
+
+// Report is what became of a run.
+type Report struct {
+	Seconds  []Second
+	Total    Second
+	Pushed   float64 // the largest multiple of what it could do that a cold destination was sent in any window of Settings.Fall
+	Broken   []string
+	Attempts int
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// world is one run.
+type world struct {
+	dest   Destination
+	fleet  Fleet
+	rng    *rand.Rand
+	now    time.Duration
+	queue  queue
+	seq    int
+	nodes  []*node
+	report Report
+
+	allowance float64 // calls that fit the limit now
+	filled    time.Duration
+	busyTil   time.Duration
+	told      decide.Allowance
+	toldAt    time.Duration
+	cold      []time.Duration // calls that reached it while it was cold
+}
+
+type node struct {
+	w        *world
+	index    int
+	module   *decide.Forwarder
+	wake     int
+	messages map[string]*held
+}
+
+type held struct {
+	handed   time.Duration
+	attempts int
+	unsafe   bool
+	mayRan   bool
+}
+
+// Run plays so long, and then until all is answered.
+func Run(d Destination, f Fleet, length time.Duration, seed uint64) (*Report, error) {
+	w := &world{dest: d, fleet: f, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), toldAt: -time.Hour}
+	w.report.Seconds = make([]Second, int((length+2*f.Left)/time.Second)+2)
+	if d.Limit != nil {
+		w.allowance = d.Limit(0) * d.Span.Seconds()
+	}
+	whole := 0.0
+	shares := make([]float64, f.Forwarders)
+	for i := range f.Forwarders {
+		set := f.Settings
+		set.Seed, set.Forwarders = w.rng.Uint64(), f.Forwarders
+		m, err := decide.New(set)
+		if err != nil {
+			return nil, err
+		}
+		n := &node{w: w, index: i, module: m, messages: map[string]*held{}}
+		w.nodes = append(w.nodes, n)
+		shares[i] = 1
+		if f.Shares != nil {
+			shares[i] = f.Shares(i)
+		}
+		whole += shares[i]
+		list := decide.TargetList{Targets: []decide.Target{{ID: "t", Destination: 1, Kind: set.Kinds[0].Name, Zone: set.Zone, Weight: w.limit(0)}}}
+		w.at(0, func() { n.step(list) })
+	}
+	for i, n := range w.nodes {
+		w.arrivals(n, shares[i]/whole, length)
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		if w.now > length+2*f.Left {
+			break
+		}
+		e.do()
+	}
+	for _, n := range w.nodes {
+		if len(n.messages) > 0 {
+			w.report.Broken = append(w.report.Broken, fmt.Sprintf("forwarder %d holds %d messages at the end", n.index, len(n.messages)))
+		}
+	}
+	for _, s := range w.report.Seconds {
+		t := &w.report.Total
+		t.Handed, t.Calls, t.Further, t.Done, t.InTime = t.Handed+s.Handed, t.Calls+s.Calls, t.Further+s.Further, t.Done+s.Done, t.InTime+s.InTime
+		t.Over, t.Down, t.Refused, t.Failed = t.Over+s.Over, t.Down+s.Down, t.Refused+s.Refused, t.Failed+s.Failed
+	}
+	w.report.Pushed = w.pushed()
+	return &w.report, nil
+}
+
+func (w *world) limit(at time.Duration) float64 {
+	if w.dest.Limit == nil {
+		return 0
+	}
+	return w.dest.Limit(at)
+}
+
+func (w *world) at(at time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at, w.seq, do})
+}
+
+func (w *world) second() *Second { return &w.report.Seconds[int(w.now/time.Second)] }
+
+// arrivals hands messages in at random times, by thinning where the rate changes.
+func (w *world) arrivals(n *node, part float64, length time.Duration) {
+	highest := 0.0
+	for t := time.Duration(0); t < length; t += 100 * time.Millisecond {
+		highest = max(highest, w.fleet.Rate(t))
+	}
+	if highest*part <= 0 {
+		return
+	}
+	var next func()
+	after := func() {
+		at := w.now + time.Duration(w.rng.ExpFloat64()/(highest*part)*float64(time.Second))
+		if at < length {
+			w.at(at, next)
+		}
+	}
+	next = func() {
+		if w.rng.Float64()*highest < w.fleet.Rate(w.now) {
+			n.handIn()
+		}
+		after()
+	}
+	after()
+}
+
+func (n *node) handIn() {
+	w := n.w
+	w.seq++
+	id, class := fmt.Sprint("m", w.seq), 0
+	if w.rng.Float64() < w.fleet.Unsafe {
+		class = 1
+	}
+	w.second().Handed++
+	n.messages[id] = &held{handed: w.now, unsafe: class == 1}
+	n.step(decide.Message{ID: id, Class: w.fleet.Settings.Classes[class].Name, Destination: 1, Left: w.fleet.Left})
+}
+
+// step tells a module what happened and does what it decides.
+func (n *node) step(events ...decide.Event) {
+	w := n.w
+	for _, a := range n.module.Step(w.now, events) {
+		switch a := a.(type) {
+		case decide.Send:
+			n.send(a)
+		case decide.Refuse:
+			if m := n.messages[a.Message]; m != nil && m.unsafe && m.mayRan {
+				w.report.Broken = append(w.report.Broken, a.Message+" may have run and was refused")
+			}
+			n.over(a.Message)
+			w.second().Refused++
+		case decide.Fail:
+			n.over(a.Message)
+			w.second().Failed++
+		case decide.Wake:
+			n.wake++
+			mine := n.wake
+			w.at(w.now+max(a.After, time.Microsecond), func() {
+				if n.wake == mine {
+					n.step(decide.Woken{})
+				}
+			})
+		}
+	}
+}
+
+func (n *node) over(id string) { delete(n.messages, id) }
+
+// send makes a call: it is worked on, refused, or finds nobody there.
+func (n *node) send(s decide.Send) {
+	w, m := n.w, n.messages[s.Message]
+	if m == nil {
+		w.report.Broken = append(w.report.Broken, s.Message+" was sent after its end")
+		return
+	}
+	if m.unsafe && m.mayRan {
+		w.report.Broken = append(w.report.Broken, s.Message+" may have run and was sent again")
+	}
+	number, sent := m.attempts, w.now
+	m.attempts++
+	w.report.Attempts++
+	w.second().Calls++
+	if number > 0 {
+		w.second().Further++
+	}
+	ended := func(o decide.Outcome) {
+		o.Message, o.Attempt, o.Target, o.Took = s.Message, number, "t", w.now-sent
+		switch o.Result {
+		case decide.Done:
+			w.second().Done++
+			if w.now-m.handed <= w.fleet.Settings.Classes[0].Aim {
+				w.second().InTime++
+			}
+			o.Over = true
+			n.over(s.Message)
+		case decide.Full:
+			w.second().Over++
+		case decide.ConnectFailed:
+			w.second().Down++
+		}
+		n.step(o)
+	}
+	w.at(w.now+w.dest.Latency, func() {
+		o, took := w.call()
+		if o.Result == decide.Done && took+2*w.dest.Latency > s.Timeout {
+			m.mayRan = true
+			o, took = decide.Outcome{Result: decide.TimedOut}, max(0, s.Timeout-2*w.dest.Latency)
+		}
+		w.at(w.now+took+w.dest.Latency, func() { ended(o) })
+	})
+}
+
+// capacity is what the destination can work on now, in calls a second; 0 while it is down.
+func (w *world) capacity(at time.Duration) float64 {
+	back := w.dest.DownFrom + w.dest.DownFor
+	switch {
+	case w.dest.DownFor <= 0 || at < w.dest.DownFrom:
+		return w.dest.Capacity
+	case at < back:
+		return 0
+	case at-back < w.dest.Cold:
+		return w.dest.Capacity * (w.dest.ColdFrom + (1-w.dest.ColdFrom)*float64(at-back)/float64(w.dest.Cold))
+	}
+	return w.dest.Capacity
+}
+
+// call is what becomes of one that has arrived, and how long that takes.
+func (w *world) call() (decide.Outcome, time.Duration) {
+	capacity := w.capacity(w.now)
+	if capacity <= 0 {
+		return decide.Outcome{Result: decide.ConnectFailed}, 0
+	}
+	if back := w.dest.DownFrom + w.dest.DownFor; w.dest.DownFor > 0 && w.now >= back && w.now < back+w.dest.Cold {
+		w.cold = append(w.cold, w.now)
+	}
+	limit := w.limit(w.now)
+	if limit > 0 {
+		most := limit * w.dest.Span.Seconds()
+		w.allowance = min(most, w.allowance+limit*(w.now-w.filled).Seconds())
+		w.filled = w.now
+	}
+	full := limit > 0 && w.allowance < 1
+	if limit > 0 && (!full || w.dest.RefusedCount) {
+		w.allowance = max(0, w.allowance-1)
+	}
+	o := decide.Outcome{Result: decide.Done}
+	if limit > 0 {
+		if w.now-w.toldAt >= w.dest.ReportEvery {
+			w.toldAt = w.now
+			w.told = decide.Allowance{Told: true, Left: w.allowance / (limit * w.dest.Span.Seconds()), Rate: limit}
+		}
+		o.Allowance = w.told
+	}
+	if full {
+		o.Result = decide.Full
+		if w.rng.Float64() < w.dest.TellsWait {
+			o.Wait = w.dest.Wait
+		}
+		return o, 0
+	}
+	w.busyTil = max(w.busyTil, w.now)
+	if w.busyTil-w.now > w.dest.Queue {
+		o.Result = decide.Full
+		return o, 0
+	}
+	w.busyTil += time.Duration(w.rng.ExpFloat64() / capacity * float64(time.Second))
+	return o, w.busyTil - w.now
+}
+
+// pushed is the largest multiple of its capacity that the cold destination was sent in any window of the rule's length.
+func (w *world) pushed() (most float64) {
+	window, first := w.fleet.Settings.Fall, 0
+	for last, at := range w.cold {
+		for w.cold[first] < at-window {
+			first++
+		}
+		from := max(at-window, w.dest.DownFrom+w.dest.DownFor)
+		could := (w.capacity(from) + w.capacity(at)) / 2 * window.Seconds()
+		most = max(most, float64(last-first+1)/could)
+	}
+	if math.IsInf(most, 1) {
+		return 0
+	}
+	return most
+}
--- /dev/null
+++ b/internal/emulate/fleet_test.go
@@ -0,0 +1,106 @@
+package emulate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"scaleroute/internal/decide"
+)
+
+func settings() decide.Settings {
+	return decide.Settings{
+		Classes: []decide.Class{
+			{Name: "status", Effect: decide.Pure, Aim: 3 * time.Second, Deadline: 12 * time.Second, Worth: 1, LateShare: 0.4},
+			{Name: "handover", Effect: decide.Unsafe, Aim: 3 * time.Second, Deadline: 12 * time.Second, Worth: 3, LateShare: 0.4},
+		},
+		Kinds: []decide.Kind{{Name: "std", PerCall: 1}}, Zone: "a", ConnectPrice: 0.06, Weights: decide.ExactWeights,
+		Slots: 64, MaxHeld: 400, MaxAttempts: 6, MayCancel: true, ConnIdle: 15 * time.Second, ConnectLimit: 1500 * time.Millisecond,
+		AdviceLimit: 3 * time.Second, Slack: 5 * time.Millisecond, DrainGrace: time.Second,
+		StartCapacity: 0.2, Cold: 9500 * time.Millisecond, TipMultiple: 2, Fall: 3 * time.Second,
+	}
+}
+
+// destination has a limit that refused calls use up, and room for a third more than that.
+func destination(limit func(time.Duration) float64) Destination {
+	return Destination{Limit: limit, Span: 1600 * time.Millisecond, RefusedCount: true, TellsWait: 0.6, Wait: 800 * time.Millisecond,
+		Capacity: 1.4 * limit(0), Queue: 600 * time.Millisecond, Latency: 15 * time.Millisecond, ReportEvery: 300 * time.Millisecond}
+}
+
+func always(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// between is one rate from a time on for a while, and another one else.
+func between(from, length time.Duration, then, else_ float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < from+length {
+			return then
+		}
+		return else_
+	}
+}
+
+func run(t *testing.T, d Destination, f Fleet, length time.Duration, seed uint64) *Report {
+	t.Helper()
+	r, err := Run(d, f, length, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Broken {
+		t.Error("broken: ", b)
+	}
+	return r
+}
+
+var sizes = []int{1, 3, 10, 80, 300}
+
+// TestLimitFalls: a limit that falls under what is asked for, for 9 s. Refused calls use it up, so a fleet that keeps
+// asking for more gets nothing at all; it is to get most of what the limit allows, and to be refused seldom.
+func TestLimitFalls(t *testing.T) {
+	for _, n := range sizes {
+		for _, falls := range []float64{0.5, 0.2} {
+			t.Run(fmt.Sprintf("%d forwarders, limit to %g", n, falls), func(t *testing.T) {
+				const limit, asked = 100.0, 80.0
+				f := Fleet{Forwarders: n, Settings: settings(), Rate: always(asked), Unsafe: 0.2, Left: 12 * time.Second}
+				r := run(t, destination(between(6*time.Second, 9*time.Second, falls*limit, limit)), f, 24*time.Second, 7)
+				done, calls, over := 0, 0, 0
+				for s := 6; s < 15; s++ {
+					done, calls, over = done+r.Seconds[s].Done, calls+r.Seconds[s].Calls, over+r.Seconds[s].Over
+				}
+				t.Logf("while it is low: %d calls, %d done, %d refused; in all %+v", calls, done, over, r.Total)
+				if allowed := falls * limit * 9; float64(done) < 0.4*allowed {
+					t.Errorf("%d done while %.0f were allowed", done, allowed)
+				}
+				if r.Total.Over > r.Total.Handed/10+3*n/2 { // each hears of it by a call of its own
+					t.Errorf("%d calls refused for %d messages", r.Total.Over, r.Total.Handed)
+				}
+			})
+		}
+	}
+}
+
+// TestTooMuchAsked: more is asked for than the limit allows, for as long as it lasts. What is over waits or is refused by the
+// forwarders; the limit goes on being used for what it allows.
+func TestTooMuchAsked(t *testing.T) {
+	for _, n := range sizes {
+		for _, asked := range []float64{1.2, 2} {
+			t.Run(fmt.Sprintf("%d forwarders, %g times the limit", n, asked), func(t *testing.T) {
+				const limit = 100.0
+				f := Fleet{Forwarders: n, Settings: settings(), Rate: between(4*time.Second, 16*time.Second, asked*limit, 0.6*limit), Unsafe: 0.2, Left: 12 * time.Second}
+				r := run(t, destination(always(limit)), f, 24*time.Second, 11)
+				done, over := 0, 0
+				for s := 4; s < 20; s++ {
+					done, over = done+r.Seconds[s].Done, over+r.Seconds[s].Over
+				}
+				t.Logf("while too much is asked for: %d done, %d refused; in all %+v", done, over, r.Total)
+				if float64(done) < 0.65*limit*16 {
+					t.Errorf("%d done while %g were allowed", done, limit*16)
+				}
+				if over > 500+2*n { // each hears of it by calls of its own
+					t.Errorf("%d calls refused", over)
+				}
+			})
+		}
+	}
+}
