--- a/internal/emulate/fleet_test.go
+++ b/internal/emulate/fleet_test.go
@@ -104,3 +104,34 @@
 		}
 	}
 }
+
+// TestReturn: a destination that is asked for a sixth of its limit is down for 5 s and comes back cold. Its callers must not
+// call it much while it is down, nor push it over when it is back, and are to find out soon that it is.
+func TestReturn(t *testing.T) {
+	for _, n := range sizes {
+		t.Run(fmt.Sprintf("%d forwarders", n), func(t *testing.T) {
+			const limit, asked = 600.0, 100.0
+			d := destination(always(limit))
+			d.DownFrom, d.DownFor, d.ColdFrom, d.Cold = 6*time.Second, 5*time.Second, 0.2, 9500*time.Millisecond
+			f := Fleet{Forwarders: n, Settings: settings(), Rate: always(asked), Unsafe: 0.2, Left: 12 * time.Second}
+			r := run(t, d, f, 30*time.Second, 3)
+			dead, done := 0, 0
+			for s := 7; s < 11; s++ { // once all have noticed
+				dead += r.Seconds[s].Down
+			}
+			for s := 11; s < 16; s++ {
+				done += r.Seconds[s].Done
+			}
+			t.Logf("%d calls to it while it was down, %d done in the 5 s after; pushed %.2f times; in all %+v", dead, done, r.Pushed, r.Total)
+			if r.Pushed >= f.Settings.TipMultiple {
+				t.Errorf("it was sent %.2f times what it could do", r.Pushed)
+			}
+			if float64(dead) > 1.2*asked*4+float64(n) {
+				t.Errorf("%d calls to it while it was down", dead)
+			}
+			if float64(done) < 1.3*asked*5 {
+				t.Errorf("%d done in the 5 s after", done)
+			}
+		})
+	}
+}
