--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -64,6 +64,9 @@
 	if len(os.Args) > 1 && os.Args[1] == relayCommand {
 		os.Exit(runRelay())
 	}
+	if len(os.Args) > 1 && os.Args[1] == fleetCommand {
+		os.Exit(runFleet(os.Args[2:]))
+	}
 	o := options{}
 	flag.IntVar(&o.destinations, "destinations", 40, "destinations")
 	flag.IntVar(&o.endpoints, "endpoints", 2, "endpoints of each")
