--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -17,10 +17,12 @@
 	"scaleroute/internal/back/smtpcall"
 	"scaleroute/internal/config"
 	"scaleroute/internal/decide"
+	"scaleroute/internal/door"
 	"scaleroute/internal/engine"
 	"scaleroute/internal/front/resp2"
 	"scaleroute/internal/journal"
 	"scaleroute/internal/membership"
+	"scaleroute/internal/operations"
 	"scaleroute/internal/operator"
 	"scaleroute/internal/steplog"
 )
@@ -61,6 +63,18 @@
 	if c.Limits.Sockets -= descriptors; c.Limits.Endpoints() < 1 {
 		return fmt.Errorf("-operators: plug-ins and connections for mail need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
 	}
+	control := operations.NewControl()
+	if c.Ops != "" { // before what may take a while
+		c.Limits.Sockets -= door.Descriptors
+		ln, err := net.Listen("tcp", c.Ops)
+		if err != nil {
+			return fmt.Errorf("listening for operators: %w", err)
+		}
+		d := door.New(control)
+		defer d.Close()
+		go d.Serve(ln)
+		slog.Info("operators' door", "address", ln.Addr())
+	}
 	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100,
 		Durability: operator.Durabilities[operators.now.Journal.Durability], Extras: operators.file != ""})
 	if err != nil {
@@ -72,7 +86,7 @@
 	if err := operators.apply(&set); err != nil {
 		return err
 	}
-	configuration := engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p},
+	configuration := engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p}, Figures: c.Ops != "",
 		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
 	if operators.mail {
 		name := c.Name
@@ -106,8 +120,8 @@
 		known = &c.Known // what has changed since is less work than the whole list
 	}
 	heard := func(list *agent.List) { l.List(list.Told()) }
-	if operators.file != "" {
-		operators.sources = &sources{to: l.List}
+	if operators.file != "" || c.Ops != "" {
+		operators.sources = &sources{to: l, leftOut: operations.NewLeftOut(c.State)}
 		lists = operators.sources.start(operators.now.Endpoints(), lists...)
 		heard = func(list *agent.List) { operators.sources.tell(membership.Agent, list.Told()) }
 	}
@@ -144,6 +158,7 @@
 	if file := operators.now.PluginStatus; file != "" {
 		wg.Go(func() { operators.plugins.Publish(ctx, file, publishEvery) })
 	}
+	control.Serve(operations.Part{Clients: clients, Members: operators.sources, Figures: l.Figures})
 	slog.Info("serving", "name", c.Name, "address", ln.Addr(), "discovery", c.Discovery)
 
 	select {
@@ -151,6 +166,7 @@
 		return err
 	case <-stop:
 	}
+	control.Stop(errors.New("stopping"))
 	slog.Info("stopping")
 	l.Stopping(lastCall)
 	began := time.Now()
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -16,6 +16,7 @@
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 	"scaleroute/internal/membership"
+	"scaleroute/internal/operations"
 	"scaleroute/internal/operator"
 	"scaleroute/internal/plugin/runner"
 )
@@ -157,13 +158,15 @@
 
 // sources are where endpoints are told, and the engine that hears what they come to together.
 type sources struct {
-	mu  sync.Mutex // what is told second is heard second
-	set membership.Set
-	to  func(engine.List)
+	mu      sync.Mutex // what is told second is heard second
+	set     membership.Set
+	to      *engine.Engine
+	leftOut operations.LeftOut
 }
 
 // start tells what is known before the engine runs, and returns what it is to begin with.
 func (s *sources) start(file engine.List, lists ...engine.List) []engine.List {
+	s.set.StartLeftOut(s.leftOut.Start())
 	s.set.Tell(membership.File, file)
 	for i := range lists {
 		lists[i] = s.set.Tell(membership.Agent, lists[i])
@@ -175,6 +178,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l = s.set.Tell(from, l); l.Scope == decide.Unavailable || l.Scope == decide.Whole || len(l.Endpoints) > 0 {
-		s.to(l)
+		s.to.List(l)
 	}
 }
+
+// bindWithin is how long an operator's call waits until the engine has heard of it: what is said yes to binds.
+const bindWithin = 500 * time.Millisecond
+
+// LeaveOut leaves an endpoint out until PutBack. The folder that lasts has it before it counts.
+func (s *sources) LeaveOut(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := s.set.LeaveOut(name, operations.MostTargets, s.leftOut.Store)
+	return s.bind("left out by hand", name, l, err)
+}
+
+// PutBack puts one back.
+func (s *sources) PutBack(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := s.set.PutBack(name, s.leftOut.Store)
+	return s.bind("put back by hand", name, l, err)
+}
+
+// bind has the engine hear what an operator has said.
+func (s *sources) bind(what, name string, l engine.List, err error) error {
+	if err != nil || len(l.Endpoints) == 0 {
+		return err
+	}
+	slog.Info(what, "target", name)
+	if !s.to.ListWithin(l, bindWithin) {
+		slog.Warn("the loop has not heard of an operator's call yet", "after", bindWithin)
+	}
+	return nil
+}
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,8 +42,9 @@
 
 // target is one address of a target.
 type target struct {
-	host *host
-	pool *pool
+	host    *host
+	pool    *pool
+	drained atomic.Bool // nothing new goes there, also what was decided before
 }
 
 // New makes a Back without targeb.
@@ -71,6 +73,9 @@
 			b.remove(e.ID)
 			b.byName[e.ID] = b.open(e.Address)
 		}
+		if t := b.byName[e.ID]; t != nil {
+			t.drained.Store(e.State != decide.Active)
+		}
 	}
 	if !whole {
 		return
@@ -127,6 +132,11 @@
 		}
 		return o
 	}
+	if t.drained.Load() { // while it was being connected: nothing has been written
+		t.pool.close(c)
+		o.Result = decide.NotSent
+		return o
+	}
 	c.SetDeadline(end)
 	stop := context.AfterFunc(ctx, c.giveUp)
 	head := fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: %s\r\nUser-Agent: scaleroute\r\n"+
@@ -141,6 +151,9 @@
 		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
 		return o
 	}
+	if a.Wrote != nil {
+		a.Wrote()
+	}
 	resp, first, err := c.answer(ctx, end, a.Reply)
 	o.Took = first.Sub(began)
 	switch {
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,7 +47,8 @@
 	lmtp     bool
 	from, to string
 
-	gone bool // by the back's lock: it is not listed any more, and none is kept
+	gone    bool        // by the back's lock: it is not listed any more, and none is kept
+	drained atomic.Bool // nothing new goes there, also what was decided before
 }
 
 type conn struct {
@@ -54,10 +56,11 @@
 	r        *bufio.Reader
 	used     time.Time
 	target   *target
-	pipeline bool  // PIPELINING (RFC 2920)
-	size     int64 // the largest message (RFC 1870); 0: not told
-	sizes    bool  // SIZE is offered
-	begun    bool  // a transaction was refused on it: RSET comes before the next, and holds no answer up
+	pipeline bool   // PIPELINING (RFC 2920)
+	size     int64  // the largest message (RFC 1870); 0: not told
+	sizes    bool   // SIZE is offered
+	wrote    func() // counts a message written whole
+	begun    bool   // a transaction was refused on it: RSET comes before the next, and holds no answer up
 }
 
 // New makes a Back without endpoints.
@@ -83,6 +86,9 @@
 		if !ours {
 			b.remove(e.ID)
 		}
+		if t := b.byName[e.ID]; t != nil {
+			t.drained.Store(e.State != decide.Active)
+		}
 		named[e.ID] = true
 	}
 	for name := range b.byName {
@@ -211,6 +217,12 @@
 				return o
 			}
 		}
+		if t.drained.Load() { // since it was decided: nothing has been said of the message
+			t.keep(c)
+			o.Result = decide.NotSent
+			return o
+		}
+		c.wrote = a.Wrote
 		c.SetDeadline(end)
 		stop := context.AfterFunc(ctx, func() { c.Close() })
 		f = t.transact(c, text, reused)
@@ -360,6 +372,9 @@
 	if _, err := c.Write([]byte(".\r\n")); err != nil {
 		return &failure{result: decide.ConnectFailed, closed: true, err: err}
 	}
+	if c.wrote != nil {
+		c.wrote()
+	}
 	p, err := readReply(c.r)
 	var spoilt *replyError
 	switch {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 	Name      string     `json:"name"`
 	Listen    string     `json:"listen"`
 	Discovery string     `json:"discovery"`
+	Ops       string     `json:"ops"` // the operators' door; empty: there is none
 	Seed      string     `json:"seed"`
 	Limits    Limits     `json:"limits"`
 	Known     agent.List `json:"known"`
@@ -58,7 +59,7 @@
 		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
 	for name, field := range map[string]*string{"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen,
-		"NODE_DISCOVERY": &c.Discovery, "NODE_STATE": &c.State} {
+		"NODE_DISCOVERY": &c.Discovery, "NODE_STATE": &c.State, "NODE_OPS": &c.Ops} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -150,6 +150,7 @@
 	Weight      float64
 	Backup      bool    // only while the others of its destination fail or are away
 	Share       float64 // its part of the calls against the others of its route; 0 is 1
+	PutBack     uint32  // how often it was left out by hand and put back: it comes back cold
 }
 
 // ListScope says how a TargetList relates to the one before it.
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -154,17 +154,29 @@
 
 // listed takes what a list says of one target.
 func (f *Forwarder) listed(t *target, e Target) {
-	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && t.backup == e.Backup &&
-		e.State != Gone && t.share == shareOf(e) {
+	if e == t.said && e.State != Gone {
 		return
 	}
 	d := t.route.dest
 	f.settleAll(d)
 	t.state, t.zone, t.weight, t.backup, t.share = e.State, e.Zone, e.Weight, e.Backup, shareOf(e)
+	if t.said = e; e.PutBack > t.putBack {
+		f.putBack(t, e.PutBack)
+	}
 	f.dropGone(t)
 	f.touch(d)
 }
 
+// putBack takes a target in again that was left out by hand: it was restarted meanwhile, and is cold. A route
+// that has no warm one is entered as after an outage.
+func (f *Forwarder) putBack(t *target, times uint32) {
+	t.putBack, t.backAt, t.failed, t.avoidTil = times, f.now, 0, 0
+	warm := func(o *target) bool { return o.state == Active && f.warmth(o) == 1 }
+	if r := t.route; !slices.ContainsFunc(r.targets, warm) {
+		r.warming, r.warm0, r.cold = true, f.now, true
+	}
+}
+
 func (f *Forwarder) askForList() {
 	if f.set.MustAsk && !f.asked && !f.before(f.askAt) {
 		f.asked = true
@@ -584,7 +596,7 @@
 			if f.mayGo(m, t) > f.now {
 				continue
 			}
-			cost := (float64(t.out)+evenOut*f.rng.Float64())/t.share + t.ahead()
+			cost := (float64(t.out)+evenOut*f.rng.Float64())/(t.share*f.warmth(t)) + t.ahead()
 			cost += failCost*t.failing.get(f.now, forget) + preferCost*f.behind(m, t)
 			if f.now < t.avoidTil {
 				cost += 1e6
@@ -680,16 +692,6 @@
 	return min(left, max(minTimeout, timeFactor*own))
 }
 
-func (f *Forwarder) usualTime(routes []*route) (t time.Duration) {
-	for _, r := range routes {
-		t = max(t, r.mean)
-	}
-	if t == 0 {
-		return guessTime
-	}
-	return t
-}
-
 // ---- Outcomes.
 
 func (f *Forwarder) outcome(o Outcome) {
@@ -989,17 +991,6 @@
 	f.unwatch(r)
 }
 
-// age starts a quiet entry afresh, but never a wait or an outage.
-func (f *Forwarder) age(r *route) {
-	idle := len(r.calls) == 0 && r.dest.n == 0 && !r.open && f.now >= r.told
-	if idle && f.now-r.touched > forget {
-		fresh := f.freshRoute(r.name, r.dest)
-		fresh.targets, fresh.unwatched = r.targets, r.unwatched
-		fresh.watchAt, fresh.watchPlace = r.watchAt, r.watchPlace
-		*r = *fresh
-	}
-}
-
 // watchCalls looks for what no outcome tells: silence.
 func (f *Forwarder) watchCalls() {
 	for _, r := range f.toWatch() {
@@ -1223,13 +1214,24 @@
 		p = min(p, own)
 	}
 	if f.warming(r, at) {
-		t := float64(at-r.warm0) / float64(f.set.Cold)
-		present := f.set.StartCapacity + (1-f.set.StartCapacity)*t
-		p = min(p, warmShare*f.set.TipMultiple*present*f.part(r, at))
+		p = min(p, warmShare*f.set.TipMultiple*f.capacity(at-r.warm0)*f.part(r, at))
 	}
 	return p
 }
 
+// capacity is the share that what came back cold some time ago has of it.
+func (f *Forwarder) capacity(age time.Duration) float64 {
+	return f.set.StartCapacity + (1-f.set.StartCapacity)*float64(age)/float64(f.set.Cold)
+}
+
+// warmth is the same for a target that was put back by hand.
+func (f *Forwarder) warmth(t *target) float64 {
+	if t.putBack > 0 && f.now-t.backAt < f.set.Cold {
+		return max(f.capacity(f.now-t.backAt), floorRatio)
+	}
+	return 1
+}
+
 // warming tells whether a route is on its return from an outage.
 func (f *Forwarder) warming(r *route, at time.Duration) bool {
 	return r.warming && at-r.warm0 < f.set.Cold
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -169,6 +169,9 @@
 	failed   int             // failures in a row
 	avoidTil time.Duration
 	failing  decayingMean // share of calls that left doubt
+	said     Target       // by the list
+	putBack  uint32       // how often it was put back by hand
+	backAt   time.Duration
 }
 
 // shareOf is what a list says of a target's share.
@@ -942,3 +945,25 @@
 	}
 	f.stirred(d)
 }
+
+// usualTime is how long calls to the slowest of some routes usually take, as far as that is known.
+func (f *Forwarder) usualTime(routes []*route) (t time.Duration) {
+	for _, r := range routes {
+		t = max(t, r.mean)
+	}
+	if t == 0 {
+		return guessTime
+	}
+	return t
+}
+
+// age starts a quiet entry afresh, but never a wait or an outage.
+func (f *Forwarder) age(r *route) {
+	idle := len(r.calls) == 0 && r.dest.n == 0 && !r.open && f.now >= r.told
+	if idle && f.now-r.touched > forget {
+		fresh := f.freshRoute(r.name, r.dest)
+		fresh.targets, fresh.unwatched = r.targets, r.unwatched
+		fresh.watchAt, fresh.watchPlace = r.watchAt, r.watchPlace
+		*r = *fresh
+	}
+}
--- a/internal/decide/view.go
+++ b/internal/decide/view.go
@@ -22,3 +22,18 @@
 	}
 	return views
 }
+
+// Rotation tells how many targets are listed, and how many of those are not called now: left out, told to wait for, or held to be
+// failing.
+func (f *Forwarder) Rotation() (listed, out int) {
+	for _, t := range f.targets {
+		if t.state == Gone {
+			continue
+		}
+		listed++
+		if r := t.route; t.state != Active || r.open || f.now < r.told || f.now < t.avoidTil {
+			out++
+		}
+	}
+	return listed, out
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -55,6 +55,7 @@
 	Timeout     time.Duration // from now on
 	Connect     time.Duration // the same, for a connection to be made; 0: as the back has it
 	Reply       *Reply        // to be filled in, if it is wanted
+	Wrote       func()        // called once the message is written whole; it does not wait
 }
 
 // Reply is what a call was answered with.
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -33,8 +33,12 @@
 	}
 	callEnded struct{ outcome decide.Outcome }
 	heard     struct{ ids []string } // final answers that have arrived
-	finish    struct{}               // no client comes any more
-	syncEnded struct {               // what had been written by then is synced, or can't be
+	listed    struct {               // a list, and whom to tell that it binds
+		List
+		bound chan<- struct{}
+	}
+	finish    struct{} // no client comes any more
+	syncEnded struct { // what had been written by then is synced, or can't be
 		written int64
 		err     error
 	}
@@ -54,6 +58,7 @@
 	pending []decide.Send // decided before that, in order
 	calls   []out         // two at most: one, and a second copy
 	ended   bool          // a notice is owed, or nothing any more
+	counted bool          // among those that are open
 	cost    int64         // of the room
 	cap     intake.Cap    // under which it is counted, if a rule says so
 }
@@ -93,6 +98,8 @@
 	Ended func(Ending)
 	// Steps is shown each step of the module, by the loop: it must not wait. nil if nobody asks.
 	Steps func(now time.Duration, events []decide.Event, actions []decide.Action)
+	// Figures has the figures published for Engine.Figures.
+	Figures bool
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -122,6 +129,7 @@
 	waiting   []batch  // until it has been synced, where that is promised
 	syncing   bool
 	syncEvery time.Duration
+	counts    counts
 	wake      *time.Timer
 	finishing bool
 	empty     bool
@@ -141,6 +149,7 @@
 	for _, class := range c.Settings.Classes {
 		l.classes[class.Name] = class
 	}
+	l.counts.init(c.Figures, c.Settings.Classes)
 	return l, nil
 }
 
@@ -182,6 +191,18 @@
 // List tells what a source of servers has told.
 func (l *Engine) List(v List) { l.tell(v) }
 
+// ListWithin does so and waits until it binds, for so long at most.
+func (l *Engine) ListWithin(v List, limit time.Duration) bool {
+	bound := make(chan struct{})
+	go l.tell(listed{v, bound}) // the mailbox of a loop that hangs may be full
+	select {
+	case <-bound:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // Heard tells that the final answers of these messages have arrived.
 func (l *Engine) Heard(ids []string) { l.tell(heard{ids}) }
 
@@ -211,6 +232,7 @@
 			l.notify(e)
 			continue
 		}
+		l.taken(e)
 		l.events = append(l.events, decide.Message{ID: s.ID, Class: s.Class, Destination: s.Dest,
 			Left: s.Deadline.Sub(now), Among: among(s.Extras), Route: s.Extras.Took(), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
 	}
@@ -229,10 +251,18 @@
 		defer t.Stop()
 		sync = t.C
 	}
+	var figures <-chan time.Time
+	if l.counts.on {
+		t := time.NewTicker(publishWithin)
+		defer t.Stop()
+		figures = t.C
+	}
+	defer func() { l.publish(time.Now(), true) }()
 	for {
 		if err := l.round(ctx); err != nil {
 			return err
 		}
+		l.publish(time.Now(), false)
 		if len(l.events) > 0 {
 			continue // what could not be carried out is told at once
 		}
@@ -246,6 +276,9 @@
 			return l.settle()
 		case <-sync:
 			l.sync()
+		case <-figures: // what time alone has changed, too
+			l.publish(time.Now(), true)
+			continue
 		case v := <-l.inbox:
 			if err := l.receive(ctx, v); err != nil {
 				return err
@@ -330,6 +363,9 @@
 		l.heard(v)
 	case List:
 		l.list(v)
+	case listed:
+		l.list(v.List)
+		close(v.bound)
 	case finish:
 		l.finishing = true
 	case syncEnded:
@@ -353,7 +389,10 @@
 
 func (l *Engine) arrive(a arrival) error {
 	m := a.msg
-	turnAway := func(answer Answer) { a.answer <- reply{Answer: answer} }
+	turnAway := func(answer Answer) {
+		l.countAway(m.Class, answer.Kind)
+		a.answer <- reply{Answer: answer}
+	}
 	class, known := l.classes[m.Class]
 	switch e := l.entries[m.ID]; {
 	case e != nil && e.acked: // handed in twice: it is held already
@@ -422,6 +461,7 @@
 	switch {
 	case !a.ok: // the client will hand it in again: nothing is owed
 		l.unsendPending(e)
+		l.endedAs(e, func(t *Tally) { t.Withdrawn++ })
 		l.events = append(l.events, decide.Withdrawn{Message: e.saved.ID})
 		l.forget(e)
 	case e.saved.End != 0:
@@ -466,7 +506,9 @@
 		}
 		if o.Result == decide.Done {
 			l.tellEnd(e, "delivered")
+			l.endedAs(e, func(t *Tally) { t.Fulfilled++ })
 		}
+		l.endedAs(e, func(t *Tally) { t.Withdrawn++ })
 		l.forget(e)
 	} else {
 		l.journal.Outcome(o.Message, !neverRan(o.Result))
@@ -530,6 +572,7 @@
 		}
 		answer := e.answer
 		e.answer = nil
+		l.taken(e)
 		l.effects = append(l.effects, func() { answer <- reply{Answer{Kind: Taken}, e} })
 	}
 	clear(l.arrived)
@@ -593,7 +636,7 @@
 	call, cancel := context.WithCancel(ctx)
 	e.calls = append(e.calls, out{n, cancel})
 	try, decided := Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: n,
-		Body: e.saved.Body, Timeout: s.Timeout}, time.Now()
+		Body: e.saved.Body, Timeout: s.Timeout, Wrote: l.counts.wrote}, time.Now()
 	if x := e.saved.Extras; x != nil {
 		try.Header = x.Header
 	}
@@ -644,6 +687,7 @@
 		if how == 'd' {
 			text = rejected("failed")
 		}
+		l.countAway(e.saved.Class, text.Kind)
 		e.answer = nil
 		l.journal.Release(e.saved.Size())
 		l.leave(e)
@@ -653,8 +697,10 @@
 	e.saved.End, e.saved.Wait = how, wait
 	if how == 'd' {
 		l.tellEnd(e, "failed")
+		l.endedAs(e, func(t *Tally) { t.Faulted++ })
 	} else {
 		l.tellEnd(e, "refused")
+		l.endedAs(e, func(t *Tally) { t.HandedBack++ })
 	}
 	l.journal.Ended(id, how, wait)
 	if e.acked {
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"scaleroute/internal/engine"
@@ -53,9 +54,12 @@
 	most int // connections
 	take Taker
 
+	drained atomic.Bool // PING says no
+
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientState
 	closing bool
+	drain   drain
 	wg      sync.WaitGroup
 }
 
@@ -170,11 +174,7 @@
 func (c *Server) Close() {
 	c.mu.Lock()
 	c.closing = true
-	for conn, s := range c.conns {
-		if s.idle {
-			conn.SetReadDeadline(time.Now().Add(LastLook))
-		}
-	}
+	c.closeIdle()
 	c.mu.Unlock()
 	c.ln.Close()
 }
@@ -202,7 +202,7 @@
 		s.limited = false
 		conn.SetReadDeadline(time.Time{})
 	}
-	return !c.closing
+	return !c.closing && !c.drain.closing
 }
 
 // begun notes that a request has begun: it is read to its end.
@@ -228,7 +228,9 @@
 	r := bufio.NewReaderSize(conn, 4096)
 	until := time.Now().Add(requestTime) // for the first request, from the connect on
 	c.mu.Lock()
-	if s.limited = true; c.closing {
+	if s.limited = true; c.drain.closing {
+		raw.SetReadDeadline(time.Now().Add(drainNew))
+	} else if c.closing {
 		raw.SetReadDeadline(time.Now().Add(LastLook))
 	} else if !s.shed {
 		raw.SetReadDeadline(until)
@@ -277,9 +279,12 @@
 func (c *Server) answer(args [][]byte) (string, func(bool)) {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
-		if len(args) == 2 {
+		if len(args) == 2 && !c.drained.Load() {
 			return fmt.Sprintf("$%d\r\n%s\r\n", len(args[1]), args[1]), nil
 		}
+		if c.drained.Load() {
+			return "-DRAINING sent away by the operators\r\n", nil
+		}
 		return "+PONG\r\n", nil
 	case "ENQUEUE":
 		req, err := parseEnqueue(args)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -2,7 +2,8 @@
 //
 // The rule where sources disagree: an endpoint is known by its name. Whoever has named it can withdraw it: it serves only while
 // every source that names it says so. One that discovery took back does not serve until discovery names it again, or nobody
-// else does; one that the operators' file does not name any more is as if it had never been there. Where it is, and whose, is told by the source with the highest rank that names it.
+// else does; one that the operators' file does not name any more is as if it had never been there. One that operators have left out by
+// hand drains whatever the others say, until they put it back. Where it is, and whose, is told by the source with the highest rank that names it.
 package membership
 
 import (
@@ -40,6 +41,7 @@
 type Set struct {
 	by     map[string]*[sources]said
 	merged map[string]engine.Endpoint
+	hand   hand
 }
 
 // Tell takes what a source tells, and returns what all together come to: everything where the source told everything, or else
@@ -48,6 +50,7 @@
 	if s.by == nil {
 		s.by, s.merged = map[string]*[sources]said{}, map[string]engine.Endpoint{}
 	}
+	s.hand.seen(l)
 	if l.Scope == decide.Unavailable {
 		return l
 	}
@@ -74,6 +77,19 @@
 		}
 		touched[e.ID] = true
 	}
+	changes := s.changes(touched)
+	if !whole {
+		return changes
+	}
+	all := engine.List{Scope: l.Scope}
+	for _, name := range slices.Sorted(maps.Keys(s.merged)) {
+		all.Endpoints = append(all.Endpoints, s.merged[name])
+	}
+	return all
+}
+
+// changes works out anew what the endpoints of some names are, and returns those that it changed.
+func (s *Set) changes(touched map[string]bool) engine.List {
 	changes := engine.List{Scope: decide.Changes}
 	for _, name := range slices.Sorted(maps.Keys(touched)) {
 		e, there := s.merge(name)
@@ -92,14 +108,7 @@
 			changes.Endpoints = append(changes.Endpoints, e)
 		}
 	}
-	if !whole {
-		return changes
-	}
-	all := engine.List{Scope: l.Scope}
-	for _, name := range slices.Sorted(maps.Keys(s.merged)) {
-		all.Endpoints = append(all.Endpoints, s.merged[name])
-	}
-	return all
+	return changes
 }
 
 // merge works out what an endpoint is by all that was said of it, and forgets it if nobody names it any more.
@@ -119,6 +128,9 @@
 		delete(s.by, name)
 		return e, false
 	}
-	e.State = state
+	e.State, e.PutBack = state, s.hand.back[name]
+	if _, out := s.hand.out[name]; out {
+		e.State = max(e.State, decide.Draining)
+	}
 	return e, true
 }
--- /dev/null
+++ b/internal/operations/control.go
@@ -0,0 +1,127 @@
+package operations
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"scaleroute/internal/engine"
+)
+
+// Clients is the clients' front.
+type Clients interface {
+	Drain() error
+	Resume() error
+	Draining() bool
+}
+
+// Members is the list of endpoints, with what operators say of it.
+type Members interface {
+	LeaveOut(name string) error
+	PutBack(name string) error
+}
+
+// Part is what a process has while it serves.
+type Part struct {
+	Clients Clients
+	Members Members
+	Figures func() *engine.Figures
+}
+
+// Control answers operators. It is there before there is anything to serve, and after.
+type Control struct {
+	mu     sync.Mutex
+	why    error // it does not serve
+	part   Part
+	failed bool // told so at this process's door
+}
+
+// Why a process is not ready.
+var (
+	errStarting = errors.New("starting: not ready yet")
+	errAway     = errors.New("clients are sent away: PUT /healthcheck/ok ends that")
+)
+
+// NewControl makes a Control of a process that starts.
+func NewControl() *Control { return &Control{why: errStarting} }
+
+// Serve tells that the process serves from now on.
+func (c *Control) Serve(p Part) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.part, c.why = p, nil
+}
+
+// Stop tells that it does not any more, and why.
+func (c *Control) Stop(why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.why = why
+}
+
+func (c *Control) serving() (Part, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part, c.why
+}
+
+// Ready is nil, or why this process is not ready to serve.
+func (c *Control) Ready() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.why == nil && c.failed {
+		return errAway
+	}
+	return c.why
+}
+
+// LeaveOut leaves a target out until PutBack.
+func (c *Control) LeaveOut(target string) error {
+	p, err := c.serving()
+	if err != nil {
+		return err
+	}
+	return p.Members.LeaveOut(target)
+}
+
+// PutBack puts it back.
+func (c *Control) PutBack(target string) error {
+	p, err := c.serving()
+	if err != nil {
+		return err
+	}
+	return p.Members.PutBack(target)
+}
+
+// SendAway sends clients away until TakeAgain.
+func (c *Control) SendAway(context.Context) error { return c.drain(true) }
+
+// TakeAgain takes them again.
+func (c *Control) TakeAgain(context.Context) error { return c.drain(false) }
+
+func (c *Control) drain(away bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.why != nil {
+		return c.why
+	}
+	do := c.part.Clients.Resume
+	if away {
+		do = c.part.Clients.Drain
+	}
+	if err := do(); err != nil {
+		return err
+	}
+	c.failed = away
+	return nil
+}
+
+// figures is the newest there are.
+func (c *Control) figures() *engine.Figures {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.part.Figures == nil { // it has not served yet
+		return &engine.Figures{}
+	}
+	return c.part.Figures()
+}
