--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path"
 	"sync"
 	"time"
 
@@ -95,6 +96,10 @@
 func (d *Door) bounded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.heard(r.Context().Value(connKey{}).(net.Conn))
+		if at := r.URL.EscapedPath(); at != path.Clean(at) { // the mux would answer with a redirect, which is neither yes nor no
+			http.NotFound(w, r)
+			return
+		}
 		if r.ContentLength > mostBody {
 			http.Error(w, "no body is wanted: leave it out", http.StatusRequestEntityTooLarge)
 			return
--- /dev/null
+++ b/internal/engine/figures_test.go
@@ -0,0 +1,146 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"scaleroute/internal/decide"
+)
+
+// agrees tells whether a snapshot's figures agree: what was taken is open or has ended.
+func (f *Figures) agrees() bool {
+	var taken, over uint64
+	for _, t := range f.Classes {
+		taken += t.Taken
+		over += t.Fulfilled + t.HandedBack + t.Faulted + t.Withdrawn
+	}
+	return taken == over+uint64(f.Open)
+}
+
+// await waits for figures of which something is true.
+func (n *testNode) await(t *testing.T, what string, is func(*Figures) bool) *Figures {
+	t.Helper()
+	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		if f := n.loop.Figures(); is(f) {
+			return f
+		}
+	}
+	t.Fatalf("%s: %+v", what, n.loop.Figures())
+	return nil
+}
+
+// record is what endpoints did and clients were told.
+type record struct {
+	mu      sync.Mutex
+	classes map[string]string // of each message
+	tallies map[string]*Tally
+	wrote   uint64
+	fate    map[string]decide.Result
+}
+
+func (r *record) Final(f Final) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.tallies[r.classes[f.ID]]; f.Failed {
+		t.Faulted++
+	} else {
+		t.HandedBack++
+	}
+}
+
+func (r *record) call(_ context.Context, a Attempt) decide.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := decide.Outcome{Result: r.fate[a.ID]}
+	if o.Result != decide.ConnectFailed {
+		a.Wrote()
+		r.wrote++
+	}
+	switch o.Result {
+	case decide.Done:
+		o.Over = true
+		r.tallies[a.Class].Fulfilled++
+	case decide.NotSent:
+		o.Over = true // the platform wants it no more
+		r.tallies[a.Class].Withdrawn++
+	}
+	return o
+}
+
+// TestFiguresOfADay compares the figures with a record of what clients were told and endpoints did, over a generated day: delivered, failed,
+// refused before and after they were taken on, with clients that leave; and each snapshot agrees with itself.
+func TestFiguresOfADay(t *testing.T) {
+	for seed := range uint64(4) {
+		rng := rand.New(rand.NewPCG(seed, 26))
+		r := &record{classes: map[string]string{}, tallies: map[string]*Tally{"note": {}, "once": {}}, fate: map[string]decide.Result{}}
+		n := startLoop(t, func(w *world) {
+			w.figures, w.finals, w.call = true, r, r.call
+			w.settings.MaxHeld = 30
+			w.settings.Classes = append(w.settings.Classes, decide.Class{Name: "once", Effect: decide.Unsafe, Deadline: 5 * time.Minute, Aim: time.Minute, Worth: 3})
+			w.list.Endpoints = append(w.list.Endpoints, Endpoint{Target: decide.Target{ID: "away", Destination: 8, State: decide.Draining, Weight: 10}})
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var watch sync.WaitGroup
+		watch.Go(func() {
+			for ; ctx.Err() == nil; time.Sleep(time.Millisecond) {
+				if f := n.loop.Figures(); !f.agrees() {
+					t.Errorf("a snapshot does not agree with itself: %+v", f)
+				}
+			}
+		})
+		for i := range 300 {
+			m := note(fmt.Sprint("m", i))
+			if rng.IntN(2) == 0 {
+				m.Class = "once"
+			}
+			if rng.IntN(8) == 0 {
+				m.Destination = 8 // held
+			}
+			if rng.IntN(10) == 0 {
+				m.Left = 0 // refused at once
+			}
+			if rng.IntN(20) == 0 {
+				m.Destination = 9 // there is none
+			}
+			leaves := rng.IntN(8) == 0
+			r.mu.Lock()
+			r.classes[m.ID] = m.Class
+			r.fate[m.ID] = []decide.Result{decide.Done, decide.Done, decide.Done, decide.Errored, decide.Rejected, decide.ConnectFailed, decide.NotSent}[rng.IntN(7)]
+			c := r.tallies[m.Class]
+			r.mu.Unlock()
+			a := n.loop.Take(m)
+			r.mu.Lock()
+			switch {
+			case a.Kind == Refused:
+				c.TurnedAway++
+			case a.Kind == Rejected:
+				c.Spurned++
+			default:
+				c.Taken++
+				if leaves {
+					c.Withdrawn++
+				}
+			}
+			r.mu.Unlock()
+			if a.Kind == Taken {
+				a.Written(!leaves)
+			}
+		}
+		f := n.await(t, "the end of the day", func(f *Figures) bool {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return f.Classes["note"] == *r.tallies["note"] && f.Classes["once"] == *r.tallies["once"] && f.Relayed == r.wrote
+		})
+		cancel()
+		watch.Wait()
+		if c := f.Classes["once"]; f.Open == 0 || f.Listed != 2 || f.OutOfCall < 1 || c.Fulfilled*c.TurnedAway*c.Spurned*c.Faulted*c.HandedBack*c.Withdrawn == 0 {
+			t.Errorf("the day shows little: %+v", f)
+		}
+		n.loop.List(List{Scope: decide.Changes, Endpoints: []Endpoint{{Target: decide.Target{ID: "away", Destination: 8, State: decide.Gone}}}})
+		n.await(t, "an endpoint less", func(f *Figures) bool { return f.Listed == 1 })
+	}
+}
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -31,6 +31,8 @@
 	hear     func(endpoint string, a Attempt)
 	call     func(context.Context, Attempt) decide.Outcome // in place of success; nil for that
 	ended    func(Ending)
+	figures  bool
+	finals   Finals // in place of none
 	dir      string // of the journal; its own if it is empty
 }
 
@@ -82,7 +84,7 @@
 func startLoop(t testing.TB, set func(*world)) *testNode {
 	t.Helper()
 	n := &testNode{calls: make(chan string, 100), dir: t.TempDir()}
-	w := &world{diskMB: 3, list: List{Scope: decide.Restored, Endpoints: []Endpoint{{Target: decide.Target{ID: "s1", Destination: 7, Weight: 1000}}}},
+	w := &world{diskMB: 3, finals: noFinals{}, list: List{Scope: decide.Restored, Endpoints: []Endpoint{{Target: decide.Target{ID: "s1", Destination: 7, Weight: 1000}}}},
 		settings: decide.Settings{Slots: 8, MaxHeld: 100, MaxAttempts: 6, ConnIdle: time.Minute, ConnectLimit: time.Minute,
 			AdviceLimit: 3 * time.Second, StartCapacity: 0.9, TipMultiple: 2, Fall: 3 * time.Second, Weights: decide.ExactWeights,
 			Classes: []decide.Class{{Name: "note", Deadline: 5 * time.Minute, Aim: time.Minute, Worth: 1}}}}
@@ -104,7 +106,7 @@
 		t.Cleanup(func() { j.Close() })
 	}
 	l, err := New(Config{Settings: w.settings, Journal: j, SyncEvery: time.Millisecond, Limits: w.limits,
-		Back: &memoryBack{names: map[string]bool{}, calls: n.calls, hear: w.hear, call: w.call}, Ended: w.ended, Finals: map[string]Finals{"": noFinals{}}})
+		Back: &memoryBack{names: map[string]bool{}, calls: n.calls, hear: w.hear, call: w.call}, Ended: w.ended, Figures: w.figures, Finals: map[string]Finals{"": w.finals}})
 	if err != nil {
 		t.Fatal(err)
 	}
