--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -170,7 +170,7 @@
 // putBack takes a target in again that was left out by hand: it was restarted meanwhile, and is cold. A route
 // that has no warm one is entered as after an outage.
 func (f *Forwarder) putBack(t *target, times uint32) {
-	t.putBack, t.backAt, t.failed, t.avoidTil = times, f.now, 0, 0
+	t.putBack, t.coldTil, t.failed, t.avoidTil = times, f.now+f.set.Cold, 0, 0
 	warm := func(o *target) bool { return o.state == Active && f.warmth(o) == 1 }
 	if r := t.route; !slices.ContainsFunc(r.targets, warm) {
 		r.warming, r.warm0, r.cold = true, f.now, true
@@ -203,18 +203,10 @@
 		f.do(Refuse{Message: e.ID, Wait: f.advice(f.destination(e.Destination))})
 		return
 	}
-	f.seq++
-	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
-		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left,
-		limits: f.limits(c.Name, e.Destination, e.Route), among: among(e.Among)}
+	m := f.newMessage(e, c)
 	if f.overShare(e.Tenant) {
 		m.worth = c.Worth * f.set.OverShareWorth
 	}
-	if c.KeepsOrder && e.Key != "" {
-		f.queue(m, e.Key)
-	}
-	f.msgs[m.id] = m
-	f.held++
 	f.settleAll(m.dest)
 	for _, r := range m.dest.routes {
 		f.age(r)
@@ -1226,8 +1218,8 @@
 
 // warmth is the same for a target that was put back by hand.
 func (f *Forwarder) warmth(t *target) float64 {
-	if t.putBack > 0 && f.now-t.backAt < f.set.Cold {
-		return max(f.capacity(f.now-t.backAt), floorRatio)
+	if left := t.coldTil - f.now; left > 0 {
+		return max(f.capacity(f.set.Cold-left), floorRatio)
 	}
 	return 1
 }
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -168,10 +168,10 @@
 	uses     decaying        // calls
 	failed   int             // failures in a row
 	avoidTil time.Duration
-	failing  decayingMean // share of calls that left doubt
-	said     Target       // by the list
-	putBack  uint32       // how often it was put back by hand
-	backAt   time.Duration
+	failing  decayingMean  // share of calls that left doubt
+	said     Target        // by the list
+	putBack  uint32        // how often it was put back by hand
+	coldTil  time.Duration // after that
 }
 
 // shareOf is what a list says of a target's share.
@@ -312,6 +312,7 @@
 	idleLoss [idleSteps]decayingMean // share of calls lost, by how long the connection was idle
 	longer   map[*Class]float64      // time that a class takes, over its route's usual time
 	rng      *rand.Rand
+	source   *rand.PCG // of rng
 	now      time.Duration
 
 	msgs    map[string]*message
@@ -361,11 +362,12 @@
 		return nil, err
 	}
 	s.Forwarders = max(s.Forwarders, 1)
+	source := rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)
 	f := &Forwarder{
 		set: s, platform: Limits{Attempts: s.MaxAttempts}, classes: map[string]*Class{}, kinds: map[string]Kind{}, tenants: map[string]*tenant{},
 		longer: map[*Class]float64{},
-		rng:    rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
-		msgs:   map[string]*message{}, lines: map[string]*keyLine{},
+		rng:    rand.New(source), source: source,
+		msgs: map[string]*message{}, lines: map[string]*keyLine{},
 		dests: map[int]*dest{}, targets: map[string]*target{}, begun: never, stop: never,
 		shedding: map[shedKey]*heap[*group]{},
 		ends: heap[*message]{less: func(a, b *message) bool {
@@ -599,6 +601,20 @@
 	return list
 }
 
+// newMessage is one that is taken now.
+func (f *Forwarder) newMessage(e Message, c *Class) *message {
+	f.seq++
+	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
+		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left,
+		limits: f.limits(c.Name, e.Destination, e.Route), among: among(e.Among)}
+	if c.KeepsOrder && e.Key != "" {
+		f.queue(m, e.Key)
+	}
+	f.msgs[m.id] = m
+	f.held++
+	return m
+}
+
 // queue puts a message last in the line of its key.
 func (f *Forwarder) queue(m *message, key string) {
 	l := f.lines[key]
