--- /dev/null
+++ b/cmd/scaleroute/bundle.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"scaleroute/internal/agent"
+	"scaleroute/internal/back/httpcall"
+	"scaleroute/internal/engine"
+	"scaleroute/internal/front/resp2"
+	"scaleroute/internal/takeover"
+)
+
+// bundle is what one process leaves to the next one besides the folder that lasts.
+type bundle struct {
+	engine  engine.Handover
+	list    *agent.List // nil: none was told yet
+	drained bool        // clients are sent away by hand
+	clients []resp2.Handed
+	idle    []httpcall.Idle
+}
+
+// Kinds of parcels that a bundle is made of.
+const (
+	kindEngine = "engine"
+	kindList   = "list"
+	kindFront  = "front"
+	kindCall   = "call"
+	kindClient = "client"
+	kindIdle   = "idle"
+)
+
+type (
+	engineParcel struct {
+		Module []byte        `json:"module"`
+		Clock  time.Duration `json:"clock_ns"`
+		At     time.Time     `json:"at"`
+		Dests  []int         `json:"destinations"`
+	}
+	frontParcel struct {
+		Drained bool `json:"drained"`
+	}
+	callParcel struct {
+		Message  string    `json:"message"`
+		Attempt  int       `json:"attempt"`
+		Endpoint string    `json:"endpoint"`
+		Address  string    `json:"address"`
+		Read     []byte    `json:"read"`
+		Began    time.Time `json:"began"`
+		End      time.Time `json:"end"`
+	}
+	clientParcel struct {
+		Unread []byte `json:"unread"`
+		Used   bool   `json:"used"`
+	}
+	idleParcel struct {
+		Address string    `json:"address"`
+		Since   time.Time `json:"since"`
+	}
+)
+
+// parcels is a bundle as it is sent.
+func (b *bundle) parcels() (list []takeover.Parcel, err error) {
+	add := func(kind string, v any, p takeover.Parcel) {
+		var text []byte
+		if text, err = json.Marshal(v); err == nil {
+			p.Kind, p.Data = kind, text
+			list = append(list, p)
+		}
+	}
+	add(kindEngine, engineParcel{b.engine.Module, b.engine.Clock, b.engine.At, b.engine.Destinations}, takeover.Parcel{})
+	if b.list != nil && err == nil {
+		add(kindList, b.list, takeover.Parcel{})
+	}
+	if err == nil {
+		add(kindFront, frontParcel{b.drained}, takeover.Parcel{})
+	}
+	for _, c := range b.engine.Calls {
+		if err == nil {
+			add(kindCall, callParcel{c.Message, c.Attempt, c.Endpoint, c.Address, c.Read, c.Began, c.End}, takeover.Parcel{Conn: c.Conn})
+		}
+	}
+	for _, c := range b.clients {
+		if err == nil {
+			add(kindClient, clientParcel{c.Unread, c.Used}, takeover.Parcel{Conn: c.Conn})
+		}
+	}
+	for _, c := range b.idle {
+		if err == nil {
+			add(kindIdle, idleParcel{c.Address, c.Since}, takeover.Parcel{Conn: c.Conn})
+		}
+	}
+	return list, err
+}
+
+// unpack reads what was sent. What has a connection must have one.
+func unpack(list []takeover.Parcel) (*bundle, error) {
+	b := &bundle{}
+	whole := false
+	for i, p := range list {
+		var err error
+		read := func(v any) bool {
+			err = json.Unmarshal(p.Data, v)
+			return err == nil
+		}
+		needs := p.Kind == kindCall || p.Kind == kindClient || p.Kind == kindIdle
+		if needs != (p.Conn != nil) {
+			return nil, fmt.Errorf("parcel %d, %q: with or without a connection, as it should not be", i+1, p.Kind)
+		}
+		switch p.Kind {
+		case kindEngine:
+			var v engineParcel
+			if whole = read(&v); whole {
+				b.engine.Module, b.engine.Clock, b.engine.At, b.engine.Destinations = v.Module, v.Clock, v.At, v.Dests
+			}
+		case kindList:
+			b.list = &agent.List{}
+			read(b.list)
+		case kindFront:
+			var v frontParcel
+			read(&v)
+			b.drained = v.Drained
+		case kindCall:
+			var v callParcel
+			read(&v)
+			b.engine.Calls = append(b.engine.Calls, engine.Call{Message: v.Message, Attempt: v.Attempt, Endpoint: v.Endpoint,
+				Pending: &engine.Pending{Address: v.Address, Conn: p.Conn, Read: v.Read, Began: v.Began, End: v.End}})
+		case kindClient:
+			var v clientParcel
+			read(&v)
+			b.clients = append(b.clients, resp2.Handed{Conn: p.Conn, Unread: v.Unread, Used: v.Used})
+		case kindIdle:
+			var v idleParcel
+			read(&v)
+			b.idle = append(b.idle, httpcall.Idle{Address: v.Address, Conn: p.Conn, Since: v.Since})
+		default:
+			err = fmt.Errorf("a kind that this program does not know")
+		}
+		if err != nil {
+			return nil, fmt.Errorf("parcel %d, %q: %w", i+1, p.Kind, err)
+		}
+	}
+	if !whole {
+		return nil, fmt.Errorf("%d parcels, and none of %q", len(list), kindEngine)
+	}
+	return b, nil
+}
+
+// close closes this process's copies of all connections.
+func (b *bundle) close() {
+	for _, c := range b.engine.Calls {
+		c.Conn.Close()
+	}
+	for _, c := range b.clients {
+		c.Conn.Close()
+	}
+	for _, c := range b.idle {
+		c.Conn.Close()
+	}
+}
+
+// forget drops what can't be gone on with, so that the journal alone is started from. Clients go on.
+func (b *bundle) forget(why error) {
+	slog.Error("what the process before left can't be read: going on from the journal alone", "err", why)
+	for _, c := range b.engine.Calls {
+		c.Conn.Close()
+	}
+	b.engine = engine.Handover{}
+}
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -25,6 +25,7 @@
 	"scaleroute/internal/operations"
 	"scaleroute/internal/operator"
 	"scaleroute/internal/steplog"
+	"scaleroute/internal/takeover"
 )
 
 // How a planned stop goes, counted from SIGTERM. SIGKILL can come 3.7 s after it.
@@ -41,9 +42,28 @@
 	reloadPause = 100 * time.Millisecond // until a configuration that can't be read is read again
 )
 
-var errDisk = errors.New("the journal can't be kept, and nothing may be taken on without it")
+var (
+	errDisk       = errors.New("the journal can't be kept, and nothing may be taken on without it")
+	errStopping   = errors.New("stopping")
+	errHandedOver = errors.New("another process has taken over")
+)
+
+// forwarder is one process of a forwarder.
+type forwarder struct {
+	c         *config.Config
+	operators *settings
+	control   *operations.Control
+	stop      <-chan struct{}
+	hup       <-chan os.Signal
+	settings  decide.Settings // with what operators have set
+	platform  *agent.Platform
+
+	inherited net.Listener // the clients' socket that the platform holds; nil if it does not
+	id        takeover.Identity
+	before    *engine.Figures // of what served before in this process
+}
 
-// run runs the forwarder until stop is closed and the planned stop is over. On
+// run runs the forwarder until stop is closed and the planned stop is over, or another process has taken over. On
 // each value from hup it reads its configuration again. An error means that it
 // could not start or can't go on.
 func run(c *config.Config, operators *settings, stop <-chan struct{}, hup <-chan os.Signal) error {
@@ -60,113 +80,237 @@
 	if operators.mail = operators.now.HasMail(); operators.mail {
 		descriptors += mailIdle
 	}
+	if c.Ops != "" {
+		descriptors += door.Descriptors
+	}
 	if c.Limits.Sockets -= descriptors; c.Limits.Endpoints() < 1 {
-		return fmt.Errorf("-operators: plug-ins and connections for mail need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
+		return fmt.Errorf("plug-ins, connections for mail and the operators' door need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
+	}
+	f := &forwarder{c: c, operators: operators, control: operations.NewControl(), stop: stop, hup: hup, settings: c.Settings}
+	f.platform = agent.New(c.Discovery, agent.Fleet{Forwarders: c.Settings.Forwarders, Asks: c.Settings.MustAsk, AskEvery: c.Settings.AskEvery})
+	if err := operators.apply(&f.settings); err != nil {
+		return err
 	}
-	control := operations.NewControl()
 	if c.Ops != "" { // before what may take a while
-		c.Limits.Sockets -= door.Descriptors
 		ln, err := net.Listen("tcp", c.Ops)
 		if err != nil {
 			return fmt.Errorf("listening for operators: %w", err)
 		}
-		d := door.New(control)
+		d := door.New(f.control)
 		defer d.Close()
 		go d.Serve(ln)
 		slog.Info("operators' door", "address", ln.Addr())
 	}
-	j, err := journal.Open(c.State, journal.Options{Limit: int64(c.Limits.DiskMB * 1e6), Memory: memory * heldShare / 100,
-		Durability: operator.Durabilities[operators.now.Journal.Durability], Extras: operators.file != ""})
+	if c.SocketFD != 0 {
+		if err := f.inherit(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if c.Limits.MemoryMB >= roomyMB {
+		go spendMemory(ctx, memory/spentPart)
+	}
+	j, from, taker, err := f.begin()
 	if err != nil {
 		return err
 	}
-	defer j.Close()
-	set := c.Settings
-	p := agent.New(c.Discovery, agent.Fleet{Forwarders: set.Forwarders, Asks: set.MustAsk, AskEvery: set.AskEvery})
-	if err := operators.apply(&set); err != nil {
-		return err
+	for {
+		left, giver, err := f.serve(j, from, taker)
+		if giver == nil || err != nil {
+			return err
+		}
+		taker = nil
+		if j, err = f.give(giver, left); err != nil || j == nil {
+			return err
+		}
+		from = left
 	}
-	configuration := engine.Config{Settings: set, Journal: j, Limits: operators.intake(), SyncEvery: time.Duration(operators.now.Journal.SyncEvery), Finals: map[string]engine.Finals{"": p}, Figures: c.Ops != "",
-		Back: httpcall.New(httpcall.Config{Connections: c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
-	if operators.mail {
-		name := c.Name
+}
+
+func (f *forwarder) openJournal() (*journal.Journal, error) {
+	return journal.Open(f.c.State, journal.Options{Limit: int64(f.c.Limits.DiskMB * 1e6), Memory: int64(f.c.Limits.MemoryMB) << 20 * heldShare / 100,
+		Durability: operator.Durabilities[f.operators.now.Journal.Durability], Extras: f.operators.file != ""})
+}
+
+// back makes the calls; http is the part of it for HTTP.
+func (f *forwarder) back() (back engine.Back, http *httpcall.Back) {
+	set := &f.settings
+	http = httpcall.New(httpcall.Config{Connections: f.c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})
+	back = http
+	if f.operators.mail {
+		name := f.c.Name
 		if name == "" || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' }) {
 			name = "scaleroute"
 		}
-		configuration.Back = backs{configuration.Back, smtpcall.New(smtpcall.Config{Name: name, Idle: mailIdle, ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
+		back = backs{http, smtpcall.New(smtpcall.Config{Name: name, Idle: mailIdle, ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})}
 	}
-	if operators.plugins != nil {
-		configuration.Back, configuration.Ended = operators.plugins.Back(configuration.Back), operators.plugins.Ended
+	if f.operators.plugins != nil {
+		back = f.operators.plugins.Back(back)
+	}
+	return back, http
+}
+
+// start makes the engine and has it go on with what the journal holds, and with what another one left.
+func (f *forwarder) start(j *journal.Journal, from *bundle) (l *engine.Engine, http *httpcall.Back, known *agent.List, err error) {
+	back, http := f.back()
+	configuration := engine.Config{Settings: f.settings, Journal: j, Back: back, Limits: f.operators.intake(), SyncEvery: time.Duration(f.operators.now.Journal.SyncEvery),
+		Finals: map[string]engine.Finals{"": f.platform}, Figures: f.c.Ops != "", Before: f.before}
+	if f.operators.plugins != nil {
+		configuration.Ended = f.operators.plugins.Ended
 	}
-	if operators.logSteps {
+	if f.operators.logSteps {
 		configuration.Steps = steplog.NewWriter(os.Stderr).Step
 	}
-	l, err := engine.New(configuration)
-	if err != nil {
-		return err
+	if l, err = engine.New(configuration); err != nil {
+		return nil, nil, nil, err
+	}
+	lists := []engine.List{f.c.Known.As(decide.Restored)}
+	if known = f.knownFrom(from); known != nil {
+		lists = append(lists, known.As(decide.Whole))
+	} else if f.settings.MustAsk && len(f.c.Known.Endpoints) > 0 {
+		known = &f.c.Known // what has changed since is less work than the whole list
 	}
-	// The list that a forwarder is started with may be older than what it was last told: recovered
-	// messages must not go to targets that drain since. Without an answer it has to do.
-	first, err := p.First(listWait)
+	if f.operators.file != "" || f.c.Ops != "" {
+		f.operators.sources = &sources{to: l, leftOut: operations.NewLeftOut(f.c.State)}
+		lists = f.operators.sources.start(f.operators.now.Endpoints(), lists...)
+	}
+	if from != nil && from.engine.Module != nil {
+		err := l.Resume(&from.engine, lists[len(lists)-1])
+		if err == nil {
+			return l, http, known, nil
+		}
+		from.forget(err)
+	}
+	l.Recover(lists...) // before any PING is answered
+	return l, http, known, nil
+}
+
+// knownFrom is the list as this forwarder knows it. The one that it is started with may be older than what it was last told: recovered
+// messages must not go to targets that drain since. Without an answer it has to do.
+func (f *forwarder) knownFrom(from *bundle) *agent.List {
+	if from != nil && from.list != nil {
+		return from.list
+	}
+	first, err := f.platform.First(listWait)
 	if err != nil {
 		slog.Warn("starting with the list as last known", "err", err)
 	}
-	lists := []engine.List{c.Known.As(decide.Restored)}
-	if first != nil {
-		lists = append(lists, first.As(decide.Whole))
+	return first
+}
+
+// serve owns the forwarder from here on: until the planned stop is over, or another process asks to take over. Then it returns what it
+// leaves to that one, with the journal closed.
+func (f *forwarder) serve(j *journal.Journal, from *bundle, taker *takeover.Taker) (left *bundle, giver *takeover.Giver, err error) {
+	defer j.Close()
+	takeover.Reached("new: locked")
+	l, http, known, err := f.start(j, from)
+	if err != nil {
+		return nil, nil, err
 	}
-	known := first
-	if set.MustAsk && len(c.Known.Endpoints) > 0 {
-		known = &c.Known // what has changed since is less work than the whole list
+	takeover.Reached("new: recovered")
+	if taker != nil {
+		if err := taker.Own(); err != nil { // it has ended: nobody else owns what it had
+			slog.Warn("the process before has not heard that this one has taken over", "err", err)
+		}
+		taker.Close()
+		takeover.Reached("new: owned")
 	}
-	heard := func(list *agent.List) { l.List(list.Told()) }
-	if operators.file != "" || c.Ops != "" {
-		operators.sources = &sources{to: l, leftOut: operations.NewLeftOut(c.State)}
-		lists = operators.sources.start(operators.now.Endpoints(), lists...)
-		heard = func(list *agent.List) { operators.sources.tell(membership.Agent, list.Told()) }
+	ln := f.inherited
+	if ln == nil {
+		if ln, err = net.Listen("tcp", f.c.Listen); err != nil {
+			return nil, nil, fmt.Errorf("listening for clients: %w", err)
+		}
 	}
-	l.Recover(lists...) // before any PING is answered
-	ln, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+	var intake resp2.Taker = l
+	if f.operators.plugins != nil {
+		intake = router{f.operators, f.operators.plugins.Front(l)}
 	}
-	var taker resp2.Taker = l
-	if operators.plugins != nil {
-		taker = router{operators, operators.plugins.Front(l)}
+	clients := resp2.New(ln, f.c.Limits.Clients(), intake)
+	clients.HandsOver = f.inherited != nil
+	if from != nil && from.drained {
+		clients.Drain()
 	}
-	clients := resp2.New(ln, c.Limits.Clients(), taker)
 
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	defer clients.Wait(lastWrite)
-	defer wg.Wait()
-	defer cancel()
-	defer clients.Close()
+	watching, unwatch := context.WithCancel(ctx)
+	defer unwatch()
+	var all, lists, accepting sync.WaitGroup
+	defer func() { // what has not ended in order ends now
+		if giver == nil {
+			clients.Close()
+		}
+		cancel()
+		all.Wait()
+		lists.Wait()
+		accepting.Wait()
+		if giver == nil {
+			clients.Wait(lastWrite)
+		}
+	}()
 	failed := make(chan error, 1)
-	wg.Go(func() {
+	all.Go(func() {
 		if err := l.Run(ctx); err != nil {
 			failed <- fmt.Errorf("%w: %w", errDisk, err)
 		}
 	})
-	if c.Limits.MemoryMB >= roomyMB {
-		wg.Go(func() { spendMemory(ctx, memory/spentPart) })
+	heard := func(list *agent.List) { l.List(list.Told()) }
+	if sources := f.operators.sources; sources != nil {
+		heard = func(list *agent.List) { sources.tell(membership.Agent, list.Told()) }
 	}
-	wg.Go(func() { p.Watch(ctx, known, heard) })
-	wg.Go(func() { p.Deliver(ctx, l.Heard) })
-	wg.Go(func() { reload(ctx, hup, c.File, p, operators) })
-	wg.Go(func() { clients.Serve(ctx) })
-	if file := operators.now.PluginStatus; file != "" {
-		wg.Go(func() { operators.plugins.Publish(ctx, file, publishEvery) })
+	lists.Go(func() { f.platform.Watch(watching, known, heard) })
+	lists.Go(func() { reload(watching, f.hup, f.c.File, f.platform, f.operators) })
+	all.Go(func() { f.platform.Deliver(ctx, l.Heard) })
+	if from != nil {
+		http.Adopt(from.idle)
+		clients.Adopt(from.clients)
 	}
-	control.Serve(operations.Part{Clients: clients, Members: operators.sources, Figures: l.Figures})
-	slog.Info("serving", "name", c.Name, "address", ln.Addr(), "discovery", c.Discovery)
+	accepting.Go(func() { clients.Serve(ctx) })
+	if file := f.operators.now.PluginStatus; file != "" {
+		all.Go(func() { f.operators.plugins.Publish(ctx, file, publishEvery) })
+	}
+	asks := f.listenForNext(ctx, &all)
+	f.control.Serve(operations.Part{Clients: clients, Members: f.operators.sources, Figures: l.Figures})
+	slog.Info("serving", "name", f.c.Name, "address", ln.Addr(), "discovery", f.c.Discovery)
+	takeover.Reached("new: serving")
 
-	select {
-	case err := <-failed:
-		return err
-	case <-stop:
+	for {
+		select {
+		case err := <-failed:
+			return nil, nil, err
+		case <-f.stop:
+			return nil, nil, f.end(l, clients, failed)
+		case next := <-asks:
+			if err := next.Coming(); err != nil {
+				slog.Warn("a process that asked to take over is gone", "err", err)
+				next.Close()
+				continue
+			}
+			slog.Info("handing over")
+			f.control.Stop(errHandedOver)
+			takeover.Reached("old: asked")
+			// In the order in which things come: lists, then requests, then calls.
+			unwatch()
+			lists.Wait()
+			left = &bundle{list: f.platform.Last(), drained: clients.Draining(), clients: clients.Detach(detachLimit)}
+			accepting.Wait()
+			takeover.Reached("old: clients detached")
+			left.idle = http.Release()
+			h := l.Detach()
+			if h == nil {
+				return nil, nil, <-failed
+			}
+			left.engine = *h
+			takeover.Reached("old: engine detached")
+			f.before = l.Figures()
+			return left, next, nil
+		}
 	}
-	control.Stop(errors.New("stopping"))
+}
+
+// end is the planned stop.
+func (f *forwarder) end(l *engine.Engine, clients *resp2.Server, failed <-chan error) error {
+	f.control.Stop(errStopping)
 	slog.Info("stopping")
 	l.Stopping(lastCall)
 	began := time.Now()
--- /dev/null
+++ b/cmd/scaleroute/takeover.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"scaleroute/internal/journal"
+	"scaleroute/internal/takeover"
+)
+
+const (
+	folderWait   = 5 * time.Second        // at a start: until the folder that lasts is free
+	folderPause  = 5 * time.Millisecond   // between two looks
+	detachLimit  = 150 * time.Millisecond // for clients to take the answers in hand
+	ownedLook    = time.Second            // how often an old process looks after the folder while it waits for the new one
+	lingerAtMost = 20 * time.Second       // an old process stays for the operators for so long, or until SIGTERM
+)
+
+// inherit takes the clients' listening socket that the platform holds.
+func (f *forwarder) inherit() error {
+	file := os.NewFile(uintptr(f.c.SocketFD), "NODE_SOCKET_FD")
+	ln, err := net.FileListener(file)
+	if err != nil {
+		return fmt.Errorf("NODE_SOCKET_FD: descriptor %d is no listening socket: have the platform open it, or leave the variable out (%w)", f.c.SocketFD, err)
+	}
+	file.Close()
+	f.inherited = ln
+	f.id, err = takeover.Identify(f.c.Name, f.c.State)
+	return err
+}
+
+// begin takes the folder that lasts: from the process that serves, if there is one, or as it is.
+func (f *forwarder) begin() (j *journal.Journal, from *bundle, taker *takeover.Taker, err error) {
+	if f.inherited == nil {
+		j, err = f.openJournal()
+		return j, nil, nil, err
+	}
+	var taken time.Time
+	for limit := time.Now().Add(folderWait); ; time.Sleep(folderPause) {
+		if taker == nil {
+			if from, taker, err = f.take(); err != nil {
+				return nil, nil, nil, err
+			}
+			taken = time.Now()
+		}
+		j, err = f.openJournal()
+		if err == nil || !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(limit) {
+			return j, from, taker, err
+		}
+		if taker != nil && time.Since(taken) > ownedLook+folderPause { // the old one has taken its folder again
+			slog.Warn("the process that served goes on: asking again")
+			taker.Close()
+			if from != nil {
+				from.close()
+			}
+			from, taker = nil, nil
+		}
+	}
+}
+
+// take asks the process that serves, if there is one, to hand over. Without all that it has to leave, the journal alone is started from.
+func (f *forwarder) take() (*bundle, *takeover.Taker, error) {
+	taker, err := takeover.Ask(f.c.Scratch, f.id)
+	var refused takeover.Refusal
+	switch {
+	case errors.Is(err, takeover.ErrNobody), errors.Is(err, takeover.ErrLater):
+		return nil, nil, nil
+	case errors.As(err, &refused):
+		return nil, nil, err
+	case err != nil:
+		slog.Warn("asking to take over", "err", err)
+		return nil, nil, nil
+	}
+	takeover.Reached("new: asked")
+	began := time.Now()
+	parcels, err := taker.Receive()
+	if err != nil {
+		slog.Error("the process that served did not hand over whole: its journal alone is started from", "err", err)
+		taker.Close()
+		return nil, nil, nil
+	}
+	takeover.Reached("new: received")
+	from, err := unpack(parcels)
+	if err != nil {
+		slog.Error("what the process before left can't be read: its journal alone is started from", "err", err)
+		takeover.Drop(parcels)
+		return nil, taker, nil
+	}
+	slog.Info("taking over", "clients", len(from.clients), "calls", len(from.engine.Calls), "idle", len(from.idle), "after", time.Since(began))
+	return from, taker, nil
+}
+
+// listenForNext has the next process ask here. Where that can't be it is logged: then the next one waits until this one has ended.
+func (f *forwarder) listenForNext(ctx context.Context, all *sync.WaitGroup) <-chan *takeover.Giver {
+	if f.inherited == nil {
+		return nil
+	}
+	s, err := takeover.Listen(f.c.Scratch, f.id)
+	if err != nil {
+		slog.Warn("no process can take over from this one", "TMPDIR", f.c.Scratch, "err", err)
+		return nil
+	}
+	context.AfterFunc(ctx, s.Close)
+	all.Go(func() { s.Serve(ctx) })
+	return s.Asks()
+}
+
+// give hands over to the next process, and stays until SIGTERM for the operators' sake once that one owns what was handed over. If it does
+// not, the journal is returned: this process goes on with what it had.
+func (f *forwarder) give(to *takeover.Giver, left *bundle) (*journal.Journal, error) {
+	defer to.Close()
+	takeover.Reached("old: journal closed")
+	parcels, err := left.parcels()
+	if err == nil {
+		err = to.Give(parcels)
+	}
+	takeover.Reached("old: sent")
+	for limit := time.Now().Add(folderWait); ; time.Sleep(folderPause) {
+		gone := err != nil
+		if !gone {
+			err = to.Owned(ownedLook)
+			if err == nil {
+				break
+			}
+			if gone = !errors.Is(err, os.ErrDeadlineExceeded); !gone { // it is slow
+				err = nil
+			}
+		}
+		j, locked := f.openJournal()
+		if locked == nil { // and neither owns the folder nor can any more
+			slog.Error("the next process did not take over; this one goes on", "err", err)
+			return j, nil
+		}
+		if !errors.Is(locked, syscall.EWOULDBLOCK) {
+			return nil, locked
+		}
+		if gone && time.Now().After(limit) {
+			slog.Warn("another process owns the folder, and did not say so", "err", err)
+			break
+		}
+	}
+	takeover.Reached("old: owned")
+	left.close()
+	slog.Info("handed over", "clients", len(left.clients), "calls", len(left.engine.Calls))
+	select {
+	case <-f.stop:
+	case <-time.After(lingerAtMost):
+	}
+	return nil, nil
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,7 @@
 	fleet Fleet
 
 	mu      sync.Mutex
+	last    *List // the whole list, as told last
 	agent   *agent
 	pending []notice
 	wake    chan struct{}
@@ -172,6 +174,7 @@
 	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	if known != nil {
 		from = known.Index
+		p.note(known)
 	}
 	for ctx.Err() == nil {
 		a := p.current()
@@ -190,6 +193,7 @@
 		}
 		again.worked()
 		from = l.Index
+		p.note(l)
 		tell(l)
 	}
 }
@@ -298,3 +302,32 @@
 		a.pause(ctx, wait)
 	}
 }
+
+// note keeps the whole list, from what was told.
+func (p *Platform) note(l *List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.Snapshot || p.last == nil {
+		p.last = &List{Index: l.Index, Snapshot: true, Endpoints: slices.Clone(l.Endpoints)}
+		return
+	}
+	p.last.Index = l.Index
+	for _, e := range l.Endpoints {
+		at := slices.IndexFunc(p.last.Endpoints, func(o Endpoint) bool { return o.Name == e.Name })
+		switch {
+		case at < 0 && e.Status != statusDeleted:
+			p.last.Endpoints = append(p.last.Endpoints, e)
+		case at >= 0 && e.Status == statusDeleted:
+			p.last.Endpoints = slices.Delete(p.last.Endpoints, at, at+1)
+		case at >= 0:
+			p.last.Endpoints[at] = e
+		}
+	}
+}
+
+// Last is the whole list, as told last; nil if none was. It is asked for once Watch has ended.
+func (p *Platform) Last() *List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -110,6 +110,9 @@
 // CloseIdle closes the idle connections to the target.
 func (t *target) CloseIdle() { t.pool.closeIdle(t.host) }
 
+// HandsOver says that calls that are out can go on in another process.
+func (t *target) HandsOver() {}
+
 // Call sends one message, once, and tells how that ended.
 func (t *target) Call(ctx context.Context, a engine.Attempt) (o decide.Outcome) {
 	began, timeout := time.Now(), a.Timeout
@@ -127,8 +130,8 @@
 	c, err := t.pool.get(ctx, t.host, connect)
 	if err != nil {
 		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			o.Result = decide.NotSent // our own want says nothing of the target
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || context.Cause(ctx) == engine.ErrHandOver {
+			o.Result = decide.NotSent // that is our own, and says nothing of the target
 		}
 		return o
 	}
@@ -148,14 +151,27 @@
 	if _, err := request.WriteTo(c.Conn); err != nil { // before its last byte
 		stop()
 		t.pool.close(c)
-		o.Result, o.Took = decide.ConnectFailed, time.Since(began)
+		if o.Result, o.Took = decide.ConnectFailed, time.Since(began); context.Cause(ctx) == engine.ErrHandOver {
+			o.Result = decide.NotSent // it is begun anew by the next process
+		}
 		return o
 	}
 	if a.Wrote != nil {
 		a.Wrote()
 	}
+	return t.await(ctx, c, began, end, a, stop)
+}
+
+// await waits for the answer to a call that is written whole.
+func (t *target) await(ctx context.Context, c *conn, began, end time.Time, a engine.Attempt, stop func() bool) (o decide.Outcome) {
 	resp, first, err := c.answer(ctx, end, a.Reply)
 	o.Took = first.Sub(began)
+	if err != nil && a.Keep != nil && context.Cause(ctx) == engine.ErrHandOver && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(end) {
+		stop()
+		t.pool.release()
+		a.Keep(&engine.Pending{Address: t.host.address, Conn: c.Conn, Read: c.record, Began: began, End: end})
+		return o
+	}
 	switch {
 	case err == nil:
 		answered(&o, resp)
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -30,11 +30,12 @@
 	idleTime time.Duration // one idle for so long is closed
 	connect  time.Duration // one not made by then has failed
 
-	mu    sync.Mutex
-	open  int
-	idle  idleList // all idle ones, longest idle first
-	hosts map[string]*host
-	timer *time.Timer
+	mu       sync.Mutex
+	open     int
+	released bool     // its connections go to another process
+	idle     idleList // all idle ones, longest idle first
+	hosts    map[string]*host
+	timer    *time.Timer
 }
 
 // host is one address. Several targets may be at one.
@@ -51,6 +52,7 @@
 	host   *host
 	r      *bufio.Reader
 	record []byte // what has come since the call began
+	replay []byte // what another process read of it, to be read again
 	since  time.Time
 	spare  [1]byte
 
@@ -138,12 +140,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, host: h}
-	c.r = bufio.NewReader(c)
-	if s, ok := raw.(syscall.Conn); ok {
-		c.raw, _ = s.SyscallConn()
-	}
-	return c, nil
+	return newConn(raw, h), nil
 }
 
 // unidle takes a connection out of the idle ones. The pool is locked.
@@ -177,7 +174,7 @@
 		c.record = nil
 	}
 	p.mu.Lock()
-	if c.host.targets == 0 {
+	if c.host.targets == 0 || p.released {
 		p.mu.Unlock()
 		p.close(c)
 		return
@@ -236,6 +233,12 @@
 	if left <= 0 {
 		return 0, errSpoilt
 	}
+	if len(c.replay) > 0 {
+		n := copy(b[:min(len(b), left)], c.replay)
+		c.replay = c.replay[n:]
+		c.record = append(c.record, b[:n]...)
+		return n, nil
+	}
 	n, err := c.Conn.Read(b[:min(len(b), left)])
 	c.record = append(c.record, b[:n]...)
 	return n, err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,8 @@
 
 	File     string          `json:"-"` // where it was read
 	State    string          `json:"-"` // the folder that lasts
+	Scratch  string          `json:"-"` // the folder for what need not last
+	SocketFD int             `json:"-"` // the clients' listening socket, where the platform holds it; else 0
 	Settings decide.Settings `json:"-"`
 }
 
@@ -64,6 +66,12 @@
 			*field = v
 		}
 	}
+	if text := getenv("NODE_SOCKET_FD"); text != "" {
+		if c.SocketFD, err = strconv.Atoi(text); err != nil || c.SocketFD < 3 {
+			return nil, fmt.Errorf("NODE_SOCKET_FD: %q is no number of a descriptor from 3 on: name the one that the clients' listening socket is, or leave it out", text)
+		}
+	}
+	c.Scratch = getenv("TMPDIR")
 	if c.Listen == "" || c.Discovery == "" || c.State == "" {
 		return nil, fmt.Errorf("no address to listen on, none of discovery, or no folder for the state")
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,10 +52,11 @@
 	Number      int // from 0
 	Body        message.Body
 	Header      []message.Field
-	Timeout     time.Duration // from now on
-	Connect     time.Duration // the same, for a connection to be made; 0: as the back has it
-	Reply       *Reply        // to be filled in, if it is wanted
-	Wrote       func()        // called once the message is written whole; it does not wait
+	Timeout     time.Duration  // from now on
+	Connect     time.Duration  // the same, for a connection to be made; 0: as the back has it
+	Reply       *Reply         // to be filled in, if it is wanted
+	Keep        func(*Pending) // takes a call that is handed over; see Portable
+	Wrote       func()         // called once the message is written whole; it does not wait
 }
 
 // Reply is what a call was answered with.
--- a/internal/engine/figures.go
+++ b/internal/engine/figures.go
@@ -29,6 +29,7 @@
 	Spurned    uint64 // failed before they were taken on
 	Faulted    uint64 // failed after that
 	Withdrawn  uint64 // their clients had left, or the platform wants them no more
+	HandedOver uint64 // to another process, which counts them as taken
 }
 
 // counts is where the loop counts.
@@ -43,11 +44,19 @@
 	published atomic.Pointer[Figures]
 }
 
-func (c *counts) init(on bool, classes []decide.Class) {
+// init begins to count, where the engine before in the same process stopped.
+func (c *counts) init(on bool, classes []decide.Class, before *Figures) {
 	c.on, c.classes = on, map[string]*Tally{}
 	for _, class := range classes {
 		c.classes[class.Name] = &Tally{}
 	}
+	if before != nil {
+		c.relayed.Store(before.Relayed)
+		for name, t := range before.Classes {
+			t.Taken, t.HandedOver = t.Taken-t.HandedOver, 0 // they are taken again
+			c.classes[name] = &t
+		}
+	}
 	c.wrote = func() { c.relayed.Add(1) }
 	c.published.Store(&Figures{})
 }
--- a/internal/engine/figures_test.go
+++ b/internal/engine/figures_test.go
@@ -16,7 +16,7 @@
 	var taken, over uint64
 	for _, t := range f.Classes {
 		taken += t.Taken
-		over += t.Fulfilled + t.HandedBack + t.Faulted + t.Withdrawn
+		over += t.Fulfilled + t.HandedBack + t.Faulted + t.Withdrawn + t.HandedOver
 	}
 	return taken == over+uint64(f.Open)
 }
--- /dev/null
+++ b/internal/engine/handover.go
@@ -0,0 +1,223 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"scaleroute/internal/decide"
+)
+
+// An engine can end so that another one, in another process, goes on where it was: with what the module remembers, and with the calls that are out.
+
+// homeTime is how long calls that can't be handed over have to end before they are called off.
+const homeTime = 300 * time.Millisecond
+
+// ErrHandOver is the cause of the end of a call's context when the call is to be handed over.
+var ErrHandOver = errors.New("the call goes on in another process")
+
+// Pending is a call that is out, written whole, as another process can go on with it.
+type Pending struct {
+	Address string
+	Conn    net.Conn // as it is; what was read of it is in Read
+	Read    []byte   // of the answer, so far
+	Began   time.Time
+	End     time.Time // when it is not waited for any longer
+}
+
+// Portable is a Caller whose calls can be handed over: one whose context ends for ErrHandOver calls Attempt.Keep, or
+// ends as any other call.
+type Portable interface{ HandsOver() }
+
+// Resumer is a Back that can go on with calls of another process.
+type Resumer interface {
+	Resume(ctx context.Context, endpoint string, p *Pending, a Attempt) decide.Outcome
+}
+
+// Call is one that is handed over.
+type Call struct {
+	Message  string
+	Attempt  int
+	Endpoint string
+	*Pending
+}
+
+// Handover is what an engine leaves to the next one besides the journal.
+type Handover struct {
+	Module []byte
+	Clock  time.Duration // the module's
+	At     time.Time     // when that was its time
+	Calls  []Call
+	// Destinations are those that there are, also while their endpoints are away.
+	Destinations []int
+}
+
+// longestGap bounds what may have passed between two engines: a clock that was set says nothing.
+const longestGap = time.Minute
+
+type (
+	detach  struct{ done chan<- *Handover }
+	cutOff  struct{}
+	carried struct { // a call that is handed over
+		message, endpoint string
+		attempt           int
+		pending           *Pending
+	}
+)
+
+// leaving is what an engine is at that hands over.
+type leaving struct {
+	done  chan<- *Handover
+	calls []Call
+}
+
+// Detach ends the loop without a call that goes on here, and returns what the next one goes on from. It is called when no message can
+// come any more and no list will. nil: the loop has ended by itself.
+func (l *Engine) Detach() *Handover {
+	done := make(chan *Handover, 1)
+	l.tell(detach{done})
+	select {
+	case h := <-done:
+		return h
+	case <-l.done:
+		select {
+		case h := <-done:
+			return h
+		default:
+			return nil
+		}
+	}
+}
+
+// detach has the calls come home, and the module start none.
+func (l *Engine) detach(v detach) {
+	l.leaving = &leaving{done: v.done}
+	l.events = append(l.events, decide.Stopping{})
+	for _, e := range l.entries {
+		l.unsendPending(e)
+		for _, c := range e.calls {
+			if c.portable {
+				c.cancel(ErrHandOver)
+			}
+		}
+	}
+	time.AfterFunc(homeTime, func() { l.tell(cutOff{}) })
+}
+
+// cutOff calls off what could not be handed over.
+func (l *Engine) cutOff() {
+	for _, e := range l.entries {
+		for _, c := range e.calls {
+			c.cancel(nil)
+		}
+	}
+}
+
+// carried notes a call that is handed over. To journal and module it is out.
+func (l *Engine) carried(v carried) {
+	e := l.entries[v.message]
+	if l.leaving == nil || e == nil || !slices.ContainsFunc(e.calls, func(c out) bool { return c.attempt == v.attempt }) {
+		v.pending.Conn.Close() // its message is over
+		return
+	}
+	e.callOver(v.attempt)
+	l.leaving.calls = append(l.leaving.calls, Call{v.message, v.attempt, v.endpoint, v.pending})
+}
+
+// home tells whether all calls are.
+func (l *Engine) home() bool {
+	for _, e := range l.entries {
+		if len(e.calls) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// left hands over, as the last thing that the loop does.
+func (l *Engine) left() error {
+	if err := l.settle(); err != nil {
+		return err
+	}
+	for _, e := range l.entries {
+		l.endedAs(e, func(t *Tally) { t.HandedOver++ })
+	}
+	now := time.Now()
+	l.leaving.done <- &Handover{Module: l.module.Save(), Clock: now.Sub(l.clock), At: now, Calls: l.leaving.calls,
+		Destinations: slices.Sorted(maps.Keys(l.dests))}
+	return nil
+}
+
+// Resume is Recover for an engine that goes on where another one was. An error means that what is left of that one can't be read, and nothing
+// has been done.
+func (l *Engine) Resume(h *Handover, lists ...List) error {
+	memory, err := decide.ReadMemory(h.Module)
+	if err != nil {
+		return err
+	}
+	resumer, _ := l.back.(Resumer)
+	if resumer == nil && len(h.Calls) > 0 {
+		return fmt.Errorf("%d calls are handed over, and this back can't go on with them", len(h.Calls))
+	}
+	gap := min(max(0, time.Since(h.At)), longestGap)
+	l.clock = time.Now().Add(-h.Clock - gap)
+	told := make([]decide.TargetList, len(lists))
+	for i, v := range lists {
+		l.back.List(v)
+		told[i] = l.targets(v)
+	}
+	for _, d := range h.Destinations {
+		l.dests[d] = true
+	}
+	held := l.held()
+	actions, calls := l.module.Restore(time.Since(l.clock), memory, told, held)
+	for _, a := range actions { // before there is a loop: only ends
+		l.act(context.Background(), a)
+	}
+	type key struct {
+		id      string
+		attempt int
+	}
+	known := map[key]Call{}
+	for _, c := range h.Calls {
+		known[key{c.Message, c.Attempt}] = c
+	}
+	for _, m := range held {
+		e := l.entries[m.ID]
+		if e == nil || e.ended {
+			continue
+		}
+		for _, attempt := range calls[m.ID] {
+			k := key{m.ID, attempt}
+			c := known[k]
+			delete(known, k)
+			l.goOn(e, attempt, c.Endpoint, c.Pending, resumer)
+		}
+	}
+	for _, c := range known { // of messages that are over
+		c.Conn.Close()
+	}
+	slog.Info("goes on where another process was", "messages", len(l.entries), "calls", len(h.Calls), "gap", gap)
+	return nil
+}
+
+// goOn waits for the answer to a call that another process made.
+func (l *Engine) goOn(e *entry, attempt int, endpoint string, p *Pending, back Resumer) {
+	call, cancel := context.WithCancelCause(context.Background())
+	e.calls = append(e.calls, out{attempt, cancel, true})
+	a := Attempt{ID: e.saved.ID, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: attempt}
+	l.effects = append(l.effects, func() {
+		go l.follow(endpoint, a, func(a Attempt) decide.Outcome {
+			if p == nil { // lost on the way: it may have run
+				return decide.Outcome{Result: decide.Reset}
+			}
+			a.Timeout = time.Until(p.End)
+			return back.Resume(call, endpoint, p, a)
+		})
+	})
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -65,15 +65,16 @@
 
 // out is a call that is out.
 type out struct {
-	attempt int
-	cancel  context.CancelFunc
+	attempt  int
+	cancel   context.CancelCauseFunc
+	portable bool // it can be handed over
 }
 
 // callOver takes a call off those that are out.
 func (e *entry) callOver(attempt int) {
 	e.calls = slices.DeleteFunc(e.calls, func(c out) bool {
 		if c.attempt == attempt {
-			c.cancel()
+			c.cancel(nil)
 		}
 		return c.attempt == attempt
 	})
@@ -100,6 +101,8 @@
 	Steps func(now time.Duration, events []decide.Event, actions []decide.Action)
 	// Figures has the figures published for Engine.Figures.
 	Figures bool
+	// Before is the last figures of an engine before in this process, to be counted on from; nil if there was none.
+	Before *Figures
 	// Finals by the front that took a message; the one under "" takes what no other does.
 	Finals map[string]Finals
 }
@@ -132,6 +135,7 @@
 	counts    counts
 	wake      *time.Timer
 	finishing bool
+	leaving   *leaving // it hands over
 	empty     bool
 	idle      chan struct{} // closed when finishing with nothing left
 }
@@ -149,7 +153,7 @@
 	for _, class := range c.Settings.Classes {
 		l.classes[class.Name] = class
 	}
-	l.counts.init(c.Figures, c.Settings.Classes)
+	l.counts.init(c.Figures, c.Settings.Classes, c.Before)
 	return l, nil
 }
 
@@ -224,6 +228,16 @@
 	for _, v := range lists {
 		l.list(v)
 	}
+	for _, m := range l.held() {
+		l.events = append(l.events, m)
+	}
+	if n := len(l.entries); n > 0 {
+		slog.Info("taken up from the journal", "messages", n)
+	}
+}
+
+// held takes up what the journal holds, and returns what the module is to know of it.
+func (l *Engine) held() (list []decide.Message) {
 	now := time.Now()
 	for _, s := range l.journal.Held() {
 		e := &entry{saved: s, acked: true}
@@ -233,12 +247,10 @@
 			continue
 		}
 		l.taken(e)
-		l.events = append(l.events, decide.Message{ID: s.ID, Class: s.Class, Destination: s.Dest,
+		list = append(list, decide.Message{ID: s.ID, Class: s.Class, Destination: s.Dest,
 			Left: s.Deadline.Sub(now), Among: among(s.Extras), Route: s.Extras.Took(), Recovered: true, Attempts: s.Attempts, Open: s.Open, MayHaveRun: s.Ran()})
 	}
-	if n := len(l.entries); n > 0 {
-		slog.Info("taken up from the journal", "messages", n)
-	}
+	return list
 }
 
 // Run carries events to the module until ctx ends. An error means that the
@@ -266,6 +278,9 @@
 		if len(l.events) > 0 {
 			continue // what could not be carried out is told at once
 		}
+		if l.leaving != nil && l.home() {
+			return l.left()
+		}
 		if l.finishing && len(l.entries) == 0 && !l.empty {
 			l.empty = true
 			close(l.idle)
@@ -368,6 +383,12 @@
 		close(v.bound)
 	case finish:
 		l.finishing = true
+	case detach:
+		l.detach(v)
+	case cutOff:
+		l.cutOff()
+	case carried:
+		l.carried(v)
 	case syncEnded:
 		l.syncing = false
 		return l.synced(v.written, v.err)
@@ -379,12 +400,17 @@
 
 func (l *Engine) list(v List) {
 	l.back.List(v)
+	l.events = append(l.events, l.targets(v))
+}
+
+// targets is a list as the module is told it.
+func (l *Engine) targets(v List) decide.TargetList {
 	event := decide.TargetList{Scope: v.Scope, Targets: make([]decide.Target, len(v.Endpoints))}
 	for i, e := range v.Endpoints {
 		l.dests[e.Destination] = true
 		event.Targets[i] = e.Target
 	}
-	l.events = append(l.events, event)
+	return event
 }
 
 func (l *Engine) arrive(a arrival) error {
@@ -502,7 +528,7 @@
 	e.callOver(o.Attempt)
 	if o.Over {
 		for _, c := range e.calls { // a second copy serves nobody any more
-			c.cancel()
+			c.cancel(nil)
 		}
 		if o.Result == decide.Done {
 			l.tellEnd(e, "delivered")
@@ -633,8 +659,9 @@
 	}
 	n := e.saved.Attempts
 	l.journal.Sending(s.Message)
-	call, cancel := context.WithCancel(ctx)
-	e.calls = append(e.calls, out{n, cancel})
+	call, cancel := context.WithCancelCause(ctx)
+	_, portable := to.(Portable)
+	e.calls = append(e.calls, out{n, cancel, portable})
 	try, decided := Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: n,
 		Body: e.saved.Body, Timeout: s.Timeout, Wrote: l.counts.wrote}, time.Now()
 	if x := e.saved.Extras; x != nil {
@@ -644,20 +671,31 @@
 		try.Connect = l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.Took()).Connect
 	}
 	l.effects = append(l.effects, func() {
-		go func() {
-			if l.journal.Durability() == journal.Group { // it has waited for a sync
-				try.Timeout = max(time.Millisecond, try.Timeout-time.Since(decided))
-			}
-			o := decide.Outcome{Result: decide.NotSent}
-			if call.Err() == nil {
-				o = to.Call(call, try)
+		if l.journal.Durability() == journal.Group { // it has waited for a sync
+			try.Timeout = max(time.Millisecond, try.Timeout-time.Since(decided))
+		}
+		go l.follow(s.Target, try, func(a Attempt) decide.Outcome {
+			if call.Err() != nil {
+				return decide.Outcome{Result: decide.NotSent}
 			}
-			o.Message, o.Attempt, o.Target = s.Message, n, s.Target
-			l.tell(callEnded{o})
-		}()
+			return to.Call(call, a)
+		})
 	})
 }
 
+// follow has a call made, or gone on with, and tells the loop how it ended, unless it is handed over.
+func (l *Engine) follow(endpoint string, a Attempt, call func(Attempt) decide.Outcome) {
+	kept := false
+	a.Keep = func(p *Pending) {
+		kept = true
+		l.tell(carried{a.ID, endpoint, a.Number, p})
+	}
+	if o := call(a); !kept {
+		o.Message, o.Attempt, o.Target = a.ID, a.Number, endpoint
+		l.tell(callEnded{o})
+	}
+}
+
 func (l *Engine) callOff(c decide.Cancel) {
 	e := l.entries[c.Message]
 	if e == nil {
@@ -665,7 +703,7 @@
 	}
 	for _, o := range e.calls {
 		if o.attempt == c.Attempt {
-			l.effects = append(l.effects, o.cancel)
+			l.effects = append(l.effects, func() { o.cancel(nil) })
 		}
 	}
 	if n := c.Attempt - e.saved.Attempts; n >= 0 && n < len(e.pending) { // their numbers go on in order: all or none
--- /dev/null
+++ b/internal/front/resp2/handover.go
@@ -0,0 +1,75 @@
+package resp2
+
+import (
+	"net"
+	"time"
+)
+
+// Handed is a client's connection that goes from one server to another, in this process or the next one.
+type Handed struct {
+	Conn   net.Conn
+	Unread []byte // read from it, and not answered: a part of a request, or more
+	Used   bool   // a request was answered on it
+}
+
+// handing is what a server is at that gives its connections away.
+type handing struct {
+	on   bool
+	over bool // what comes now is too late, and closed
+	list []Handed
+}
+
+// Detach ends the server without closing a connection: requests in hand are answered, and what was read of others goes along. The
+// listener stays open. A client that does not take its answer within the limit is closed, as when it is silent for too long.
+func (c *Server) Detach(limit time.Duration) []Handed {
+	c.mu.Lock()
+	c.handing.on = true
+	c.closing = true // for good
+	if c.drain.timer != nil {
+		c.drain.timer.Stop()
+	}
+	for conn := range c.conns {
+		conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.mu.Unlock()
+	if l, ok := c.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		l.SetDeadline(time.Unix(1, 0))
+	}
+	c.Wait(limit)
+	c.mu.Lock()
+	for conn := range c.conns {
+		conn.SetDeadline(time.Unix(1, 0))
+	}
+	c.mu.Unlock()
+	c.Wait(limit)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handing.over = true
+	return c.handing.list
+}
+
+// handOver gives a connection away if the server does that, with what is unread of it. It tells whether it did.
+func (c *Server) handOver(conn net.Conn, unread []byte, used bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.handing.on || c.handing.over {
+		return false
+	}
+	c.handing.list = append(c.handing.list, Handed{conn, unread, used})
+	return true
+}
+
+// Adopt serves connections of another server, before Serve or beside it.
+func (c *Server) Adopt(list []Handed) {
+	for _, h := range list {
+		h.Conn.SetDeadline(time.Time{})
+		c.mu.Lock()
+		c.conns[h.Conn] = &clientState{idle: true, used: h.Used, since: time.Now(), unread: h.Unread}
+		c.wg.Add(1)
+		c.mu.Unlock()
+		go func() {
+			defer c.wg.Done()
+			c.handle(h.Conn)
+		}()
+	}
+}
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -9,6 +9,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,12 +56,16 @@
 	most int // connections
 	take Taker
 
+	// HandsOver has what was read of requests kept, so that Detach can hand it over. It is set before Serve.
+	HandsOver bool
+
 	drained atomic.Bool // PING says no
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientState
 	closing bool
 	drain   drain
+	handing handing
 	wg      sync.WaitGroup
 }
 
@@ -70,6 +76,7 @@
 	used  bool      // a request was answered on it
 	shed  bool      // closed to make room
 
+	unread  []byte    // read by another server
 	limited bool      // it has a deadline to read
 	until   time.Time // when the request that has begun must be read; its goroutine's alone
 }
@@ -81,17 +88,45 @@
 	server  *Server
 	state   *clientState
 	writeTo time.Time // its deadline to write
+	replay  []byte    // what another server read of it, to be read again
+	seen    []byte    // what has been read since the request began, where connections may be handed over
 }
 
 // Read reads what comes next. Within a request it waits until the time for that is up.
 func (p *patient) Read(b []byte) (int, error) {
+	if len(p.replay) > 0 {
+		n := copy(b, p.replay)
+		p.seen, p.replay = append(p.seen, p.replay[:n]...), p.replay[n:]
+		return n, nil
+	}
 	if s := p.state; !s.until.IsZero() {
 		p.server.mu.Lock()
-		s.limited = true
-		p.Conn.SetReadDeadline(s.until)
+		on := p.server.handing.on
+		if !on {
+			s.limited = true
+			p.Conn.SetReadDeadline(s.until)
+		}
 		p.server.mu.Unlock()
+		if on {
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	n, err := p.Conn.Read(b)
+	if p.server.HandsOver {
+		p.seen = append(p.seen, b[:n]...)
+	}
+	return n, err
+}
+
+// unread is what the next server is to read first.
+func (p *patient) unread() []byte { return append(p.seen, p.replay...) }
+
+// mark forgets what was read before the last bytes, so many of them: they are the beginning of a request.
+func (p *patient) mark(unread int) {
+	p.seen = append(p.seen[:0], p.seen[len(p.seen)-min(unread, len(p.seen)):]...)
+	if cap(p.seen) > 4*firstRead { // what a long request took is given back
+		p.seen = slices.Clone(p.seen)
 	}
-	return p.Conn.Read(b)
 }
 
 // Write writes an answer, in requestTime at least and twice that at most.
@@ -105,6 +140,9 @@
 
 // New makes a Server with at most so many connections.
 func New(ln net.Listener, most int, take Taker) *Server {
+	if l, ok := ln.(interface{ SetDeadline(time.Time) error }); ok { // another server may have ended it
+		l.SetDeadline(time.Time{})
+	}
 	return &Server{ln: ln, most: most, take: take, conns: map[net.Conn]*clientState{}}
 }
 
@@ -113,7 +151,7 @@
 func (c *Server) Serve(ctx context.Context) error {
 	for {
 		conn, err := c.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil { // out of descriptors, say: that passes
@@ -126,6 +164,9 @@
 				conn.Close()
 				return nil
 			}
+			if c.handOver(conn, nil, false) {
+				return nil
+			}
 		}
 		go func() {
 			defer c.wg.Done()
@@ -218,17 +259,24 @@
 	c.mu.Lock()
 	s := c.conns[raw]
 	c.mu.Unlock()
+	kept := false // by whoever goes on with it
 	defer func() {
-		raw.Close()
+		if !kept {
+			raw.Close()
+		}
 		c.mu.Lock()
 		delete(c.conns, raw)
 		c.mu.Unlock()
 	}()
-	conn := &patient{Conn: raw, server: c, state: s}
+	conn := &patient{Conn: raw, server: c, state: s, replay: s.unread}
 	r := bufio.NewReaderSize(conn, 4096)
 	until := time.Now().Add(requestTime) // for the first request, from the connect on
 	c.mu.Lock()
-	if s.limited = true; c.drain.closing {
+	if s.limited = true; c.handing.on {
+		raw.SetReadDeadline(time.Unix(1, 0))
+	} else if s.used && !c.closing && !c.drain.closing { // by another server
+		s.limited, until = false, time.Time{}
+	} else if c.drain.closing {
 		raw.SetReadDeadline(time.Now().Add(drainNew))
 	} else if c.closing {
 		raw.SetReadDeadline(time.Now().Add(LastLook))
@@ -237,7 +285,9 @@
 	}
 	c.mu.Unlock()
 	for {
+		conn.mark(r.Buffered())
 		if _, err := r.Peek(1); err != nil {
+			kept = errors.Is(err, os.ErrDeadlineExceeded) && c.handOver(raw, conn.unread(), s.used)
 			return
 		}
 		if until.IsZero() {
@@ -253,6 +303,7 @@
 			return
 		}
 		if err != nil {
+			kept = errors.Is(err, os.ErrDeadlineExceeded) && c.handOver(raw, conn.unread(), s.used)
 			return
 		}
 		answer, written := c.answer(args)
@@ -260,7 +311,11 @@
 		if written != nil {
 			written(err == nil)
 		}
-		if err != nil || r.Buffered() == 0 && !c.next(raw, s) {
+		if err != nil {
+			return
+		}
+		conn.mark(r.Buffered())
+		if kept = c.handOver(raw, conn.unread(), true); kept || r.Buffered() == 0 && !c.next(raw, s) {
 			return
 		}
 		until = time.Time{}
