--- a/cmd/scaleroute-lab/program.go
+++ b/cmd/scaleroute-lab/program.go
@@ -29,11 +29,18 @@
 	ended   chan struct{}
 	killed  bool
 	address string
-	door    string        // for operators
-	handed  bool          // it has handed over to another process
+	log     *processLog
 	cpu     time.Duration // of those before
+	counted bool          // the one that has ended is among them
 	peakKB  int64
-	tail    []string // the end of its log
+}
+
+// processLog is what the log of one process has said.
+type processLog struct {
+	mu     sync.Mutex
+	door   string   // for operators
+	handed bool     // it has handed over to another process
+	tail   []string // its end
 }
 
 // build makes the daemon from the module of the current folder.
@@ -63,14 +70,15 @@
 	}
 	ended, address := make(chan struct{}), make(chan string, 1)
 	p.mu.Lock()
-	p.cmd, p.ended, p.killed, p.handed, p.door = cmd, ended, false, false, ""
+	lines := &processLog{}
+	p.cmd, p.ended, p.killed, p.log, p.counted = cmd, ended, false, lines, false
 	p.mu.Unlock()
 	go func() {
 		defer close(ended)
-		lines := bufio.NewScanner(log)
-		for lines.Scan() {
-			p.note(lines.Text())
-			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving "); ok {
+		text := bufio.NewScanner(log)
+		for text.Scan() {
+			lines.note(text.Text())
+			if _, rest, ok := strings.Cut(text.Text(), "msg=serving "); ok {
 				_, at, _ := strings.Cut(rest, "address=")
 				at, _, _ = strings.Cut(at, " ")
 				select {
@@ -92,22 +100,29 @@
 	}
 }
 
-func (p *program) note(line string) {
-	p.mu.Lock()
+func (l *processLog) note(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if _, at, ok := strings.Cut(line, "msg=\"operators' door\" address="); ok {
-		p.door = at
+		l.door = at
 	}
-	p.handed = p.handed || strings.Contains(line, "msg=\"handed over\"")
-	if p.tail = append(p.tail, line); len(p.tail) > 10 {
-		p.tail = p.tail[1:]
+	l.handed = l.handed || strings.Contains(line, "msg=\"handed over\"")
+	if l.tail = append(l.tail, line); len(l.tail) > 10 {
+		l.tail = l.tail[1:]
 	}
-	p.mu.Unlock()
 }
 
 func (p *program) logTail() string {
+	l := p.said()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.tail, "\n")
+}
+
+func (p *program) said() *processLog {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return strings.Join(p.tail, "\n")
+	return p.log
 }
 
 // kill ends the process that was started with SIGKILL.
@@ -119,7 +134,7 @@
 	p.mu.Unlock()
 	err := cmd.Process.Kill()
 	<-ended
-	p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	p.cpu, p.counted = p.cpu+cmd.ProcessState.UserTime()+cmd.ProcessState.SystemTime(), true
 	return err
 }
 
--- a/cmd/scaleroute-lab/upgrade.go
+++ b/cmd/scaleroute-lab/upgrade.go
@@ -50,12 +50,12 @@
 func (p *program) become(next *program) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.cmd.ProcessState; s != nil {
+	if s := p.cmd.ProcessState; s != nil && !p.counted {
 		p.cpu += s.UserTime() + s.SystemTime()
 	}
-	p.cpu += next.cpu
+	p.counted = false
 	p.peakKB = max(p.peakKB, next.peakKB)
-	p.cmd, p.ended, p.killed, p.handed, p.address, p.door = next.cmd, next.ended, next.killed, next.handed, next.address, next.door
+	p.cmd, p.ended, p.killed, p.address, p.log = next.cmd, next.ended, next.killed, next.address, next.log
 }
 
 // endOld ends the process that has handed over as the platform does.
@@ -146,9 +146,10 @@
 // goesOn waits until the process is ready again or has handed over, and tells which.
 func (p *program) goesOn(ctx context.Context) (bool, error) {
 	for limit := time.Now().Add(goOnTime); time.Now().Before(limit) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
-		p.mu.Lock()
-		handed := p.handed
-		p.mu.Unlock()
+		l := p.said()
+		l.mu.Lock()
+		handed := l.handed
+		l.mu.Unlock()
 		if handed {
 			return false, nil
 		}
@@ -161,9 +162,10 @@
 
 // call makes an operator's call.
 func (p *program) call(method, path string) (status int, body string, err error) {
-	p.mu.Lock()
-	door := p.door
-	p.mu.Unlock()
+	l := p.said()
+	l.mu.Lock()
+	door := l.door
+	l.mu.Unlock()
 	r, err := http.NewRequest(method, "http://"+door+path, nil)
 	if err != nil {
 		return 0, "", err
