--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -60,6 +60,7 @@
 
 	inherited net.Listener // the clients' socket that the platform holds; nil if it does not
 	id        takeover.Identity
+	door      string          // the operators' address
 	before    *engine.Figures // of what served before in this process
 }
 
@@ -99,6 +100,7 @@
 		d := door.New(f.control)
 		defer d.Close()
 		go d.Serve(ln)
+		f.door = ln.Addr().String()
 		slog.Info("operators' door", "address", ln.Addr())
 	}
 	if c.SocketFD != 0 {
@@ -210,7 +212,7 @@
 	}
 	takeover.Reached("new: recovered")
 	if taker != nil {
-		if err := taker.Own(); err != nil { // it has ended: nobody else owns what it had
+		if err := taker.Own(f.door); err != nil { // it has ended: nobody else owns what it had
 			slog.Warn("the process before has not heard that this one has taken over", "err", err)
 		}
 		taker.Close()
--- a/cmd/scaleroute/takeover.go
+++ b/cmd/scaleroute/takeover.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"scaleroute/internal/door"
 	"scaleroute/internal/journal"
 	"scaleroute/internal/takeover"
 )
@@ -122,11 +123,11 @@
 		err = to.Give(parcels)
 	}
 	takeover.Reached("old: sent")
+	at := ""
 	for limit := time.Now().Add(folderWait); ; time.Sleep(folderPause) {
 		gone := err != nil
 		if !gone {
-			err = to.Owned(ownedLook)
-			if err == nil {
+			if at, err = to.Owned(ownedLook); err == nil {
 				break
 			}
 			if gone = !errors.Is(err, os.ErrDeadlineExceeded); !gone { // it is slow
@@ -147,6 +148,9 @@
 		}
 	}
 	takeover.Reached("old: owned")
+	if at != "" {
+		f.control.Forward(door.To(at))
+	}
 	left.close()
 	slog.Info("handed over", "clients", len(left.clients), "calls", len(left.engine.Calls))
 	select {
--- a/cmd/scaleroute/upgrade_test.go
+++ b/cmd/scaleroute/upgrade_test.go
@@ -181,6 +181,11 @@
 		}
 		old.stats("it has handed all over", func(s operations.Stats) bool { return s.OpenRequests == 0 })
 		next.stats("it has all", func(s operations.Stats) bool { return s.OpenRequests == 6 && s.OutOfRotation >= 3 && s.Registry == 5 })
+		old.awaitLog("handed over")
+		old.yes("PUT", fmt.Sprintf("/targets/s%d/ready", works)) // what is still said there is passed on
+		if status, _ := old.ask("PUT", "/targets/nobody/maint"); status != http.StatusNotFound {
+			t.Errorf("a no that is passed on: %d", status)
+		}
 		old.cmd.Process.Signal(syscall.SIGTERM)
 		if err := old.cmd.Wait(); err != nil {
 			t.Errorf("the old process: %v", err)
--- a/cmd/scaleroutectl/main.go
+++ b/cmd/scaleroutectl/main.go
@@ -18,6 +18,7 @@
 type commands struct {
 	Journal journalCommands `cmd:"" help:"Look into the journal of a forwarder."`
 	Check   checkCommand    `cmd:"" help:"Say all that is wrong with an operators' file."`
+	Door    doorCommands    `cmd:"" help:"Ask or tell a running forwarder at its door for operators."`
 	Explain explainCommand  `cmd:"" help:"Say what holds for a message, and which line says so."`
 	Diff    diffCommand     `cmd:"" help:"Say what two versions change in effect; exit 1 if anything."`
 	Fmt     fmtCommand      `cmd:"" help:"Lay operators' files out; comments stay."`
--- a/internal/operations/control.go
+++ b/internal/operations/control.go
@@ -34,6 +34,7 @@
 	why    error // it does not serve
 	part   Part
 	failed bool // told so at this process's door
+	next   Next // the process that has taken over; nil if none has
 }
 
 // Why a process is not ready.
@@ -59,12 +60,6 @@
 	c.why = why
 }
 
-func (c *Control) serving() (Part, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.part, c.why
-}
-
 // Ready is nil, or why this process is not ready to serve.
 func (c *Control) Ready() error {
 	c.mu.Lock()
@@ -75,29 +70,68 @@
 	return c.why
 }
 
+// Next is the process that has taken over: what operators still say here is passed on to it.
+type Next interface {
+	Members
+	SendAway(context.Context) error
+	TakeAgain(context.Context) error
+}
+
+// Forward passes operators' calls on from now on. Whether this process is ready, and its figures, stay its own.
+func (c *Control) Forward(to Next) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = to
+}
+
+func (c *Control) members() (Members, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next != nil {
+		return c.next, nil
+	}
+	return c.part.Members, c.why
+}
+
 // LeaveOut leaves a target out until PutBack.
 func (c *Control) LeaveOut(target string) error {
-	p, err := c.serving()
+	m, err := c.members()
 	if err != nil {
 		return err
 	}
-	return p.Members.LeaveOut(target)
+	return m.LeaveOut(target)
 }
 
 // PutBack puts it back.
 func (c *Control) PutBack(target string) error {
-	p, err := c.serving()
+	m, err := c.members()
 	if err != nil {
 		return err
 	}
-	return p.Members.PutBack(target)
+	return m.PutBack(target)
 }
 
 // SendAway sends clients away until TakeAgain.
-func (c *Control) SendAway(context.Context) error { return c.drain(true) }
+func (c *Control) SendAway(ctx context.Context) error {
+	if next := c.after(); next != nil {
+		return next.SendAway(ctx)
+	}
+	return c.drain(true)
+}
 
 // TakeAgain takes them again.
-func (c *Control) TakeAgain(context.Context) error { return c.drain(false) }
+func (c *Control) TakeAgain(ctx context.Context) error {
+	if next := c.after(); next != nil {
+		return next.TakeAgain(ctx)
+	}
+	return c.drain(false)
+}
+
+func (c *Control) after() Next {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
 
 func (c *Control) drain(away bool) error {
 	c.mu.Lock()
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -199,13 +199,14 @@
 	return send(g.conn, Parcel{Kind: kindEnd})
 }
 
-// Owned waits until the new process says that it owns what was sent. An error means that it has ended, or said nothing for so long.
-func (g *Giver) Owned(limit time.Duration) error {
+// Owned waits until the new process says that it owns what was sent, and returns where its operators' door is. An error means that it has
+// ended, or said nothing for so long.
+func (g *Giver) Owned(limit time.Duration) (door string, err error) {
 	p, err := receive(g.conn, limit)
 	if err == nil && p.Kind != kindOwned {
 		err = fmt.Errorf("%w: %q where %q should come", errDamaged, p.Kind, kindOwned)
 	}
-	return err
+	return string(p.Data), err
 }
 
 // Close ends the old process's end.
@@ -290,8 +291,10 @@
 	}
 }
 
-// Own says that this process owns what came.
-func (t *Taker) Own() error { return send(t.conn, Parcel{Kind: kindOwned}) }
+// Own says that this process owns what came, and where its operators' door is; empty if it has none.
+func (t *Taker) Own(door string) error {
+	return send(t.conn, Parcel{Kind: kindOwned, Data: []byte(door)})
+}
 
 // Close ends the new process's end.
 func (t *Taker) Close() { t.conn.Close() }
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -98,7 +98,12 @@
 	go func() {
 		g := <-s.Asks()
 		defer g.Close()
-		given <- errors.Join(g.Coming(), g.Give(sent), g.Owned(time.Minute))
+		err := errors.Join(g.Coming(), g.Give(sent))
+		door, owned := g.Owned(time.Minute)
+		if door != "127.0.0.1:1" {
+			t.Errorf("its door is at %q", door)
+		}
+		given <- errors.Join(err, owned)
 	}()
 	taker, err := Ask(dir, id)
 	if err != nil {
@@ -126,7 +131,7 @@
 		}
 		n++
 	}
-	if err := taker.Own(); err != nil {
+	if err := taker.Own("127.0.0.1:1"); err != nil {
 		t.Error(err)
 	}
 	if err := <-given; err != nil {
