--- a/internal/decide/export_test.go
+++ b/internal/decide/export_test.go
@@ -57,7 +57,7 @@
 	if m.chance != o.chance {
 		list = append(list, "chance")
 	}
-	if a, b := fmt.Sprint(m.lines, m.longer, m.tenants, m.idleLoss, m.usual, m.begun), fmt.Sprint(o.lines, o.longer, o.tenants, o.idleLoss, o.usual, o.begun); a != b {
+	if a, b := fmt.Sprint(m.lines, m.longer, m.tenants, m.idleLoss, m.longLoss, m.usual, m.begun), fmt.Sprint(o.lines, o.longer, o.tenants, o.idleLoss, o.longLoss, o.usual, o.begun); a != b {
 		list = append(list, a+" and "+b)
 	}
 	return list
--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -122,6 +122,7 @@
 	seq          uint64
 	chance       string // the state of what draws by chance
 	idleLoss     [idleSteps]decayingMean
+	longLoss     decayingMean
 	longer       map[string]float64
 	tenants      map[string]tenant
 	dests        []destMemory
@@ -261,6 +262,7 @@
 	c.times(&m.usual, &m.begun)
 	c.uint(&m.seq)
 	c.text(&m.chance)
+	c.counts(&m.longLoss.decaying)
 	for i := range m.idleLoss {
 		c.counts(&m.idleLoss[i].decaying)
 	}
@@ -295,7 +297,7 @@
 
 // Save returns what the Forwarder remembers. Calls that are out without a message that is still held are left out: the host has called them off.
 func (f *Forwarder) Save() []byte {
-	m := &Memory{usual: f.usual, begun: f.begun, seq: f.seq, lines: map[string]time.Duration{}, idleLoss: f.idleLoss, longer: map[string]float64{}, tenants: map[string]tenant{}, messages: map[string]*messageMemory{}}
+	m := &Memory{usual: f.usual, begun: f.begun, seq: f.seq, lines: map[string]time.Duration{}, idleLoss: f.idleLoss, longLoss: f.longLoss, longer: map[string]float64{}, tenants: map[string]tenant{}, messages: map[string]*messageMemory{}}
 	for class, v := range f.longer {
 		m.longer[class.Name] = v
 	}
@@ -371,7 +373,7 @@
 // memory knows calls that are out.
 func (f *Forwarder) Restore(now time.Duration, m *Memory, lists []TargetList, held []Message) (actions []Action, out map[string][]int) {
 	f.now, f.actions, f.next = now, nil, never
-	f.begun, f.usual, f.idleLoss = m.begun, m.usual, m.idleLoss
+	f.begun, f.usual, f.idleLoss, f.longLoss = m.begun, m.usual, m.idleLoss, m.longLoss
 	for name, c := range f.classes {
 		if v, ok := m.longer[name]; ok {
 			f.longer[c] = v
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -198,7 +198,8 @@
 	kinds    map[string]Kind
 	tenants  map[string]*tenant
 	idleLoss [idleSteps]decayingMean // share of calls lost, by how long the connection was idle
-	longer   map[*Class]float64      // time that a class takes, over its route's usual time
+	longLoss decayingMean
+	longer   map[*Class]float64 // time that a class takes, over its route's usual time
 	rng      *rand.Rand
 	now      time.Duration
 
@@ -535,13 +536,15 @@
 	minTimeout  = 1500 * time.Millisecond
 	timeFactor  = 10 // time-out of a call that may be repeated, over the usual time
 
-	idleSteps = 9 // steps of the time that a connection was idle
-	firstIdle = 60 * time.Millisecond
-	lossShare = 1.0 / 8  // weight of one call in the share lost
-	idleShare = 1.0 / 16 // the same for connections of one idle time
-	staleLoss = 0.17     // above this share, connections idle for so long are not used
-	roomCost  = 0.1      // price of a connection that idles at a target
-	tableRoom = 20.0     // connections that a small table takes: fewer senders than that can't fill it
+	idleSteps  = 9 // steps of the time that a connection was idle
+	firstIdle  = 60 * time.Millisecond
+	lossShare  = 1.0 / 8 // weight of one call in the share lost
+	longFactor = 4.0
+	lostLong   = 1.5
+	idleShare  = 1.0 / 16 // the same for connections of one idle time
+	staleLoss  = 0.17     // above this share, connections idle for so long are not used
+	roomCost   = 0.1      // price of a connection that idles at a target
+	tableRoom  = 20.0     // connections that a small table takes: fewer senders than that can't fill it
 
 	fullsPerFail  = 2.0 // so many refusals in a row say as much of an outage as one failure
 	trialShare    = 0.5 // of what a cold route may be sent: trial calls of all senders together
@@ -1344,6 +1347,11 @@
 // ---- Route health.
 
 // learn takes what the outcome of a call tells of its route and target.
+func (f *scanner) long(c *call, o Outcome) bool {
+	return c.sent <= c.route.okSent && f.now-c.sent > max(2*minPatience, lostFactor*cmp.Or(c.route.mean, guessTime)) &&
+		(o.Result == Done || o.Result == Rejected || o.Result == TimedOut || o.Result == Cancelled && c.called)
+}
+
 func (f *scanner) learn(r *route, c *call, o Outcome) {
 	switch o.Result {
 	case Done, Errored, Full:
@@ -1353,6 +1361,9 @@
 			f.doubt(r)
 		}
 	}
+	if f.long(c, o) { // unless such calls mostly were
+		f.longLoss.put(f.now, forget, lossShare, share(o.Result != Done && o.Result != Rejected))
+	}
 	if o.Result == TimedOut && c.hasty { // its message had no time left: that is no one's failure
 		if c.trial {
 			r.tried = f.now
@@ -1642,8 +1653,9 @@
 		for _, a := range c.parts {
 			limit = max(limit, f.patience(a.m, usual))
 		}
-		if r := c.route; !r.open && c.sent <= r.okSent { // its route works: it is long rather than lost
-			limit *= 4
+		if r := c.route; !r.open && c.sent <= r.okSent { // its route works: it is long rather than lost,
+			lost := f.longLoss.get(f.now, forget)
+			limit = time.Duration(float64(limit) * (longFactor - (longFactor-lostLong)*lost))
 		}
 		over := float64(f.now-c.sent) / float64(limit)
 		if !c.called && !f.before(c.sent+limit) && over >= most {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -310,6 +310,7 @@
 	kinds    map[string]Kind
 	tenants  map[string]*tenant
 	idleLoss [idleSteps]decayingMean // share of calls lost, by how long the connection was idle
+	longLoss decayingMean            // share of calls lost among those out for long to routes that work
 	longer   map[*Class]float64      // time that a class takes, over its route's usual time
 	rng      *rand.Rand
 	source   *rand.PCG // of rng
@@ -884,6 +885,12 @@
 	}
 }
 
+// long tells whether a call that has ended was out for long though its route works, and either was answered or was given up.
+func (f *Forwarder) long(c *call, o Outcome) bool {
+	return c.sent <= c.route.okSent && f.now-c.sent > max(2*minPatience, lostFactor*cmp.Or(c.route.mean, guessTime)) &&
+		(o.Result.answered() || o.Result == TimedOut || o.Result == Cancelled && c.called)
+}
+
 // idle is the number of connections to a target believed to be open and free.
 func (f *Forwarder) idle(t *target) int {
 	n := 0
