--- a/cmd/scaleroute-lab/lab_test.go
+++ b/cmd/scaleroute-lab/lab_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// TestUpgradesInTheLab: other processes take over under load, one of the two is killed in half of the cases, and operators leave endpoints out:
+// no rule is broken, and nobody is left without an answer.
+func TestUpgradesInTheLab(t *testing.T) {
+	o := small(t)
+	o.kills, o.upgrades, o.bans = 0, 8, 3
+	r := played(t, o)
+	if r.Broken() || r.CutOff || r.Unheard > 0 {
+		t.Errorf("%s %q; %d without an answer", r.verdict(), r.Examples, r.Unheard)
+	}
+	if u := r.Upgrades; u.Whole+u.OldKilled+u.NewKilled != 8 || u.Whole == 0 || u.OldKilled == 0 || u.NewKilled == 0 {
+		t.Errorf("%+v: the run shows little", u)
+	}
+	if r.Handed != 600 || r.Delivered+r.Refused+r.Failed != 600 {
+		t.Errorf("%d handed in; %d delivered, %d refused, %d failed", r.Handed, r.Delivered, r.Refused, r.Failed)
+	}
+}
+
 // TestSilenceInTheLab: with half of the destinations silent from the start, and few slots, all messages for
 // the others are delivered.
 func TestSilenceInTheLab(t *testing.T) {
