--- a/cmd/scaleroute/upgrade_test.go
+++ b/cmd/scaleroute/upgrade_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"scaleroute/internal/operations"
+	"scaleroute/internal/takeover"
 )
 
 // upgrades is a world in which the platform holds the clients' socket, and everything is under way that an upgrade must keep: a call that
@@ -399,3 +400,60 @@
 		t.Errorf("PING after the drain: %q", got)
 	}
 }
+
+// TestUpgradeSpoilt: what a process leaves is damaged or cut short; the next one says where, and starts from the journal alone.
+func TestUpgradeSpoilt(t *testing.T) {
+	u := newUpgrades(t)
+	p := u.launch()
+	p.await()
+	p.client().hand("drain-1", "unsafe", drains)
+	p.kill()
+	dir := strings.TrimPrefix(u.env[0], "TMPDIR=")
+	id, err := takeover.Identify("n0", u.state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		list []takeover.Parcel
+		log  string
+	}{
+		{"memory", []takeover.Parcel{{Kind: kindEngine, Data: []byte(`{"module":"AQID","clock_ns":5}`)}}, "bytes before its end"},
+		{"no JSON", []takeover.Parcel{{Kind: kindFront, Data: []byte("{}")}, {Kind: kindEngine, Data: []byte("{")}}, "parcel 2"},
+		{"no engine", []takeover.Parcel{{Kind: kindFront, Data: []byte("{}")}}, "none of"},
+		{"a call without a connection", []takeover.Parcel{{Kind: kindCall, Data: []byte("{}")}}, "without a connection"},
+		{"an unknown kind", []takeover.Parcel{{Kind: "what"}}, "does not know"},
+		{"cut short", nil, "did not hand over whole"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := takeover.Listen(dir, id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan bool)
+			go func() {
+				s.Serve(t.Context())
+				close(ended)
+			}()
+			next := u.launch()
+			g := <-s.Asks()
+			if err := g.Coming(); err != nil {
+				t.Fatal(err)
+			}
+			if c.list != nil {
+				if err := g.Give(c.list); err != nil {
+					t.Fatal(err)
+				}
+			} else {
+				g.Close()
+			}
+			s.Close()
+			<-ended
+			next.awaitLog(c.log)
+			next.await()
+			next.stats("what the journal holds", func(s operations.Stats) bool { return s.OpenRequests == 1 })
+			next.kill()
+			g.Close()
+		})
+	}
+}
