--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -156,7 +156,7 @@
 // start makes the engine and has it go on with what the journal holds, and with what another one left.
 func (f *forwarder) start(j *journal.Journal, from *bundle) (l *engine.Engine, http *httpcall.Back, known *agent.List, err error) {
 	back, http := f.back()
-	configuration := engine.Config{Settings: f.settings, Journal: j, Back: back, Limits: f.operators.intake(), SyncEvery: time.Duration(f.operators.now.Journal.SyncEvery),
+	configuration := engine.Config{Settings: f.settings, Journal: j, Back: back, Resumer: http, Limits: f.operators.intake(), SyncEvery: time.Duration(f.operators.now.Journal.SyncEvery),
 		Finals: map[string]engine.Finals{"": f.platform}, Figures: f.c.Ops != "", Before: f.before}
 	if f.operators.plugins != nil {
 		configuration.Ended = f.operators.plugins.Ended
--- a/cmd/scaleroute/upgrade_test.go
+++ b/cmd/scaleroute/upgrade_test.go
@@ -24,6 +24,7 @@
 	*world
 	release chan bool // the calls that are out are answered once it is closed
 	once    sync.Once
+	static  int // endpoints that operators have set
 }
 
 // The destinations of its targets.
@@ -135,7 +136,9 @@
 	c.hand("wait-2", "harmless", waits)
 	c.hand("ban-1", "unsafe", banned)
 	c.hand("drain-1", "harmless", drains)
-	p.stats("all that is held", func(s operations.Stats) bool { return s.OpenRequests == 6 && s.OutOfRotation >= 3 && s.Registry == 5 })
+	p.stats("all that is held", func(s operations.Stats) bool {
+		return s.OpenRequests == 6 && s.OutOfRotation >= 3 && s.Registry == 5+u.static
+	})
 	return p, c
 }
 
@@ -164,8 +167,29 @@
 
 // TestUpgrade: three processes follow each other within a second, with calls out, messages held, a wait, a ban, a drain, and a connection
 // that is used, one that is idle and one with half a request. Nothing is lost or begun anew, and nobody is turned back.
+// It is the same whatever operators have set, but for calls by mail and through plug-ins.
 func TestUpgrade(t *testing.T) {
-	u := newUpgrades(t)
+	for name, pools := range map[string]string{
+		"nothing set": "",
+		"a file":      `{"name":"p","destination":20,"endpoints":[{"name":"t20","address":"127.0.0.1:1"}]}`,
+		"mail":        `{"name":"p","destination":20,"sender":"a@b.example","recipient":"c@d.example","endpoints":[{"name":"t20","address":"127.0.0.1:1","protocol":"smtp"}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpgrades(t)
+			if pools != "" {
+				u.static = 1
+				path := filepath.Join(t.TempDir(), "operators.json")
+				if err := os.WriteFile(path, fmt.Appendf(nil, `{"format":1,"journal":{"durability":"process"},"pools":[%s]}`, pools), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				u.args = []string{"-operators", path}
+			}
+			upgradeThrice(t, u)
+		})
+	}
+}
+
+func upgradeThrice(t *testing.T, u *upgrades) {
 	p, c := u.begin()
 	idle, half := p.client(), p.client()
 	idle.say("PING")
@@ -181,7 +205,9 @@
 			t.Errorf("the old one is ready: %d %s", status, body)
 		}
 		old.stats("it has handed all over", func(s operations.Stats) bool { return s.OpenRequests == 0 })
-		next.stats("it has all", func(s operations.Stats) bool { return s.OpenRequests == 6 && s.OutOfRotation >= 3 && s.Registry == 5 })
+		next.stats("it has all", func(s operations.Stats) bool {
+			return s.OpenRequests == 6 && s.OutOfRotation >= 3 && s.Registry == 5+u.static
+		})
 		old.awaitLog("handed over")
 		old.yes("PUT", fmt.Sprintf("/targets/s%d/ready", works)) // what is still said there is passed on
 		if status, _ := old.ask("PUT", "/targets/nobody/maint"); status != http.StatusNotFound {
--- a/internal/engine/handover.go
+++ b/internal/engine/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"net"
@@ -34,7 +33,7 @@
 // ends as any other call.
 type Portable interface{ HandsOver() }
 
-// Resumer is a Back that can go on with calls of another process.
+// Resumer goes on with calls of another process: with what a Portable's were.
 type Resumer interface {
 	Resume(ctx context.Context, endpoint string, p *Pending, a Attempt) decide.Outcome
 }
@@ -160,10 +159,6 @@
 	if err != nil {
 		return err
 	}
-	resumer, _ := l.back.(Resumer)
-	if resumer == nil && len(h.Calls) > 0 {
-		return fmt.Errorf("%d calls are handed over, and this back can't go on with them", len(h.Calls))
-	}
 	gap := min(max(0, time.Since(h.At)), longestGap)
 	l.clock = time.Now().Add(-h.Clock - gap)
 	told := make([]decide.TargetList, len(lists))
@@ -196,7 +191,7 @@
 			k := key{m.ID, attempt}
 			c := known[k]
 			delete(known, k)
-			l.goOn(e, attempt, c.Endpoint, c.Pending, resumer)
+			l.goOn(e, attempt, c.Endpoint, c.Pending)
 		}
 	}
 	for _, c := range known { // of messages that are over
@@ -207,7 +202,7 @@
 }
 
 // goOn waits for the answer to a call that another process made.
-func (l *Engine) goOn(e *entry, attempt int, endpoint string, p *Pending, back Resumer) {
+func (l *Engine) goOn(e *entry, attempt int, endpoint string, p *Pending) {
 	call, cancel := context.WithCancelCause(context.Background())
 	e.calls = append(e.calls, out{attempt, cancel, true})
 	a := Attempt{ID: e.saved.ID, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: attempt}
@@ -218,7 +213,7 @@
 			o := decide.Outcome{Result: decide.Reset} // lost on the way: it may have run
 			if p != nil {
 				a.Timeout = time.Until(p.End)
-				o = back.Resume(call, endpoint, p, a)
+				o = l.resumer.Resume(call, endpoint, p, a)
 			}
 			keep.over(&o)
 		}()
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -91,6 +91,8 @@
 	Settings decide.Settings
 	Journal  *journal.Journal // the engine's alone from now on
 	Back     Back
+	// Resumer goes on with calls of another process, whatever Back is made of; nil where none are handed over.
+	Resumer Resumer
 	// SyncEvery is how often a journal is synced that is synced at intervals.
 	SyncEvery time.Duration
 	// Limits are those of a class towards a destination, by a route if its name is not empty; nil for none.
@@ -113,6 +115,7 @@
 	module  *decide.Forwarder
 	journal *journal.Journal
 	back    Back
+	resumer Resumer
 	finals  map[string]Finals
 	clock   time.Time
 	inbox   chan any
@@ -146,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended, steps: c.Steps,
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, resumer: c.Resumer, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended, steps: c.Steps,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
