--- a/cmd/scaleroute/takeover.go
+++ b/cmd/scaleroute/takeover.go
@@ -123,20 +123,21 @@
 		err = to.Give(parcels)
 	}
 	takeover.Reached("old: sent")
-	at := ""
+	at, why := "", err
 	for limit := time.Now().Add(folderWait); ; time.Sleep(folderPause) {
 		gone := err != nil
 		if !gone {
 			if at, err = to.Owned(ownedLook); err == nil {
 				break
 			}
+			why = err
 			if gone = !errors.Is(err, os.ErrDeadlineExceeded); !gone { // it is slow
 				err = nil
 			}
 		}
 		j, locked := f.openJournal()
 		if locked == nil { // and neither owns the folder nor can any more
-			slog.Error("the next process did not take over; this one goes on", "err", err)
+			slog.Error("the next process did not take over; this one goes on: see that one's log, and start it again", "err", why)
 			return j, nil
 		}
 		if !errors.Is(locked, syscall.EWOULDBLOCK) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -79,7 +80,8 @@
 	fleet Fleet
 
 	mu      sync.Mutex
-	last    *List // the whole list, as told last
+	last    map[string]Endpoint // the list as told last, where Last is wanted
+	version int64               // its
 	agent   *agent
 	pending []notice
 	wake    chan struct{}
@@ -303,24 +305,22 @@
 	}
 }
 
-// note keeps the whole list, from what was told.
+// KeepLast has the list kept for Last. It is called before Watch.
+func (p *Platform) KeepLast() { p.last = map[string]Endpoint{} }
+
+// note keeps the list, from what was told.
 func (p *Platform) note(l *List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.Snapshot || p.last == nil {
-		p.last = &List{Index: l.Index, Snapshot: true, Endpoints: slices.Clone(l.Endpoints)}
+	if p.last == nil {
 		return
 	}
-	p.last.Index = l.Index
+	if p.version = l.Index; l.Snapshot {
+		clear(p.last)
+	}
 	for _, e := range l.Endpoints {
-		at := slices.IndexFunc(p.last.Endpoints, func(o Endpoint) bool { return o.Name == e.Name })
-		switch {
-		case at < 0 && e.Status != statusDeleted:
-			p.last.Endpoints = append(p.last.Endpoints, e)
-		case at >= 0 && e.Status == statusDeleted:
-			p.last.Endpoints = slices.Delete(p.last.Endpoints, at, at+1)
-		case at >= 0:
-			p.last.Endpoints[at] = e
+		if p.last[e.Name] = e; e.Status == statusDeleted {
+			delete(p.last, e.Name)
 		}
 	}
 }
@@ -329,5 +329,12 @@
 func (p *Platform) Last() *List {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.last
+	if len(p.last) == 0 {
+		return nil
+	}
+	l := &List{Index: p.version, Snapshot: true}
+	for _, name := range slices.Sorted(maps.Keys(p.last)) {
+		l.Endpoints = append(l.Endpoints, p.last[name])
+	}
+	return l
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -198,10 +198,10 @@
 // List tells what a source of servers has told.
 func (l *Engine) List(v List) { l.tell(v) }
 
-// ListWithin does so and waits until it binds, for so long at most.
+// ListWithin does so and waits until it binds, for so long at most. Lists bind in the order in which they are told.
 func (l *Engine) ListWithin(v List, limit time.Duration) bool {
 	bound := make(chan struct{})
-	go l.tell(listed{v, bound}) // the mailbox of a loop that hangs may be full
+	l.tell(listed{v, bound})
 	select {
 	case <-bound:
 		return true
--- a/internal/membership/hand.go
+++ b/internal/membership/hand.go
@@ -51,7 +51,7 @@
 func (s *Set) LeaveOut(name string, most int, store func([]string) error) (engine.List, error) {
 	s.hand.seen(engine.List{})
 	switch {
-	case !s.hand.known[name] && !s.hand.out[name]:
+	case !s.listed(name):
 		return engine.List{}, ErrNeverListed
 	case !s.hand.out[name] && len(s.hand.out) >= most:
 		return engine.List{}, ErrTooMany
@@ -68,7 +68,7 @@
 // PutBack ends that, and returns what it changes. To put back one that is not left out changes nothing.
 func (s *Set) PutBack(name string, store func([]string) error) (engine.List, error) {
 	s.hand.seen(engine.List{})
-	if !s.hand.known[name] && !s.hand.out[name] {
+	if !s.listed(name) {
 		return engine.List{}, ErrNeverListed
 	}
 	if !s.hand.out[name] {
@@ -82,6 +82,11 @@
 	return s.changes(s.named(name)), nil
 }
 
+// listed tells whether a name is known: it is listed, was, or is left out.
+func (s *Set) listed(name string) bool {
+	return s.by[name] != nil || s.hand.known[name] || s.hand.out[name]
+}
+
 // named is a name as one that is to be worked out anew, if any source names it.
 func (s *Set) named(name string) map[string]bool {
 	if s.by[name] == nil {
