--- a/internal/front/resp2/drain_test.go
+++ b/internal/front/resp2/drain_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"testing"
-	"time"
 
 	"scaleroute/internal/engine"
 	"scaleroute/internal/message"
@@ -110,39 +109,3 @@
 		t.Fatal(err)
 	}
 }
-
-// TestDrainHalfWritten: a request that had begun when the drain closes what is idle is read to its end, whatever part of it had come.
-func TestDrainHalfWritten(t *testing.T) {
-	c, address := startClients(t, 100, taker(takesAll))
-	request := resp("ENQUEUE", "key", "id-1", "c=note,d=1500,dest=3", "body")
-	for at := 1; at < len(request); at++ {
-		conn, r := dial(t, address)
-		fmt.Fprint(conn, request[:at])
-		for !c.allBegun() {
-			time.Sleep(time.Millisecond)
-		}
-		must(t, c.Drain())
-		c.drainIdle()
-		fmt.Fprint(conn, request[at:])
-		if got := line(t, r); got != "+OK" {
-			t.Fatalf("cut at %d: %q", at, got)
-		}
-		if _, err := r.ReadByte(); err != io.EOF {
-			t.Fatalf("cut at %d: the connection goes on: %v", at, err)
-		}
-		must(t, c.Resume())
-		conn.Close()
-	}
-}
-
-// allBegun tells whether a request has begun on each connection, and there is one.
-func (c *Server) allBegun() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.conns {
-		if s.idle {
-			return false
-		}
-	}
-	return len(c.conns) > 0
-}
--- a/internal/front/resp2/handover_test.go
+++ b/internal/front/resp2/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,8 +12,9 @@
 	"scaleroute/internal/message"
 )
 
-// TestHandOverHalfWritten: a connection with any part of a request goes from server to server, and the request is read whole and answered once.
-func TestHandOverHalfWritten(t *testing.T) {
+// TestHalfWritten: two requests are cut at each byte, and in between the server hands over, drains, or both: each is read whole and
+// answered once, and the connection goes on unless the server drains.
+func TestHalfWritten(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -27,62 +29,87 @@
 		return engine.Answer{}
 	})
 	request := resp("ENQUEUE", "key", "id-1", "c=note,d=1500,dest=3", "body")
-	// Two requests at once, so that the part that is read may begin with a whole one.
-	both := request + request
-	for at := range len(both) + 1 {
-		taken.Store(0)
-		first := New(ln, 100, take)
-		first.HandsOver = true
-		served := make(chan error, 1)
-		go func() { served <- first.Serve(t.Context()) }()
-		conn, r := dial(t, ln.Addr().String())
-		fmt.Fprint(conn, both[:at])
-		answers := 0
-		for range at / len(request) {
-			if got := line(t, r); got != "+OK" {
-				t.Fatalf("cut at %d: %q", at, got)
+	for _, steps := range []string{"hand over, hand over", "drain", "hand over, drain"} {
+		for at := range 2*len(request) + 1 {
+			if at%len(request) == 0 && strings.HasSuffix(steps, "drain") { // between requests it is closed
+				continue
 			}
-			answers++
-		}
-		for first.connections() == 0 {
-			time.Sleep(100 * time.Microsecond)
-		}
-		server := first
-		for range 2 { // twice over, in case what was read is lost at the second time
-			list := server.Detach(time.Minute)
-			if err := <-served; err != nil {
-				t.Fatal(err)
+			name := fmt.Sprintf("%s, cut at %d", steps, at)
+			taken.Store(0)
+			served := make(chan error, 1)
+			serve := func(list []Handed) *Server {
+				c := New(ln, 100, take)
+				c.HandsOver = true
+				c.Adopt(list)
+				go func() { served <- c.Serve(t.Context()) }()
+				return c
 			}
-			if len(list) != 1 {
-				t.Fatalf("cut at %d: %d connections are handed over", at, len(list))
+			server, drained := serve(nil), false
+			conn, r := dial(t, ln.Addr().String())
+			both := request + request
+			fmt.Fprint(conn, both[:at])
+			answers := 0
+			for ; answers < at/len(request); answers++ {
+				if got := line(t, r); got != "+OK" {
+					t.Fatalf("%s: %q", name, got)
+				}
 			}
-			server = New(ln, 100, take)
-			server.HandsOver = true
-			server.Adopt(list)
-			go func() { served <- server.Serve(t.Context()) }()
-		}
-		fmt.Fprint(conn, both[at:])
-		for ; answers < 2; answers++ {
-			if got := line(t, r); got != "+OK" {
-				t.Fatalf("cut at %d, after the hand-over: %q", at, got)
+			for !server.read(at%len(request) > 0) {
+				time.Sleep(50 * time.Microsecond)
 			}
+			for step := range strings.SplitSeq(steps, ", ") {
+				switch step {
+				case "drain":
+					for !server.read(at%len(request) > 0) {
+						time.Sleep(50 * time.Microsecond)
+					}
+					must(t, server.Drain())
+					server.drainIdle()
+					drained = true
+				case "hand over":
+					list := server.Detach(time.Minute)
+					if err := <-served; err != nil {
+						t.Fatal(err)
+					}
+					if len(list) != 1 {
+						t.Fatalf("%s: %d connections are handed over", name, len(list))
+					}
+					server = serve(list)
+				}
+			}
+			fmt.Fprint(conn, both[at:])
+			most := 2
+			if drained {
+				most = min(2, at/len(request)+1) // the one that had begun
+			}
+			for ; answers < most; answers++ {
+				if got := line(t, r); got != "+OK" {
+					t.Fatalf("%s, afterwards: %q", name, got)
+				}
+			}
+			if _, err := fmt.Fprint(conn, resp("PING")); !drained && (err != nil || line(t, r) != "+PONG") {
+				t.Errorf("%s: the connection does not go on", name)
+			}
+			if n := int(taken.Load()); n < most || n > 2 {
+				t.Errorf("%s: taken %d times", name, n)
+			}
+			conn.Close()
+			server.Detach(time.Minute)
+			<-served
 		}
-		if n := taken.Load(); n != 2 {
-			t.Errorf("cut at %d: taken %d times", at, n)
-		}
-		if fmt.Fprint(conn, resp("PING")); line(t, r) != "+PONG" {
-			t.Errorf("cut at %d: the connection does not go on", at)
-		}
-		conn.Close()
-		server.Detach(time.Minute)
-		<-served
 	}
 }
 
-func (c *Server) connections() int {
+// read tells whether there is a connection, and, where a request has begun, whether the server knows.
+func (c *Server) read(begun bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.conns)
+	for _, s := range c.conns {
+		if s.idle == begun {
+			return false
+		}
+	}
+	return len(c.conns) > 0
 }
 
 // TestHandOverInHand: a request that is being answered is, before its connection goes on; a client that takes no answer is not waited for.
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -15,37 +15,15 @@
 	"time"
 )
 
-// pair is two connected ends of a Unix socket.
-func pair(t testing.TB) (a, b *net.UnixConn) {
+// pair is the two ends of a connection.
+func pair(t testing.TB, network, address string) (near, far net.Conn) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "s")
-	ln, err := net.ListenUnix("unix", &net.UnixAddr{Net: "unix", Name: path})
+	ln, err := net.Listen(network, address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	if a, err = net.DialUnix("unix", nil, &net.UnixAddr{Net: "unix", Name: path}); err != nil {
-		t.Fatal(err)
-	}
-	if b, err = ln.AcceptUnix(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		a.Close()
-		b.Close()
-	})
-	return a, b
-}
-
-// tcp is a TCP connection and its far end.
-func tcp(t testing.TB) (near, far net.Conn) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if far, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+	if far, err = net.Dial(network, ln.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
 	if near, err = ln.Accept(); err != nil {
@@ -58,6 +36,11 @@
 	return near, far
 }
 
+func unixPair(t testing.TB) (a, b *net.UnixConn) {
+	near, far := pair(t, "unix", filepath.Join(t.TempDir(), "s"))
+	return near.(*net.UnixConn), far.(*net.UnixConn)
+}
+
 // start opens a socket for an identity in a folder.
 func start(t *testing.T, dir string, id Identity) *Socket {
 	t.Helper()
@@ -88,7 +71,7 @@
 	for i, size := range []int{0, 1, 100, 1 << 20, 7} {
 		p := Parcel{Kind: fmt.Sprint("kind ", i), Data: bytes.Repeat([]byte{byte(i)}, size)}
 		if i%2 == 0 {
-			near, far := tcp(t)
+			near, far := pair(t, "tcp", "127.0.0.1:0")
 			p.Conn = near
 			ends = append(ends, far)
 		}
@@ -259,7 +242,7 @@
 // TestCutShort: a hand-over that ends after any number of bytes, or in which any byte is spoilt, is an error, and nothing of it is kept.
 func TestCutShort(t *testing.T) {
 	var text []byte // of a whole hand-over, without connections
-	a, b := pair(t)
+	a, b := unixPair(t)
 	go func() {
 		g := &Giver{a}
 		g.Give([]Parcel{{Kind: "engine", Data: []byte(`{"clock":1}`)}, {Kind: "list", Data: []byte("[]")}})
@@ -270,7 +253,7 @@
 		t.Fatal(err)
 	}
 	receiveText := func(text []byte) ([]Parcel, error) {
-		a, b := pair(t)
+		a, b := unixPair(t)
 		defer a.Close()
 		defer b.Close()
 		a.Write(text)
@@ -299,7 +282,7 @@
 	f.Add([]byte{0, 1, 0, 1, 0, 0, 0})
 	f.Add(bytes.Repeat([]byte{0xff}, 40))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		a, b := pair(t)
+		a, b := unixPair(t)
 		a.Write(text)
 		a.Close()
 		if p, err := receive(b, time.Minute); err == nil && len(p.Kind)+len(p.Data) > len(text) {
