--- a/internal/decide/memory_test.go
+++ b/internal/decide/memory_test.go
@@ -99,8 +99,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if list := before.Differences(again); len(list) > 0 {
-				t.Fatalf("at %v, step %d, remembered otherwise: %s", s.now, step, strings.Join(list, "\n"))
+			if !before.Same(again) {
+				t.Fatalf("at %v, step %d, remembered otherwise:\n%+v\n%+v", s.now, step, before, again)
 			}
 			if len(actions) > 0 {
 				t.Fatalf("at once: %+v", actions)
--- a/internal/operations/leftout_test.go
+++ b/internal/operations/leftout_test.go
@@ -70,3 +70,32 @@
 	}
 	t.Error("never refused")
 }
+
+// TestLeftOutCutOff: what a kill left between the two writes counts for nothing, and a write that fails leaves what was.
+func TestLeftOutCutOff(t *testing.T) {
+	l := NewLeftOut(t.TempDir())
+	if err := l.Store([]string{"a"}); err != nil {
+		t.Fatal(err)
+	}
+	is := func(when, want string) {
+		t.Helper()
+		if got, err := l.Load(); err != nil || strings.Join(got, " ") != want {
+			t.Errorf("%s: %q, %v", when, got, err)
+		}
+	}
+	if err := os.WriteFile(l.path+".next", []byte("scaleroute left-out 1 0000"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	is("cut off", "a")
+	if err := l.Store([]string{"a", "b"}); err != nil {
+		t.Fatal(err)
+	}
+	is("after the next one", "a b")
+	if err := os.MkdirAll(l.path+".next/in the way", 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Store(nil); err == nil || !strings.Contains(err.Error(), "stay as they were") {
+		t.Errorf("a write that fails: %v", err)
+	}
+	is("after that", "a b")
+}
