Heed a told wait as soon as its line is read, and over a leave and return of its target

Read in the code, then forced by tests over loopback sockets: - A 429 whose head has come, but whose body is spoilt, late or never ends, was an error, and its wait was dropped; where the rest came late it was heard up to 500 ms after its line, and the rule lets 100 ms pass. The record stays as long as its wait runs or may still be told. - A call held by a wait cost its connection; nothing was written to it, so it is kept as idle as before (TestBeginIsAsked asked for its end: it now asks that the next call goes by it). The module hears with it what is left of the wait, else it would decide the same call again and again. - A connection's idle time was never under 1 s, also where targets close after 1 s; and its age was looked at by a timer alone.

--- a/internal/back/httpcall/begin_test.go
+++ b/internal/back/httpcall/begin_test.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,20 +13,35 @@
 	"scaleroute/internal/message"
 )
 
-// TestBeginIsAsked: a call that may not begin any more once its connection is there is not made, and costs the connection; the next one is.
+// TestBeginIsAsked: a call that may not begin any more once its connection is there is not made; nothing was written to the connection, so
+// the next one goes by it, and it has been idle for as long as it had been before.
 func TestBeginIsAsked(t *testing.T) {
-	var calls atomic.Int64
-	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	var calls, conns atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
 	defer s.Close()
 	b := testTargets()
 	b.List(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{{Target: decide.Target{ID: "t"}, Address: s.Listener.Addr().String()}}})
 	may := false
 	a := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute, Begin: func() bool { return may }}
-	if o := b.Endpoint("t").Call(t.Context(), a); o.Result != decide.NotSent || calls.Load() != 0 || b.pool.open != 0 {
-		t.Errorf("%+v, %d calls, %d connections", o, calls.Load(), b.pool.open)
+	since := time.Time{}
+	for range 2 {
+		if o := b.Endpoint("t").Call(t.Context(), a); o.Result != decide.NotSent || calls.Load() != 0 || b.pool.open != 1 {
+			t.Errorf("%+v, %d calls, %d connections", o, calls.Load(), b.pool.open)
+		}
+		if c := b.pool.idle.first; c == nil || !since.IsZero() && c.since != since {
+			t.Fatalf("its connection is not idle as before: %+v", c)
+		} else {
+			since = c.since
+		}
 	}
 	may = true
-	if o := b.Endpoint("t").Call(t.Context(), a); o.Result != decide.Done || calls.Load() != 1 {
-		t.Errorf("%+v, %d calls", o, calls.Load())
+	if o := b.Endpoint("t").Call(t.Context(), a); o.Result != decide.Done || calls.Load() != 1 || conns.Load() != 1 {
+		t.Errorf("%+v, %d calls, %d connections", o, calls.Load(), conns.Load())
 	}
 }
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"os"
@@ -21,8 +20,9 @@
 )
 
 const (
-	idleMargin = 2 * time.Second        // our idle time-out stays so far under the target's
-	answerTime = 500 * time.Millisecond // an answer that has begun is whole by then
+	idleMargin  = 2 * time.Second        // our idle time-out stays so far under the target's
+	unknownIdle = time.Second            // and is so long where that is not told
+	answerTime  = 500 * time.Millisecond // an answer that has begun is whole by then
 )
 
 var errSpoilt = errors.New("an answer that can't be read")
@@ -51,12 +51,20 @@
 func New(c Config) *Back {
 	return &Back{byName: map[string]*target{}, pool: &pool{
 		most:     c.Connections,
-		idleTime: max(c.ConnIdle-idleMargin, c.ConnIdle/2, time.Second),
+		idleTime: idleTime(c.ConnIdle),
 		connect:  c.ConnectLimit,
 		hosts:    map[string]*host{},
 	}}
 }
 
+// idleTime is how long a connection is kept idle to targets that close it after a time: always less than that, however short it is.
+func idleTime(theirs time.Duration) time.Duration {
+	if theirs <= 0 { // nobody tells
+		return unknownIdle
+	}
+	return max(theirs-idleMargin, theirs/2)
+}
+
 // List takes what a source tells of addresses.
 func (b *Back) List(l engine.List) {
 	whole := l.Scope == decide.Whole || l.Scope == decide.Restored
@@ -141,10 +149,11 @@
 		return o
 	}
 	if a.Begin != nil && !a.Begin() { // as late as can be: the next thing is the first byte
-		t.pool.close(c)
+		t.pool.giveBack(c, c.since) // nothing was written to it: it is as good as it was
 		o.Result = decide.NotSent
 		return o
 	}
+	c.told = toldWait{tell: a.Told}
 	c.SetDeadline(end)
 	stop := context.AfterFunc(ctx, c.calledOff)
 	request := net.Buffers{t.head(&a, timeout, len(body)), body}
@@ -196,7 +205,7 @@
 	case says200(c.record): // that is true, whatever follows
 		o.Result, o.Over = decide.Done, true
 	case len(c.record) > 0: // it may have run, whatever it seems to say
-		o.Result = decide.Errored
+		o.Result, o.Wait = decide.Errored, c.told.left() // but who was told to wait was told
 		slog.Warn("a spoilt answer", "target", t.host.address, "begins", fmt.Sprintf("%.80q", c.record), "err", err)
 	case ctx.Err() != nil:
 		o.Result = decide.Cancelled
@@ -220,12 +229,12 @@
 	case http.StatusOK:
 		o.Result, o.Over = decide.Done, true
 	case http.StatusTooManyRequests:
-		wait, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64)
-		if err != nil || !(wait >= 0 && wait <= 1e9) {
+		wait, ok := waitIn(resp.Header)
+		if !ok {
 			o.Result = decide.Errored // no refusal that we know: it may have run
 			return
 		}
-		o.Result, o.Wait = decide.Full, time.Duration(math.Ceil(wait))*time.Millisecond
+		o.Result, o.Wait = decide.Full, wait
 	case http.StatusServiceUnavailable:
 		o.Result = decide.Full
 		if resp.Header.Get("X-Over-Slots") == "1" {
--- a/internal/back/httpcall/handover.go
+++ b/internal/back/httpcall/handover.go
@@ -63,7 +63,7 @@
 	}
 	b.pool.mu.Unlock()
 	c := newConn(p.Conn, h)
-	c.replay = p.Read
+	c.replay, c.told = p.Read, toldWait{tell: a.Told}
 	c.SetDeadline(p.End)
 	stop := context.AfterFunc(ctx, c.calledOff)
 	(&target{host: h, pool: b.pool}).await(ctx, c, p.Began, p.End, &a, stop, &o)
@@ -71,7 +71,7 @@
 }
 
 func newConn(raw net.Conn, h *host) *conn {
-	c := &conn{Conn: raw, host: h}
+	c := &conn{Conn: raw, host: h, since: time.Now()}
 	c.r = bufio.NewReader(c)
 	if s, ok := raw.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn()
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -57,6 +57,7 @@
 	r       *bufio.Reader
 	record  []byte      // what has come since the call began
 	stopped bool        // by a deadline
+	told    toldWait    // by the answer to this call, so far
 	off     atomic.Bool // the call's context has ended it; such a connection makes no further call here
 	replay  []byte      // what another process read of it, to be read again
 	since   time.Time
@@ -122,7 +123,8 @@
 // one. When there are too many, the one idle longest is closed, wherever it goes.
 func (p *pool) get(ctx context.Context, h *host, left time.Duration) (*conn, error) {
 	for c := p.take(h); c != nil; c = p.take(h) {
-		if c.quiet() {
+		// The timer that closes what is idle for too long may be late: the target's is not.
+		if time.Since(c.since) < p.idleTime && c.quiet() {
 			return c, nil
 		}
 		p.close(c)
@@ -179,13 +181,18 @@
 	if c.record = c.record[:0]; cap(c.record) > keepRecord {
 		c.record = nil
 	}
+	p.giveBack(c, time.Now())
+}
+
+// giveBack keeps a connection on which nothing has been written since a time.
+func (p *pool) giveBack(c *conn, since time.Time) {
 	p.mu.Lock()
 	if c.host.targets == 0 || p.released {
 		p.mu.Unlock()
 		p.close(c)
 		return
 	}
-	c.since = time.Now()
+	c.since = since
 	p.idle.push(c)
 	c.host.idle = append(c.host.idle, c)
 	if p.timer == nil {
@@ -243,11 +250,13 @@
 		n := copy(b[:min(len(b), left)], c.replay)
 		c.replay = c.replay[n:]
 		c.record = append(c.record, b[:n]...)
+		c.told.look(c.record)
 		return n, nil
 	}
 	n, err := c.Conn.Read(b[:min(len(b), left)])
 	c.stopped = errors.Is(err, os.ErrDeadlineExceeded) // what reads lines makes other errors of it
 	c.record = append(c.record, b[:n]...)
+	c.told.look(c.record)
 	return n, err
 }
 
@@ -348,18 +357,24 @@
 
 // says200 tells whether the first line of an answer, behind any 1xx, says 200.
 func says200(text []byte) bool {
+	status, _ := firstLine(text)
+	return status == "200"
+}
+
+// firstLine is the status that the first line of an answer says, behind any 1xx, and what follows that line; "" if there is none yet.
+func firstLine(text []byte) (status string, rest []byte) {
 	for {
-		line, _, whole := bytes.Cut(text, []byte("\n"))
+		line, after, whole := bytes.Cut(text, []byte("\n"))
 		fields := bytes.Fields(line)
 		if !whole || len(fields) < 2 || !bytes.HasPrefix(fields[0], []byte("HTTP/1.")) || len(fields[1]) != 3 {
-			return false
+			return "", nil
 		}
 		if fields[1][0] != '1' {
-			return string(fields[1]) == "200"
+			return string(fields[1]), after
 		}
 		_, rest, whole := bytes.Cut(text, []byte("\r\n\r\n"))
 		if !whole {
-			return false
+			return "", nil
 		}
 		text = rest
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,6 +60,9 @@
 	Keep        func(*Pending) // takes a call that is handed over; see Portable
 	Wrote       func()         // called once the message is written whole; it does not wait
 	Begin       func() bool    // asked before the first byte is written; no: the call is not made. nil: it may
+	// Told is called as soon as an answer is known to tell a wait, also one that turns out to be spoilt: from then on nobody may begin a
+	// call. The outcome tells what is left of it. nil: nobody listens.
+	Told func(time.Duration)
 }
 
 // Reply is what a call was answered with.
--- a/internal/engine/handover.go
+++ b/internal/engine/handover.go
@@ -210,13 +210,17 @@
 func (l *Engine) goOn(e *entry, attempt int, from Call) {
 	call, cancel := context.WithCancelCause(context.Background())
 	endpoint, p := from.Endpoint, from.Pending
-	slot := l.acting.resume(from)
+	slot, told := l.acting.resume(from), l.waits.of(endpoint)
 	e.calls = append(e.calls, out{attempt, cancel, true, slot})
+	told.began()
 	a := Attempt{ID: e.saved.ID, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: attempt}
 	l.effects = append(l.effects, func() {
 		go func() {
-			keep := keeper{l: l, carried: carried{message: a.ID, endpoint: endpoint, attempt: attempt, slot: slot}, wrote: true}
+			keep := keeper{l: l, told: told, carried: carried{message: a.ID, endpoint: endpoint, attempt: attempt, slot: slot}, wrote: true}
 			a.Keep = keep.keep
+			if told != nil {
+				a.Told = told.tell
+			}
 			o := decide.Outcome{Result: decide.Reset} // lost on the way: it may have run
 			if p != nil {
 				a.Timeout = time.Until(p.End)
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -36,7 +36,8 @@
 	callEnded struct {
 		outcome decide.Outcome
 		slot    *ledger.Slot
-		wrote   bool // its message was written whole
+		wrote   bool  // its message was written whole
+		told    *told // what it told to wait; nil: its endpoint was never listed
 	}
 	heard  struct{ ids []string } // final answers that have arrived
 	listed struct {               // a list, and whom to tell that it binds
@@ -403,7 +404,6 @@
 		l.acked(ctx, v)
 	case callEnded:
 		l.callEnded(v)
-		l.waits.hear(&v.outcome)
 		l.acting.toldToWait(&v.outcome, time.Now())
 		l.acting.ended(&v.outcome)
 		l.events = append(l.events, v.outcome)
@@ -458,9 +458,11 @@
 	event := decide.TargetList{Scope: v.Scope, Targets: make([]decide.Target, len(v.Endpoints))}
 	for i, e := range v.Endpoints {
 		l.dests[e.Destination] = true
-		l.waits.listed(&e.Target)
 		event.Targets[i] = e.Target
 	}
+	if v.Scope != decide.Unavailable {
+		l.waits.list(event.Targets, v.Scope != decide.Changes)
+	}
 	return event
 }
 
@@ -573,6 +575,7 @@
 // callEnded notes an outcome in the journal.
 func (l *Engine) callEnded(v callEnded) {
 	o := v.outcome
+	v.told.over(&o)
 	v.slot.Over(v.wrote && answered(o.Result), !v.wrote)
 	e := l.entries[o.Message]
 	if e == nil {
@@ -721,7 +724,11 @@
 	slot := l.acting.begin(s.Target)
 	e.calls = append(e.calls, out{n, cancel, portable, slot})
 	try, decided := Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: n,
-		Body: e.saved.Body, Timeout: s.Timeout, Wrote: l.counts.wrote, Begin: l.waits.mayBegin(s.Target)}, time.Now()
+		Body: e.saved.Body, Timeout: s.Timeout, Wrote: l.counts.wrote, Begin: l.waits.mayBeginElse}, time.Now()
+	told := l.waits.of(s.Target)
+	if told.began(); told != nil {
+		try.Begin, try.Told = told.begin, told.tell
+	}
 	if x := e.saved.Extras; x != nil {
 		try.Header = x.Header
 	}
@@ -733,7 +740,7 @@
 			try.Timeout = max(time.Millisecond, try.Timeout-time.Since(decided))
 		}
 		go func() { // little stack is used on the way to the call: to have it grow costs a tenth of a call
-			keep := keeper{l: l, carried: carried{message: s.Message, endpoint: s.Target, attempt: n, slot: slot}}
+			keep := keeper{l: l, told: told, carried: carried{message: s.Message, endpoint: s.Target, attempt: n, slot: slot}}
 			try.Keep = keep.keep
 			if slot != nil {
 				try.Wrote = keep.written
@@ -749,7 +756,8 @@
 
 // keeper tells the loop how a call ended, or that it is handed over.
 type keeper struct {
-	l *Engine
+	l    *Engine
+	told *told
 	carried
 	wrote bool
 }
@@ -762,7 +770,8 @@
 func (k *keeper) over(o *decide.Outcome) {
 	if k.pending == nil {
 		o.Message, o.Attempt, o.Target = k.message, k.attempt, k.endpoint
-		k.l.tell(callEnded{*o, k.slot, k.wrote})
+		k.told.rest(o)
+		k.l.tell(callEnded{*o, k.slot, k.wrote, k.told})
 	}
 }
 
--- a/internal/engine/waits_test.go
+++ b/internal/engine/waits_test.go
@@ -16,14 +16,18 @@
 		kind, other string // of the two targets
 		destination int    // of the second
 		held        bool
+		read        bool // the wait has been read, and the rest of its answer is still to come: the loop has heard nothing
 	}{
-		"one destination":     {"plain", "plain", 7, true},
-		"routes apart":        {"apart", "apart", 7, false},
-		"another destination": {"plain", "plain", 8, false},
+		"one destination":           {"plain", "plain", 7, true, false},
+		"routes apart":              {"apart", "apart", 7, false, false},
+		"another destination":       {"plain", "plain", 8, false, false},
+		"one destination, read":     {"plain", "plain", 7, true, true},
+		"routes apart, read":        {"apart", "apart", 7, false, true},
+		"another destination, read": {"plain", "plain", 8, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			const wait = 300 * time.Millisecond
-			connecting, told, done := make(chan struct{}), make(chan time.Time, 1), make(chan time.Time, 8)
+			connecting, told, asked, done := make(chan struct{}), make(chan time.Time, 1), make(chan struct{}), make(chan time.Time, 8)
 			var mu sync.Mutex
 			first, refused := "", ""
 			var began []bool
@@ -40,15 +44,25 @@
 					if !slow && refused == "" {
 						refused = a.ID
 						mu.Unlock()
-						told <- time.Now()
+						if c.read {
+							a.Told(wait)
+							told <- time.Now()
+							<-asked
+						} else {
+							told <- time.Now()
+						}
 						return decide.Outcome{Result: decide.Full, Wait: wait}
 					}
 					mu.Unlock()
 					if slow {
-						<-told
-						time.Sleep(50 * time.Millisecond) // the loop has heard; what it has not is let through by the rules
+						if <-told; !c.read {
+							time.Sleep(50 * time.Millisecond) // the loop has heard; what it has not is let through by the rules
+						}
 					}
 					begins := a.Begin()
+					if slow {
+						close(asked)
+					}
 					mu.Lock()
 					began = append(began, begins)
 					mu.Unlock()
