Open a silent watch anew within 6 s, and heed no list that can't be right

Read in the code, then forced by tests in virtual time, an answer that stops behind each of its bytes: - A watch was held for 20 s and given up after 21.5 s. Now a pushed watch waits for 4 s and is opened anew after 5 (its own agent is asked, at no cost: 0.05 calls a second become 0.25); one that is work for discovery is opened anew within 0.5 s of being given up, after 21: no call more than before, but earlier. - While the agent refused calls the pauses grew up to 30 s (300 forwarders: 120 s), and what it has at its return counts as told at once. Pushed: 0.2 s at most. - from = l.Index took any version, also an older one: a target that drains would have served again. It is not told now, unless discovery says the same once more when asked for the whole list. - {} with status 200 as the first answer emptied the list in force; so did a whole list without endpoints.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,9 +20,18 @@
 	"scaleroute/internal/version"
 )
 
+// What a watch misses that has fallen silent counts as told 6 s after that, or 2 s after the end of the wait that it may last, if that is later
+// (the platform's page on the standing test). So where asking costs nothing a watch waits for no longer than makes the two the same; and it is
+// given up in the middle of those 2 s, so that there is time left to ask anew.
+const (
+	silentTold = 6 * time.Second
+	waitTold   = 2 * time.Second
+	pushedHold = silentTold - waitTold
+	askedHold  = 20 * time.Second // where each call is work for discovery
+	holdMargin = waitTold / 2
+)
+
 const (
-	holdTime    = 20 * time.Second
-	holdMargin  = 1500 * time.Millisecond
 	listTime    = 2 * time.Second
 	noticeTime  = time.Second
 	maxList     = 64 << 20 // bytes of a list
@@ -168,32 +177,46 @@
 	if p.fleet.Asks {
 		return nil, nil
 	}
-	return p.current().list(context.Background(), -1, limit, true)
+	return p.current().listAt(context.Background(), "/v1/servers", true, limit)
 }
 
 // Watch tells each change after the list known - or the whole list, if none
 // is or discovery has moved - until ctx ends. A call that fails is made again
-// from where the last one ended.
+// from where the last one ended. A list that is older than what was told last is not told, unless discovery says the same when it is asked for all
+// that there is: then it counts anew.
 func (p *Platform) Watch(ctx context.Context, known *List, tell func(*List)) {
-	from, last := int64(-1), p.current()
+	from, last, told := int64(-1), p.current(), int64(-1)
+	older := int64(-1) // the version of a whole list that was older than what was told
 	again := p.fleet.again()
 	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	if known != nil {
-		from = known.Index
+		from, told = known.Index, known.Index
 		p.note(known)
 	}
 	for ctx.Err() == nil {
 		a := p.current()
 		if a != last {
-			from, last = -1, a
+			from, last, told, older = -1, a, -1, -1
 			again.worked()
 		}
 		call, done, waiting := p.begin(ctx)
-		l, err := a.list(call, from, listTime, len(waiting) == 0)
+		began := time.Now()
+		held := len(waiting) == 0 && from >= 0
+		l, err := a.list(call, from, p.fleet.hold(), len(waiting) == 0)
+		if err == nil && l.Index < told && !(l.Snapshot && l.Index == older) {
+			err = fmt.Errorf("list: version %d, after %d was told: discovery is asked for the whole list, and this one is not heeded unless it says so again", l.Index, told)
+			if from, older = -1, -1; l.Snapshot {
+				older = l.Index
+			}
+		}
 		if err != nil {
 			p.put(waiting)
 			if a.left.Err() == nil && call.Err() == nil {
 				wait := again.failed()
+				if held && time.Since(began) >= p.fleet.hold() { // it has fallen silent: whoever waits now is told too late
+					again.worked()
+					wait = min(wait, time.Duration(p.fleet.random()*float64(reopenPause)))
+				}
 				slog.Warn("discovery", "err", err, "again_in", wait)
 				if p.fleet.Asks { // each call is work there, whoever wants it
 					a.pause(ctx, wait)
@@ -206,7 +229,7 @@
 		}
 		done()
 		again.worked()
-		from = l.Index
+		from, told, older = l.Index, l.Index, -1
 		p.note(l)
 		tell(l)
 		for _, w := range waiting {
@@ -254,23 +277,28 @@
 	}
 }
 
-// list asks for the whole list, within the limit, or from a version on for changes.
-// It is held until there are some, if hold says so.
-func (a *agent) list(ctx context.Context, from int64, limit time.Duration, hold bool) (*List, error) {
-	path := "/v1/servers"
-	if from >= 0 && hold {
-		path += fmt.Sprintf("?from=%d&hold_ms=%d", from, holdTime.Milliseconds())
-		limit = holdTime + holdMargin
+// list asks for the whole list, or from a version on for changes. It is held for so long until there are some, if wait says so; else it is to come at
+// once.
+func (a *agent) list(ctx context.Context, from int64, hold time.Duration, wait bool) (*List, error) {
+	path, limit := "/v1/servers", listTime
+	if from >= 0 && wait {
+		path += fmt.Sprintf("?from=%d&hold_ms=%d", from, hold.Milliseconds())
+		limit = hold + holdMargin
 	} else if from >= 0 {
 		path += fmt.Sprintf("?from=%d&hold_ms=0", from)
 	}
-	l := &List{}
-	err := a.do(ctx, limit, http.MethodGet, path, nil, func(status int, body io.Reader) error {
+	return a.listAt(ctx, path, from < 0, limit)
+}
+
+// listAt makes the call; whole: its answer is the whole list, whatever it says.
+func (a *agent) listAt(ctx context.Context, path string, whole bool, limit time.Duration) (*List, error) {
+	var l *List
+	err := a.do(ctx, limit, http.MethodGet, path, nil, func(status int, body io.Reader) (err error) {
 		if status != http.StatusOK {
 			return fmt.Errorf("status %d", status)
 		}
 		in := &io.LimitedReader{R: body, N: maxList}
-		err := json.NewDecoder(in).Decode(l) // as it comes: a large list need not be held twice
+		l, err = readList(in, whole)
 		if err != nil && in.N <= 0 {
 			return fmt.Errorf("more than %d MiB", maxList>>20)
 		}
@@ -279,9 +307,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
-	if from < 0 {
-		l.Snapshot = true // the call without a version gives the whole list
-	}
 	return l, nil
 }
 
--- a/internal/agent/backoff.go
+++ b/internal/agent/backoff.go
@@ -16,6 +16,8 @@
 const (
 	firstPause  = 100 * time.Millisecond // of one forwarder; for the list, times as many as there are
 	listPause   = 30 * time.Second       // the longest for the list, or four times the former if that is more
+	pushedPause = 2 * firstPause         // the same where the list is pushed: one's own agent is asked, at no cost, and what it has counts as told
+	reopenPause = 5 * firstPause         // after a watch that fell silent
 	noticePause = firstPause             // and for notices: one that is 300 ms late is a message lost, and the agent is this machine's own
 )
 
@@ -50,8 +52,19 @@
 	return rand.Float64()
 }
 
+// hold is how long a watch may wait for what changes.
+func (f Fleet) hold() time.Duration {
+	if f.Asks {
+		return askedHold
+	}
+	return pushedHold
+}
+
 // again are the waits after list calls that failed.
 func (f Fleet) again() backoff {
+	if !f.Asks {
+		return backoff{first: firstPause, most: pushedPause, random: f.random}
+	}
 	return backoff{first: max(firstPause, f.firstWait()), most: max(listPause, 4*f.turns()), random: f.random}
 }
 
