--- a/cmd/scaleroute-lab/fleet.go
+++ b/cmd/scaleroute-lab/fleet.go
@@ -8,13 +8,22 @@
 
 // fleetCount counts over the logs of a fleet's forwarders.
 type fleetCount struct {
-	Seconds bool   `help:"A row for each second, not for each destination."`
-	Dest    int    `default:"-1" help:"Of this destination alone."`
-	Folder  string `arg:"" type:"existingdir" help:"Where the logs are."`
+	Seconds  bool   `help:"A row for each second, not for each destination."`
+	Dest     int    `default:"-1" help:"Of this destination alone."`
+	Restarts bool   `help:"What became of what restarts took up from their journals, a row for each folder of logs."`
+	Folder   string `arg:"" type:"existingdir" help:"Where the logs are."`
 }
 
 // Run counts.
 func (c *fleetCount) Run(out io.Writer) error {
+	if c.Restarts {
+		all, err := steplog.RestartsIn(c.Folder)
+		if err != nil {
+			return err
+		}
+		steplog.RestartTable(out, all)
+		return nil
+	}
 	all, err := steplog.Fleet(c.Folder)
 	if err != nil {
 		return err
--- a/internal/decide/index.go
+++ b/internal/decide/index.go
@@ -106,6 +106,7 @@
 	again   bool // tried before
 	granted bool // its next try has been granted
 	ran     bool // it may have run
+	owed    bool
 	ranZone string
 	only    string // the targets that it may go to; empty: all
 	state   groupState
@@ -313,7 +314,7 @@
 
 // place puts a message that waits into its group.
 func (f *Forwarder) place(m *message) {
-	key := groupKey{class: m.class, worth: m.worth, again: m.tries > 0, granted: m.granted != nil, ran: m.mayRan, only: m.among.key}
+	key := groupKey{class: m.class, worth: m.worth, again: m.tries > 0, granted: m.granted != nil, ran: m.mayRan, owed: m.owed, only: m.among.key}
 	if m.mayRan {
 		key.ranZone = m.ranZone
 	}
@@ -462,7 +463,7 @@
 		d.moved = false
 		d.delay = f.queueTime(d)
 		for _, g := range d.groups {
-			if !f.refusable(g.root) {
+			if g.key.owed || !f.refusable(g.root) {
 				continue
 			}
 			k := shedKey{g.key.class, g.key.worth}
--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -16,7 +16,7 @@
 // clock of the other go on from there. Nothing here decides anything.
 
 // memoryFormat changes whenever what is written does.
-const memoryFormat = 3
+const memoryFormat = 4
 
 var errMemory = errors.New("what the process before remembers can't be read")
 
@@ -215,7 +215,7 @@
 	c.times(&m.born, &m.deadline, &m.ranSent, &m.after, &m.copyAt)
 	c.floats(&m.worth)
 	c.ints(&m.attempts, &m.tries)
-	c.bools(&m.mayRan, &m.copies)
+	c.bools(&m.mayRan, &m.copies, &m.owed)
 	c.text(&m.ranZone)
 	c.text(&m.granted)
 	n := c.length(len(m.parts))
@@ -523,7 +523,7 @@
 func (f *Forwarder) carryOn(e Message, k *messageMemory, mem *Memory) (out []int) {
 	m := f.newMessage(e, f.classes[e.Class])
 	m.born, m.deadline, m.worth, m.ranSent, m.after, m.ranZone = k.born, k.deadline, k.worth, k.ranSent, k.after, k.ranZone
-	m.seq, m.attempts, m.tries, m.mayRan = k.seq, e.Attempts, k.tries, k.mayRan
+	m.seq, m.attempts, m.tries, m.mayRan, m.owed = k.seq, e.Attempts, k.tries, k.mayRan, k.owed
 	for _, p := range k.parts {
 		of := &mem.calls[p.call]
 		c := of.made
--- a/internal/decide/policy.go
+++ b/internal/decide/policy.go
@@ -202,10 +202,11 @@
 // failure of its destination, so the next one is not a further try. What was known of outages is
 // gone, and what waited may have waited for one to end: its routes are entered like returning ones.
 func (f *Forwarder) recover(m *message, e Message) {
-	m.attempts, m.tries, m.mayRan = e.Attempts, e.Attempts, e.MayHaveRun
+	m.attempts, m.tries, m.mayRan, m.owed = e.Attempts, e.Attempts, e.MayHaveRun, true
 	if e.Open {
 		m.tries--
 	}
+	m.tries = min(m.tries, maxFurther) // the host's number counts what was not sent, too: it has a try left
 	if m.mayRan && m.class.Effect != Pure || f.usedUp(m) || f.now >= m.ends() {
 		f.answer(m) // when a keyed one may have run is not known any more
 		return
@@ -645,7 +646,7 @@
 		m.granted = nil
 	}
 	a := &attempt{n: m.attempts, m: m, call: c}
-	m.sent, m.other = a, m.sent
+	m.sent, m.other, m.owed = a, m.sent, false
 	c.parts = append(c.parts, a)
 	m.attempts++
 	m.tries++
--- a/internal/decide/recovery_test.go
+++ b/internal/decide/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -142,3 +143,74 @@
 		t.Errorf("refused %v, want only c", got)
 	}
 }
+
+// TestRecoveredMakeNoRoom: what a restart took up untried is not given up to make room for what comes after it, though that be worth more: each gets
+// its try, or its time is truly up. Without that a hold that restarts full is emptied by the first who come.
+func TestRecoveredMakeNoRoom(t *testing.T) {
+	for _, again := range []bool{false, true} { // by a hand-over in the middle of it
+		s := testSettings()
+		s.MaxHeld, s.Slots = 40, 4
+		f, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := TargetList{Scope: Restored, Targets: []Target{plain("x")}}
+		events := []Event{list}
+		for n := range 36 {
+			events = append(events, recovered(fmt.Sprint("old", n), "pure", 0, false, false, 2800*ms)) // over seven tenths of their time are gone
+		}
+		tried, turnedAway, early := map[string]bool{}, 0, 0
+		for now := time.Duration(0); now < 2700*ms; now += 10 * ms {
+			events = append(events, msg(fmt.Sprint("new", now), "unsafe", ""))
+			if again && now == 100*ms {
+				var held []Message
+				for _, m := range f.msgs {
+					held = append(held, Message{ID: m.id, Class: m.class.Name, Destination: 1, Left: m.deadline - now, Recovered: true, Attempts: m.attempts, Open: m.out > 0})
+				}
+				memory, err := ReadMemory(f.Save())
+				if err != nil {
+					t.Fatal(err)
+				}
+				if f, err = New(s); err != nil {
+					t.Fatal(err)
+				}
+				f.Restore(now, memory, []TargetList{list}, held)
+			}
+			actions := f.Step(now, events)
+			events = nil
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Send:
+					tried[a.Message] = true
+					events = append(events, Outcome{Message: a.Message, Target: "x", Result: Done, Took: 5 * ms, Over: true})
+				case Refuse:
+					if strings.HasPrefix(a.Message, "old") {
+						early++
+					} else {
+						turnedAway++
+					}
+				}
+			}
+		}
+		if early > 0 || turnedAway == 0 {
+			t.Errorf("handed over %v: %d of what was taken up untried were given up, %d newcomers turned away", again, early, turnedAway)
+		}
+	}
+}
+
+// TestRecoveredHasATry: attempts that were decided and never made count in the host's numbers. A message that was not answered for want of tries
+// before the restart is not after it.
+func TestRecoveredHasATry(t *testing.T) {
+	for attempts := range 6 {
+		f := newForwarder(t, plain("x"))
+		sent := 0
+		events := []Event{recovered("m", "unsafe", attempts, false, false, 9*time.Second)}
+		for now := time.Second; now < 9*time.Second && sent == 0; now += 10 * ms {
+			sent += len(sends(f.Step(now, events)))
+			events = []Event{Woken{}}
+		}
+		if sent == 0 {
+			t.Errorf("given up with no call after %d attempts that reached nobody", attempts)
+		}
+	}
+}
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -28,9 +28,10 @@
 	born     time.Duration // when it was first handed in
 	deadline time.Duration
 	worth    float64
-	attempts int // sends, as the host numbers them
-	tries    int // sends that were really made
-	out      int // attempts without an outcome
+	attempts int  // sends, as the host numbers them
+	tries    int  // sends that were really made
+	owed     bool // taken up from before a restart, and not sent since
+	out      int  // attempts without an outcome
 	over     bool
 	mayRan   bool          // an earlier attempt may have run
 	ranZone  string        // where the first such attempt went
@@ -734,10 +735,11 @@
 // failure of its destination, so the next one is not a further try. What was known of outages is
 // gone, and what waited may have waited for one to end: its routes are entered like returning ones.
 func (f *scanner) recover(m *message, e Message) {
-	m.attempts, m.tries, m.mayRan = e.Attempts, e.Attempts, e.MayHaveRun
+	m.attempts, m.tries, m.mayRan, m.owed = e.Attempts, e.Attempts, e.MayHaveRun, true
 	if e.Open {
 		m.tries--
 	}
+	m.tries = min(m.tries, maxFurther)
 	if m.mayRan && m.class.Effect != Pure || f.usedUp(m) || f.now >= m.ends() {
 		f.answer(m) // when a keyed one may have run is not known any more
 		return
@@ -796,7 +798,7 @@
 		return nil
 	}
 	for _, m := range f.held {
-		if m.out > 0 || !f.refusable(m) {
+		if m.out > 0 || m.owed || !f.refusable(m) {
 			continue
 		}
 		delay := f.queueTime(m.dest)
@@ -1205,6 +1207,7 @@
 	c.parts = append(c.parts, a)
 	m.attempts++
 	m.tries++
+	m.owed = false
 	m.out++
 	c.left++
 	f.unhold(m)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -28,9 +28,10 @@
 	worth    float64
 	limits   *Limits
 	among    *amongKey
-	attempts int // sends, as the host numbers them
-	tries    int // sends that were really made
-	out      int // attempts without an outcome
+	attempts int  // sends, as the host numbers them
+	tries    int  // sends that were really made
+	owed     bool // taken up from before a restart, and not sent since: nobody makes room by it
+	out      int  // attempts without an outcome
 	over     bool
 	mayRan   bool          // an earlier attempt may have run
 	ranZone  string        // where the first such attempt went
--- /dev/null
+++ b/internal/steplog/restarts_test.go
@@ -0,0 +1,54 @@
+package steplog
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"scaleroute/internal/decide"
+)
+
+// TestRestartsAreCounted: of what a start took up untried, each is counted once: sent, given up, not wanted, or left to the next start.
+func TestRestartsAreCounted(t *testing.T) {
+	var log strings.Builder
+	taken := func(id string, attempts int, left time.Duration) decide.Event {
+		return decide.Message{ID: id, Left: left, Recovered: true, Attempts: attempts}
+	}
+	w := NewWriter(&log)
+	log.WriteString("1.000 ")
+	w.Step(0, []decide.Event{decide.Message{ID: "of a client"}}, []decide.Action{decide.Send{Message: "of a client"}})
+	w = NewWriter(&log) // the next process
+	log.WriteString("2.000 ")
+	w.Step(0, []decide.Event{taken("sent", 0, time.Minute), taken("soon", 0, time.Minute), taken("late", 0, time.Second), taken("failed", 0, time.Minute),
+		taken("unwanted", 0, time.Minute), taken("waits", 0, time.Minute), taken("tried", 2, time.Minute)}, []decide.Action{decide.Send{Message: "sent"}})
+	log.WriteString("3.000 ")
+	w.Step(time.Second, []decide.Event{decide.Withdrawn{Message: "unwanted"}}, []decide.Action{decide.Refuse{Message: "soon"}, decide.Refuse{Message: "late"},
+		decide.Fail{Message: "failed"}, decide.Send{Message: "tried"}, decide.Refuse{Message: "sent"}})
+	w = NewWriter(&log)
+	log.WriteString("4.000 ")
+	w.Step(0, []decide.Event{taken("waits", 0, time.Minute)}, nil)
+	dir := filepath.Join(t.TempDir(), "day")
+	if _, err := RestartsIn(filepath.Dir(dir)); err == nil || !strings.Contains(err.Error(), "-log-steps") {
+		t.Errorf("no logs: %v", err)
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "n0.log"), []byte(log.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	all, err := RestartsIn(filepath.Dir(dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Restarts{Lives: 2, Found: 8, Untried: 7, Tried: 1, Refused: 2, Failed: 1, Withdrawn: 1, Left: 2, Late: 1}
+	if got := all["day"]; got == nil || *got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	var table strings.Builder
+	if RestartTable(&table, all); !strings.Contains(table.String(), "untried") || strings.Count(table.String(), "\n") != 2 {
+		t.Errorf("%s", table.String())
+	}
+}
--- a/internal/steplog/steplog.go
+++ b/internal/steplog/steplog.go
@@ -48,7 +48,8 @@
 			w.line("list", "scope=%d n=%d", e.Scope, len(e.Targets))
 		case decide.Message:
 			w.msgs[e.ID] = &told{e.Destination, e.Attempts}
-			w.line("take", "dest=%d class=%q id=%q left=%d recovered=%t", e.Destination, e.Class, e.ID, e.Left.Milliseconds(), e.Recovered)
+			w.line("take", "dest=%d class=%q id=%q left=%d recovered=%t attempts=%d open=%t ran=%t", e.Destination, e.Class, e.ID, e.Left.Milliseconds(), e.Recovered,
+				e.Attempts, e.Open, e.MayHaveRun)
 		case decide.Outcome:
 			w.line("outcome", "dest=%d target=%q id=%q result=%s took=%d wait=%d left=%.2f rate=%.2f", w.dests[e.Target], e.Target, e.Message,
 				resultName(e.Result), e.Took.Milliseconds(), e.Wait.Milliseconds(), e.Allowance.Left, e.Allowance.Rate)
@@ -56,6 +57,7 @@
 				delete(w.msgs, e.Message)
 			}
 		case decide.Withdrawn:
+			w.line("withdrawn", "id=%q", e.Message)
 			delete(w.msgs, e.Message)
 		}
 	}
