Make room at the clients' door within their 400 ms, and answer what is queued as listening ends

Clients that stop in the middle of a request held theirs for 2.5 s, and clients that are idle for moments only held theirs for good, while who waits gives up after 400 ms. Now, once somebody has waited for 50 ms, those idle longest go, which the protocol lets (a request that crosses it comes once more on a new connection), and after 100 ms, where none is idle, those in the middle of a request for 200 ms, after a last look; one in sixteen at once, since others wait behind. Who waits is let in as soon as a connection ends. - Listening ended by a close, which resets what the kernel has queued; it is taken on first.

--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -36,6 +36,12 @@
 	keepIdle  = 2 * time.Second        // a client may count on its connection for so long
 	keepNew   = 100 * time.Millisecond // and on one that it has not used yet for so long
 	roomPause = 5 * time.Millisecond   // until one of those ends
+	// Who waits for room gives up after 400 ms. So where nobody has been idle for that long the one idle longest goes all the same, which its
+	// client takes for no answer to anything; and then who has been in the middle of a request for longer than any waits for an answer.
+	roomIdle   = 50 * time.Millisecond
+	roomHalf   = 100 * time.Millisecond
+	keepHalf   = 200 * time.Millisecond
+	roomAtOnce = 16 // one in so many of all connections: others wait behind the one that does
 	// What a client still sends is read for so long after an error: to close on
 	// it at once would reset the connection, and might lose the error.
 	lingerTime  = 300 * time.Millisecond
@@ -59,7 +65,9 @@
 	// HandsOver has what was read of requests kept, so that Detach can hand it over. It is set before Serve.
 	HandsOver bool
 
-	drained atomic.Bool // PING says no
+	drained  atomic.Bool   // PING says no
+	stopping atomic.Bool   // no connection is taken on but what is queued
+	ended    chan struct{} // a connection has
 
 	mu        sync.Mutex
 	conns     map[net.Conn]*clientState
@@ -72,10 +80,12 @@
 
 // clientState is what a connection is at.
 type clientState struct {
-	idle  bool      // between requests
-	since time.Time // when that began
-	used  bool      // a request was answered on it
-	shed  bool      // closed to make room
+	idle    bool      // between requests
+	reading bool      // in the middle of one
+	since   time.Time // when that began, the one or the other
+	used    bool      // a request was answered on it
+	shed    bool      // closed to make room
+	last    time.Time // when, if it was in the middle of a request: what comes until then is read
 
 	unread  []byte    // read by another server
 	limited bool      // it has a deadline to read
@@ -105,7 +115,11 @@
 		on := p.server.handing.on
 		if !on {
 			s.limited = true
-			p.Conn.SetReadDeadline(s.until)
+			until := s.until
+			if s.shed && s.last.Before(until) {
+				until = s.last
+			}
+			p.Conn.SetReadDeadline(until)
 		}
 		p.server.mu.Unlock()
 		if on {
@@ -144,7 +158,7 @@
 	if l, ok := ln.(interface{ SetDeadline(time.Time) error }); ok { // another server may have ended it
 		l.SetDeadline(time.Time{})
 	}
-	return &Server{ln: ln, most: most, take: take, conns: map[net.Conn]*clientState{}}
+	return &Server{ln: ln, most: most, take: take, conns: map[net.Conn]*clientState{}, ended: make(chan struct{}, 1)}
 }
 
 // Serve accepts connections until Close is called. When there are as many as
@@ -159,7 +173,14 @@
 	c.mu.Unlock()
 	defer c.accepting.Done()
 	for {
+		last := c.stopping.Load()
+		if last {
+			c.acceptFor(LastLook)
+		}
 		conn, err := c.ln.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && !last && c.stopping.Load() {
+			continue // what is queued was not looked at
+		}
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
@@ -168,11 +189,11 @@
 			pause(ctx, 4*roomPause)
 			continue
 		}
-		for !c.admit(conn) {
+		for came := time.Now(); !c.admit(conn, came); {
 			if c.handOver(conn, nil, false) {
 				return nil
 			}
-			if pause(ctx, roomPause); ctx.Err() != nil {
+			if c.waitForRoom(ctx); ctx.Err() != nil {
 				conn.Close()
 				return nil
 			}
@@ -184,43 +205,97 @@
 	}
 }
 
-// admit counts a connection in if there is room, and makes some if not.
-func (c *Server) admit(conn net.Conn) bool {
+// admit counts in a connection that came at a time if there is room, and makes some if not.
+func (c *Server) admit(conn net.Conn, came time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.handing.on {
 		return false
 	}
+	now := time.Now()
 	if len(c.conns) >= c.most {
-		c.makeRoom(time.Now())
+		c.makeRoom(now, now.Sub(came))
 		return false
 	}
-	c.conns[conn] = &clientState{idle: true, since: time.Now()}
+	c.conns[conn] = &clientState{idle: true, since: now}
 	c.wg.Add(1)
 	return true
 }
 
-// makeRoom ends the connection that has been idle longest, of those that may be closed.
-func (c *Server) makeRoom(now time.Time) {
-	var longest net.Conn
+// makeRoom ends the connections that are least missed, once somebody has waited for room for so long: of those idle that may be closed the
+// one idle longest; where there is none, some of those idle longest; and where none is idle, some of those longest in the middle of a request.
+func (c *Server) makeRoom(now time.Time, waited time.Duration) {
+	type one struct {
+		conn net.Conn
+		*clientState
+	}
+	var idle, half []one
+	var longest one
 	var most time.Duration
 	for conn, s := range c.conns {
+		if s.shed {
+			continue
+		}
 		over := now.Sub(s.since) - keepIdle
 		if !s.used {
 			over = now.Sub(s.since) - keepNew
 		}
-		if s.idle && !s.shed && over >= most {
-			longest, most = conn, over
+		switch {
+		case s.idle && over >= most:
+			longest, most = one{conn, s}, over
+			fallthrough
+		case s.idle:
+			idle = append(idle, one{conn, s})
+		case s.reading && now.Sub(s.since) >= keepHalf:
+			half = append(half, one{conn, s})
 		}
 	}
-	if longest != nil {
-		c.conns[longest].shed = true
-		longest.SetReadDeadline(now) // its own goroutine closes it, unless a request has just come
+	end := func(list []one, last time.Time) {
+		slices.SortFunc(list, func(a, b one) int { return a.since.Compare(b.since) })
+		for _, o := range list[:min(len(list), max(1, c.most/roomAtOnce))] {
+			o.shed, o.last = true, last
+			o.conn.SetReadDeadline(last) // its own goroutine closes it, unless a request, or its rest, has just come
+		}
+	}
+	switch {
+	case longest.conn != nil:
+		end([]one{longest}, now)
+	case len(idle) > 0 && waited >= roomIdle:
+		end(idle, now)
+	case len(idle) == 0 && waited >= roomHalf:
+		end(half, now.Add(LastLook))
+	}
+}
+
+// waitForRoom waits until a connection has ended, or until more of them may be.
+func (c *Server) waitForRoom(ctx context.Context) {
+	t := time.NewTimer(roomPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.ended:
+	case <-t.C:
+	}
+}
+
+// StopAccepting stops listening; the connections there are go on. What the kernel has queued is taken on first: to close on it would reset it.
+func (c *Server) StopAccepting() {
+	c.stopping.Store(true)
+	if !c.acceptFor(0) {
+		c.ln.Close()
+		return
 	}
+	go func() {
+		c.accepting.Wait()
+		c.ln.Close()
+	}()
 }
 
-// StopAccepting stops listening; the connections there are go on.
-func (c *Server) StopAccepting() { c.ln.Close() }
+// acceptFor has the listener wait for so long at most. It tells whether it can.
+func (c *Server) acceptFor(limit time.Duration) bool {
+	l, ok := c.ln.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(time.Now().Add(limit)) == nil
+}
 
 // Close stops listening and closes each connection once no request is read or
 // answered on it: a request that is not answered would count as lost.
@@ -245,14 +320,21 @@
 	}
 }
 
+// readWhole notes that a request has been: its connection is not closed before the answer.
+func (c *Server) readWhole(s *clientState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.reading = false
+}
+
 // next notes that a connection waits for its next request. It tells whether the
 // connection is to go on.
 func (c *Server) next(conn net.Conn, s *clientState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.idle, s.used, s.since, s.until = true, true, time.Now(), time.Time{}
+	s.idle, s.reading, s.used, s.since, s.until = true, false, true, time.Now(), time.Time{}
 	if s.limited || s.shed {
-		s.limited = false
+		s.limited, s.shed = false, false
 		if !c.handing.on { // else it is to be given away
 			conn.SetReadDeadline(time.Time{})
 		}
@@ -264,7 +346,7 @@
 func (c *Server) begun(s *clientState, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.idle, s.until = false, until
+	s.idle, s.reading, s.since, s.until = false, true, time.Now(), until
 	s.limited = s.limited || s.shed
 	s.shed = false
 }
@@ -281,6 +363,10 @@
 		c.mu.Lock()
 		delete(c.conns, raw)
 		c.mu.Unlock()
+		select {
+		case c.ended <- struct{}{}:
+		default:
+		}
 	}()
 	conn := &patient{Conn: raw, server: c, state: s, replay: s.unread}
 	r := bufio.NewReaderSize(conn, 4096)
@@ -320,6 +406,7 @@
 			kept = errors.Is(err, os.ErrDeadlineExceeded) && c.handOver(raw, conn.unread(), s.used)
 			return
 		}
+		c.readWhole(s)
 		answer, written := c.answer(args)
 		_, err = io.WriteString(conn, answer)
 		if written != nil {
--- a/internal/front/resp2/server_test.go
+++ b/internal/front/resp2/server_test.go
@@ -213,15 +213,15 @@
 	a, b := &closed{}, &closed{}
 	c.conns[a] = &clientState{idle: true, used: true, since: now.Add(-keepIdle)}
 	c.conns[b] = &clientState{idle: true, used: true, since: now.Add(-keepIdle - 1)}
-	c.makeRoom(now.Add(-2))
+	c.makeRoom(now.Add(-2), 0)
 	if a.shed || b.shed {
 		t.Error("closed before its time")
 	}
-	c.makeRoom(now)
+	c.makeRoom(now, 0)
 	if a.shed || !b.shed {
 		t.Errorf("shed: %v, %v", a.shed, b.shed)
 	}
-	c.makeRoom(now)
+	c.makeRoom(now, 0)
 	if !a.shed {
 		t.Error("the next one stays")
 	}
