--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -90,6 +90,10 @@
 	if c.Limits.Sockets -= descriptors; c.Limits.Endpoints() < 1 {
 		return fmt.Errorf("plug-ins, connections for mail and the operators' door need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
 	}
+	if most := c.Limits.Endpoints(); c.Settings.Slots > most { // with each slot in use there is a connection for each call, or the descriptors run out
+		slog.Warn("fewer calls are out at once than the settings let", "slots", c.Settings.Slots, "calls", most, "sockets", c.Limits.Sockets)
+		c.Settings.Slots = most
+	}
 	f := &forwarder{c: c, operators: operators, control: operations.NewControl(), stop: stop, hup: hup, settings: c.Settings}
 	f.platform = agent.New(c.Discovery, agent.Fleet{Forwarders: c.Settings.Forwarders, Asks: c.Settings.MustAsk, AskEvery: c.Settings.AskEvery})
 	if err := operators.apply(&f.settings); err != nil {
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -140,7 +140,7 @@
 	if extra != nil {
 		p.close(extra)
 	}
-	dialer := net.Dialer{Timeout: min(p.connect, left)}
+	dialer := net.Dialer{Timeout: p.connectTime(left)}
 	raw, err := dialer.DialContext(ctx, "tcp", h.address)
 	if err != nil {
 		p.mu.Lock()
@@ -151,6 +151,14 @@
 	return newConn(raw, h), nil
 }
 
+// connectTime is how long a connection may take: what is left of its call, where nobody tells a limit. A time-out of 0 would be none.
+func (p *pool) connectTime(left time.Duration) time.Duration {
+	if p.connect > 0 {
+		left = min(left, p.connect)
+	}
+	return max(left, time.Millisecond)
+}
+
 // unidle takes a connection out of the idle ones. The pool is locked.
 func (p *pool) unidle(c *conn) {
 	p.idle.remove(c)
--- a/internal/back/httpcall/told_test.go
+++ b/internal/back/httpcall/told_test.go
@@ -121,6 +121,14 @@
 	if ours := New(Config{Connections: 1}).pool.idleTime; ours != unknownIdle {
 		t.Errorf("%v where nobody tells", ours)
 	}
+	for _, limit := range []time.Duration{0, time.Second, time.Hour} {
+		p := New(Config{ConnectLimit: limit}).pool
+		for _, left := range []time.Duration{-time.Second, 0, 300 * time.Millisecond, time.Minute} {
+			if got := p.connectTime(left); got <= 0 || got > max(left, time.Millisecond) || limit > 0 && got > limit {
+				t.Errorf("a connection may take %v of %v, limit %v", got, left, limit)
+			}
+		}
+	}
 	address, conns := rawTarget(t, func(*http.Request, string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
 	target := testTargets().open(address)
 	a := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -368,7 +368,7 @@
 	if err := check(s); err != nil {
 		return nil, err
 	}
-	s.Forwarders = max(s.Forwarders, 1)
+	s.Forwarders, s.TipMultiple = max(s.Forwarders, 1), cmp.Or(s.TipMultiple, 1) // untold, a cold route is sent what it can do
 	source := rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)
 	f := &Forwarder{
 		set: s, platform: Limits{Attempts: s.MaxAttempts}, classes: map[string]*Class{}, kinds: map[string]Kind{}, tenants: map[string]*tenant{},
