Test a call that is cut behind each of its bytes, and a wait in an answer that changes hands

What the target itself has run judges: no outcome says that a call never ran which did, none that it was turned away by an answer that did not come whole, nothing goes out twice. No fault found; with a spoilt answer taken for a refusal it fails. A wait told across a hand-over is heard wherever its answer is cut (fails without the look at what is read again).

--- a/internal/back/httpcall/told_test.go
+++ b/internal/back/httpcall/told_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -141,3 +142,147 @@
 		t.Errorf("%+v by connection %d", o, conns.Load())
 	}
 }
+
+// TestResumeHearsWait: the answer to a call that is handed over tells a wait: wherever it is cut between the two processes, the one that goes on with the
+// call tells it.
+func TestResumeHearsWait(t *testing.T) {
+	const answer = "HTTP/1.1 429 No\r\nX-RateLimit-Wait-Ms: 60000\r\nContent-Length: 4\r\n\r\nbusy"
+	for cut := range len(answer) + 1 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(far, answer[cut:])
+		var told atomic.Int64
+		o := testTargets().Resume(t.Context(), "t", &engine.Pending{Address: ln.Addr().String(), Conn: near, Read: []byte(answer[:cut]), Began: time.Now(), End: time.Now().Add(time.Minute)},
+			engine.Attempt{ID: "m", Told: func(d time.Duration) { told.Store(int64(d)) }})
+		if time.Duration(told.Load()) != time.Minute || o.Result != decide.Full || o.Wait != time.Minute {
+			t.Errorf("cut behind byte %d: told %v, %+v", cut, time.Duration(told.Load()), o)
+		}
+		far.Close()
+		ln.Close()
+	}
+}
+
+// TestCutAtEachByte: on a new connection or one that was used before, the target reads so many bytes of a call and ends or resets the connection, or answers so many
+// bytes of each kind of answer and does. It has run a call that it has read whole. No outcome says that a call never ran which did; none that a call was turned
+// away whose answer did not come whole; a first line that says 200 is believed; and nothing is sent again by itself.
+func TestCutAtEachByte(t *testing.T) {
+	const body = "some bytes of a message"
+	answers := []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", "HTTP/1.1 503 No\r\nSrv-Load: x0=0,x1=2\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 429 No\r\nX-RateLimit-Wait-Ms: 700\r\nContent-Length: 0\r\n\r\n"}
+	type step struct {
+		answer string
+		read   int // bytes of the request; negative: all
+		write  int // of the answer
+		reset  bool
+		used   bool
+	}
+	var steps []step
+	for _, used := range []bool{false, true} {
+		for _, reset := range []bool{false, true} {
+			for n := 0; n < 140; n += 7 { // a call has some 150
+				steps = append(steps, step{"", n, 0, reset, used})
+			}
+			for _, a := range answers {
+				for n := range len(a) + 1 {
+					steps = append(steps, step{a, -1, n, reset, used})
+				}
+			}
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var mu sync.Mutex // of the next three
+	var now step
+	ran, calls := false, 0
+	var handlers sync.WaitGroup
+	handle := func(conn net.Conn, s step) {
+		defer handlers.Done()
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		whole := func() bool {
+			req, err := http.ReadRequest(r)
+			if err == nil {
+				_, err = io.Copy(io.Discard, req.Body)
+			}
+			return err == nil
+		}
+		if s.used {
+			whole()
+			io.WriteString(conn, answers[0])
+		}
+		if s.read >= 0 {
+			io.CopyN(io.Discard, r, int64(s.read))
+		} else if whole() {
+			mu.Lock()
+			ran, calls = true, calls+1
+			mu.Unlock()
+			io.WriteString(conn, s.answer[:s.write])
+		}
+		if s.reset {
+			if s.write > 0 {
+				time.Sleep(2 * time.Millisecond) // what was written is read first
+			}
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+	accepted := make(chan bool, 16)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			s := now
+			mu.Unlock()
+			handlers.Add(1)
+			accepted <- true
+			go handle(conn, s)
+		}
+	}()
+	for _, s := range steps {
+		mu.Lock()
+		now, ran, calls = s, false, 0
+		mu.Unlock()
+		target := testTargets().open(ln.Addr().String())
+		a := engine.Attempt{ID: "m", Body: message.Bytes(body), Timeout: time.Minute}
+		if s.used {
+			if o := target.Call(t.Context(), a); o.Result != decide.Done {
+				t.Fatalf("%+v", o)
+			}
+		}
+		o := target.Call(t.Context(), a)
+		target.CloseIdle()
+		<-accepted
+		handlers.Wait()
+		for len(accepted) > 0 { // one more, where the used one was seen to be closed
+			<-accepted
+		}
+		mu.Lock()
+		never := o.Result == decide.Full || o.Result == decide.ConnectFailed || o.Result == decide.NotSent
+		switch {
+		case ran && never && s.write < len(s.answer):
+			t.Errorf("%+v: %+v, and it has run", s, o)
+		case never && o.Result != decide.ConnectFailed && s.write < len(s.answer):
+			t.Errorf("%+v: turned away by what did not come whole: %+v", s, o)
+		case strings.HasPrefix(s.answer, "HTTP/1.1 200") && s.write > strings.Index(s.answer, "\n") && o.Result != decide.Done:
+			t.Errorf("%+v: %+v", s, o)
+		case calls > 1:
+			t.Errorf("%+v: %d calls", s, calls)
+		}
+		mu.Unlock()
+	}
+}
