Leave a new connection its time, whoever waits for room

On reading the change once more: with all connections taken by new ones, one that had come 50 ms ago could be closed before its request, which then has no second chance as one between two requests has.

--- a/internal/engine/waits.go
+++ b/internal/engine/waits.go
@@ -20,8 +20,7 @@
 // place is what a target asks and tells.
 type place struct {
 	*told
-	own  bool // its route is its own
-	gone bool // it is not listed now
+	own bool // its route is its own
 }
 
 // tell takes a wait that was told just now. It never ends one. Any goroutine may call it.
@@ -44,12 +43,14 @@
 	apart        map[string]bool // kinds
 	shared       map[int]*told
 	byTarget     map[string]place
+	left         map[string]bool // those of them that are not listed now
 	clock        time.Time
 	mayBeginElse func() bool // nil: yes
 }
 
 func (w *waits) init(kinds []decide.Kind, clock time.Time, otherwise func() bool) {
 	w.apart, w.shared, w.byTarget, w.clock, w.mayBeginElse = map[string]bool{}, map[int]*told{}, map[string]place{}, clock, otherwise
+	w.left = map[string]bool{}
 	for _, k := range kinds {
 		w.apart[k.Name] = k.Apart
 	}
@@ -64,28 +65,31 @@
 // list notes whose route each target belongs to. The wait of a target that leaves the list and comes back is not over for that.
 func (w *waits) list(targets []decide.Target, whole bool) {
 	if whole {
-		for id, p := range w.byTarget {
-			p.gone = true
-			w.byTarget[id] = p
+		for id := range w.byTarget {
+			w.left[id] = true
 		}
 	}
 	for i := range targets {
 		w.listed(&targets[i])
 	}
-	for id, p := range w.byTarget {
-		if p.gone && (!p.own || p.out == 0 && p.left() == 0) { // else it runs, or may still be told
+	for id := range w.left {
+		if p := w.byTarget[id]; !p.own || p.out == 0 && p.told.left() == 0 { // else it runs, or may still be told
 			delete(w.byTarget, id)
+			delete(w.left, id)
 		}
 	}
 }
 
 func (w *waits) listed(t *decide.Target) {
 	p := w.byTarget[t.ID]
-	p.gone = t.State == decide.Gone
-	switch {
-	case p.gone && p.told == nil:
+	if t.State == decide.Gone { // such an entry need not say where that was
+		if p.told != nil {
+			w.left[t.ID] = true
+		}
 		return
-	case p.gone: // such an entry need not say where that was
+	}
+	delete(w.left, t.ID)
+	switch {
 	case !w.apart[t.Kind]:
 		if w.shared[t.Destination] == nil {
 			w.shared[t.Destination] = w.fresh()
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -243,8 +243,7 @@
 		switch {
 		case s.idle && over >= most:
 			longest, most = one{conn, s}, over
-			fallthrough
-		case s.idle:
+		case s.idle && s.used: // a new one is not closed before it had its time: its request would have no second chance
 			idle = append(idle, one{conn, s})
 		case s.reading && now.Sub(s.since) >= keepHalf:
 			half = append(half, one{conn, s})
--- a/internal/front/resp2/server_test.go
+++ b/internal/front/resp2/server_test.go
@@ -227,6 +227,26 @@
 	}
 }
 
+// TestNewKeepsItsTime: however long somebody waits for room, a connection that has just come is not closed before it can have sent its request, and one whose
+// request is being answered not at all.
+func TestNewKeepsItsTime(t *testing.T) {
+	c := New(nil, 3, nil)
+	now := time.Now()
+	young, busy, used := &closed{}, &closed{}, &closed{}
+	c.conns[young] = &clientState{idle: true, since: now.Add(1 - keepNew)}
+	c.conns[busy] = &clientState{used: true, since: now.Add(-time.Minute)}
+	for range 3 {
+		c.makeRoom(now, time.Minute)
+	}
+	if young.shed || busy.shed {
+		t.Errorf("closed: new %v, in hand %v", young.shed, busy.shed)
+	}
+	c.conns[used] = &clientState{idle: true, used: true, since: now}
+	if c.makeRoom(now, roomIdle); !used.shed || young.shed {
+		t.Errorf("closed: used %v, new %v", used.shed, young.shed)
+	}
+}
+
 // closed is a connection that notes when it is told to end.
 type closed struct {
 	net.Conn
