Believe an answer that came before the forwarder looked, though its call's time is over

Cause: a process that was held up (stopped, or without a core) finds the end of a call's time and its answer at once; a read whose deadline is over fails without a look at what has come, so that a 200 that was there counted as a time-out, failed what may not be repeated, and a told wait was not heard. Change: once the deadline is over, what has come already is read without waiting; bounded by the 64 KiB of an answer.

--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -262,12 +262,27 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(b[:min(len(b), left)])
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if here := c.readHere(b[:min(len(b), left)]); here > 0 {
+			n, err = here, nil
+		}
+	}
 	c.stopped = errors.Is(err, os.ErrDeadlineExceeded) // what reads lines makes other errors of it
 	c.record = append(c.record, b[:n]...)
 	c.told.look(c.record)
 	return n, err
 }
 
+// readHere reads what has come already, once a deadline is over. Where a process was stopped for a while, or waited for a core, the end of a
+// call's time and its answer are both there when it goes on: the answer came in time, and says what has become of the message.
+func (c *conn) readHere(b []byte) (n int) {
+	if c.raw == nil || len(b) == 0 {
+		return 0
+	}
+	c.raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) }) // it does not wait
+	return n
+}
+
 // answer reads an answer whole, behind any 1xx, and tells when it began - or
 // when there was no more to wait for. The body means nothing to us; its beginning is kept where a reply is asked for.
 func (c *conn) answer(ctx context.Context, end time.Time, reply *engine.Reply) (resp *http.Response, began time.Time, err error) {
