--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -75,8 +76,10 @@
 	diskMB    float64
 	args      []string
 	env       []string
-	listener  *os.File // the clients' socket, where the platform holds it
-	listing   string   // in place of one target
+	listener  *os.File    // the clients' socket, where the platform holds it
+	listing   string      // in place of one target
+	watched   chan string // answers to watches
+	silent    atomic.Bool // discovery does not answer
 
 	mu      sync.Mutex
 	calls   map[string]int
@@ -88,7 +91,7 @@
 
 func newWorld(t *testing.T, answer func(http.ResponseWriter, string)) *world {
 	w := &world{t: t, state: t.TempDir(), diskMB: 3, calls: map[string]int{}, answer: answer,
-		notices: make(chan string, 100), called: make(chan string, 100)}
+		notices: make(chan string, 100), called: make(chan string, 100), watched: make(chan string)}
 	over := make(chan bool)
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
@@ -106,8 +109,15 @@
 		switch {
 		case r.URL.Path == "/v2/finals":
 			w.finals(rw, r)
+		case w.silent.Load():
+			select {
+			case <-over:
+			case <-r.Context().Done():
+			}
 		case r.URL.Query().Has("from"):
 			select {
+			case list := <-w.watched:
+				io.WriteString(rw, list)
 			case <-over:
 			case <-r.Context().Done():
 			}
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -56,6 +56,7 @@
 	hup       <-chan os.Signal
 	settings  decide.Settings // with what operators have set
 	platform  *agent.Platform
+	withdrawn *agent.Withdrawn
 
 	inherited net.Listener // the clients' socket that the platform holds; nil if it does not
 	id        takeover.Identity
@@ -175,15 +176,15 @@
 	if f.operators.logSteps {
 		configuration.Steps = steplog.NewWriter(os.Stderr).Step
 	}
-	lists := []engine.List{f.c.Known.As(decide.Restored)}
+	f.withdrawn = agent.OpenWithdrawn(f.c.State, &f.c.Known)
+	list := f.withdrawn.Known()
+	lists := []engine.List{list.As(decide.Restored)}
 	if known = f.knownFrom(from); known != nil {
 		lists = append(lists, known.As(decide.Whole))
-	} else if f.settings.MustAsk && len(f.c.Known.Endpoints) > 0 {
-		known = &f.c.Known // what has changed since is less work than the whole list
-	}
-	list := known
-	if list == nil {
-		list = &f.c.Known
+		f.withdrawn.Tell(known)
+		list = known
+	} else if f.settings.MustAsk && len(list.Endpoints) > 0 {
+		known = list // what has changed since is less work than the whole list
 	}
 	if configuration.Acting, err = f.fleet.acting(list, from); err != nil {
 		return nil, nil, nil, err
@@ -280,7 +281,12 @@
 	if sources := f.operators.sources; sources != nil {
 		heard = sources.hear
 	}
-	lists.Go(func() { f.platform.Watch(watching, known, heard) })
+	lists.Go(func() {
+		f.platform.Watch(watching, known, func(list *agent.List) {
+			f.withdrawn.Tell(list)
+			heard(list)
+		})
+	})
 	lists.Go(func() { reload(watching, f.hup, f.fleet.again(), f.c.File, f.platform, f.operators) })
 	all.Go(func() { f.platform.Deliver(ctx, l.Heard) })
 	if from != nil {
--- a/cmd/scaleroute/upgrade_test.go
+++ b/cmd/scaleroute/upgrade_test.go
@@ -143,11 +143,11 @@
 }
 
 // made waits until a message has been sent.
-func (u *upgrades) made(id string) {
-	u.t.Helper()
-	for limit := time.Now().Add(patience); u.count(id) == 0; time.Sleep(time.Millisecond) {
+func (w *world) made(id string) {
+	w.t.Helper()
+	for limit := time.Now().Add(patience); w.count(id) == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
-			u.t.Fatalf("%s was not called", id)
+			w.t.Fatalf("%s was not called", id)
 		}
 	}
 }
