Take a request that began while its forwarder was away for that, and count calls in doubt

Seen: TestFleetAudit failed in 4 of 8 runs with all cores busy. Once by a client whose connection the relay took on while the process was away and that saw its end after the next one served (TestEndsOfConnections, fails without: Dropped in place of none); else by "calls in doubt of a process that was not killed": by its step log (5 of 5 looked at) those were calls of messages whose time ran out 40 to 73 ms after they were sent, as load left them no more. The test asked for none; it now asks that each is one that the module heard time out, be cut off or called off.

--- a/cmd/scaleroute/fleet_test.go
+++ b/cmd/scaleroute/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -91,7 +92,7 @@
 
 func newRig(t *testing.T, s fleet.Shape, l *logs, prepare ...func(*fleet.Rig)) *fleet.Rig {
 	t.Helper()
-	s.Dir, s.Command, s.Told, s.Seed = t.TempDir(), []string{os.Args[0], "-gossip-host", os.Args[0]}, l.told, 17
+	s.Dir, s.Command, s.Told, s.Seed = t.TempDir(), append([]string{os.Args[0], "-gossip-host", os.Args[0]}, s.Command...), l.told, 17
 	s.Env = append(s.Env, "SCALEROUTE_TEST_MAIN=1")
 	r, err := fleet.New(s)
 	if err != nil {
@@ -143,7 +144,7 @@
 	l := newLogs()
 	stop := filepath.Join(t.TempDir(), "stop")
 	set := operator.Fleet{Ledger: 1 << 20, Fence: operator.Duration(400 * time.Millisecond), Unheard: operator.Duration(time.Minute)}
-	r := newRig(t, fleet.Shape{Forwarders: 8, Destinations: 2, Targets: 3, Left: 4 * time.Second, Set: resolved(t, set), Env: []string{"SCALEROUTE_TEST_STOP=" + stop}}, l)
+	r := newRig(t, fleet.Shape{Forwarders: 8, Destinations: 2, Targets: 3, Left: 4 * time.Second, Set: resolved(t, set), Env: []string{"SCALEROUTE_TEST_STOP=" + stop}, Command: []string{"-log-steps"}}, l)
 	n := r.Nodes
 	for _, e := range r.World.Endpoints { // slow, so that a forwarder has use for all three of a destination
 		e.Set(standin.Script{Latency: 80 * time.Millisecond})
@@ -295,9 +296,21 @@
 			if arrived.Least > uint64(seen) || arrived.Most < uint64(seen) {
 				t.Errorf("%s: %s saw %d calls, and the ledger says %+v", group[0].Name, e.Name, seen, arrived)
 			}
-			if doubt := arrived.Most - arrived.Least; doubt > 0 && !killed || doubt > 12 {
-				t.Errorf("%s: %s: %+v, and killed: %v", group[0].Name, e.Name, arrived, killed)
+			// In doubt are the calls that were written and got no answer, as the module heard: those that timed out or were cut off, those called off
+			// by the byte that they had come to, and those that a kill cut off.
+			doubt, mostCut := int(arrived.Most-arrived.Least), 0
+			if killed {
+				mostCut = 12
 			}
+			eventually(t, fmt.Sprintf("%s: %s: a line for each call in doubt, %+v, and killed: %v", group[0].Name, e.Name, arrived, killed), func() bool {
+				ended, off := 0, 0
+				for _, one := range group {
+					outcome := fmt.Sprintf("step: outcome dest=%d target=%q ", e.Group, e.Name)
+					ended += l.count(one.Name, outcome, " result=timedout ") + l.count(one.Name, outcome, " result=reset ")
+					off += l.count(one.Name, outcome, " result=cancelled ")
+				}
+				return (killed || doubt >= ended) && doubt <= ended+off+mostCut
+			})
 			switch { // under lists from before the drain: all calls to the one that drained, and none to its heir
 			case e == victim && older != begun:
 				t.Errorf("%s: %+v calls to the target that drains, %+v of them under an older list", group[0].Name, begun, older)
--- a/cmd/scaleroute/member_faults_test.go
+++ b/cmd/scaleroute/member_faults_test.go
@@ -49,12 +49,19 @@
 	return r
 }
 
-// count is how many lines of a forwarder's log have a text.
-func (l *logs) count(node, text string) (n int) {
+// count is how many lines of a forwarder's log have some texts, one behind the other.
+func (l *logs) count(node string, texts ...string) (n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, line := range l.lines[node] {
-		if strings.Contains(line, text) {
+		has := true
+		for _, text := range texts {
+			i := strings.Index(line, text)
+			if has = has && i >= 0; i >= 0 {
+				line = line[i+len(text)-1:] // two may share a space
+			}
+		}
+		if has {
 			n++
 		}
 	}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -119,7 +119,7 @@
 // it once more on a new one: the forwarder may close one between requests.
 func (c *client) ask(j Job, h *Handed, left time.Duration, try int) (Answer, time.Duration) {
 	for again := false; ; again = true {
-		ends := c.clients.member.ends.Load()
+		away, ends := c.clients.member.Away(), c.clients.member.ends.Load()
 		if c.conn == nil {
 			conn, err := net.DialTimeout("tcp", *c.clients.address.Load(), AnswerTime)
 			if err != nil {
@@ -154,8 +154,8 @@
 			if used && !again {
 				continue // it crossed the closing of an idle connection
 			}
-			if c.clients.member.Away() || c.clients.member.ends.Load() != ends {
-				return None, 0 // a process that dies resets its connections, and may be back by the time that this is seen
+			if away || c.clients.member.Away() || c.clients.member.ends.Load() != ends {
+				return None, 0 // a process that dies resets its connections, and may be back by the time that this is seen: it was away when this began, too
 			}
 			return Dropped, 0
 		}
