Send a notice again by a new connection after 100 ms: one that is 300 ms late is a lost message

Cause, by reading and forced: a notice is sent 15 ms before its message's time is up; where the kept connection to the agent had fallen silent it was given up after 1 s, and is lost 300 ms after the time. Now 100 ms the first time, twice as long each time after (1 s at most), at once by a new connection; a notice for a message that is over does no harm. TestSilentNotice (virtual time, silent behind each of the 27 bytes of the answer, both draws of the pauses) fails without; an agent that answers nobody gets 10 to 13 calls in 10 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,7 +34,8 @@
 
 const (
 	listTime    = 2 * time.Second
-	noticeTime  = time.Second
+	noticeTime  = 100 * time.Millisecond // the first time; twice as long each time after
+	noticeMost  = time.Second
 	maxList     = 64 << 20 // bytes of a list
 	maxOther    = 4 << 10  // of any other answer
 	noticeBatch = 256
@@ -355,11 +357,11 @@
 		json.NewEncoder(&lines).Encode(n) // ends the line; a struct of plain fields does not fail
 		refs = append(refs, n.Ref)
 	}
-	again := backoff{first: firstPause, most: noticePause, random: p.fleet.random}
+	again, limit := backoff{first: firstPause, most: noticePause, random: p.fleet.random}, noticeTime
 	for ctx.Err() == nil {
 		a := p.current()
 		var status int
-		err := a.do(ctx, noticeTime, http.MethodPost, "/v2/finals", lines.Bytes(), func(s int, _ io.Reader) error {
+		err := a.do(ctx, limit, http.MethodPost, "/v2/finals", lines.Bytes(), func(s int, _ io.Reader) error {
 			status = s
 			return nil
 		})
@@ -382,6 +384,10 @@
 			continue // at once at the new address
 		}
 		wait := again.failed()
+		if errors.Is(err, context.DeadlineExceeded) { // its connection may have fallen silent, while a notice is due: at once by a new one. Twice does no harm
+			a.client.CloseIdleConnections()
+			wait, limit = 0, min(2*limit, noticeMost)
+		}
 		slog.Warn("notices not taken", "status", status, "err", err, "first", batch[0].Ref, "count", len(batch), "again_in", wait)
 		a.pause(ctx, wait)
 	}
--- a/internal/agent/silence_test.go
+++ b/internal/agent/silence_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"scaleroute/internal/engine"
 )
 
 // answering is a discovery of one agent whose answer to each call is written byte by byte by a test.
@@ -103,6 +106,59 @@
 	}
 }
 
+// TestSilentNotice: the connection by which a notice goes has fallen silent, behind each byte of the answer. The notice is at the platform before it is 300 ms
+// late, whatever the draw of the pauses. An agent that answers nobody for 10 s is asked no more often than each second in the end.
+func TestSilentNotice(t *testing.T) {
+	const text = "HTTP/1.1 204 No Content\r\n\r\n"
+	for _, draw := range []float64{0, 1} {
+		for cut := range len(text) {
+			synctest.Test(t, func(t *testing.T) {
+				p, over := answering(t, Fleet{Random: func() float64 { return draw }}, func(n int, r *http.Request, conn net.Conn) {
+					io.Copy(io.Discard, r.Body)
+					if n != 2 {
+						conn.Write([]byte(text))
+						return
+					}
+					conn.Write([]byte(text[:cut]))
+					var b [1]byte
+					conn.Read(b[:])
+					conn.Close()
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				arrived := make(chan []string)
+				go p.Deliver(ctx, func(refs []string) { arrived <- refs })
+				for _, id := range []string{"first", "second"} {
+					due := time.Now()
+					p.Final(engine.Final{ID: id})
+					if <-arrived; time.Since(due) > 250*time.Millisecond {
+						t.Errorf("cut at %d: %s arrived after %v", cut, id, time.Since(due))
+					}
+				}
+				cancel()
+				over()
+			})
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int32
+		p, over := answering(t, Fleet{Random: func() float64 { return 0 }}, func(n int, r *http.Request, conn net.Conn) {
+			calls.Add(1)
+			var b [1]byte
+			conn.Read(b[:])
+			conn.Close()
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		p.Final(engine.Final{ID: "m"})
+		go p.Deliver(ctx, func([]string) { t.Error("arrived") })
+		time.Sleep(10 * time.Second)
+		if n := calls.Load(); n < 10 || n > 13 {
+			t.Errorf("%d calls in 10 s", n)
+		}
+		cancel()
+		over()
+	})
+}
+
 // TestAgentAway: however long one's own agent refuses connections or answers badly, what it has once it is back is in force soon after: it counts as
 // told at once. Where asking is work for discovery, the waits have grown.
 func TestAgentAway(t *testing.T) {
