--- a/cmd/scaleroute/member_faults_test.go
+++ b/cmd/scaleroute/member_faults_test.go
@@ -74,8 +74,13 @@
 	close(over)
 	wait()
 	r.Settle(r.Nodes, 10*time.Second)
+	keptBy(t, r, standin.Rules)
+}
+
+func keptBy(t *testing.T, r *fleet.Rig, rules standin.Limits) {
+	t.Helper()
 	for _, one := range r.Nodes {
-		if v := one.Log.Check(standin.Rules); v.Broken() {
+		if v := one.Log.Check(rules); v.Broken() {
 			t.Errorf("%s: %+v", one.Name, v)
 		}
 	}
