Carry out operators' calls about targets before a hand-over; cross each step of it with other events

Cause, by reading: a call that had been found to be this process's was carried out after the next one had read what is left out: a yes that does not hold. TestUpgradeCrossed: at each of 13 steps discovery tells a drain while operators leave a target out and send clients away, or the process at that step is told to end: 26 cases, none broke anything. With the hand-over not stopping operators' calls it fails at two steps by a target called that was left out with a yes.

--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -44,6 +44,20 @@
 				}
 			}
 		}
+		if step := os.Getenv("SCALEROUTE_TEST_PAUSE"); step != "" {
+			takeover.Reached = func(now string) {
+				if now != step {
+					return
+				}
+				fmt.Fprintln(os.Stderr, "reached", step)
+				for { // until it may go on
+					if _, err := os.Stat(os.Getenv("SCALEROUTE_TEST_GO")); err == nil {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}
 		if file := os.Getenv("SCALEROUTE_TEST_STOP"); file != "" {
 			file += "." + filepath.Base(os.Getenv("TMPDIR")) // of this forwarder
 			fence.AtCheck = func() {                         // right before the first byte of a call
@@ -78,7 +92,9 @@
 	env       []string
 	listener  *os.File    // the clients' socket, where the platform holds it
 	listing   string      // in place of one target
-	watched   chan string // answers to watches
+	told      []string    // what changed, by versions from 2 on
+	more      chan bool   // closed with the next of them
+	heard     int         // the newest version from which somebody has asked on
 	silent    atomic.Bool // discovery does not answer
 
 	mu      sync.Mutex
@@ -91,7 +107,7 @@
 
 func newWorld(t *testing.T, answer func(http.ResponseWriter, string)) *world {
 	w := &world{t: t, state: t.TempDir(), diskMB: 3, calls: map[string]int{}, answer: answer,
-		notices: make(chan string, 100), called: make(chan string, 100), watched: make(chan string)}
+		notices: make(chan string, 100), called: make(chan string, 100), more: make(chan bool)}
 	over := make(chan bool)
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
@@ -115,11 +131,25 @@
 			case <-r.Context().Done():
 			}
 		case r.URL.Query().Has("from"):
-			select {
-			case list := <-w.watched:
-				io.WriteString(rw, list)
-			case <-over:
-			case <-r.Context().Done():
+			from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+			for {
+				w.mu.Lock()
+				told, more := "", w.more
+				if w.heard = max(w.heard, from); from >= 1 && from <= len(w.told) {
+					told = w.told[from-1]
+				}
+				w.mu.Unlock()
+				if told != "" {
+					io.WriteString(rw, told)
+					return
+				}
+				select {
+				case <-more:
+				case <-over:
+					return
+				case <-r.Context().Done():
+					return
+				}
 			}
 		default:
 			rw.Write(w.list())
@@ -133,6 +163,36 @@
 	return w
 }
 
+// tell has discovery tell the next version.
+func (w *world) tell(whole bool, entries ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told = append(w.told, fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, len(w.told)+2, whole, strings.Join(entries, ",")))
+	close(w.more)
+	w.more = make(chan bool)
+}
+
+// hear waits until somebody has heard all that was told.
+func (w *world) hear() {
+	w.t.Helper()
+	for limit := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		all := w.heard == len(w.told)+1
+		w.mu.Unlock()
+		if all {
+			return
+		}
+		if time.Now().After(limit) {
+			w.t.Fatal("nobody has heard what was told")
+		}
+	}
+}
+
+// entry is a target of a list, at the world's address.
+func (w *world) entry(name string, dest int, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"std","group":%d,"status":%q,"weight":50}`, name, w.target.Listener.Addr(), dest, status)
+}
+
 func (w *world) list() []byte {
 	if w.listing != "" {
 		return fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[%s]}`, w.listing)
@@ -283,8 +343,17 @@
 	return p
 }
 
-// await waits until it serves.
+// await waits until it serves, and takes clients.
 func (p *process) await() {
+	p.t.Helper()
+	p.serves()
+	if got := p.client().say("PING"); got != "+PONG" {
+		p.t.Fatalf("PING got %q", got)
+	}
+}
+
+// serves waits until it does, once more each time that it begins anew.
+func (p *process) serves() {
 	p.t.Helper()
 	select {
 	case ok := <-p.serving:
@@ -294,9 +363,6 @@
 	case <-time.After(patience):
 		p.t.Fatal("it does not serve")
 	}
-	if got := p.client().say("PING"); got != "+PONG" {
-		p.t.Fatalf("PING got %q", got)
-	}
 }
 
 func (p *process) kill() {
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -316,7 +316,7 @@
 				continue
 			}
 			slog.Info("handing over")
-			f.control.Stop(errHandedOver)
+			f.control.HandOver(errHandedOver)
 			takeover.Reached("old: asked")
 			// In the order in which things come: lists, then requests, then calls.
 			unwatch()
--- a/cmd/scaleroute/upgrade_test.go
+++ b/cmd/scaleroute/upgrade_test.go
@@ -61,7 +61,7 @@
 		if d == drains {
 			status = "DRAINING"
 		}
-		list = append(list, fmt.Sprintf(`{"name":"s%d","address":%q,"zone":"a","type":"std","group":%d,"status":%q,"weight":50}`, d, u.target.Listener.Addr(), d, status))
+		list = append(list, u.entry(fmt.Sprint("s", d), d, status))
 	}
 	u.listing = strings.Join(list, ",")
 	u.env = []string{"TMPDIR=" + t.TempDir(), "NODE_OPS=127.0.0.1:0"}
@@ -314,6 +314,107 @@
 	}
 }
 
+// TestUpgradeCrossed: in each step of a hand-over discovery tells a drain, and operators leave a target out and send clients away, as far as they
+// are told yes; or the process that is at that step is told to end. Whoever serves in the end keeps to all of it, and has all that is owed.
+func TestUpgradeCrossed(t *testing.T) {
+	for _, step := range []string{"old: asked", "old: clients detached", "old: engine detached", "old: journal closed", "old: sent half", "old: sent", "old: owned",
+		"new: asked", "new: received", "new: locked", "new: recovered", "new: owned", "new: serving"} {
+		for _, end := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, end %t", step, end), func(t *testing.T) {
+				t.Parallel()
+				u := newUpgrades(t)
+				goOn := filepath.Join(t.TempDir(), "go-on")
+				paused, other := []string{"SCALEROUTE_TEST_PAUSE=" + step, "SCALEROUTE_TEST_GO=" + goOn}, []string(nil)
+				isNew := strings.HasPrefix(step, "new")
+				oldEnv, nextEnv := paused, other
+				if isNew {
+					oldEnv, nextEnv = other, paused
+				}
+				old, _ := u.begin(oldEnv...)
+				next := u.launch(nextEnv...)
+				at := old
+				if isNew {
+					at = next
+				}
+				at.awaitLog("reached " + step)
+				release := func() {
+					if err := os.WriteFile(goOn, nil, 0o600); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if end {
+					crossedByEnd(t, u, old, next, at, release)
+					return
+				}
+				u.tell(false, u.entry(fmt.Sprint("s", works), works, "DRAINING"))
+				out, _ := old.ask("PUT", fmt.Sprintf("/targets/s%d/maint", slow))
+				away, _ := old.ask("PUT", "/healthcheck/fail")
+				release()
+				next.serves()
+				u.hear()
+				c := next.client()
+				if got := c.say("PING"); (got == "+PONG") != (away != http.StatusOK) {
+					t.Errorf("operators were told %d, and PING gets %q", away, got)
+				}
+				next.yes("PUT", "/healthcheck/ok")
+				c = next.client()
+				for id, dest := range map[string]int{"drain-2": works, "out-3": slow} {
+					if got := c.hand(id, "harmless", dest); got != "+OK" {
+						t.Errorf("%s: %q", id, got)
+					}
+				}
+				if out != http.StatusOK {
+					u.made("out-3")
+				}
+				u.let()
+				held := 6
+				if out != http.StatusOK {
+					held--
+				}
+				next.stats("what was out is over", func(s operations.Stats) bool { return s.OpenRequests == held })
+				u.kept(step, true)
+				if n := u.count("drain-2"); n > 0 {
+					t.Error("sent to a target that was told to drain")
+				}
+				if n := u.count("out-3"); out == http.StatusOK && n > 0 {
+					t.Error("sent to a target that was left out by hand, with a yes")
+				}
+				next.yes("PUT", fmt.Sprintf("/targets/s%d/ready", slow))
+				u.made("out-3")
+				next.yes("PUT", fmt.Sprintf("/targets/s%d/ready", banned))
+				u.made("ban-1")
+			})
+		}
+	}
+}
+
+// crossedByEnd: a process is told to end at a step of a hand-over. It does so in order, and whoever serves then has what is owed.
+func crossedByEnd(t *testing.T, u *upgrades, old, next, at *process, release func()) {
+	at.cmd.Process.Signal(syscall.SIGTERM)
+	release()
+	if err := at.cmd.Wait(); err != nil {
+		t.Errorf("told to end: %v", err)
+	}
+	left := next
+	if at == next { // the old one has handed over, or goes on
+		left = old
+		if status, _ := old.ask("GET", "/healthcheck"); status != http.StatusOK {
+			old.kill()
+			left = u.launch()
+		}
+	}
+	left.serves()
+	u.let()
+	if got := left.client().hand("newer", "unsafe", works); got != "+OK" {
+		t.Errorf("a new message: %q", got)
+	}
+	u.made("newer")
+	left.stats("what was out is over", func(s operations.Stats) bool { return s.OpenRequests == 4 && s.OutOfRotation >= 2 })
+	u.kept("told to end", false)
+	left.yes("PUT", fmt.Sprintf("/targets/s%d/ready", banned))
+	u.made("ban-1")
+}
+
 // TestUpgradeDiskFull: a folder that has hardly any room left is handed over with all that it holds.
 func TestUpgradeDiskFull(t *testing.T) {
 	u := newUpgrades(t)
--- a/cmd/scaleroute/withdrawn_test.go
+++ b/cmd/scaleroute/withdrawn_test.go
@@ -15,17 +15,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, func(http.ResponseWriter, string) {})
-			entry := func(name string, dest int, status string) string {
-				return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"std","group":%d,"status":%q,"weight":50}`, name, w.target.Listener.Addr(), dest, status)
-			}
-			w.listing = entry("drains", 7, "SERVING") + "," + entry("goes", 8, "SERVING") + "," + entry("returns", 9, "SERVING")
+			w.listing = w.entry("drains", 7, "SERVING") + "," + w.entry("goes", 8, "SERVING") + "," + w.entry("returns", 9, "SERVING")
 			p := w.start()
-			tell := func(index int, whole bool, entries string) {
-				w.watched <- fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, entries)
-			}
-			tell(2, false, entry("drains", 7, "DRAINING")+","+entry("returns", 9, "DRAINING"))
-			tell(3, true, entry("drains", 7, "DRAINING")+","+entry("returns", 9, "SERVING"))
-			tell(3, false, "") // who asks for this has heard the one before
+			w.tell(false, w.entry("drains", 7, "DRAINING"), w.entry("returns", 9, "DRAINING"))
+			w.tell(true, w.entry("drains", 7, "DRAINING"), w.entry("returns", 9, "SERVING"))
+			w.hear()
 			w.silent.Store(true)
 			for _, round := range []string{"a", "b"} {
 				c := p.client()
@@ -46,6 +40,7 @@
 					t.Errorf("%s was sent %d times to a target that was told to drain", id, n)
 				}
 			}
+			w.tell(true, w.listing)
 			w.silent.Store(false)
 			for _, id := range []string{"a7", "a8", "b7", "b8"} {
 				w.made(id)
--- a/internal/operations/control.go
+++ b/internal/operations/control.go
@@ -36,6 +36,8 @@
 	failed bool  // told so at this process's door
 	shut   error // it is shut out of its fleet, and why
 	next   Next  // the process that has taken over; nil if none has
+
+	calls sync.RWMutex // held for reading by calls about targets, from when it was asked whose they are until they are carried out
 }
 
 // Why a process is not ready.
@@ -71,6 +73,14 @@
 	c.why = why
 }
 
+// HandOver is Stop for a process that hands over. When it returns no call about a target is being carried out here: the next process
+// reads what operators have left out once, and what it missed would be a yes that does not hold.
+func (c *Control) HandOver(why error) {
+	c.Stop(why)
+	c.calls.Lock()
+	defer c.calls.Unlock()
+}
+
 // Ready is nil, or why this process is not ready to serve.
 func (c *Control) Ready() error {
 	c.mu.Lock()
@@ -111,6 +121,8 @@
 
 // LeaveOut leaves a target out until PutBack.
 func (c *Control) LeaveOut(target string) error {
+	c.calls.RLock()
+	defer c.calls.RUnlock()
 	m, err := c.members()
 	if err != nil {
 		return err
@@ -120,6 +132,8 @@
 
 // PutBack puts it back.
 func (c *Control) PutBack(target string) error {
+	c.calls.RLock()
+	defer c.calls.RUnlock()
 	m, err := c.members()
 	if err != nil {
 		return err
