Have the tests' processes end at once under the race detector, and show the log of one that ends early

The race detector has a process wait for 1 s at its end: TestUpgrade took 3.4 s a case in place of 0.2 s, and each hand-over of a member waited 1 s for the process that speaks for it.

--- a/cmd/scaleroute/fleet_test.go
+++ b/cmd/scaleroute/fleet_test.go
@@ -93,7 +93,7 @@
 func newRig(t *testing.T, s fleet.Shape, l *logs, prepare ...func(*fleet.Rig)) *fleet.Rig {
 	t.Helper()
 	s.Dir, s.Command, s.Told, s.Seed = t.TempDir(), append([]string{os.Args[0], "-gossip-host", os.Args[0]}, s.Command...), l.told, 17
-	s.Env = append(s.Env, "SCALEROUTE_TEST_MAIN=1")
+	s.Env = append(s.Env, "SCALEROUTE_TEST_MAIN=1", endsAtOnce)
 	r, err := fleet.New(s)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -79,6 +79,10 @@
 	os.Exit(m.Run())
 }
 
+// endsAtOnce has a process that runs with the race detector end when it does: that would have it wait for a second, in which its next one, or
+// whoever hands over, waits for it. What it has found is told all the same.
+const endsAtOnce = "GORACE=atexit_sleep_ms=0"
+
 const patience = time.Minute // for whatever must come in the end
 
 // world is discovery, the platform and one target.
@@ -302,7 +306,7 @@
 		w.t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0], w.args...)
-	cmd.Env = append(os.Environ(), "SCALEROUTE_TEST_MAIN=1", "NODE_CONFIG="+config, "NODE_STATE="+w.state,
+	cmd.Env = append(os.Environ(), "SCALEROUTE_TEST_MAIN=1", endsAtOnce, "NODE_CONFIG="+config, "NODE_STATE="+w.state,
 		"NODE_DISCOVERY="+w.discovery.Listener.Addr().String())
 	cmd.Env = append(append(cmd.Env, w.env...), env...)
 	if w.listener != nil {
@@ -358,6 +362,9 @@
 	select {
 	case ok := <-p.serving:
 		if !ok {
+			for len(p.log) > 0 {
+				p.t.Log(<-p.log)
+			}
 			p.t.Fatal("ended before it served")
 		}
 	case <-time.After(patience):
