Accept from the platform's socket without waiting in the kernel: a hand-over hung for 5 s

Cause: O_NONBLOCK belongs to the open socket, which all processes share, and os/exec's use of File.Fd clears it for each file that a child inherits. An accept begun between that and the next process's start waits in the kernel, heeds no deadline, and Detach waits for it until a client comes. Change: it is set before each accept.

--- a/cmd/scaleroute/takeover.go
+++ b/cmd/scaleroute/takeover.go
@@ -32,11 +32,51 @@
 		return fmt.Errorf("NODE_SOCKET_FD: descriptor %d is no listening socket: have the platform open it, or leave the variable out (%w)", f.c.SocketFD, err)
 	}
 	file.Close()
-	f.inherited = ln
+	if f.inherited, err = newShared(ln); err != nil {
+		return fmt.Errorf("NODE_SOCKET_FD: descriptor %d: %w", f.c.SocketFD, err)
+	}
 	f.id, err = takeover.Identify(f.c.Name, f.c.State)
 	return err
 }
 
+// shared is a listening socket that others hold, too. That it does not block is a property that all of them share, and whoever starts the next process
+// may end it (Go's os/exec does, for each file that a child inherits) until that one sets it again. An accept that blocks in the kernel heeds no deadline: a
+// hand-over would wait for the next client, and the new process end after folderWait. So it is set before each accept.
+type shared struct {
+	net.Listener
+	raw syscall.RawConn
+}
+
+func newShared(ln net.Listener) (net.Listener, error) {
+	conn, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("%T can't be accepted from", ln)
+	}
+	raw, err := conn.SyscallConn()
+	return shared{ln, raw}, err
+}
+
+// Accept waits for the next client, until the deadline.
+func (s shared) Accept() (net.Conn, error) {
+	var set error
+	if err := s.raw.Control(func(fd uintptr) { set = syscall.SetNonblock(int(fd), true) }); err != nil {
+		return nil, err
+	}
+	if set != nil {
+		return nil, set
+	}
+	return s.Listener.Accept()
+}
+
+// SetDeadline bounds it.
+func (s shared) SetDeadline(t time.Time) error {
+	l, ok := s.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetDeadline(t)
+}
+
 // begin takes the folder that lasts: from the process that serves, if there is one, or as it is.
 func (f *forwarder) begin() (j *journal.Journal, from *bundle, taker *takeover.Taker, err error) {
 	if f.inherited == nil {
