Count a request that came during a hand-over from when the process before stopped reading

Cause, from the log of TestFleetUpgradeOut's one failure (an end 414 ms late; hand-over from :50.683 to :51.106, 5 clients handed over): a message's time runs from when its request is read, and while connections change hands nobody reads. A request that had waited for 0.4 s got 0.4 s too much, and its end came as much too late; 300 ms late is lost. Ruled out: notices and engine go on until the process before has detached. Change: the time at which the front stopped goes along; the first request of each connection within 50 ms of the next process's beginning counts from then, 400 ms (a client's patience) at most.

--- a/cmd/scaleroute/bundle.go
+++ b/cmd/scaleroute/bundle.go
@@ -19,6 +19,7 @@
 	list    *agent.List // nil: none was told yet
 	drained bool        // clients are sent away by hand
 	clients []resp2.Handed
+	stopped time.Time // nobody reads what clients send since then
 	idle    []httpcall.Idle
 
 	takeOver int // how often another process has taken over before
@@ -43,7 +44,8 @@
 		Over   int           `json:"take_over,omitempty"`
 	}
 	frontParcel struct {
-		Drained bool `json:"drained"`
+		Drained bool      `json:"drained"`
+		Stopped time.Time `json:"stopped"`
 	}
 	callParcel struct {
 		Message  string    `json:"message"`
@@ -79,7 +81,7 @@
 		add(kindList, b.list, takeover.Parcel{})
 	}
 	if err == nil {
-		add(kindFront, frontParcel{b.drained}, takeover.Parcel{})
+		add(kindFront, frontParcel{b.drained, b.stopped}, takeover.Parcel{})
 	}
 	for _, c := range b.engine.Calls {
 		if err == nil {
@@ -126,7 +128,7 @@
 		case kindFront:
 			var v frontParcel
 			read(&v)
-			b.drained = v.Drained
+			b.drained, b.stopped = v.Drained, v.Stopped
 		case kindCall:
 			var v callParcel
 			read(&v)
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -291,7 +291,7 @@
 	all.Go(func() { f.platform.Deliver(ctx, l.Heard) })
 	if from != nil {
 		http.Adopt(from.idle)
-		clients.Adopt(from.clients)
+		clients.Adopt(from.clients, from.stopped)
 	}
 	accepting.Go(func() { clients.Serve(ctx) })
 	if file := f.operators.now.PluginStatus; file != "" {
@@ -321,7 +321,8 @@
 			// In the order in which things come: lists, then requests, then calls.
 			unwatch()
 			lists.Wait()
-			left = &bundle{list: f.platform.Last(), drained: f.control.SentAway(), clients: clients.Detach(detachLimit)}
+			left = &bundle{list: f.platform.Last(), drained: f.control.SentAway(), stopped: time.Now()}
+			left.clients = clients.Detach(detachLimit)
 			accepting.Wait()
 			takeover.Reached("old: clients detached")
 			left.takeOver = f.fleet.generation()
--- a/internal/front/resp2/handover.go
+++ b/internal/front/resp2/handover.go
@@ -60,8 +60,29 @@
 	return true
 }
 
-// Adopt serves connections of another server, before Serve or beside it.
-func (c *Server) Adopt(list []Handed) {
+// While connections change hands nobody reads: a request that came meanwhile has less time left than it says. When it came is not known, so what is
+// there as this server begins counts from when the other one stopped; its client waits for clientWaits at most.
+const clientWaits = 400 * time.Millisecond
+
+var readSoon = 50 * time.Millisecond // after that nothing has been there all the time; tests set it
+
+// gap is that in which nobody read.
+type gap struct{ from, to time.Time }
+
+// sent is when a request that has just been read was sent at the earliest.
+func (g gap) sent(now time.Time) time.Time {
+	if g.from.IsZero() || now.Sub(g.to) > readSoon || g.from.After(now) {
+		return now
+	}
+	if oldest := now.Add(-clientWaits); g.from.Before(oldest) {
+		return oldest
+	}
+	return g.from
+}
+
+// Adopt serves connections of another server, which stopped reading at a time; it comes before Serve.
+func (c *Server) Adopt(list []Handed, stopped time.Time) {
+	c.gap = gap{stopped, time.Now()}
 	for _, h := range list {
 		h.Conn.SetDeadline(time.Time{})
 		c.mu.Lock()
--- a/internal/front/resp2/handover_test.go
+++ b/internal/front/resp2/handover_test.go
@@ -40,7 +40,7 @@
 			serve := func(list []Handed) *Server {
 				c := New(ln, 100, take)
 				c.HandsOver = true
-				c.Adopt(list)
+				c.Adopt(list, time.Now())
 				go func() { served <- c.Serve(t.Context()) }()
 				return c
 			}
@@ -142,7 +142,7 @@
 		t.Errorf("answered %q, handed over %+v", got, list)
 	}
 	second := New(ln, 100, taker(takesAll))
-	second.Adopt(list)
+	second.Adopt(list, time.Now())
 	go second.Serve(t.Context())
 	if fmt.Fprint(conn, resp("PING")); line(t, r) != "+PONG" {
 		t.Error("the connection does not go on")
@@ -183,7 +183,7 @@
 		must(t, <-served)
 		<-dialled
 		next := New(ln, 10, nil)
-		next.Adopt(list)
+		next.Adopt(list, time.Now())
 		go func() { served <- next.Serve(t.Context()) }()
 		if len(conns) != 3 {
 			t.Fatalf("%d connections", len(conns))
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -74,6 +74,7 @@
 	closing   bool
 	drain     drain
 	handing   handing
+	gap       gap
 	wg        sync.WaitGroup
 	accepting sync.WaitGroup // Serve
 }
@@ -354,7 +355,7 @@
 	c.mu.Lock()
 	s := c.conns[raw]
 	c.mu.Unlock()
-	kept := false // by whoever goes on with it
+	kept, first := false, true // by whoever goes on with it; no request was read here
 	defer func() {
 		if !kept {
 			raw.Close()
@@ -406,7 +407,11 @@
 			return
 		}
 		c.readWhole(s)
-		answer, written := c.answer(args)
+		read := time.Now()
+		if first {
+			read, first = c.gap.sent(read), false
+		}
+		answer, written := c.answer(args, read)
 		_, err = io.WriteString(conn, answer)
 		if written != nil {
 			written(err == nil)
@@ -431,7 +436,7 @@
 	io.CopyN(io.Discard, conn, lingerBytes)
 }
 
-func (c *Server) answer(args [][]byte) (string, func(bool)) {
+func (c *Server) answer(args [][]byte, read time.Time) (string, func(bool)) {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
 		if len(args) == 2 && !c.drained.Load() {
@@ -442,7 +447,7 @@
 		}
 		return "+PONG\r\n", nil
 	case "ENQUEUE":
-		req, err := parseEnqueue(args)
+		req, err := parseEnqueue(args, read)
 		if err != nil {
 			return "-ERR " + err.Error() + "\r\n", nil
 		}
@@ -466,11 +471,11 @@
 	return "-ERR " + a.Why + "\r\n", nil
 }
 
-func parseEnqueue(args [][]byte) (*message.Message, error) {
+func parseEnqueue(args [][]byte, read time.Time) (*message.Message, error) {
 	if len(args) != 5 {
 		return nil, errors.New("ENQUEUE takes a key, an id, a list and a body")
 	}
-	req := &message.Message{ID: string(args[2]), Destination: -1, Fields: string(args[3]), Body: message.Bytes(args[4]), Read: time.Now()}
+	req := &message.Message{ID: string(args[2]), Destination: -1, Fields: string(args[3]), Body: message.Bytes(args[4]), Read: read}
 	if !plainWord(req.ID) {
 		return nil, errors.New("bad id")
 	}
