--- a/internal/agent/withdrawn.go
+++ b/internal/agent/withdrawn.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"log/slog"
 	"os"
@@ -36,12 +37,13 @@
 // OpenWithdrawn reads the one in a folder. known is the list of the configuration. A file that can't be read is as good as none, and the log says so.
 func OpenWithdrawn(folder string, known *List) *Withdrawn {
 	w := &Withdrawn{path: filepath.Join(folder, withdrawnName), known: known}
-	text, err := os.ReadFile(w.path)
+	f, err := os.Open(w.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return w
 	}
 	if err == nil {
-		err = json.Unmarshal(text, &w.saved)
+		defer f.Close()
+		err = json.NewDecoder(io.LimitReader(f, mostWithdrawn)).Decode(&w.saved)
 	}
 	if err != nil {
 		w.saved = withdrawn{}
--- a/internal/agent/withdrawn_test.go
+++ b/internal/agent/withdrawn_test.go
@@ -108,7 +108,7 @@
 	if n, newest := drains(); n < 50 || !newest {
 		t.Errorf("beside a name that has no room: %d drain, the newest: %t", n, newest)
 	}
-	for _, text := range []string{"", "{", `{"index":9}`, `{"index":"9","names":[]}`, "\x00\x00"} {
+	for _, text := range []string{"", "{", `{"index":9}`, `{"index":"9","names":[]}`, "\x00\x00", `{"index":9,"names":["` + strings.Repeat("x", mostWithdrawn) + `"]}`} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
