Drop withdrawn targets that the configuration's list has outrun

Found on a second reading: names of a file older than the configuration's list were not heeded, but written again with the next change, under that change's version; a further start without discovery would have kept a target that serves again from its calls until discovery answered. They are dropped as the file is read. The model has configurations now that know more than the process before did: it fails without the mend at its first case. The error on NODE_SOCKET_FD names its remedy.

--- a/cmd/scaleroute/takeover.go
+++ b/cmd/scaleroute/takeover.go
@@ -50,7 +50,7 @@
 func newShared(ln net.Listener) (net.Listener, error) {
 	conn, ok := ln.(syscall.Conn)
 	if !ok {
-		return nil, fmt.Errorf("%T can't be accepted from", ln)
+		return nil, fmt.Errorf("it is a %T, which can't be accepted from: have the platform open a TCP socket that listens", ln)
 	}
 	raw, err := conn.SyscallConn()
 	return shared{ln, raw}, err
--- a/internal/agent/withdrawn.go
+++ b/internal/agent/withdrawn.go
@@ -49,12 +49,15 @@
 		w.saved = withdrawn{}
 		slog.Error("targets that drained before this start may be called until discovery answers; the file is written anew with the next such change", "file", w.path, "err", err)
 	}
+	if w.saved.Index <= known.Index { // the configuration has heard of what became of them
+		w.saved = withdrawn{}
+	}
 	return w
 }
 
 // Known is the list of the configuration as the process before would have it now: what it was told to drain by a later list drains.
 func (w *Withdrawn) Known() *List {
-	if w.saved.Index <= w.known.Index || len(w.saved.Names) == 0 {
+	if len(w.saved.Names) == 0 {
 		return w.known
 	}
 	l := *w.known
--- a/internal/agent/withdrawn_test.go
+++ b/internal/agent/withdrawn_test.go
@@ -54,7 +54,13 @@
 					}
 				}
 				w.Tell(l)
-			case "new configuration":
+			case "new configuration": // of now, which the process before may not have heard
+				if rapid.Bool().Draw(t, "changes") {
+					index++
+					for _, name := range names {
+						now[name] = rapid.Bool().Draw(t, "serves "+name)
+					}
+				}
 				known = &List{Index: index, Snapshot: true}
 				for _, name := range names {
 					if inForce[name] = now[name]; now[name] {
