Retry a failed list call within 5.5 s, by a short call, also where lists are asked for

Need: a change counts as received 6 s after discovery had it and could be reached, whatever failed, was refused or given up before. Where lists are asked for, the pause after a failure grew to 30 s (120 s for 300 forwarders; a first draw of 7.5 s for 80), and the call after it was held for 20 s, so that one that met silence was given up after 21 s. Change: where lists are asked for, the call after a failed one is answered at once and given up after 2.5 s, and begins within 5.5 s of the failed one's beginning. Pushed lists were within it (5.2 s) and are unchanged. Tests: TestChangeAfterFailures (8 failures, 6 fleets, away for 0.25 to 10 s), TestChangeAfterLongFailures (minutes, for fleets that can be answered in time).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,6 +34,7 @@
 
 const (
 	listTime    = 2 * time.Second
+	askedTime   = 5 * time.Second / 2    // where the list must be asked for: a refusal may take 2 s to come, and tells more than silence
 	noticeTime  = 100 * time.Millisecond // the first time; twice as long each time after
 	noticeMost  = time.Second
 	maxList     = 64 << 20 // bytes of a list
@@ -190,6 +191,7 @@
 	from, last, told := int64(-1), p.current(), int64(-1)
 	older := int64(-1) // the version of a whole list that was older than what was told
 	again := p.fleet.again()
+	failing := false // the call before failed, or was given up: this one is to come back at once
 	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	if known != nil {
 		from, told = known.Index, known.Index
@@ -203,8 +205,8 @@
 		}
 		call, done, waiting := p.begin(ctx)
 		began := time.Now()
-		held := len(waiting) == 0 && from >= 0
-		l, err := a.list(call, from, p.fleet.hold(), len(waiting) == 0)
+		held := len(waiting) == 0 && from >= 0 && !failing
+		l, err := a.list(call, from, p.fleet.hold(), p.fleet.callTime(), held)
 		if err == nil && l.Index < told && !(l.Snapshot && l.Index == older) {
 			err = fmt.Errorf("list: version %d, after %d was told: discovery is asked for the whole list, and this one is not heeded unless it says so again", l.Index, told)
 			if from, older = -1, -1; l.Snapshot {
@@ -214,11 +216,12 @@
 		if err != nil {
 			p.put(waiting)
 			if a.left.Err() == nil && call.Err() == nil {
-				wait := again.failed()
+				wait := p.fleet.retryPause(&again, time.Since(began), err)
 				if held && time.Since(began) >= p.fleet.hold() { // it has fallen silent: whoever waits now is told too late
 					again.worked()
 					wait = min(wait, time.Duration(p.fleet.random()*float64(reopenPause)))
 				}
+				failing = p.fleet.Asks
 				slog.Warn("discovery", "err", err, "again_in", wait)
 				if p.fleet.Asks { // each call is work there, whoever wants it
 					a.pause(ctx, wait)
@@ -231,6 +234,7 @@
 		}
 		done()
 		again.worked()
+		failing = false
 		from, told, older = l.Index, l.Index, -1
 		p.note(l)
 		tell(l)
@@ -280,9 +284,9 @@
 }
 
 // list asks for the whole list, or from a version on for changes. It is held for so long until there are some, if wait says so; else it is to come at
-// once.
-func (a *agent) list(ctx context.Context, from int64, hold time.Duration, wait bool) (*List, error) {
-	path, limit := "/v1/servers", listTime
+// once, within limit.
+func (a *agent) list(ctx context.Context, from int64, hold, limit time.Duration, wait bool) (*List, error) {
+	path := "/v1/servers"
 	if from >= 0 && wait {
 		path += fmt.Sprintf("?from=%d&hold_ms=%d", from, hold.Milliseconds())
 		limit = hold + holdMargin
@@ -297,7 +301,7 @@
 	var l *List
 	err := a.do(ctx, limit, http.MethodGet, path, nil, func(status int, body io.Reader) (err error) {
 		if status != http.StatusOK {
-			return fmt.Errorf("status %d", status)
+			return &refusedError{status}
 		}
 		in := &io.LimitedReader{R: body, N: maxList}
 		l, err = readList(in, whole)
--- a/internal/agent/backoff.go
+++ b/internal/agent/backoff.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -19,6 +21,12 @@
 	pushedPause = 2 * firstPause         // the same where the list is pushed: one's own agent is asked, at no cost, and what it has counts as told
 	reopenPause = 5 * firstPause         // after a watch that fell silent
 	noticePause = firstPause             // and for notices: one that is 300 ms late is a message lost, and the agent is this machine's own
+	// retryWithin is how long after the beginning of a failed call the next one begins at the latest: a change counts as received 6 s after discovery had it and
+	// could be reached, whatever failed before.
+	retryWithin = silentTold - reopenPause
+	// maxRefusals in a row, or twice as many calls without an answer, and discovery that must be asked is taken to be overloaded, by a fleet that is too large for
+	// each of it to be answered so soon: it would stay so if all of them kept on at that rate.
+	maxRefusals = 4
 )
 
 // Fleet is what a Platform is told of those that call the same discovery.
@@ -60,6 +68,14 @@
 	return pushedHold
 }
 
+// callTime is how long a call may take that does not wait for changes.
+func (f Fleet) callTime() time.Duration {
+	if f.Asks {
+		return askedTime
+	}
+	return listTime
+}
+
 // again are the waits after list calls that failed.
 func (f Fleet) again() backoff {
 	if !f.Asks {
@@ -68,12 +84,39 @@
 	return backoff{first: max(firstPause, f.firstWait()), most: max(listPause, 4*f.turns()), random: f.random}
 }
 
+// retryPause is how long to wait after a list call that failed after so long.
+func (f Fleet) retryPause(b *backoff, took time.Duration, err error) time.Duration {
+	wait := b.failed()
+	if !f.Asks {
+		return wait
+	}
+	b.overload += overloadSign(err)
+	latest := retryWithin - min(took, askedTime)
+	if b.next <= latest || f.turns() > retryWithin && b.overload >= 2*maxRefusals {
+		return wait
+	}
+	return time.Duration((1 + b.random()) / 2 * float64(latest))
+}
+
+// overloadSign is how much a failed call says for an overload of discovery: a refusal twice as much as silence, and nothing if there was no connection.
+func overloadSign(err error) int {
+	var refusal *refusedError
+	switch {
+	case errors.As(err, &refusal):
+		return 2
+	case errors.Is(err, context.DeadlineExceeded):
+		return 1
+	}
+	return 0
+}
+
 // backoff is the waits between the failures in a row of one kind of call.
 type backoff struct {
-	first  time.Duration
-	most   time.Duration
-	next   time.Duration
-	random func() float64 // from 0 to 1
+	first    time.Duration
+	most     time.Duration
+	next     time.Duration
+	overload int            // signs of it in a row, as overloadSign has them
+	random   func() float64 // from 0 to 1
 }
 
 // failed is how long to wait after one more failure.
@@ -83,7 +126,7 @@
 }
 
 // worked starts afresh.
-func (b *backoff) worked() { b.next = 0 }
+func (b *backoff) worked() { b.next, b.overload = 0, 0 }
 
 // pause waits so long, until ctx ends, or until the agent is left.
 func (a *agent) pause(ctx context.Context, d time.Duration) {
@@ -95,3 +138,8 @@
 	case <-t.C:
 	}
 }
+
+// refusedError is an answer that holds no list: discovery can be reached, and has not answered the call.
+type refusedError struct{ status int }
+
+func (e *refusedError) Error() string { return fmt.Sprintf("status %d", e.status) }
