Let no crowd at the clients' door wait 50 ms for each twelve of its connections

Counted there, forwarder 0, seconds 6 to 12: 204 of 204 client connections, 191 to 204 of them idle after one request; 129 to 180 accepted a second, 0 to 2 messages a second taken among them; 0.92 to 1.0 s of each second was spent waiting for room. In seconds 10 to 14, 220 answers went to connections that were closed already, of 269 to messages and 470 to PING. Processor 1.4 s of 30, calls to targets 59 at once of 284 allowed. Ruled out: descriptors for calls (no call waited for one), shedding in the engine (it saw next to none of the messages), connections in the middle of a request (none). Cause: makeRoom in internal/front/resp2 began the wait of 50 ms before connections are closed early anew for each connection that was accepted, so 12 each 50 ms are let in and all others wait in the kernel's queue, oldest first, up to 4,096: their clients have given up after 400 ms, and those that do not get their messages' time counted from when they are read. Change: once connections had to be closed early, the next ones are closed without that wait for 1 s; those behind the one that waits have waited as long. No more are closed while some that were told to end have not ended. The room's code is in a file of its own. Test: TestRoomForCrowd in virtual time, 300 connections a second that ask once and stay, or say nothing, and 30 messages a second on new ones: all of 300 answered within the client's patience of 400 ms; 154 of 300 without the change. go test -race ./internal/front/resp2 passed.

--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -31,17 +31,9 @@
 	// Nobody holds a connection without a word, or stops in the middle of a request, for good.
 	requestTime = 2500 * time.Millisecond
 	// LastLook: a request that crosses the closing of its connection is still read.
-	LastLook = 10 * time.Millisecond
-
-	keepIdle  = 2 * time.Second        // a client may count on its connection for so long
-	keepNew   = 100 * time.Millisecond // and on one that it has not used yet for so long
-	roomPause = 5 * time.Millisecond   // until one of those ends
-	// Who waits for room gives up after 400 ms. So where nobody has been idle for that long the one idle longest goes all the same, which its
-	// client takes for no answer to anything; and then who has been in the middle of a request for longer than any waits for an answer.
-	roomIdle   = 50 * time.Millisecond
-	roomHalf   = 100 * time.Millisecond
-	keepHalf   = 200 * time.Millisecond
-	roomAtOnce = 16 // one in so many of all connections: others wait behind the one that does
+	LastLook    = 10 * time.Millisecond
+	acceptPause = 20 * time.Millisecond // after accepting failed
+
 	// What a client still sends is read for so long after an error: to close on
 	// it at once would reset the connection, and might lose the error.
 	lingerTime  = 300 * time.Millisecond
@@ -71,6 +63,7 @@
 
 	mu        sync.Mutex
 	conns     map[net.Conn]*clientState
+	crowded   time.Time // until then whoever comes is taken to have waited for room; see makeRoom
 	closing   bool
 	drain     drain
 	handing   handing
@@ -187,7 +180,7 @@
 		}
 		if err != nil { // out of descriptors, say: that passes
 			slog.Warn("accepting a client", "err", err)
-			pause(ctx, 4*roomPause)
+			pause(ctx, acceptPause)
 			continue
 		}
 		for came := time.Now(); !c.admit(conn, came); {
@@ -206,78 +199,6 @@
 	}
 }
 
-// admit counts in a connection that came at a time if there is room, and makes some if not.
-func (c *Server) admit(conn net.Conn, came time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.handing.on {
-		return false
-	}
-	now := time.Now()
-	if len(c.conns) >= c.most {
-		c.makeRoom(now, now.Sub(came))
-		return false
-	}
-	c.conns[conn] = &clientState{idle: true, since: now}
-	c.wg.Add(1)
-	return true
-}
-
-// makeRoom ends the connections that are least missed, once somebody has waited for room for so long: of those idle that may be closed the
-// one idle longest; where there is none, some of those idle longest; and where none is idle, some of those longest in the middle of a request.
-func (c *Server) makeRoom(now time.Time, waited time.Duration) {
-	type one struct {
-		conn net.Conn
-		*clientState
-	}
-	var idle, half []one
-	var longest one
-	var most time.Duration
-	for conn, s := range c.conns {
-		if s.shed {
-			continue
-		}
-		over := now.Sub(s.since) - keepIdle
-		if !s.used {
-			over = now.Sub(s.since) - keepNew
-		}
-		switch {
-		case s.idle && over >= most:
-			longest, most = one{conn, s}, over
-		case s.idle && s.used: // a new one is not closed before it had its time: its request would have no second chance
-			idle = append(idle, one{conn, s})
-		case s.reading && now.Sub(s.since) >= keepHalf:
-			half = append(half, one{conn, s})
-		}
-	}
-	end := func(list []one, last time.Time) {
-		slices.SortFunc(list, func(a, b one) int { return a.since.Compare(b.since) })
-		for _, o := range list[:min(len(list), max(1, c.most/roomAtOnce))] {
-			o.shed, o.last = true, last
-			o.conn.SetReadDeadline(last) // its own goroutine closes it, unless a request, or its rest, has just come
-		}
-	}
-	switch {
-	case longest.conn != nil:
-		end([]one{longest}, now)
-	case len(idle) > 0 && waited >= roomIdle:
-		end(idle, now)
-	case len(idle) == 0 && waited >= roomHalf:
-		end(half, now.Add(LastLook))
-	}
-}
-
-// waitForRoom waits until a connection has ended, or until more of them may be.
-func (c *Server) waitForRoom(ctx context.Context) {
-	t := time.NewTimer(roomPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-c.ended:
-	case <-t.C:
-	}
-}
-
 // StopAccepting stops listening; the connections there are go on. What the kernel has queued is taken on first: to close on it would reset it.
 func (c *Server) StopAccepting() {
 	c.stopping.Store(true)
