--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -58,6 +58,12 @@
 				}
 			}
 		}
+		if text := os.Getenv("SCALEROUTE_TEST_FILES"); text != "" { // what a machine lets it have, beyond which nothing can be opened
+			most, _ := strconv.ParseUint(text, 10, 64)
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+				panic(err)
+			}
+		}
 		if file := os.Getenv("SCALEROUTE_TEST_STOP"); file != "" {
 			file += "." + filepath.Base(os.Getenv("TMPDIR")) // of this forwarder
 			fence.AtCheck = func() {                         // right before the first byte of a call
@@ -92,6 +98,7 @@
 	target    *httptest.Server
 	state     string
 	diskMB    float64
+	sockets   int // descriptors that the process may have
 	args      []string
 	env       []string
 	listener  *os.File    // the clients' socket, where the platform holds it
@@ -110,7 +117,7 @@
 }
 
 func newWorld(t *testing.T, answer func(http.ResponseWriter, string)) *world {
-	w := &world{t: t, state: t.TempDir(), diskMB: 3, calls: map[string]int{}, answer: answer,
+	w := &world{t: t, state: t.TempDir(), diskMB: 3, sockets: 1024, calls: map[string]int{}, answer: answer,
 		notices: make(chan string, 100), called: make(chan string, 100), more: make(chan bool)}
 	over := make(chan bool)
 	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -294,14 +301,14 @@
 	w.t.Helper()
 	config := filepath.Join(w.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%v},"known":%s,
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d,"disk_mb":%v},"known":%s,
 		"settings":{"Azs":["a"],"Kinds":["std"],"Siblings":1,"Weights":"nominal","Discovery":"automatic","Tenants":[],
 		"FamilyInfo":{"Workers":8,"Late":"line","PerCall":[1],"SeparateRoutes":[false],"Carriage":[0.0]},
 		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":1500.0,"Cancel":true,"SecondCopies":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
 		"Invariants":{"Cold":100.0,"DrainGrace":1000.0,"Fall":3000.0,"StartCapacity":0.9,"TipMultiple":2.0},
 		"Classes":[{"Name":"harmless","Effect":"pure","OnTime":60000.0,"Deadline":300000.0,"Worth":1.0,"LateShare":0.4},
 		{"Name":"unsafe","Effect":"side_effect","OnTime":60000.0,"Deadline":300000.0,"Worth":3.0,"LateShare":0.4}]}}`,
-		w.discovery.Listener.Addr(), w.diskMB, w.list())
+		w.discovery.Listener.Addr(), w.sockets, w.diskMB, w.list())
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
