Measure what destinations, changes, queued messages and members cost a forwarder

The capacity model needs slopes that anybody can have again. scaleroute-lab capacity measure NAME runs the built program on loopback at several sizes, three repeats each, and keeps a series file per cost with command, commit, machine, date and the machine's load; processor time is rusage's.

fleet.Process names its children, so that the gossip process's memory can be read.

--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -69,6 +69,7 @@
 		Run   fleetRun   `cmd:"" help:"Run a fleet of real processes with faults on the edges between them, as a scenario says."`
 		Count fleetCount `cmd:"" help:"Count over the logs (*.log) of forwarders that ran with -log-steps."`
 	} `cmd:"" help:"Many forwarders."`
+	Capacity capacityCommands `cmd:"" help:"What the operators' plan costs, by figures measured at smaller sizes."`
 }
 
 // errBroken tells that a rule was broken.
--- /dev/null
+++ b/internal/capacity/measure/model.go
@@ -0,0 +1,90 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"scaleroute/internal/capacity"
+	"scaleroute/internal/decide"
+	"scaleroute/internal/straggler"
+	"scaleroute/internal/version"
+)
+
+// What packages cost by themselves, in this process: no sockets, no other state.
+
+const (
+	membersKept  = "gossip-members-kept"
+	memberMemory = "gossip-judge-state"
+	decideState  = "whole-list-decide-state"
+)
+
+var memberBoundMeasurement = measurement{
+	about: "how many members package straggler keeps, and in how much memory",
+	sizes: []int{1_000, 3_000, 4_096, 6_800, 10_000},
+	series: map[string]capacity.Series{
+		membersKept:  {Mechanism: capacity.Gossip, Role: capacity.Forwarder, Resource: capacity.Kept, Variable: capacity.Members, Process: "model", Note: "The package alone: members of which one news each was offered."},
+		memberMemory: {Mechanism: capacity.Gossip, Role: capacity.Forwarder, Resource: capacity.State, Variable: capacity.Members, Process: "model", Note: "The heap of package straggler alone."},
+	},
+	run: measureMemberBound,
+}
+
+func measureMemberBound(_ context.Context, _ *Lab, members int, seed uint64, into result) error {
+	began := time.Unix(1_700_000_000, 0).UTC()
+	var judge *straggler.Judge
+	heap := heapOf(func() any {
+		judge = straggler.New(straggler.Config{Name: "n0", Zone: "a", Fresh: 4 * time.Second, Settle: 20 * time.Second, Seed: seed}, func() time.Time { return began })
+		for i := range members {
+			judge.Hear(time.Second, straggler.News{Format: straggler.Format, Name: fmt.Sprintf("n%d", i+1), Zone: "a", Seq: 1, Vector: version.Vector{Started: began}, Door: "127.0.0.1:7946", Clock: began})
+		}
+		return judge
+	})
+	kept := len(judge.Fleet(time.Second)) - 1 // itself is in it
+	into.add(membersKept, float64(members), float64(kept), seed)
+	if kept == members { // else it would be of fewer
+		into.add(memberMemory, float64(members), heap, seed)
+	}
+	return nil
+}
+
+var decideMeasurement = measurement{
+	about: "the memory of the decision module alone, by destinations",
+	sizes: []int{2_000, 6_000, 20_000, 60_000, 200_000},
+	series: map[string]capacity.Series{
+		decideState: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.State, Variable: capacity.Destinations, Process: "model", Note: "The heap of package decide alone; idle, one endpoint each."},
+	},
+	run: measureDecide,
+}
+
+func measureDecide(_ context.Context, _ *Lab, destinations int, seed uint64, into result) (err error) {
+	heap := heapOf(func() any {
+		settings := decide.Settings{Seed: seed, Slots: 64, MaxAttempts: 6, Forwarders: 1, Zone: "a", Weights: decide.ExactWeights, ConnIdle: 15 * time.Second, ConnectLimit: time.Second,
+			AdviceLimit: 3 * time.Second, DrainGrace: time.Second, StartCapacity: 0.2, Cold: 10 * time.Second, TipMultiple: 2, Fall: 3 * time.Second,
+			Classes: []decide.Class{{Name: "pure", Aim: time.Minute, Deadline: time.Hour, Worth: 1, LateShare: 0.4}}, Kinds: []decide.Kind{{Name: "std", PerCall: 1}}}
+		var module *decide.Forwarder
+		if module, err = decide.New(settings); err != nil {
+			return nil
+		}
+		list := decide.TargetList{Scope: decide.Whole}
+		for d := range destinations {
+			list.Targets = append(list.Targets, decide.Target{ID: fmt.Sprintf("s-%07d", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e6})
+		}
+		module.Step(0, []decide.Event{list})
+		return module
+	})
+	into.add(decideState, float64(destinations), heap, seed)
+	return err
+}
+
+// heapOf is the memory that what a function makes takes, in bytes.
+func heapOf(make func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -58,6 +58,9 @@
 
 var unitOf = map[Resource]string{State: "bytes", Messages: "bytes_per_second", Processor: "cores", Work: "cpu_seconds", Transfer: "bytes", Delay: "seconds", Kept: "count", Moved: "ratio", Evenness: "ratio"}
 
+// UnitOf is the unit of a resource.
+func UnitOf(r Resource) string { return unitOf[r] }
+
 // Variable is the size that was varied.
 type Variable string
 
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -183,14 +183,20 @@
 
 // Helpers is the time of the processor that the processes which it has started, and which run, have used.
 func (p *Process) Helpers() (sum time.Duration) {
+	for _, child := range p.Children() {
+		sum += used(child)
+	}
+	return sum
+}
+
+// Children are the ids of the processes which it has started, and which run.
+func (p *Process) Children() (ids []string) {
 	lists, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", p.cmd.Process.Pid))
 	for _, list := range lists {
 		text, _ := os.ReadFile(list) // a thread that is gone has none
-		for _, child := range strings.Fields(string(text)) {
-			sum += used(child)
-		}
+		ids = append(ids, strings.Fields(string(text))...)
 	}
-	return sum
+	return ids
 }
 
 // used is the time of the processor that a process has used; 0 if there is none.
