Have measured series name the commit of the program that ran

Where GOFLAGS leaves the revision out of builds, as here, a series said that its commit was unknown; the lab now builds what it measures with it.

--- a/cmd/scaleroute-lab/capacitymeasure.go
+++ b/cmd/scaleroute-lab/capacitymeasure.go
@@ -67,15 +67,11 @@
 	return errors.Join(errs...)
 }
 
-// buildForMeasuring makes the daemon, what speaks for it, and the operators' tool.
+// buildForMeasuring makes the daemon, what speaks for it, and the operators' tool, with the commit that they are from.
 func buildForMeasuring(ctx context.Context, to string) (string, error) {
-	program, err := build(ctx, to, "")
+	text, err := exec.CommandContext(ctx, "go", "build", "-buildvcs=true", "-o", to, "scaleroute/cmd/scaleroute", "scaleroute/cmd/scaleroute-gossip", "scaleroute/cmd/scaleroutectl").CombinedOutput()
 	if err != nil {
-		return "", err
+		return "", fmt.Errorf("building the program (run this in the repository, or name one by --program): %w\n%s", err, text)
 	}
-	text, err := exec.CommandContext(ctx, "go", "build", "-o", to, "scaleroute/cmd/scaleroutectl").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("building the operators' tool: %w\n%s", err, text)
-	}
-	return program, nil
+	return filepath.Join(to, "scaleroute"), nil
 }
