--- a/cmd/scaleroute-lab/capacitymeasure.go
+++ b/cmd/scaleroute-lab/capacitymeasure.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"scaleroute/internal/capacity/measure"
 )
@@ -19,6 +20,7 @@
 	Name      string `arg:"" optional:"" help:"What to measure; none: say what there is."`
 	Measured  string `default:"experiments/capacity/measured" type:"path" help:"The folder for series; those of the same names are replaced."`
 	Program   string `help:"The daemon, with scaleroute-gossip and scaleroutectl beside it; built from the module of the current folder if empty."`
+	Commit    string `help:"The commit that the program was built from; that of the current folder if empty."`
 	Operators string `default:"experiments/fleet/operators.json" type:"path" help:"The resolved operators' file of a fleet that gossips."`
 	Repeats   int    `default:"3" help:"How often each size is measured, from 1 to 10."`
 	Size      []int  `help:"Sizes in place of the measurement's own."`
@@ -44,7 +46,12 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	lab := &measure.Lab{Program: c.Program, Operators: c.Operators, Folder: folder, Repeats: c.Repeats, Sizes: c.Size, Progress: func(text string) {
+	if c.Commit == "" {
+		if c.Commit, err = commitHere(ctx); err != nil {
+			return err
+		}
+	}
+	lab := &measure.Lab{Commit: c.Commit, Program: c.Program, Operators: c.Operators, Folder: folder, Repeats: c.Repeats, Sizes: c.Size, Progress: func(text string) {
 		if !c.Quiet {
 			fmt.Fprintln(os.Stderr, text)
 		}
@@ -67,11 +74,28 @@
 	return errors.Join(errs...)
 }
 
-// buildForMeasuring makes the daemon, what speaks for it, and the operators' tool, with the commit that they are from.
+// buildForMeasuring makes the daemon, what speaks for it, and the operators' tool.
 func buildForMeasuring(ctx context.Context, to string) (string, error) {
-	text, err := exec.CommandContext(ctx, "go", "build", "-buildvcs=true", "-o", to, "scaleroute/cmd/scaleroute", "scaleroute/cmd/scaleroute-gossip", "scaleroute/cmd/scaleroutectl").CombinedOutput()
+	program, err := build(ctx, to, "")
+	if err != nil {
+		return "", err
+	}
+	text, err := exec.CommandContext(ctx, "go", "build", "-o", to, "scaleroute/cmd/scaleroutectl").CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("building the program (run this in the repository, or name one by --program): %w\n%s", err, text)
+		return "", fmt.Errorf("building the operators' tool: %w\n%s", err, text)
+	}
+	return program, nil
+}
+
+// commitHere is the one of the current folder, with a + where the code differs from it.
+func commitHere(ctx context.Context) (string, error) {
+	text, err := exec.CommandContext(ctx, "git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		return "", fmt.Errorf("asking git for the commit (name it by --commit): %w", err)
+	}
+	revision := strings.TrimSpace(string(text))
+	if exec.CommandContext(ctx, "git", "diff", "--quiet", "HEAD", "--", "cmd", "internal", "go.mod").Run() != nil {
+		revision += "+"
 	}
-	return filepath.Join(to, "scaleroute"), nil
+	return revision, nil
 }
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"debug/buildinfo"
 	"fmt"
 	"maps"
 	"os"
@@ -19,6 +18,7 @@
 // Lab is where and how it is measured.
 type Lab struct {
 	Program   string // the daemon, with scaleroute-gossip beside it
+	Commit    string // that it was built from
 	Tool      string // scaleroutectl
 	Operators string // the resolved operators' file of a fleet that gossips
 	Folder    string // for what the processes write; it must exist
@@ -87,7 +87,7 @@
 		s.Name, s.Points = series, found[series]
 		s.Unit = capacity.UnitOf(s.Resource)
 		s.Command = command(name, l)
-		s.Commit, s.Machine, s.Date = commit(l.Program), machine(), time.Now().UTC().Format(time.DateOnly)
+		s.Commit, s.Machine, s.Date = l.Commit, machine(), time.Now().UTC().Format(time.DateOnly)
 		s.Note = strings.TrimSpace(s.Note + " " + fmt.Sprintf("Load of the machine before and after: %s and %s.", load, machineLoad()))
 		if err := s.Check(); err != nil {
 			return nil, fmt.Errorf("%s: %w", series, err)
@@ -105,26 +105,6 @@
 	return text
 }
 
-// commit is the one that the program was built from, with a + where files differed from it.
-func commit(program string) string {
-	info, err := buildinfo.ReadFile(program)
-	if err != nil {
-		return "unknown"
-	}
-	revision, modified := "unknown", ""
-	for _, setting := range info.Settings {
-		switch {
-		case setting.Key == "vcs.revision":
-			revision = setting.Value[:min(len(setting.Value), shortRevision)]
-		case setting.Key == "vcs.modified" && setting.Value == "true":
-			modified = "+"
-		}
-	}
-	return revision + modified
-}
-
-const shortRevision = 7
-
 func machine() string {
 	return fmt.Sprintf("%d cores, %.0f GB, %s/%s, loopback", runtime.NumCPU(), memoryGB(), runtime.GOOS, runtime.GOARCH)
 }
