--- /dev/null
+++ b/internal/partial/answers.go
@@ -0,0 +1,207 @@
+package partial
+
+import (
+	"slices"
+	"unique"
+
+	"scaleroute/internal/agent"
+)
+
+// NextWatch is what to ask for next. A destination that was looked up is asked for from the index of its look-up on, so that no change of it is missed.
+func (s *State) NextWatch() Watch {
+	s.sequence++
+	w := Watch{From: s.watched, Needed: max(s.watched, s.scoped), sequence: s.sequence}
+	if w.From == NoIndex {
+		w.Needed = s.newest
+	}
+	for number, d := range s.destinations {
+		if d.class == owned || d.class == retained && s.references[number] == 0 {
+			continue
+		}
+		if !d.watched && w.From != NoIndex {
+			w.From = min(w.From, d.index)
+		}
+		d.requested = s.sequence
+		w.Destinations = append(w.Destinations, number)
+	}
+	slices.Sort(w.Destinations)
+	return w
+}
+
+// ApplyWatch takes the answer to a watch.
+func (s *State) ApplyWatch(w Watch, a Answer) (Update, error) {
+	if a.Index < w.Needed {
+		return Update{}, ErrOlder
+	}
+	asked := func(number int) bool {
+		d := s.destinations[number]
+		return s.owns(number) || d != nil && d.requested == w.sequence
+	}
+	u := Update{Index: a.Index}
+	s.apply(&u, a, asked)
+	s.watched, s.complete = a.Index, s.complete || a.Snapshot
+	s.newest = max(s.newest, a.Index)
+	for number, d := range s.destinations {
+		if d.class != owned && asked(number) {
+			d.index, d.watched = max(d.index, a.Index), true
+		}
+	}
+	s.evictUnused(&u)
+	return u, nil
+}
+
+// ApplyScope goes on with another part of the list. gained is the answer to a request for the partitions that came new, by isGained; nil where there are none, and where the next watch asks for everything.
+// Destinations of lost partitions leave, unless messages refer to them.
+func (s *State) ApplyScope(owns, isGained Owns, gained *Answer) (Update, error) {
+	if gained != nil && gained.Index < s.newest {
+		return Update{}, ErrOlder
+	}
+	s.owns = owns
+	u := Update{Index: s.newest}
+	for number, d := range s.destinations {
+		s.reclassify(&u, number, d)
+	}
+	if gained != nil {
+		s.apply(&u, *gained, isGained)
+		for number, d := range s.destinations {
+			if isGained(number) {
+				d.index = max(d.index, gained.Index)
+			}
+		}
+		s.newest, s.scoped, u.Index = gained.Index, gained.Index, gained.Index
+	}
+	return u, nil
+}
+
+// Reset has the next watch ask for everything. Until it is answered the part counts as not received.
+func (s *State) Reset() { s.watched, s.complete = NoIndex, false }
+
+// reclassify notes why a destination is known after a change of the part.
+func (s *State) reclassify(u *Update, number int, d *destination) {
+	switch isOwned := s.owns(number); {
+	case isOwned && d.class != owned:
+		if d.class == fetched {
+			s.fetched--
+			s.busy(d)
+		}
+		d.class = owned
+	case !isOwned && d.class == owned:
+		d.class, d.watched = retained, false
+		d.index = max(d.index, s.watched)
+		if s.references[number] == 0 {
+			s.evict(u, number)
+		}
+	}
+}
+
+// apply takes what an answer says of the destinations that were asked for.
+func (s *State) apply(u *Update, a Answer, asked Owns) {
+	if a.Snapshot {
+		s.removeMissing(u, a, asked)
+	}
+	for _, e := range a.Endpoints {
+		s.applyEndpoint(u, a.Index, e, asked)
+	}
+}
+
+// removeMissing withdraws the endpoints that a snapshot does not name any more.
+func (s *State) removeMissing(u *Update, a Answer, asked Owns) {
+	named := make(map[string]bool, len(a.Endpoints))
+	for i := range a.Endpoints {
+		named[a.Endpoints[i].Name] = true
+	}
+	for number, d := range s.destinations {
+		if !asked(number) || d.index > a.Index {
+			continue
+		}
+		for _, e := range slices.Clone(d.endpoints) {
+			if !named[e.Name] {
+				s.remove(u, number, e.Name)
+			}
+		}
+	}
+}
+
+func (s *State) applyEndpoint(u *Update, index int64, e agent.Endpoint, asked Owns) {
+	if at, known := s.byName[e.Name]; known && (at != e.Group || e.Status == agent.Deleted) {
+		if s.destinations[at].index > index {
+			return
+		}
+		s.remove(u, at, e.Name)
+	}
+	if e.Status == agent.Deleted || !asked(e.Group) {
+		return
+	}
+	d := s.destinations[e.Group]
+	if d == nil {
+		if !s.owns(e.Group) {
+			return
+		}
+		d = &destination{class: owned}
+		s.destinations[e.Group] = d
+	}
+	if d.index > index {
+		return
+	}
+	if s.put(d, e) {
+		u.Changed = append(u.Changed, e)
+	}
+}
+
+// put notes an endpoint, and tells whether that changed something.
+func (s *State) put(d *destination, e agent.Endpoint) bool {
+	e.Zone, e.Type, e.Status = unique.Make(e.Zone).Value(), unique.Make(e.Type).Value(), unique.Make(e.Status).Value()
+	s.byName[e.Name] = e.Group
+	i := d.find(e.Name)
+	switch {
+	case i < 0:
+		d.endpoints = append(d.endpoints, e)
+	case d.endpoints[i] == e:
+		return false
+	default:
+		d.endpoints[i] = e
+	}
+	return true
+}
+
+// remove takes an endpoint away that an answer has withdrawn.
+func (s *State) remove(u *Update, number int, name string) {
+	d := s.destinations[number]
+	i := d.find(name)
+	e := d.endpoints[i]
+	e.Status = agent.Deleted
+	u.Changed = append(u.Changed, e)
+	d.endpoints = slices.Delete(d.endpoints, i, i+1)
+	delete(s.byName, name)
+}
+
+// evict forgets a destination that is not needed any more. What was received for it is never undone by an older answer: from then on only
+// answers count that are as new as the newest received.
+func (s *State) evict(u *Update, number int) {
+	d := s.destinations[number]
+	gone := Eviction{Destination: number}
+	for _, e := range d.endpoints {
+		gone.Endpoints = append(gone.Endpoints, e.Name)
+		delete(s.byName, e.Name)
+	}
+	if d.class == fetched {
+		s.fetched--
+		s.busy(d)
+	}
+	s.newest = max(s.newest, d.index)
+	delete(s.destinations, number)
+	u.Changed = slices.DeleteFunc(u.Changed, func(e agent.Endpoint) bool { return e.Group == number && e.Status != agent.Deleted })
+	u.Evicted = append(u.Evicted, gone)
+}
+
+// evictUnused evicts what Start knew beside the part, once the part is known, and forgets owned destinations that have no endpoint.
+func (s *State) evictUnused(u *Update) {
+	for number, d := range s.destinations {
+		switch {
+		case d.class == retained && s.references[number] == 0:
+			s.evict(u, number)
+		case d.class == owned && len(d.endpoints) == 0 && d.index <= s.watched:
+			delete(s.destinations, number)
+		}
+	}
+}
