--- a/internal/agent/silence_test.go
+++ b/internal/agent/silence_test.go
@@ -282,7 +282,7 @@
 			t.Errorf("%+v", l)
 		}
 		for _, e := range l.Endpoints {
-			if err := e.check(); err != nil {
+			if err := e.Check(); err != nil {
 				t.Errorf("%+v: %v", e, err)
 			}
 		}
