--- a/internal/decide/index_test.go
+++ b/internal/decide/index_test.go
@@ -28,7 +28,6 @@
 	wake    time.Duration
 	dests   int
 	targets map[string]Target
-	order   []string
 	next    int
 	calls   int
 	held    map[string]bool
@@ -37,7 +36,6 @@
 	tries   map[string]int
 	mood    float64 // share of outcomes that are no good
 	silence float64 // share of calls that no one answers until their time-out
-	reps    map[string]Message
 }
 
 type flight struct {
--- a/internal/gossip/process.go
+++ b/internal/gossip/process.go
@@ -72,7 +72,7 @@
 	g.tell(KindSet, text)
 	go func() {
 		defer close(g.ended)
-		if err := g.listen(from); err != nil && !errors.Is(err, io.EOF) {
+		if err := g.listen(from); !errors.Is(err, io.EOF) {
 			slog.Warn("what others tell can't be read", "err", err)
 		}
 		g.cmd.Process.Kill()
@@ -84,6 +84,7 @@
 // Marker is set in the environment of the process, by which a test's own binary knows that it is one.
 const Marker = "SCALEROUTE_GOSSIP"
 
+// listen takes in what the process writes until that ends, and returns why it ended: never nil.
 func (g *Gossip) listen(from io.Reader) error {
 	r := bufio.NewReader(from)
 	for {
--- a/internal/straggler/view.go
+++ b/internal/straggler/view.go
@@ -62,24 +62,20 @@
 
 // Fleet says how every member stands, this one included.
 func (j *Judge) Fleet(now time.Duration) (list []View) {
-	type contents struct {
-		index     int64
-		operators version.Digest
-	}
-	digests := map[contents]map[version.Digest]int{}
+	digests := map[int64]map[version.Digest]int{} // of each list's index: how many have it with which contents
 	count := func(v *version.Vector) {
-		k := contents{index: v.List.Index}
-		if digests[k] == nil {
-			digests[k] = map[version.Digest]int{}
+		index := v.List.Index
+		if digests[index] == nil {
+			digests[index] = map[version.Digest]int{}
 		}
-		digests[k][v.List.Digest]++
+		digests[index][v.List.Digest]++
 	}
 	count(&j.own.Vector)
 	for _, m := range j.members {
 		count(&m.Vector)
 	}
 	split := func(v *version.Vector) bool { // the fewer are named; of as many, all
-		of := digests[contents{index: v.List.Index}]
+		of := digests[v.List.Index]
 		for d, n := range of {
 			if d != v.List.Digest && n >= of[v.List.Digest] {
 				return true
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -76,7 +75,6 @@
 	ln   *net.UnixListener
 	id   Identity
 	asks chan *Giver
-	wg   sync.WaitGroup
 }
 
 // Listen opens the socket in a folder. Whoever calls it owns the forwarder's lasting folder, so one that is there is nobody's any more.
