--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -187,30 +187,64 @@
 // from where the last one ended. A list that is older than what was told last is not told, unless discovery says the same when it is asked for all
 // that there is: then it counts anew.
 func (p *Platform) Watch(ctx context.Context, known *List, tell func(*List)) {
-	from, last, told := int64(-1), p.current(), int64(-1)
-	older := int64(-1) // the version of a whole list that was older than what was told
-	again := p.fleet.again()
-	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
+	index := int64(-1)
 	if known != nil {
-		from, told = known.Index, known.Index
+		index = known.Index
 		p.note(known)
 	}
+	fetch := func(ctx context.Context, a *agent, at *position, wait bool) (*List, error) {
+		l, err := a.list(ctx, at.from, p.fleet.hold(), wait)
+		if err == nil {
+			err = at.accept(l.Index, l.Snapshot)
+		}
+		return l, err
+	}
+	p.watch(ctx, index, fetch, func(l *List) {
+		p.note(l)
+		tell(l)
+	})
+}
+
+// position is how far a watch has come.
+type position struct {
+	from  int64 // which changes are asked for; -1: the whole list
+	told  int64 // the index that was told last, -1: none
+	older int64 // the index of a whole list that was older than what was told
+}
+
+// startingAt is where a watch begins, with an index that is known or -1.
+func startingAt(index int64) position { return position{from: index, told: index, older: -1} }
+
+// accept refuses a list that is older than what was told, unless it is whole and discovery says so for the second time.
+func (at *position) accept(index int64, snapshot bool) error {
+	if index >= at.told || snapshot && index == at.older {
+		return nil
+	}
+	at.from, at.older = -1, -1
+	if snapshot {
+		at.older = index
+	}
+	return fmt.Errorf("list: version %d, after %d was told: discovery is asked for the whole list, and this one is not heeded unless it says so again", index, at.told)
+}
+
+// fetchList makes one call for what comes after a position.
+type fetchList func(ctx context.Context, a *agent, at *position, wait bool) (*List, error)
+
+// watch makes one call after another, and tells what came of those that did not fail.
+func (p *Platform) watch(ctx context.Context, index int64, fetch fetchList, tell func(*List)) {
+	at, last := startingAt(index), p.current()
+	again := p.fleet.again()
+	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	for ctx.Err() == nil {
 		a := p.current()
 		if a != last {
-			from, last, told, older = -1, a, -1, -1
+			at, last = startingAt(-1), a
 			again.worked()
 		}
 		call, done, waiting := p.begin(ctx)
 		began := time.Now()
-		held := len(waiting) == 0 && from >= 0
-		l, err := a.list(call, from, p.fleet.hold(), len(waiting) == 0)
-		if err == nil && l.Index < told && !(l.Snapshot && l.Index == older) {
-			err = fmt.Errorf("list: version %d, after %d was told: discovery is asked for the whole list, and this one is not heeded unless it says so again", l.Index, told)
-			if from, older = -1, -1; l.Snapshot {
-				older = l.Index
-			}
-		}
+		held := len(waiting) == 0 && at.from >= 0
+		l, err := fetch(call, a, &at, len(waiting) == 0)
 		if err != nil {
 			p.put(waiting)
 			if a.left.Err() == nil && call.Err() == nil {
@@ -231,8 +265,7 @@
 		}
 		done()
 		again.worked()
-		from, told, older = l.Index, l.Index, -1
-		p.note(l)
+		at = startingAt(l.Index)
 		tell(l)
 		for _, w := range waiting {
 			close(w)
@@ -282,14 +315,22 @@
 // list asks for the whole list, or from a version on for changes. It is held for so long until there are some, if wait says so; else it is to come at
 // once.
 func (a *agent) list(ctx context.Context, from int64, hold time.Duration, wait bool) (*List, error) {
-	path, limit := "/v1/servers", listTime
+	limit := listTime
 	if from >= 0 && wait {
-		path += fmt.Sprintf("?from=%d&hold_ms=%d", from, hold.Milliseconds())
 		limit = hold + holdMargin
-	} else if from >= 0 {
-		path += fmt.Sprintf("?from=%d&hold_ms=0", from)
 	}
-	return a.listAt(ctx, path, from < 0, limit)
+	return a.listAt(ctx, listPath(from, hold, wait), from < 0, limit)
+}
+
+// listPath is the call for the whole list, or for changes.
+func listPath(from int64, hold time.Duration, wait bool) string {
+	switch {
+	case from >= 0 && wait:
+		return fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", from, hold.Milliseconds())
+	case from >= 0:
+		return fmt.Sprintf("/v1/servers?from=%d&hold_ms=0", from)
+	}
+	return "/v1/servers"
 }
 
 // listAt makes the call; whole: its answer is the whole list, whatever it says.
