Serve parts of the list, leases and members from a control server

Requests, scopes and connections are bounded.

Tested: parts, wrong digests, unknown scopes, 10,000 missed changes and more than the log, a change of every entry, an index that goes back, spoilt entries, overload, an older build's plain watch; the folder's and the members' own tests follow.

--- /dev/null
+++ b/cmd/scaleroute-control/main.go
@@ -0,0 +1,97 @@
+// Command scaleroute-control is a control server: it holds discovery's list whole and serves each forwarder the part that it owns. docs/control-server.md
+// is for operators.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"scaleroute/internal/control"
+	"scaleroute/internal/ownership"
+)
+
+type flags struct {
+	Listen      string        `required:"" help:"host:port to serve at; port 0 takes a free one, which the log names."`
+	Upstream    string        `required:"" help:"host:port of discovery."`
+	State       string        `required:"" help:"Folder of this server alone, in which it keeps the list and its leases."`
+	Name        string        `required:"" help:"Name of this server among its peers."`
+	Peers       []string      `help:"host:port of each other control server, with commas between them."`
+	Partitions  int           `default:"2097152" help:"Partitions of the destinations: a power of two, the same for the whole fleet."`
+	Replicas    int           `default:"3" help:"Owners of each partition, the same for the whole fleet."`
+	Lease       time.Duration `default:"30s" help:"A forwarder that has not called for so long is no member any more."`
+	Settle      time.Duration `default:"3s" help:"How long members are gathered after a first start before they are told to anyone."`
+	Publish     time.Duration `default:"1s" help:"Changes of the members within this time are told together."`
+	Save        time.Duration `default:"5m" help:"Time between two snapshots of the list in the state folder."`
+	MaxRequests int           `default:"16384" help:"Requests at the same time, held ones included; more get 503."`
+	Gc          int           `default:"25" help:"Share of the memory in use that may be garbage, in per cent (as GOGC)."`
+	LogLevel    string        `default:"info" enum:"debug,info,warn,error" help:"Lines of less weight are not written."`
+}
+
+// Statuses of the process.
+const (
+	statusFailed = 1
+	statusUsage  = 2
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// exit is what kong ends the program with, after --help.
+type exit int
+
+func run(args []string, out, errs io.Writer) (status int) {
+	defer func() {
+		switch e := recover().(type) {
+		case nil:
+		case exit:
+			status = int(e)
+		default:
+			panic(e)
+		}
+	}()
+	var f flags
+	parser, err := kong.New(&f, kong.Name("scaleroute-control"), kong.Description("A control server of scaleroute."), kong.Writers(out, errs),
+		kong.Exit(func(code int) { panic(exit(code)) }))
+	if err == nil {
+		_, err = parser.Parse(args)
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "scaleroute-control:", err)
+		return statusUsage
+	}
+	var level slog.Level
+	level.UnmarshalText([]byte(f.LogLevel)) // kong has checked it
+	slog.SetDefault(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
+	if err := serve(&f); err != nil {
+		slog.Error("control server has ended", "err", err)
+		return statusFailed
+	}
+	return 0
+}
+
+func serve(f *flags) error {
+	debug.SetGCPercent(f.Gc)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	listener, err := net.Listen("tcp", f.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server, err := control.New(control.Options{Name: f.Name, Upstream: f.Upstream, Folder: f.State, Peers: f.Peers,
+		Layout: ownership.Layout{Partitions: f.Partitions, Replicas: f.Replicas}, Lease: f.Lease, Settle: f.Settle,
+		PublishEvery: f.Publish, SaveEvery: f.Save, MaxRequests: f.MaxRequests})
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	return server.Run(ctx, listener)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -199,7 +199,8 @@
 		}
 		return l, err
 	}
-	p.watch(ctx, index, fetch, func(l *List) {
+	warn := func(err error, wait time.Duration) { slog.Warn("discovery", "err", err, "again_in", wait) }
+	p.watch(ctx, index, p.fleet.again(), warn, fetch, func(l *List) {
 		p.note(l)
 		tell(l)
 	})
@@ -230,10 +231,9 @@
 // fetchList makes one call for what comes after a position.
 type fetchList func(ctx context.Context, a *agent, at *position, wait bool) (*List, error)
 
-// watch makes one call after another, and tells what came of those that did not fail.
-func (p *Platform) watch(ctx context.Context, index int64, fetch fetchList, tell func(*List)) {
+// watch makes one call after another, and tells what came of those that did not fail; warn is told of the others.
+func (p *Platform) watch(ctx context.Context, index int64, again backoff, warn func(error, time.Duration), fetch fetchList, tell func(*List)) {
 	at, last := startingAt(index), p.current()
-	again := p.fleet.again()
 	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	for ctx.Err() == nil {
 		a := p.current()
@@ -253,7 +253,7 @@
 					again.worked()
 					wait = min(wait, time.Duration(p.fleet.random()*float64(reopenPause)))
 				}
-				slog.Warn("discovery", "err", err, "again_in", wait)
+				warn(err, wait)
 				if p.fleet.Asks { // each call is work there, whoever wants it
 					a.pause(ctx, wait)
 				} else {
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 )
@@ -32,8 +33,11 @@
 // maxReordered bounds the entries of a list that come before it has said what it is.
 const maxReordered = 1 << 16
 
-// maxStream ends a call whatever still comes.
-const maxStream = 10 * time.Minute
+const (
+	maxStream       = 10 * time.Minute // a call ends whatever still comes
+	maxStreamPause  = time.Second      // between two calls
+	failureLogPause = 30 * time.Second // between two lines about failures in a row
+)
 
 // errStreamSilent tells that nothing has come for too long.
 var errStreamSilent = errors.New("nothing has come for too long")
@@ -55,7 +59,34 @@
 		}
 		return &List{Index: r.index, Snapshot: r.whole || r.snapshot}, nil
 	}
-	p.watch(ctx, index, fetch, func(*List) { sink.Commit() })
+	again := backoff{first: firstPause, most: maxStreamPause, random: p.fleet.random}
+	var failures repeatedFailure
+	p.watch(ctx, index, again, failures.warn, fetch, func(*List) {
+		failures.end()
+		sink.Commit()
+	})
+}
+
+// repeatedFailure logs the first of the failures in a row, then one in a while, and their end.
+type repeatedFailure struct {
+	count  int
+	logged time.Time
+}
+
+func (f *repeatedFailure) warn(err error, _ time.Duration) {
+	f.count++
+	if f.count > 1 && time.Since(f.logged) < failureLogPause {
+		return
+	}
+	f.logged = time.Now()
+	slog.Warn("discovery does not answer with a list", "err", err, "failures_in_a_row", f.count)
+}
+
+func (f *repeatedFailure) end() {
+	if f.count > 0 {
+		slog.Info("discovery answers again", "failures_in_a_row", f.count)
+	}
+	f.count = 0
 }
 
 // stream makes the call and has its answer read as it comes.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -104,6 +104,13 @@
 	return nil
 }
 
+// Refuse is for an entry that could not be read: what is known under its name stays, also where the list is a snapshot.
+func (c *Catalog) Refuse(name string) {
+	if slot, known := c.entries.find(name); known && c.update.open {
+		c.see(slot)
+	}
+}
+
 func (c *Catalog) put(e agent.Endpoint) error {
 	slot, known := c.entries.find(e.Name)
 	if known && e.Status != agent.Deleted {
