Serve a part of the list from control servers: block control, look-ups before the engine

The engine drops evicted destinations, so that nothing grows with those that were ever named; a hot restart hands the part over. Off without the block.

--- a/cmd/scaleroute/bundle.go
+++ b/cmd/scaleroute/bundle.go
@@ -8,6 +8,7 @@
 
 	"scaleroute/internal/agent"
 	"scaleroute/internal/back/httpcall"
+	control "scaleroute/internal/control/client"
 	"scaleroute/internal/engine"
 	"scaleroute/internal/front/resp2"
 	"scaleroute/internal/takeover"
@@ -16,8 +17,9 @@
 // bundle is what one process leaves to the next one besides the folder that lasts.
 type bundle struct {
 	engine  engine.Handover
-	list    *agent.List // nil: none was told yet
-	drained bool        // clients are sent away by hand
+	list    *agent.List    // nil: none was told yet
+	part    *control.Saved // in place of it, where only a part of the list is known; nil: the whole list is
+	drained bool           // clients are sent away by hand
 	clients []resp2.Handed
 	stopped time.Time // nobody reads what clients send since then
 	idle    []httpcall.Idle
@@ -29,6 +31,7 @@
 const (
 	kindEngine = "engine"
 	kindList   = "list"
+	kindPart   = "part"
 	kindFront  = "front"
 	kindCall   = "call"
 	kindClient = "client"
@@ -80,6 +83,9 @@
 	if b.list != nil && err == nil {
 		add(kindList, b.list, takeover.Parcel{})
 	}
+	if b.part != nil && err == nil {
+		add(kindPart, b.part, takeover.Parcel{})
+	}
 	if err == nil {
 		add(kindFront, frontParcel{b.drained, b.stopped}, takeover.Parcel{})
 	}
@@ -125,6 +131,9 @@
 		case kindList:
 			b.list = &agent.List{}
 			read(b.list)
+		case kindPart:
+			b.part = &control.Saved{}
+			read(b.part)
 		case kindFront:
 			var v frontParcel
 			read(&v)
--- a/cmd/scaleroute/fleet.go
+++ b/cmd/scaleroute/fleet.go
@@ -136,7 +136,7 @@
 	limit, cancel := context.WithTimeout(ctx, time.Duration(p.f.operators.now.Fleet.Unheard))
 	defer cancel()
 	cause := ledger.Confirmed
-	if err := p.f.platform.Look(limit); err != nil {
+	if err := p.f.look(limit); err != nil {
 		if ctx.Err() != nil {
 			return
 		}
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -63,6 +63,7 @@
 	door      string          // the operators' address
 	before    *engine.Figures // of what served before in this process
 	fleet     *auditing       // nil: it is none that can be audited
+	partial   *partialList    // nil: it knows the whole list
 }
 
 // run runs the forwarder until stop is closed and the planned stop is over, or another process has taken over. On
@@ -88,6 +89,9 @@
 	if set := operators.now.Fleet; set != nil && set.Gossip != nil {
 		descriptors += speakerDescriptors
 	}
+	f := &forwarder{c: c, operators: operators, control: operations.NewControl(), stop: stop, hup: hup}
+	f.partial = newPartialList(f)
+	descriptors += f.partial.descriptors()
 	if c.Limits.Sockets -= descriptors; c.Limits.Endpoints() < 1 {
 		return fmt.Errorf("plug-ins, connections for mail and the operators' door need %d descriptors, which leaves %d: allow more, or set fewer processes", descriptors, c.Limits.Sockets)
 	}
@@ -95,7 +99,7 @@
 		slog.Warn("fewer calls are out at once than the settings let", "slots", c.Settings.Slots, "calls", most, "sockets", c.Limits.Sockets)
 		c.Settings.Slots = most
 	}
-	f := &forwarder{c: c, operators: operators, control: operations.NewControl(), stop: stop, hup: hup, settings: c.Settings}
+	f.settings = c.Settings
 	f.platform = agent.New(c.Discovery, agent.Fleet{Forwarders: c.Settings.Forwarders, Asks: c.Settings.MustAsk, AskEvery: c.Settings.AskEvery})
 	if err := operators.apply(&f.settings); err != nil {
 		return err
@@ -108,7 +112,7 @@
 		if err != nil {
 			return fmt.Errorf("listening for operators (NODE_OPS, or ops in the configuration): give each process an address of its own: %w", err)
 		}
-		d := door.New(f.control, f.fleet.calls()...)
+		d := door.New(f.control, append(f.fleet.calls(), f.partial.calls()...)...)
 		defer d.Close()
 		go d.Serve(ln)
 		f.door = ln.Addr().String()
@@ -173,13 +177,20 @@
 	if f.operators.plugins != nil {
 		configuration.Ended = f.operators.plugins.Ended
 	}
+	if f.partial != nil {
+		configuration.Holding = f.partial.holding
+	}
 	if f.operators.logSteps {
 		configuration.Steps = steplog.NewWriter(os.Stderr).Step
 	}
 	f.withdrawn = agent.OpenWithdrawn(f.c.State, &f.c.Known)
 	list := f.withdrawn.Known()
 	lists := []engine.List{list.As(decide.Restored)}
-	if known = f.knownFrom(from); known != nil {
+	if f.partial != nil {
+		list = f.partial.start(list, from, j)
+		lists = []engine.List{list.As(decide.Whole)}
+		defer f.partial.started()
+	} else if known = f.knownFrom(from); known != nil {
 		lists = append(lists, known.As(decide.Whole))
 		f.withdrawn.Tell(known)
 		list = known
@@ -195,6 +206,7 @@
 	if f.operators.file != "" || f.c.Ops != "" {
 		f.operators.sources = &sources{to: l, leftOut: operations.NewLeftOut(f.c.State)}
 		lists = f.operators.sources.start(f.operators.now.Endpoints(), lists...)
+		f.operators.sources.noteFile(f.operators.now)
 		f.operators.sources.list = f.operators.sources.targets.Tell(list.Index, true, list.Entries())
 	}
 	if from != nil && from.engine.Module != nil {
@@ -246,7 +258,7 @@
 	}
 	var intake resp2.Taker = l
 	if f.operators.plugins != nil {
-		intake = router{f.operators, f.operators.plugins.Front(l)}
+		intake = router{f.operators, f.operators.plugins.Front(f.partial.front(l))}
 	}
 	clients := resp2.New(ln, f.c.Limits.Clients(), intake)
 	clients.HandsOver = f.inherited != nil
@@ -277,16 +289,7 @@
 			failed <- fmt.Errorf("%w: %w", errDisk, err)
 		}
 	})
-	heard := func(list *agent.List) { l.List(list.Told()) }
-	if sources := f.operators.sources; sources != nil {
-		heard = sources.hear
-	}
-	lists.Go(func() {
-		f.platform.Watch(watching, known, func(list *agent.List) {
-			f.withdrawn.Tell(list)
-			heard(list)
-		})
-	})
+	lists.Go(func() { f.followList(watching, known, l) })
 	lists.Go(func() { reload(watching, f.hup, f.fleet.again(), f.c.File, f.platform, f.operators) })
 	all.Go(func() { f.platform.Deliver(ctx, l.Heard) })
 	if from != nil {
@@ -321,7 +324,7 @@
 			// In the order in which things come: lists, then requests, then calls.
 			unwatch()
 			lists.Wait()
-			left = &bundle{list: f.platform.Last(), drained: f.control.SentAway(), stopped: time.Now()}
+			left = &bundle{list: f.platform.Last(), part: f.partial.leave(), drained: f.control.SentAway(), stopped: time.Now()}
 			left.clients = clients.Detach(detachLimit)
 			accepting.Wait()
 			takeover.Reached("old: clients detached")
--- a/cmd/scaleroute/settings.go
+++ b/cmd/scaleroute/settings.go
@@ -154,6 +154,7 @@
 		slog.Warn("what is set of the fleet can't change while it runs: restart")
 		set.Fleet = s.now.Fleet
 	}
+	keepControl(s.now, set)
 	old := s.now
 	s.reads++
 	read := version.Contents{Digest: set.Digest(), Times: s.reads}
@@ -178,6 +179,7 @@
 	times   int               // that a target was left out or put back
 	drain   []straggler.Drain // targets that drain or are gone, by which list, the newest last
 	peers   []string          // that others know to drain
+	file    map[int]bool      // destinations of which the operators' file has endpoints
 }
 
 // mostDrains is how many targets that drain are remembered for others.
@@ -252,6 +254,7 @@
 	if pools {
 		l := s.set.Tell(membership.File, set.Endpoints())
 		list = &l
+		s.noteFile(set)
 	}
 	if !s.to.Change(c, do, list, bindWithin) {
 		slog.Warn("the loop has not heard of the operators' file yet", "after", bindWithin)
--- a/internal/control/client/arrivals.go
+++ b/internal/control/client/arrivals.go
@@ -47,6 +47,8 @@
 	if over != nil {
 		select {
 		case <-over:
+		case <-f.ended:
+			return f.reject(destination, f.state.Abandon)
 		case <-timer.C:
 			return f.reject(destination, f.state.Abandon)
 		}
@@ -104,6 +106,9 @@
 		return f.delivered
 	}
 	done = make(chan struct{})
+	if !f.begun {
+		f.early = append(f.early, u.Changed...)
+	}
 	if empty || !f.begun {
 		close(done)
 		return done
@@ -114,19 +119,22 @@
 	return done
 }
 
-// deliver delivers what is enqueued.
+// deliver delivers what is enqueued, until ctx ends.
 func (f *Follower) deliver(ctx context.Context) {
 	for {
-		f.mu.Lock()
-		if len(f.outbox) == 0 {
-			f.mu.Unlock()
-			select {
-			case <-ctx.Done():
-				return
-			case <-f.ready:
-			}
-			continue
+		f.deliverAll()
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.ready:
 		}
+	}
+}
+
+func (f *Follower) deliverAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.outbox) > 0 {
 		next := f.outbox[0]
 		f.outbox = f.outbox[1:]
 		f.mu.Unlock()
@@ -134,12 +142,20 @@
 		f.mu.Lock()
 		close(next.done)
 		if f.delivered == next.done {
-			f.delivered, f.outbox = nil, nil
+			f.delivered = nil
 		}
-		f.mu.Unlock()
 	}
 }
 
+// stop is the end of Run: what is enqueued is delivered, and nothing after that.
+func (f *Follower) stop() {
+	f.deliverAll()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = false
+	close(f.ended)
+}
+
 // startLookups starts look-ups as their budget permits, until ctx ends. Then it waits for those in flight.
 func (f *Follower) startLookups(ctx context.Context) {
 	inFlight := make(chan struct{}, f.Limits.InFlight)
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -231,7 +231,7 @@
 		}
 		a, _, err = c.list(ctx, next, whole)
 	}
-	if err == nil && a.Index < w.Needed {
+	if err == nil && a.Index < w.Needed && !w.Restarts(a) {
 		err = &BehindError{server, a.Index, w.Needed}
 	}
 	return a, err
--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -32,10 +32,12 @@
 	began  time.Time
 	wake   chan struct{} // a look-up may be started
 	ready  chan struct{} // an update may be delivered
+	ended  chan struct{} // closed once Run has ended
 	parted chan struct{} // closed once there is a part, by the members or by what was saved
 
 	mu         sync.Mutex
-	begun      bool // updates are delivered
+	begun      bool             // updates are delivered
+	early      []agent.Endpoint // changed before that
 	state      *partial.State
 	membership Membership
 	changed    bool          // the members are others than those of owned
@@ -61,7 +63,7 @@
 	if c.WatchHold == 0 {
 		c.WatchHold = Hold
 	}
-	return &Follower{FollowerConfig: c, layout: c.Client.config.Layout, began: time.Now(), wake: make(chan struct{}, 1), ready: make(chan struct{}, 1), parted: make(chan struct{}),
+	return &Follower{FollowerConfig: c, layout: c.Client.config.Layout, began: time.Now(), wake: make(chan struct{}, 1), ready: make(chan struct{}, 1), parted: make(chan struct{}), ended: make(chan struct{}),
 		state: partial.New(c.Limits), waiters: map[int]chan struct{}{}}
 }
 
@@ -141,12 +143,12 @@
 	return f.watchOnce(ctx, 0)
 }
 
-// Begin lists what is known. What changes from then on is delivered.
-func (f *Follower) Begin() agent.List {
+// Begin lists what is known, and what of it differs from what Start was told. What changes from then on is delivered.
+func (f *Follower) Begin() (known agent.List, changed []agent.Endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.begun = true
-	return agent.List{Index: max(0, f.state.Newest()), Snapshot: true, Endpoints: f.state.Endpoints()}
+	f.begun, changed, f.early = true, f.early, nil
+	return agent.List{Index: max(0, f.state.Newest()), Snapshot: true, Endpoints: f.state.Endpoints()}, changed
 }
 
 // Status is how a Follower stands.
@@ -167,8 +169,9 @@
 		Traffic: f.Client.Traffic()}
 }
 
-// Run follows the list until ctx ends.
+// Run follows the list until ctx ends. After that nothing is delivered, and no message waits.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.stop()
 	var all sync.WaitGroup
 	defer all.Wait()
 	all.Go(func() { f.watchMembers(ctx) })
--- /dev/null
+++ b/internal/control/client/follower_test.go
@@ -0,0 +1,288 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"scaleroute/internal/agent"
+	"scaleroute/internal/partial"
+)
+
+// engine is what a Follower delivers to.
+type engine struct {
+	mu     sync.Mutex
+	view   map[string]string
+	signal chan struct{}
+}
+
+func newEngine() *engine { return &engine{view: map[string]string{}, signal: make(chan struct{}, 1)} }
+
+func (e *engine) deliver(u partial.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, gone := range u.Evicted {
+		for _, name := range gone.Endpoints {
+			delete(e.view, name)
+		}
+	}
+	for _, c := range u.Changed {
+		if e.view[c.Name] = c.Status; c.Status == agent.Deleted {
+			delete(e.view, c.Name)
+		}
+	}
+	signal(e.signal)
+}
+
+func (e *engine) status(name string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view[name]
+}
+
+// await waits until something is delivered that makes a condition true.
+func (e *engine) await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	limit := time.After(patience)
+	for !is() {
+		select {
+		case <-e.signal:
+		case <-limit:
+			t.Fatalf("not delivered: %s; there is %v", what, e.view)
+		}
+	}
+}
+
+// following runs a Follower of the member n0.
+func following(t *testing.T, limits partial.Limits, servers ...*fake) (*Follower, *engine) {
+	t.Helper()
+	e := newEngine()
+	f := NewFollower(FollowerConfig{Client: newTestClient(t, servers...), Limits: limits, Deliver: e.deliver, WatchHold: 50 * time.Millisecond})
+	if err := f.First(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	known, _ := f.Begin()
+	for _, one := range known.Endpoints {
+		e.view[one.Name] = one.Status
+	}
+	run(t, f)
+	return f, e
+}
+
+func run(t *testing.T, f *Follower) {
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(over)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-over
+	})
+}
+
+func soon() time.Time { return time.Now().Add(patience) }
+
+// fill lists destinations, one endpoint each.
+func (l *list) fill(destinations ...int) {
+	for _, d := range destinations {
+		l.set(d, name(d), agent.Serving)
+	}
+}
+
+// TestFollow: the part is known and followed; a destination outside is looked up once for all that wait for it, and followed from then on; one that does not exist passes.
+func TestFollow(t *testing.T) {
+	l := newList()
+	l.setMembers("n0", "n1", "n2", "n3")
+	inside, outside := destinationsOf(testLayout.Owned("n0", []string{"n0", "n1", "n2", "n3"}), 3)
+	l.fill(inside[0], outside[0], outside[1])
+	s := newFake(t, l)
+	f, e := following(t, partial.DefaultLimits(), s)
+	if len(e.view) != 1 || e.status(name(inside[0])) != agent.Serving {
+		t.Fatalf("at the start: %v", e.view)
+	}
+	if d := f.Arrive(inside[0], soon()); d.Verdict != partial.Pass {
+		t.Fatalf("%+v", d)
+	}
+	var all sync.WaitGroup
+	for range 20 {
+		all.Go(func() {
+			if d := f.Arrive(outside[0], soon()); d.Verdict != partial.Pass || e.status(name(outside[0])) != agent.Serving {
+				t.Errorf("%+v; %q", d, e.status(name(outside[0])))
+			}
+		})
+	}
+	all.Wait()
+	if n := s.count("lookup"); n != 1 {
+		t.Errorf("%d look-ups", n)
+	}
+	if d := f.Arrive(outside[2], soon()); d.Verdict != partial.Pass || e.status(name(outside[2])) != "" {
+		t.Errorf("one that does not exist: %+v", d)
+	}
+	l.set(outside[0], name(outside[0]), agent.Draining)
+	l.set(inside[0], name(inside[0]), agent.Draining)
+	e.await(t, "two drains", func() bool {
+		return e.status(name(outside[0])) == agent.Draining && e.status(name(inside[0])) == agent.Draining
+	})
+	status := f.Status()
+	if status.Part.Fetched != 1 || status.Members != 4 || !status.Complete || status.Traffic["lookup"].Calls != 2 {
+		t.Errorf("%+v", status)
+	}
+}
+
+// TestAllServersDead: what was received holds, the part goes on, and destinations outside are rejected with a retry-after; once a server is back, all goes on.
+func TestAllServersDead(t *testing.T) {
+	l := newList()
+	l.setMembers("n0", "n1", "n2", "n3")
+	inside, outside := destinationsOf(testLayout.Owned("n0", []string{"n0", "n1", "n2", "n3"}), 2)
+	l.fill(inside[0], inside[1], outside[0])
+	a, b := newFake(t, l), newFake(t, l)
+	f, e := following(t, partial.DefaultLimits(), a, b)
+	l.set(inside[0], name(inside[0]), agent.Draining)
+	e.await(t, "a drain", func() bool { return e.status(name(inside[0])) == agent.Draining })
+	var dead sync.Map
+	for _, s := range []*fake{a, b} {
+		s.spoils(func(w http.ResponseWriter, r *http.Request) bool {
+			if _, back := dead.Load("back"); back {
+				return false
+			}
+			return cutOff(w, r)
+		})
+	}
+	if d := f.Arrive(outside[0], soon()); d.Verdict != partial.Reject || d.RetryAfter <= 0 {
+		t.Errorf("%+v", d)
+	}
+	if d := f.Arrive(inside[1], soon()); d.Verdict != partial.Pass || e.status(name(inside[0])) != agent.Draining {
+		t.Errorf("%+v; %v", d, e.view)
+	}
+	dead.Store("back", true)
+	if err := f.Look(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for limit := soon(); ; { // the budget may be spent
+		if d := f.Arrive(outside[0], soon()); d.Verdict == partial.Pass {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatal("no look-up succeeds")
+		}
+	}
+}
+
+// TestPartMoves: a member leaves. Only the entries of the partitions that come new are asked for, and an endpoint that was withdrawn while its part moved is not served.
+func TestPartMoves(t *testing.T) {
+	l := newList()
+	before, after := []string{"n0", "n1", "n2", "n3", "n4", "n5"}, []string{"n0", "n1", "n2", "n3", "n4"}
+	l.setMembers(before...)
+	was, is := testLayout.Owned("n0", before), testLayout.Owned("n0", after)
+	gained, _ := destinationsOf(is.Minus(was), 2)
+	kept, _ := destinationsOf(was, 2)
+	l.fill(append(slices.Clone(gained), kept...)...)
+	s := newFake(t, l)
+	f, e := following(t, partial.DefaultLimits(), s)
+	if e.status(name(gained[0])) != "" {
+		t.Fatalf("%v", e.view)
+	}
+	l.set(gained[1], name(gained[1]), agent.Deleted)
+	l.setMembers(after...)
+	e.await(t, "the gained destination", func() bool { return e.status(name(gained[0])) == agent.Serving })
+	if e.status(name(gained[1])) != "" {
+		t.Errorf("%s was withdrawn, and is %q", name(gained[1]), e.status(name(gained[1])))
+	}
+	if d := f.Arrive(gained[0], soon()); d.Verdict != partial.Pass {
+		t.Errorf("%+v", d)
+	}
+	if n := s.count("lookup"); n != 0 {
+		t.Errorf("%d look-ups", n)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	whole := 0
+	for _, query := range s.asked {
+		if !strings.Contains(query, "from=") && strings.Contains(query, testLayout.Digest(is)) {
+			whole++
+		}
+	}
+	if whole > 0 {
+		t.Errorf("the whole part was asked for %d times", whole)
+	}
+}
+
+// TestResume: the next process goes on from what was saved, without a call, and follows from there.
+func TestResume(t *testing.T) {
+	l := newList()
+	l.setMembers("n0", "n1", "n2", "n3")
+	inside, outside := destinationsOf(testLayout.Owned("n0", []string{"n0", "n1", "n2", "n3"}), 1)
+	l.fill(inside[0], outside[0])
+	s := newFake(t, l)
+	f, _ := following(t, partial.DefaultLimits(), s)
+	f.Arrive(outside[0], soon())
+	saved := f.Save()
+
+	e := newEngine()
+	next := NewFollower(FollowerConfig{Client: newTestClient(t, s), Limits: partial.DefaultLimits(), Deliver: e.deliver, WatchHold: 50 * time.Millisecond})
+	if !next.Resume(saved) {
+		t.Fatal("not resumed")
+	}
+	known, _ := next.Begin()
+	if len(known.Endpoints) != 2 {
+		t.Fatalf("%+v", known)
+	}
+	next.Hold(outside[0]) // a message that was accepted before
+	for _, one := range known.Endpoints {
+		e.view[one.Name] = one.Status
+	}
+	run(t, next)
+	l.set(outside[0], name(outside[0]), agent.Draining)
+	e.await(t, "a drain", func() bool { return e.status(name(outside[0])) == agent.Draining })
+	next.Release(outside[0])
+	e.await(t, "the eviction", func() bool { return e.status(name(outside[0])) == "" })
+	saved.Complete = false
+	if NewFollower(FollowerConfig{Client: newTestClient(t, s)}).Resume(saved) {
+		t.Error("an incomplete part is resumed")
+	}
+}
+
+// TestBoundedPart: the first members of a fleet that starts take no more than twice their part.
+func TestBoundedPart(t *testing.T) {
+	l := newList()
+	l.setMembers("n0")
+	f := NewFollower(FollowerConfig{Client: newTestClient(t, newFake(t, l)), Limits: partial.DefaultLimits(), Fleet: 16})
+	if err := f.First(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	if n, most := f.Status().Partitions, 2*testLayout.Partitions*testLayout.Replicas/16; n != most {
+		t.Errorf("%d partitions of %d", n, most)
+	}
+}
+
+// TestBudget: beyond the budget of look-ups messages are rejected with a retry-after, and none waits for long.
+func TestBudget(t *testing.T) {
+	l := newList()
+	l.setMembers("n0", "n1", "n2", "n3")
+	_, outside := destinationsOf(testLayout.Owned("n0", []string{"n0", "n1", "n2", "n3"}), 40)
+	l.fill(outside...)
+	limits := partial.DefaultLimits()
+	limits.LookupBytes, limits.Burst, limits.Batch = 100, 1000, 1
+	f, _ := following(t, limits, newFake(t, l))
+	passed, rejected := 0, 0
+	for _, d := range outside {
+		switch v := f.Arrive(d, soon()); {
+		case v.Verdict == partial.Pass:
+			passed++
+		case v.RetryAfter > 0:
+			rejected++
+		}
+	}
+	if passed == 0 || rejected == 0 || passed+rejected != len(outside) {
+		t.Errorf("%d passed, %d rejected", passed, rejected)
+	}
+	if spent := f.Status().Traffic["lookup"]; spent.Sent+spent.Received > 2000 {
+		t.Errorf("%+v", spent)
+	}
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -113,6 +113,8 @@
 	Limits func(class string, destination int, route string) Limits
 	// Ended is told of each message that was taken on and is over, by the loop: it must not wait. nil if nobody asks.
 	Ended func(Ending)
+	// Holding is called by the loop, which it must not have wait, as it begins and ends to hold a message for a destination. nil if nobody asks.
+	Holding func(destination int, begins bool)
 	// Steps is shown each step of the module, by the loop: it must not wait. nil if nobody asks.
 	Steps func(now time.Duration, events []decide.Event, actions []decide.Action)
 	// Figures has the figures published for Engine.Figures.
@@ -147,6 +149,7 @@
 	caps      intake.Caps
 	limits    func(class string, destination int, route string) Limits
 	ended     func(Ending)
+	holds     func(destination int, begins bool)
 	steps     func(time.Duration, []decide.Event, []decide.Action)
 	effects   []func() // after the journal has been written
 	waiting   []batch  // until it has been synced, where that is promised
@@ -167,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Engine{module: m, journal: c.Journal, back: c.Back, resumer: c.Resumer, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended, steps: c.Steps,
+	l := &Engine{module: m, journal: c.Journal, back: c.Back, resumer: c.Resumer, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended, holds: c.Holding, steps: c.Steps,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
 		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
@@ -416,6 +419,8 @@
 		close(v.bound)
 	case changed:
 		l.change(v)
+	case evicted:
+		l.evict(v)
 	case asleep:
 		l.lookAwake()
 	case peerWaits:
@@ -609,6 +614,7 @@
 	l.entries[e.saved.ID] = e
 	e.cost = e.saved.Cost()
 	l.shares.Add(e.saved.Dest, e.cost)
+	l.holding(e.saved.Dest, true)
 	if l.limits == nil {
 		return
 	}
@@ -621,6 +627,7 @@
 func (l *Engine) leave(e *entry) {
 	delete(l.entries, e.saved.ID)
 	l.shares.Add(e.saved.Dest, -e.cost)
+	l.holding(e.saved.Dest, false)
 	if e.cap.Rule != "" {
 		l.caps.Add(e.cap, -1)
 	}
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -31,6 +31,7 @@
 	hear     func(endpoint string, a Attempt)
 	call     func(context.Context, Attempt) decide.Outcome // in place of success; nil for that
 	ended    func(Ending)
+	holding  func(destination int, begins bool)
 	figures  bool
 	acting   *Acting
 	finals   Finals // in place of none
@@ -107,7 +108,7 @@
 		t.Cleanup(func() { j.Close() })
 	}
 	l, err := New(Config{Settings: w.settings, Journal: j, SyncEvery: time.Millisecond, Limits: w.limits,
-		Back: &memoryBack{names: map[string]bool{}, calls: n.calls, hear: w.hear, call: w.call}, Ended: w.ended, Figures: w.figures, Acting: w.acting, Finals: map[string]Finals{"": w.finals}})
+		Back: &memoryBack{names: map[string]bool{}, calls: n.calls, hear: w.hear, call: w.call}, Ended: w.ended, Holding: w.holding, Figures: w.figures, Acting: w.acting, Finals: map[string]Finals{"": w.finals}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/engine/waits.go
+++ b/internal/engine/waits.go
@@ -44,6 +44,7 @@
 	shared       map[int]*told
 	byTarget     map[string]place
 	left         map[string]bool // those of them that are not listed now
+	evicted      []int           // destinations that were, whose wait is not over
 	clock        time.Time
 	mayBeginElse func() bool // nil: yes
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// Holds tells whether a destination holds anything.
+func (s *Shares) Holds(dest int) bool { return s.held[dest] > 0 }
+
 // Admits tells whether a destination may hold so much more, when such a part of the room is in use, from 0 to 1, and
 // there are so many destinations in all.
 func (s *Shares) Admits(dest int, bytes int64, full float64, destinations int) bool {
--- /dev/null
+++ b/internal/membership/forget_test.go
@@ -0,0 +1,35 @@
+package membership
+
+import (
+	"testing"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/engine"
+)
+
+// TestForget: what one source is not asked for any more is as if it had never named it: another's endpoint serves on, and one that is named again serves.
+func TestForget(t *testing.T) {
+	named := func(names ...string) engine.List {
+		l := engine.List{Scope: decide.Changes}
+		for _, n := range names {
+			l.Endpoints = append(l.Endpoints, engine.Endpoint{Target: decide.Target{ID: n, Destination: 7}})
+		}
+		return l
+	}
+	var s Set
+	s.Tell(File, named("both"))
+	s.Tell(Agent, named("both", "own", "drains"))
+	drains := named("drains")
+	drains.Endpoints[0].State = decide.Draining
+	s.Tell(Agent, drains)
+	l := s.Forget(Agent, []string{"both", "own", "drains", "never"})
+	if len(l.Endpoints) != 2 || l.Scope != decide.Changes || l.Endpoints[0].State != decide.Gone || l.Endpoints[1].State != decide.Gone {
+		t.Fatalf("%+v", l)
+	}
+	if e := s.merged["both"]; e.State != decide.Active || len(s.merged) != 1 {
+		t.Fatalf("%+v", s.merged)
+	}
+	if l := s.Tell(Agent, named("own")); len(l.Endpoints) != 1 || l.Endpoints[0].State != decide.Active {
+		t.Fatalf("named again: %+v", l)
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -89,6 +89,19 @@
 	return all
 }
 
+// Forget drops what a source has told of some endpoints, as if it had never named them, and returns what that changes. It is for what is not needed any more:
+// to withdraw an endpoint is a list's to do.
+func (s *Set) Forget(from Source, names []string) engine.List {
+	touched := map[string]bool{}
+	for _, name := range names {
+		if all := s.by[name]; all != nil {
+			all[from] = said{}
+			touched[name] = true
+		}
+	}
+	return s.changes(touched)
+}
+
 // changes works out anew what the endpoints of some names are, and returns those that it changed.
 func (s *Set) changes(touched map[string]bool) engine.List {
 	changes := engine.List{Scope: decide.Changes}
--- /dev/null
+++ b/internal/operator/control.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"fmt"
+	"net"
+	"strings"
+
+	"scaleroute/internal/ownership"
+)
+
+// Control has the forwarder know only its part of the endpoint list, by control servers. Without it the whole list is watched at the platform's discovery.
+type Control struct {
+	Servers     []string `json:"servers"`
+	Partitions  int      `json:"partitions"`   // the same in the whole fleet, and at its control servers
+	Replicas    int      `json:"replicas"`     // owners of each partition; the same in the whole fleet
+	Fetched     int      `json:"fetched"`      // destinations outside the part that are known at most
+	LookupBytes int64    `json:"lookup_bytes"` // a second, for looking such destinations up
+}
+
+// DefaultControl is what holds where a block control sets nothing but its servers.
+func DefaultControl() Control {
+	return Control{Partitions: 1 << 21, Replicas: 3, Fetched: 256, LookupBytes: 1500}
+}
+
+// Bounds of a Control.
+const (
+	maxServers     = 16
+	maxFetched     = 256
+	minLookupBytes = 500
+	maxLookupBytes = 16 << 20
+)
+
+func (c *Config) checkControl(add func(key, what, remedy string)) {
+	s := c.Control
+	if s == nil {
+		return
+	}
+	if n := len(s.Servers); n == 0 || n > maxServers {
+		add("control.servers", fmt.Sprintf("%d control servers", n), fmt.Sprintf(`name from 1 to %d, as servers = ["10.0.0.4:7400", "10.0.0.5:7400"]`, maxServers))
+	}
+	seen := map[string]bool{}
+	for _, a := range s.Servers {
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" || strings.ContainsAny(a, "/?#@ ") {
+			add("control.servers", fmt.Sprintf("%q is no address", a), "write a host and a port, as 10.0.0.4:7400")
+		}
+		if seen[a] {
+			add("control.servers", fmt.Sprintf("%s is named twice", a), "name each once")
+		}
+		seen[a] = true
+	}
+	if err := (ownership.Layout{Partitions: s.Partitions, Replicas: 1}).Check(); err != nil {
+		add("control.partitions", err.Error(), "write the number that all forwarders and control servers have, as 2097152")
+	}
+	if err := (ownership.Layout{Partitions: 1, Replicas: s.Replicas}).Check(); err != nil {
+		add("control.replicas", err.Error(), "write the number that all forwarders have, as 3")
+	}
+	if s.Fetched < 1 || s.Fetched > maxFetched {
+		add("control.fetched", fmt.Sprintf("%d destinations fetched on demand", s.Fetched), fmt.Sprintf("set from 1 to %d", maxFetched))
+	}
+	if s.LookupBytes < minLookupBytes || s.LookupBytes > maxLookupBytes {
+		add("control.lookup_bytes", fmt.Sprintf("%d bytes a second for look-ups", s.LookupBytes), fmt.Sprintf("set from %d to %d: one look-up costs some 500", minLookupBytes, maxLookupBytes))
+	}
+	if c.Fleet != nil && c.Fleet.Gossip != nil {
+		add("control", "with a block control, forwarders have different lists, and gossip would take all but one for stale", "remove the block gossip of fleet: control servers have the members")
+	}
+}
+
+// diffControl lists what differs of the control servers and the part.
+func diffControl(old, new *Config, whole func(key, a, b string)) {
+	words := func(c *Config) [6]string {
+		s := c.Control
+		if s == nil {
+			return [6]string{"the whole list", "none", "none", "none", "none", "none"}
+		}
+		return [6]string{"a part of the list", strings.Join(s.Servers, " "), fmt.Sprint(s.Partitions), fmt.Sprint(s.Replicas), fmt.Sprint(s.Fetched), fmt.Sprint(s.LookupBytes)}
+	}
+	a, b := words(old), words(new)
+	for i, key := range []string{"control", "control.servers", "control.partitions", "control.replicas", "control.fetched", "control.lookup_bytes"} {
+		whole(key, a[i], b[i])
+	}
+}
+
+// explainControl tells where the endpoints of a message's destination are known from.
+func (c *Config) explainControl(destination int) []Change {
+	s := c.Control
+	if s == nil || destination < 0 {
+		return nil
+	}
+	layout := ownership.Layout{Partitions: s.Partitions, Replicas: s.Replicas}
+	text := fmt.Sprintf("by control servers: partition %d of %d, sent to its %d owners; others look it up", layout.PartitionOf(destination), s.Partitions, s.Replicas)
+	return []Change{{For: fmt.Sprintf("destination %d", destination), Key: "control", New: text, To: c.Where["control"]}}
+}
--- a/internal/operator/diff.go
+++ b/internal/operator/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"scaleroute/internal/route"
@@ -42,6 +43,7 @@
 	whole("unrouted", cmp.Or(old.Unrouted, Go), cmp.Or(new.Unrouted, Go))
 	whole("plugin_status", cmp.Or(old.PluginStatus, "none"), cmp.Or(new.PluginStatus, "none"))
 	diffFleet(old, new, whole)
+	diffControl(old, new, whole)
 	list = append(list, diffRoutes(old, new, most)...)
 	list = append(list, diffPools(old, new)...)
 	list = append(list, diffPlugins(old, new)...)
@@ -157,12 +159,16 @@
 		list = append(list, Change{For: c.shown(s), Key: key, New: v, To: c.Where["limits."+rule+"."+key]})
 	}
 	list = append(list, c.explainPool(dest)...)
+	list = append(list, c.explainControl(dest)...)
 	return append(list, c.explainPlugins(m.Class, m.Destination)...), nil
 }
 
 func of(key string) string {
-	if key == "unrouted" {
+	switch {
+	case key == "unrouted":
 		return "messages that fit no route"
+	case strings.HasPrefix(key, "control"):
+		return "the endpoint list"
 	}
 	return "the journal"
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,8 +27,9 @@
 	Unrouted string   `json:"unrouted,omitempty"`
 	Plugins  []Plugin `json:"plugins,omitempty"` // the same
 	// PluginStatus is a file that tells what each plug-in has done, written anew as that changes; empty: none.
-	PluginStatus string `json:"plugin_status,omitempty"`
-	Fleet        *Fleet `json:"fleet,omitempty"`
+	PluginStatus string   `json:"plugin_status,omitempty"`
+	Fleet        *Fleet   `json:"fleet,omitempty"`
+	Control      *Control `json:"control,omitempty"`
 	// Where says which place set what: a path of keys, such as journal.durability, and a file with its line.
 	Where map[string]string `json:"where,omitempty"`
 
@@ -81,6 +82,7 @@
 	c.checkRoutes(add)
 	c.checkPlugins(add)
 	c.checkFleet(add)
+	c.checkControl(add)
 	return list
 }
 
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -70,20 +70,21 @@
 }
 
 type loader struct {
-	getenv   func(string) (string, bool)
-	files    map[string]*hcl.File
-	bodies   map[string]bool // by the file's own path, links followed
-	order    []*hclsyntax.Body
-	env      map[string]cty.Value
-	envAt    map[string]hcl.Range
-	set      map[string]setting
-	limits   []operator.Limit
-	pools    []operator.Pool
-	routes   []operator.Route
-	plugins  []operator.Plugin
-	fleetSet *operator.Fleet
-	places   map[string]hcl.Range // of blocks and their keys
-	diags    hcl.Diagnostics
+	getenv     func(string) (string, bool)
+	files      map[string]*hcl.File
+	bodies     map[string]bool // by the file's own path, links followed
+	order      []*hclsyntax.Body
+	env        map[string]cty.Value
+	envAt      map[string]hcl.Range
+	set        map[string]setting
+	limits     []operator.Limit
+	pools      []operator.Pool
+	routes     []operator.Route
+	plugins    []operator.Plugin
+	fleetSet   *operator.Fleet
+	controlSet *operator.Control
+	places     map[string]hcl.Range // of blocks and their keys
+	diags      hcl.Diagnostics
 }
 
 func (l *loader) fail(at hcl.Range, what, remedy string) {
@@ -280,7 +281,7 @@
 
 // body takes what one file sets.
 func (l *loader) body(b *hclsyntax.Body) {
-	l.known(b, "a file", "include", "env*", "journal*", "limits*", "pool*", "route*", "plugin*", "plugins*", "fleet*", "unrouted")
+	l.known(b, "a file", "include", "env*", "journal*", "limits*", "pool*", "route*", "plugin*", "plugins*", "fleet*", "control*", "unrouted")
 	if a := b.Attributes["unrouted"]; a != nil {
 		if v, ok := l.text(a); ok {
 			l.put("unrouted", v, a.Expr.Range())
@@ -298,6 +299,8 @@
 			l.plugin(block)
 		case "fleet":
 			l.fleet(block)
+		case "control":
+			l.control(block)
 		case "plugins":
 			l.known(block.Body, "plugins", "status")
 			if a := block.Body.Attributes["status"]; a != nil {
@@ -498,7 +501,7 @@
 	c := operator.Default()
 	c.Limits = l.limits
 	slices.SortFunc(c.Limits, func(a, b operator.Limit) int { return strings.Compare(a.Name, b.Name) })
-	c.Pools, c.Routes, c.Plugins, c.Fleet = l.pools, l.routes, l.plugins, l.fleetSet
+	c.Pools, c.Routes, c.Plugins, c.Fleet, c.Control = l.pools, l.routes, l.plugins, l.fleetSet, l.controlSet
 	slices.SortFunc(c.Pools, func(a, b operator.Pool) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Routes, func(a, b operator.Route) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Plugins, func(a, b operator.Plugin) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/partial/answers.go
+++ b/internal/partial/answers.go
@@ -1,6 +1,7 @@
 package partial
 
 import (
+	"cmp"
 	"slices"
 	"unique"
 
@@ -14,23 +15,44 @@
 	if w.From == NoIndex {
 		w.Needed = s.newest
 	}
-	for number, d := range s.destinations {
-		if d.class == owned || d.class == retained && s.references[number] == 0 {
-			continue
-		}
+	w.Destinations = s.beside()
+	for _, number := range w.Destinations {
+		d := s.destinations[number]
 		if !d.watched && w.From != NoIndex {
 			w.From = min(w.From, d.index)
 		}
 		d.requested = s.sequence
-		w.Destinations = append(w.Destinations, number)
 	}
-	slices.Sort(w.Destinations)
 	return w
 }
 
+// beside are the destinations outside the part that are watched, sorted. Of more than may be asked for those are that have waited longest for an answer; the others are from
+// their own indexes on when it is their turn.
+func (s *State) beside() []int {
+	var list []int
+	for number, d := range s.destinations {
+		if d.class == fetched || d.class == retained && s.references[number] > 0 {
+			list = append(list, number)
+		}
+	}
+	if most := s.limits.Beside; len(list) > most {
+		slices.SortFunc(list, func(a, b int) int {
+			return cmp.Or(cmp.Compare(s.destinations[a].index, s.destinations[b].index), cmp.Compare(a, b))
+		})
+		for _, number := range list[most:] {
+			s.destinations[number].watched = false
+		}
+		list = list[:most]
+	}
+	slices.Sort(list)
+	return list
+}
+
 // ApplyWatch takes the answer to a watch.
 func (s *State) ApplyWatch(w Watch, a Answer) (Update, error) {
-	if a.Index < w.Needed {
+	if w.Restarts(a) {
+		s.restart(a.Index)
+	} else if a.Index < w.Needed {
 		return Update{}, ErrOlder
 	}
 	asked := func(number int) bool {
@@ -41,6 +63,9 @@
 	s.apply(&u, a, asked)
 	s.watched, s.complete = a.Index, s.complete || a.Snapshot
 	s.newest = max(s.newest, a.Index)
+	if a.Index >= s.ceiling {
+		s.ceiling = 0
+	}
 	for number, d := range s.destinations {
 		if d.class != owned && asked(number) {
 			d.index, d.watched = max(d.index, a.Index), true
@@ -50,6 +75,21 @@
 	return u, nil
 }
 
+// Restarts tells whether an answer says that discovery counts anew: a server that had an index itself answers to it with a snapshot of a lower one. A server that is
+// merely behind answers nothing.
+func (w Watch) Restarts(a Answer) bool {
+	return w.From != NoIndex && a.Snapshot && a.Index < w.From
+}
+
+// restart has indexes compare with those of a list that is counted anew.
+func (s *State) restart(index int64) {
+	s.ceiling = index + (s.newest-index)/2
+	s.watched, s.newest, s.scoped = index, index, NoIndex
+	for _, d := range s.destinations {
+		d.index = min(d.index, index)
+	}
+}
+
 // ApplyScope goes on with another part of the list. gained is the answer to a request for the partitions that came new, by isGained; nil where there are none, and where the next watch asks for everything.
 // Destinations of lost partitions leave, unless messages refer to them.
 func (s *State) ApplyScope(owns, isGained Owns, gained *Answer) (Update, error) {
--- a/internal/partial/lookups.go
+++ b/internal/partial/lookups.go
@@ -175,7 +175,7 @@
 // anything received is not applied; the batch is over all the same.
 func (s *State) ApplyLookup(now time.Duration, batch []int, a Answer, spent int64) (Update, error) {
 	u := s.endLookup(now, batch, spent)
-	if a.Index < s.newest {
+	if a.Index < s.newest || s.ceiling > 0 && a.Index > s.ceiling {
 		return u, ErrOlder
 	}
 	s.newest, u.Index = a.Index, a.Index
--- a/internal/partial/model_test.go
+++ b/internal/partial/model_test.go
@@ -92,7 +92,7 @@
 }
 
 func newModel(t *rapid.T, visited map[string]int) *model {
-	limits := Limits{Fetched: 2, Waiting: 6, Batch: 2, InFlight: 2, LookupBytes: 1000, Burst: 1200, Delay: 500 * time.Millisecond, Missing: time.Second, MaxMissing: 2}
+	limits := Limits{Fetched: 2, Beside: 2, Waiting: 6, Batch: 2, InFlight: 2, LookupBytes: 1000, Burst: 1200, Delay: 500 * time.Millisecond, Missing: time.Second, MaxMissing: 2}
 	return &model{t: t, limits: limits, state: New(limits), history: history{{}}, part: map[int]bool{}, applied: map[int]int64{}, ever: map[int]int64{},
 		view: map[string]agent.Endpoint{}, visited: visited}
 }
@@ -298,6 +298,9 @@
 }
 
 func (m *model) check() {
+	if w := m.state.beside(); len(w) > m.limits.Beside {
+		m.t.Fatalf("%d destinations beside the part are watched", len(w))
+	}
 	if m.state.fetched > m.limits.Fetched || m.state.lookups.waiting > m.limits.Waiting || m.state.lookups.waiting != len(m.waiting) ||
 		len(m.state.missing.until) > m.limits.MaxMissing || len(m.state.lookups.pending) > m.limits.Fetched {
 		m.t.Fatalf("bounds %+v: %+v, %d missing, %d pending, %d wait", m.limits, m.state.Counts(), len(m.state.missing.until), len(m.state.lookups.pending), len(m.waiting))
--- a/internal/partial/partial.go
+++ b/internal/partial/partial.go
@@ -18,6 +18,7 @@
 // Limits bound what a State holds and what look-ups may cost.
 type Limits struct {
 	Fetched     int           // destinations that are known by look-up
+	Beside      int           // destinations outside the part that one watch asks for
 	Waiting     int           // messages that wait for look-ups
 	Batch       int           // destinations of one look-up
 	InFlight    int           // look-ups at the same time
@@ -30,7 +31,7 @@
 
 // DefaultLimits are those of a forwarder where operators set no others.
 func DefaultLimits() Limits {
-	return Limits{Fetched: 256, Waiting: 256, Batch: 32, InFlight: 2, LookupBytes: 1500, Burst: 3000,
+	return Limits{Fetched: 256, Beside: 4096, Waiting: 256, Batch: 32, InFlight: 2, LookupBytes: 1500, Burst: 3000,
 		Delay: 100 * time.Millisecond, Missing: 2 * time.Second, MaxMissing: 1024}
 }
 
@@ -109,6 +110,7 @@
 	watched      int64  // the index of the last answer to a watch
 	scoped       int64  // the index at which partitions came new: an older answer may lack what was deleted in them
 	newest       int64  // the newest index received at all
+	ceiling      int64  // after indexes began anew: a look-up with a higher one is of before that; 0: none
 	sequence     uint64 // of watches
 }
 
