Measure a forwarder's start without its admin API, and its idle processor with it

The first trial of list never settled at 6,000 destinations: with NODE_OPS set the loop walks all endpoints 20 times a second for its figures, some 6% of a core there with nothing to do. That cost is a measurement of its own now (idle); start, changes and queue are measured without it.

--- a/experiments/capacity/plan.hcl
+++ b/experiments/capacity/plan.hcl
@@ -20,6 +20,8 @@
   control_server_cores       = 8           # as the machine of the measurements
   control_server_bytes       = 24000000000 # as well
   forwarder_machine_bytes    = 24000000000 # as well: for messages that are queued; not control's
+  largest_part_of_mean       = 1.25
+  moved_of_own_part          = 1.2
 }
 
 failures {
--- a/internal/capacity/measure/forwarder.go
+++ b/internal/capacity/measure/forwarder.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
-	"scaleroute/internal/door"
 	"scaleroute/internal/fleet"
 	"scaleroute/internal/standin"
 )
@@ -18,7 +16,8 @@
 	hosts         = 16 // listeners that stand for all endpoints
 	settleLimit   = 90 * time.Second
 	settleLook    = 100 * time.Millisecond
-	settleQuiet   = 5 // looks without processor time
+	settleQuiet   = 10 // looks without processor time
+	startCalls    = 2  // for the list, and for what changes in it
 	messageLife   = 30 * time.Minute
 	stopLimit     = 4 * time.Second
 	bytesOfKB     = 1024
@@ -35,8 +34,20 @@
 	dir     string
 }
 
-// startForwarder starts one that knows so many destinations, and returns once it has nothing left to do for its start.
+// startForwarder starts one that knows so many destinations, and returns once it has nothing left to do for its start. It has no admin API, which uses the processor all the time.
 func startForwarder(ctx context.Context, l *Lab, destinations int, seed uint64) (f *forwarder, err error) {
+	if f, err = launch(l, destinations, seed, ""); err != nil {
+		return nil, err
+	}
+	if err = f.settle(ctx); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// launch starts one and waits until it serves; adminAPI is where operators may ask it, empty: nowhere.
+func launch(l *Lab, destinations int, seed uint64, adminAPI string) (f *forwarder, err error) {
 	f = &forwarder{}
 	defer func() {
 		if err != nil {
@@ -62,7 +73,7 @@
 	if err = os.Mkdir(state, 0o700); err != nil {
 		return f, err
 	}
-	env := append(os.Environ(), "NODE_CONFIG="+file, "NODE_STATE="+state, "NODE_OPS=127.0.0.1:0", "TMPDIR="+f.dir)
+	env := append(os.Environ(), "NODE_CONFIG="+file, "NODE_STATE="+state, "NODE_OPS="+adminAPI, "TMPDIR="+f.dir)
 	if f.process, err = fleet.Launch([]string{l.Program}, env, nil, nil); err != nil {
 		return f, err
 	}
@@ -70,57 +81,30 @@
 		return f, err
 	}
 	f.world.Clients.At(f.process.Address())
-	return f, f.settle(ctx, destinations)
+	return f, nil
 }
 
-// settle waits until the forwarder knows so many endpoints and uses no processor any more.
-func (f *forwarder) settle(ctx context.Context, endpoints int) error {
+// settle waits until the forwarder neither uses the processor nor speaks to its agent any more.
+func (f *forwarder) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
-	if err := f.await(ctx, func() (bool, error) {
-		known, err := f.endpoints(ctx)
-		return known == endpoints, err
-	}); err != nil {
-		return fmt.Errorf("waiting for %d endpoints to be known: %w", endpoints, err)
-	}
-	quiet, used := 0, f.process.CPU()
-	return f.await(ctx, func() (bool, error) {
-		if now := f.process.CPU(); now > used {
-			quiet, used = 0, now
-		}
-		quiet++
-		return quiet > settleQuiet, nil
-	})
-}
-
-// await looks until something is so.
-func (f *forwarder) await(ctx context.Context, done func() (bool, error)) error {
 	look := time.NewTicker(settleLook)
 	defer look.Stop()
-	for {
-		if is, err := done(); is || err != nil {
-			return err
-		}
+	quiet, used, passed := 0, f.process.CPU(), f.list.Passed()
+	for quiet < settleQuiet || len(f.world.Discovery.Calls()) < startCalls {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return fmt.Errorf("waiting for it to be idle: %w", ctx.Err())
 		case <-f.process.Ended():
 			return fmt.Errorf("the program ended; its log ends:\n%s", f.process.Tail())
 		case <-look.C:
 		}
+		quiet++
+		if now, bytes := f.process.CPU(), f.list.Passed(); now > used || bytes > passed {
+			quiet, used, passed = 0, now, bytes
+		}
 	}
-}
-
-// endpoints is how many endpoints it knows, by its admin API.
-func (f *forwarder) endpoints(ctx context.Context) (int, error) {
-	text, err := door.To(f.process.Door()).Call(ctx, "GET", "/stats")
-	if err != nil {
-		return 0, err
-	}
-	var figures struct {
-		Known int `json:"registry_entries"`
-	}
-	return figures.Known, json.Unmarshal([]byte(text), &figures)
+	return nil
 }
 
 // peakBytes is the largest resident memory so far.
--- a/internal/capacity/measure/list.go
+++ b/internal/capacity/measure/list.go
@@ -17,6 +17,7 @@
 const (
 	listState       = "whole-list-forwarder-state"
 	listStart       = "whole-list-forwarder-start-work"
+	idleProcessor   = "whole-list-forwarder-idle-processor"
 	listTransfer    = "whole-list-agent-answer"
 	changeMessages  = "whole-list-forwarder-change-messages"
 	changeProcessor = "whole-list-forwarder-change-processor"
@@ -62,6 +63,34 @@
 	return nil
 }
 
+var idleMeasurement = measurement{
+	about: "what a forwarder that has nothing to do uses of the processor by the destinations that it knows, with its admin API on",
+	sizes: []int{2_000, 6_000, 20_000, 60_000},
+	series: map[string]capacity.Series{
+		idleProcessor: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Processor, Variable: capacity.Destinations, Note: "No messages, no changes, NODE_OPS set: the loop walks all endpoints 20 times a second for the figures of the admin API; 10 s each, from 10 s after it served."},
+	},
+	run: measureIdle,
+}
+
+const idleWindow = 10 * time.Second
+
+func measureIdle(ctx context.Context, l *Lab, destinations int, seed uint64, into result) error {
+	f, err := launch(l, destinations, seed, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if err := pause(ctx, idleWindow); err != nil {
+		return err
+	}
+	cpu, began := f.process.CPU(), time.Now()
+	if err := pause(ctx, idleWindow); err != nil {
+		return err
+	}
+	into.add(idleProcessor, float64(destinations), (f.process.CPU()-cpu).Seconds()/time.Since(began).Seconds(), seed)
+	return nil
+}
+
 var changesMeasurement = measurement{
 	about: "what the watch costs a forwarder by changes a second of one entry each, and how long one takes",
 	sizes: []int{0, 2, 6, 20},
@@ -143,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.settle(ctx, destinations); err != nil {
+	if err := f.settle(ctx); err != nil {
 		return err
 	}
 	into.add(everyDelay, x, all.Seconds(), seed)
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -44,6 +44,7 @@
 
 var measurements = map[string]measurement{
 	"list":         listMeasurement,
+	"idle":         idleMeasurement,
 	"changes":      changesMeasurement,
 	"every-entry":  everyEntryMeasurement,
 	"queue":        queueMeasurement,
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -44,6 +44,8 @@
 	ControlServerCores      float64 `hcl:"control_server_cores"`
 	ControlServerBytes      float64 `hcl:"control_server_bytes"`
 	ForwarderMachineBytes   float64 `hcl:"forwarder_machine_bytes"` // for messages that are queued
+	LargestPartOfMean       float64 `hcl:"largest_part_of_mean"`
+	MovedOfOwnPart          float64 `hcl:"moved_of_own_part"` // when one forwarder leaves
 }
 
 // Failures are those that the plan reckons with.
