--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -196,3 +196,16 @@
 	}
 	return most
 }
+
+// Load reads plan and series, and evaluates them.
+func Load(planFile, measuredDir string) (*Model, error) {
+	plan, err := LoadPlan(planFile)
+	if err != nil {
+		return nil, err
+	}
+	series, err := ReadMeasured(measuredDir)
+	if err != nil {
+		return nil, err
+	}
+	return NewModel(plan, series)
+}
--- a/internal/capacity/units.go
+++ b/internal/capacity/units.go
@@ -28,7 +28,7 @@
 }
 
 func byteCount(value float64) string {
-	return units.CustomSize("%.3g %s", value, 1000, []string{"B", "KB", "MB", "GB", "TB", "PB"})
+	return units.CustomSize("%.3g%s", value, 1000, []string{" B", " KB", " MB", " GB", " TB", " PB"})
 }
 
 // count writes a whole number with commas; one that is infinite is none.
