--- a/internal/capacity/measure/list.go
+++ b/internal/capacity/measure/list.go
@@ -80,11 +80,11 @@
 		return err
 	}
 	defer f.close()
-	if err := pause(ctx, idleWindow); err != nil {
+	if err := pause(ctx, l.window(idleWindow)); err != nil {
 		return err
 	}
 	cpu, began := f.process.CPU(), time.Now()
-	if err := pause(ctx, idleWindow); err != nil {
+	if err := pause(ctx, l.window(idleWindow)); err != nil {
 		return err
 	}
 	into.add(idleProcessor, float64(destinations), (f.process.CPU()-cpu).Seconds()/time.Since(began).Seconds(), seed)
@@ -118,9 +118,10 @@
 	}
 	defer f.close()
 	random := rand.New(rand.NewPCG(seed, 0xca9a))
+	window := l.window(changeWindow)
 	bytes, cpu, began := f.list.Passed(), f.process.CPU(), time.Now()
-	for i := 0; time.Since(began) < changeWindow; i++ {
-		next := began.Add(changeWindow)
+	for i := 0; time.Since(began) < window; i++ {
+		next := began.Add(window)
 		if rate > 0 {
 			f.world.Discovery.Set([]string{standin.Draining, standin.Serving}[i%2], f.world.Endpoints[random.IntN(changeDestinations)])
 			next = began.Add(time.Duration(i+1) * time.Second / time.Duration(rate))
--- a/internal/capacity/measure/members.go
+++ b/internal/capacity/measure/members.go
@@ -66,12 +66,12 @@
 	if err := awaitMembers(ctx, rig, members); err != nil {
 		return err
 	}
-	if err := pause(ctx, membersSettle); err != nil {
+	if err := pause(ctx, l.window(membersSettle)); err != nil {
 		return err
 	}
 	began, passed := time.Now(), rig.Mesh.Passed()
 	ownBefore, helpersBefore := used(rig)
-	if err := pause(ctx, membersWindow); err != nil {
+	if err := pause(ctx, l.window(membersWindow)); err != nil {
 		return err
 	}
 	seconds, n := time.Since(began).Seconds(), float64(members)
--- a/internal/capacity/measure/model.go
+++ b/internal/capacity/measure/model.go
@@ -79,12 +79,18 @@
 
 // heapOf is the memory that what a function makes takes, in bytes.
 func heapOf(make func() any) float64 {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
+	before := heapNow()
 	kept := make()
-	runtime.GC()
-	runtime.ReadMemStats(&after)
+	after := heapNow()
 	runtime.KeepAlive(kept)
-	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	return after - before
+}
+
+// heapNow is what is in use. What pools hold and what has a finalizer is gone after the second collection.
+func heapNow() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
 }
