Measure ownership and the catalog by themselves at the plan's size

The plan's layout has 2^21 partitions, as the packages' tests have. A package by itself no longer counts as the measurement of a process.

--- a/experiments/capacity/plan.hcl
+++ b/experiments/capacity/plan.hcl
@@ -37,7 +37,7 @@
 
 # How the mechanism of docs/ownership.md would be set.
 partial_list {
-  partitions           = 65536
+  partitions           = 2097152 # 2^21: with 2^16 a part is some 29 partitions, and the largest far over the mean
   replicas             = 3
   fetched_destinations = 1000
 }
--- a/internal/capacity/demands.go
+++ b/internal/capacity/demands.go
@@ -91,3 +91,8 @@
 func (d *demand) missing() *Row {
 	return &Row{Mechanism: d.mechanism, Role: d.role, Resource: d.resource, Event: d.event, Standing: NotMeasured, Why: d.why}
 }
+
+// ofProcess tells whether it is a cost of a whole process, which a package by itself does not answer.
+func (d *demand) ofProcess() bool {
+	return d.event == Calm && (d.resource == State || d.resource == Messages || d.resource == Processor)
+}
--- a/internal/capacity/measure/list.go
+++ b/internal/capacity/measure/list.go
@@ -140,10 +140,10 @@
 
 var everyEntryMeasurement = measurement{
 	about: "what one change that touches every entry costs a forwarder",
-	sizes: []int{2_000, 6_000, 20_000, 60_000},
+	sizes: []int{6_000, 20_000, 60_000, 200_000},
 	series: map[string]capacity.Series{
 		everyDelay:    {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Delay, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry, Hop: hopToForce, Note: delayNote},
-		everyWork:     {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Work, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry},
+		everyWork:     {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Work, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry, Note: "The system counts in steps of 10 ms."},
 		everyTransfer: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Transfer, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry},
 		everyState:    {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.State, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry, Note: "Peak of start and change."},
 		changeDelay:   {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Delay, Variable: capacity.Destinations, Event: capacity.OneChange, Hop: hopToForce, Note: delayNote},
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -52,6 +52,8 @@
 	"members":      membersMeasurement,
 	"member-bound": memberBoundMeasurement,
 	"decide":       decideMeasurement,
+	"ownership":    ownershipMeasurement,
+	"catalog":      catalogMeasurement,
 }
 
 // Names are what can be measured, with a line about each.
--- a/internal/capacity/measure/model.go
+++ b/internal/capacity/measure/model.go
@@ -22,7 +22,7 @@
 
 var memberBoundMeasurement = measurement{
 	about: "how many members package straggler keeps, and in how much memory",
-	sizes: []int{1_000, 3_000, 4_096, 6_800, 10_000},
+	sizes: []int{500, 1_000, 2_000, 3_000, 4_096, 6_800, 10_000},
 	series: map[string]capacity.Series{
 		membersKept:  {Mechanism: capacity.Gossip, Role: capacity.Forwarder, Resource: capacity.Kept, Variable: capacity.Members, Process: "model", Note: "The package alone: members of which one news each was offered."},
 		memberMemory: {Mechanism: capacity.Gossip, Role: capacity.Forwarder, Resource: capacity.State, Variable: capacity.Members, Process: "model", Note: "The heap of package straggler alone."},
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -72,8 +72,10 @@
 				return nil, err
 			}
 			used[s] = true
-			found++
 			m.Rows = append(m.Rows, row)
+			if s.Process != "model" || !asked.ofProcess() {
+				found++
+			}
 		}
 		if found == 0 {
 			m.Rows = append(m.Rows, asked.missing())
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -220,6 +220,10 @@
 		if s == nil {
 			continue
 		}
+		if s.Resource == Kept {
+			t.add("`"+s.Name+"`", spaced(s.Variable), fmt.Sprint(len(s.Points)), "", "", "", "a bound", s.Commit, s.Date, "`"+s.Command+"`")
+			continue
+		}
 		f, spread := r.Fit, ""
 		if f.Seeds > 1 {
 			spread = fmt.Sprintf("%s to %s", slope(f.SlopeLow, s.Resource), slope(f.SlopeHigh, s.Resource))
