--- a/internal/capacity/measure/list.go
+++ b/internal/capacity/measure/list.go
@@ -17,6 +17,7 @@
 const (
 	listState       = "whole-list-forwarder-state"
 	listStart       = "whole-list-forwarder-start-work"
+	idleProcessor   = "whole-list-forwarder-idle-processor"
 	listTransfer    = "whole-list-agent-answer"
 	changeMessages  = "whole-list-forwarder-change-messages"
 	changeProcessor = "whole-list-forwarder-change-processor"
@@ -62,6 +63,34 @@
 	return nil
 }
 
+var idleMeasurement = measurement{
+	about: "what a forwarder that has nothing to do uses of the processor by the destinations that it knows, with its admin API on",
+	sizes: []int{2_000, 6_000, 20_000, 60_000},
+	series: map[string]capacity.Series{
+		idleProcessor: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Processor, Variable: capacity.Destinations, Note: "No messages, no changes, NODE_OPS set: the loop walks all endpoints 20 times a second for the figures of the admin API; 10 s each, from 10 s after it served."},
+	},
+	run: measureIdle,
+}
+
+const idleWindow = 10 * time.Second
+
+func measureIdle(ctx context.Context, l *Lab, destinations int, seed uint64, into result) error {
+	f, err := launch(l, destinations, seed, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if err := pause(ctx, l.window(idleWindow)); err != nil {
+		return err
+	}
+	cpu, began := f.process.CPU(), time.Now()
+	if err := pause(ctx, l.window(idleWindow)); err != nil {
+		return err
+	}
+	into.add(idleProcessor, float64(destinations), (f.process.CPU()-cpu).Seconds()/time.Since(began).Seconds(), seed)
+	return nil
+}
+
 var changesMeasurement = measurement{
 	about: "what the watch costs a forwarder by changes a second of one entry each, and how long one takes",
 	sizes: []int{0, 2, 6, 20},
@@ -89,9 +118,10 @@
 	}
 	defer f.close()
 	random := rand.New(rand.NewPCG(seed, 0xca9a))
+	window := l.window(changeWindow)
 	bytes, cpu, began := f.list.Passed(), f.process.CPU(), time.Now()
-	for i := 0; time.Since(began) < changeWindow; i++ {
-		next := began.Add(changeWindow)
+	for i := 0; time.Since(began) < window; i++ {
+		next := began.Add(window)
 		if rate > 0 {
 			f.world.Discovery.Set([]string{standin.Draining, standin.Serving}[i%2], f.world.Endpoints[random.IntN(changeDestinations)])
 			next = began.Add(time.Duration(i+1) * time.Second / time.Duration(rate))
@@ -110,10 +140,10 @@
 
 var everyEntryMeasurement = measurement{
 	about: "what one change that touches every entry costs a forwarder",
-	sizes: []int{2_000, 6_000, 20_000, 60_000},
+	sizes: []int{6_000, 20_000, 60_000, 200_000},
 	series: map[string]capacity.Series{
 		everyDelay:    {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Delay, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry, Hop: hopToForce, Note: delayNote},
-		everyWork:     {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Work, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry},
+		everyWork:     {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Work, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry, Note: "The system counts in steps of 10 ms."},
 		everyTransfer: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Transfer, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry},
 		everyState:    {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.State, Variable: capacity.ChangedEntries, Event: capacity.EveryEntry, Note: "Peak of start and change."},
 		changeDelay:   {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Delay, Variable: capacity.Destinations, Event: capacity.OneChange, Hop: hopToForce, Note: delayNote},
@@ -143,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.settle(ctx, destinations); err != nil {
+	if err := f.settle(ctx); err != nil {
 		return err
 	}
 	into.add(everyDelay, x, all.Seconds(), seed)
