--- a/internal/decide/copies_test.go
+++ b/internal/decide/copies_test.go
@@ -136,10 +136,10 @@
 				t.Fatalf("seed %d: %s has no end: %+v", seed, id, h)
 			}
 		}
-		if len(f.msgs)+f.copies.len()+f.calls.n > 0 {
-			t.Errorf("left behind: %d messages, %d copies, %d calls", len(f.msgs), f.copies.len(), f.calls.n)
+		if len(f.messages)+f.hedges.len()+f.inFlight.size > 0 {
+			t.Errorf("left behind: %d messages, %d copies, %d calls", len(f.messages), f.hedges.len(), f.inFlight.size)
 		}
-		if share := float64(further) / float64(firsts); share > startRatio+0.02 {
+		if share := float64(further) / float64(firsts); share > initialRetryRatio+0.02 {
 			t.Errorf("seed %d: further tries are %.3f of first ones", seed, share)
 		}
 	}
--- /dev/null
+++ b/internal/decide/endpoint.go
@@ -0,0 +1,181 @@
+package decide
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// endpoint is one listed endpoint.
+type endpoint struct {
+	id                  string
+	kind                Kind
+	zone                string
+	state               TargetState
+	weight              float64
+	backup              bool
+	share               float64 // of the calls, relative to others
+	virtualDue          float64 // virtual time when its next call is due
+	route               *route
+	snapshotSeq         uint64 // the last snapshot that listed it
+	inFlight            int
+	idleSince           []time.Duration // since when each open connection is idle
+	recentCalls         decayingCount   // calls
+	lastScheduled       time.Duration   // for round robin
+	consecutiveFailures int             // failures in a row
+	avoidUntil          time.Duration
+	failureShare        decayingMean // share of calls with an unclear outcome
+	listing             Target       // as last listed
+	enableCount         uint32       // as last listed: times it was enabled by an operator
+	slowStartUntil      time.Duration
+}
+
+// shareOrDefault is the listed share of an endpoint, 1 if none is listed.
+func shareOrDefault(listing Target) float64 { return cmp.Or(max(listing.Share, 0), 1) }
+
+// nextDue is an endpoint's place in the weighted round robin of its route. One that was away or was passed
+// over while it failed has one call in hand and no more, so that missed calls do not all go to it on its
+// return.
+func (ep *endpoint) nextDue() float64 { return max(ep.virtualDue, ep.route.virtualTime-1/ep.share) }
+
+// aheadOfShare is how many calls an endpoint is ahead of those of its route that had least for their shares;
+// 0 where all have one share.
+func (ep *endpoint) aheadOfShare() float64 {
+	if !ep.route.weighted {
+		return 0
+	}
+	return ep.nextDue() - ep.route.virtualTime
+}
+
+// isActiveBackup reports whether an endpoint is an active backup.
+func (ep *endpoint) isActiveBackup() bool { return ep.backup && ep.state == Active }
+
+// applySnapshot applies an endpoint snapshot or delta.
+func (f *Forwarder) applySnapshot(snapshot TargetList) {
+	if snapshot.Scope == Unavailable {
+		f.subscribed = false
+		f.subscribeAt = f.now + f.jitter(f.settings.AskEvery)
+		return
+	}
+	f.snapshotSeq++
+	for _, listing := range snapshot.Targets {
+		ep := f.endpointFor(listing)
+		ep.snapshotSeq = f.snapshotSeq
+		f.updateEndpoint(ep, listing)
+	}
+	if snapshot.Scope != Changes { // an endpoint missing from a snapshot is gone
+		for _, ep := range f.endpoints {
+			if ep.snapshotSeq != f.snapshotSeq {
+				f.updateEndpoint(ep, Target{Zone: ep.zone, State: Gone, Weight: ep.weight})
+			}
+		}
+	}
+	f.expireDestinations()
+}
+
+// subscribeIfDue asks discovery for the endpoints where that is needed.
+func (f *Forwarder) subscribeIfDue() {
+	if f.settings.MustAsk && !f.subscribed && !f.waitUntil(f.subscribeAt) {
+		f.subscribed = true
+		f.emit(Subscribe{})
+	}
+}
+
+// endpointFor finds a listed endpoint, or makes it and its route.
+func (f *Forwarder) endpointFor(listing Target) *endpoint {
+	if ep := f.endpoints[listing.ID]; ep != nil {
+		if ep.route.dest.id == listing.Destination || listing.State == Gone {
+			return ep
+		}
+		f.detachEndpoint(ep)
+	}
+	kind := f.kinds[listing.Kind]
+	kind.PerCall = max(kind.PerCall, 1)
+	ep := &endpoint{id: listing.ID, kind: kind, zone: listing.Zone, state: Gone, share: 1}
+	f.endpoints[listing.ID] = ep
+	d := f.destination(listing.Destination)
+	f.closeAllIntervals(d)
+	if kind.Apart || len(d.routes) == 0 {
+		name := ""
+		if kind.Apart {
+			name = listing.ID
+		}
+		d.routes = append(d.routes, f.newRoute(name, d))
+	}
+	ep.route = d.routes[len(d.routes)-1]
+	ep.route.endpoints = append(ep.route.endpoints, ep)
+	f.expiring.remove(d)
+	return ep
+}
+
+// updateEndpoint applies the listing of one endpoint.
+func (f *Forwarder) updateEndpoint(ep *endpoint, listing Target) {
+	if listing == ep.listing && listing.State != Gone {
+		return
+	}
+	d := ep.route.dest
+	f.closeAllIntervals(d)
+	if ep.state != Active && listing.State == Active {
+		f.resetTurn(ep)
+	}
+	ep.state, ep.zone, ep.weight, ep.backup, ep.share = listing.State, listing.Zone, listing.Weight, listing.Backup, shareOrDefault(listing)
+	if ep.listing = listing; listing.PutBack > ep.enableCount {
+		f.enableEndpoint(ep, listing.PutBack)
+	}
+	f.removeIfGone(ep)
+	f.invalidate(d)
+}
+
+// enableEndpoint readmits an endpoint that an operator had disabled: it was restarted meanwhile and gets a
+// slow start. So does a route without another warm endpoint.
+func (f *Forwarder) enableEndpoint(ep *endpoint, times uint32) {
+	ep.enableCount, ep.slowStartUntil, ep.consecutiveFailures, ep.avoidUntil = times, f.now+f.settings.Cold, 0, 0
+	warm := func(o *endpoint) bool { return o.state == Active && f.endpointCapacity(o) == 1 }
+	if r := ep.route; !slices.ContainsFunc(r.endpoints, warm) {
+		r.slowStart, r.slowStartAt, r.needsSlowStart = true, f.now, true
+	}
+}
+
+// resetTurn gives an endpoint that was not called for a while the round robin place of a random one of its
+// route: else it would be next at every sender that learns of its return.
+func (f *Forwarder) resetTurn(ep *endpoint) {
+	if others := ep.route.endpoints; len(others) > 1 {
+		ep.lastScheduled = others[f.rng.IntN(len(others))].lastScheduled
+	}
+}
+
+// detachEndpoint removes an endpoint from its destination for good, since its name is now listed at another
+// one. Calls in flight to it go on.
+func (f *Forwarder) detachEndpoint(ep *endpoint) {
+	f.updateEndpoint(ep, Target{Zone: ep.zone, State: Gone, Weight: ep.weight})
+	if f.endpoints[ep.id] != ep {
+		return
+	}
+	delete(f.endpoints, ep.id)
+	for f.endpoints[ep.id] != nil || !strings.HasSuffix(ep.id, detachedSuffix) {
+		ep.id += detachedSuffix
+	}
+	f.endpoints[ep.id] = ep
+}
+
+// detachedSuffix is appended to the name of a detached endpoint, and is part of no listed name.
+const detachedSuffix = "\x00"
+
+// removeIfGone removes an endpoint that is gone once no call to it is in flight. What the route that it
+// shared with others learned stays; a route of its own goes with it.
+func (f *Forwarder) removeIfGone(ep *endpoint) {
+	if ep.state != Gone || ep.inFlight > 0 || f.endpoints[ep.id] != ep {
+		return
+	}
+	delete(f.endpoints, ep.id)
+	r := ep.route
+	d := r.dest
+	r.endpoints = withoutItem(r.endpoints, ep)
+	if ep.kind.Apart && len(r.endpoints) == 0 {
+		f.closeAllIntervals(d)
+		d.routes = withoutItem(d.routes, r)
+		f.overdue.remove(r)
+	}
+	f.scheduleExpiry(d)
+}
--- a/internal/decide/export_test.go
+++ b/internal/decide/export_test.go
@@ -4,9 +4,9 @@
 
 // Orphans tells whether a call is out that had a message which is over or has its outcome: that one is not handed over.
 func (f *Forwarder) Orphans() bool {
-	for c := f.calls.first; c != nil; c = c.next {
-		for _, a := range c.parts {
-			if a.m.over || !a.isOut() {
+	for c := f.inFlight.first; c != nil; c = c.next {
+		for _, a := range c.attempts {
+			if a.message.completed || !a.inFlight() {
 				return true
 			}
 		}
--- a/internal/decide/index.go
+++ b/internal/decide/index.go
@@ -10,8 +10,8 @@
 // messages held: heaps and ordered trees in the place of walks. Nothing here
 // decides anything; scan_test.go has the walks that it must agree with.
 
-// heap is a binary heap whose items know their place, so that one can be moved
-// or taken out. The place is kept plus one: 0 is not in the heap.
+// heap is a binary heap whose items know their position, so that one can be moved or removed. The position
+// is kept plus one: 0 is not in the heap.
 type heap[T any] struct {
 	items []T
 	less  func(a, b T) bool
@@ -23,7 +23,7 @@
 // min is the least item; the heap must not be empty.
 func (h *heap[T]) min() T { return h.items[0] }
 
-// fix puts an item into its place, in the heap or not.
+// fix moves an item to its position, in the heap already or not.
 func (h *heap[T]) fix(x T) {
 	p := h.place(x)
 	if *p == 0 {
@@ -35,7 +35,7 @@
 	}
 }
 
-// remove takes an item out, if it is in.
+// remove removes an item, if it is in the heap.
 func (h *heap[T]) remove(x T) {
 	p := h.place(x)
 	if *p == 0 {
@@ -54,7 +54,7 @@
 			h.down(i)
 		}
 	}
-	if cap(h.items) > 64 && len(h.items) < cap(h.items)/8 { // what a peak took is given back
+	if cap(h.items) > 64 && len(h.items) < cap(h.items)/8 { // a peak's memory is released
 		h.items = slices.Clone(h.items)
 	}
 }
@@ -98,58 +98,58 @@
 	*h.place(h.items[i]), *h.place(h.items[j]) = i+1, j+1
 }
 
-// groupKey is what is the same for all messages of a group: whether one of them
-// may go depends on nothing else, and how urgent it is on its age alone.
+// groupKey is what all messages of a group have in common: whether one of them may go depends on nothing
+// else, and its priority on its age alone.
 type groupKey struct {
-	class   *Class
-	worth   float64
-	again   bool // tried before
-	granted bool // its next try has been granted
-	ran     bool // it may have run
-	owed    bool
-	ranZone string
-	only    string // the targets that it may go to; empty: all
-	state   groupState
+	class        *Class
+	value        float64
+	retried      bool // it was sent before
+	retryGranted bool // its next attempt has been granted
+	mayHaveRun   bool // it may have run
+	recovered    bool
+	runZone      string
+	endpoints    string // that it may go to; empty for all
+	state        groupState
 }
 
 type groupState int8
 
 const (
-	ready   groupState = iota
-	delayed            // not sent before a time
-	behind             // an earlier message with its key is not over
+	groupReady     groupState = iota
+	groupDelayed              // until a time
+	groupBehindKey            // an earlier message with its key is not completed
 )
 
-// group is the messages of one kind that wait for one destination, by age.
+// group is the messages of one kind that are queued for one destination, by age.
 type group struct {
 	key  groupKey
-	dest *dest
+	dest *destination
 	root *message
-	n    int
+	size int
 
-	at       int           // in the heap of what is shed first
-	shedBorn time.Duration // by which it stands there
-	shedSeq  uint64
+	shedIndex     int           // in the shed index
+	shedCreatedAt time.Duration // its place there
+	shedSeq       uint64
 }
 
-// older is the order within a group: by birth, and then as taken.
-func older(a, b *message) bool {
-	return a.born < b.born || a.born == b.born && a.seq < b.seq
+// isOlder is the order within a group: by creation, and then as accepted.
+func isOlder(a, b *message) bool {
+	return a.createdAt < b.createdAt || a.createdAt == b.createdAt && a.seq < b.seq
 }
 
 // A group is a treap: a search tree by age that is a heap by a hash of the
 // sequence number, which keeps it flat whatever the order of coming and going.
 
 func (g *group) insert(m *message) {
-	m.left, m.right, m.prio = nil, nil, scatter(m.seq)
+	m.left, m.right, m.treapPriority = nil, nil, hashSequence(m.seq)
 	g.root = treapInsert(g.root, m)
-	g.n++
+	g.size++
 }
 
 func (g *group) remove(m *message) {
 	link := &g.root
 	for *link != m {
-		if older(m, *link) {
+		if isOlder(m, *link) {
 			link = &(*link).left
 		} else {
 			link = &(*link).right
@@ -157,14 +157,14 @@
 	}
 	*link = treapJoin(m.left, m.right)
 	m.left, m.right = nil, nil
-	g.n--
+	g.size--
 }
 
 func treapInsert(t, m *message) *message {
 	link := &t
 	at := link
-	for *at != nil && (*at).prio >= m.prio {
-		if older(m, *at) {
+	for *at != nil && (*at).treapPriority >= m.treapPriority {
+		if isOlder(m, *at) {
 			at = &(*at).left
 		} else {
 			at = &(*at).right
@@ -175,11 +175,11 @@
 	return t
 }
 
-// treapSplit parts a tree into what is older than m and what is not.
+// treapSplit splits a tree into what is older than m and what is not.
 func treapSplit(t, m *message) (before, after *message) {
 	l, r := &before, &after
 	for t != nil {
-		if older(t, m) {
+		if isOlder(t, m) {
 			*l = t
 			l = &t.right
 			t = t.right
@@ -197,7 +197,7 @@
 func treapJoin(a, b *message) (root *message) {
 	link := &root
 	for a != nil && b != nil {
-		if a.prio >= b.prio {
+		if a.treapPriority >= b.treapPriority {
 			*link = a
 			link = &a.right
 			a = a.right
@@ -214,15 +214,15 @@
 	return root
 }
 
-// scatter is the finalizer of splitmix64.
-func scatter(x uint64) uint32 {
+// hashSequence is the finalizer of splitmix64.
+func hashSequence(x uint64) uint32 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return uint32(x >> 32)
 }
 
-// oldest is the first of the group, or nil.
+// oldest is the first message of the group, or nil.
 func (g *group) oldest() *message {
 	m := g.root
 	for m != nil && m.left != nil {
@@ -239,10 +239,10 @@
 	return m
 }
 
-// around finds the last message born at a time or before, and the first born after it.
+// around finds the last message created at a time or before, and the first created after it.
 func (g *group) around(born time.Duration) (before, after *message) {
 	for m := g.root; m != nil; {
-		if m.born <= born {
+		if m.createdAt <= born {
 			before, m = m, m.right
 		} else {
 			after, m = m, m.left
@@ -251,10 +251,10 @@
 	return before, after
 }
 
-// first finds the first message born at a time or after it.
-func (g *group) first(born time.Duration) (first *message) {
+// firstCreated finds the first message created at a time or after it.
+func (g *group) firstCreated(born time.Duration) (first *message) {
 	for m := g.root; m != nil; {
-		if m.born >= born {
+		if m.createdAt >= born {
 			first, m = m, m.left
 		} else {
 			m = m.right
@@ -263,240 +263,239 @@
 	return first
 }
 
-// pick finds the message of a group with the highest score, and of equals the oldest. Between
-// turning points the score goes one way only, or stays: so it is at one of them, or at an end.
-func (g *group) pick(f *Forwarder, how choice, usual time.Duration) (best *message, highest float64) {
+// pick finds the message of a group with the highest score, and of equals the oldest. Between turning points
+// the score is monotonic in age: so the highest is at one of them, or at an end.
+func (g *group) pick(f *Forwarder, mode selectionMode, latency time.Duration) (best *message, highest float64) {
 	best = g.oldest()
-	highest = f.score(best, how, usual)
-	if g.n == 1 {
+	highest = f.score(best, mode, latency)
+	if g.size == 1 {
 		return best, highest
 	}
-	breaks := f.turningPoints(g.key.class, how, usual)
-	if f.now-best.born < slices.Min(breaks) {
+	ages := f.turningPoints(g.key.class, mode, latency)
+	if f.now-best.createdAt < slices.Min(ages) {
 		return best, highest
 	}
 	consider := func(m *message) {
 		if m == nil || m == best {
 			return
 		}
-		if s := f.score(m, how, usual); s > highest || s == highest && older(m, best) {
+		if s := f.score(m, mode, latency); s > highest || s == highest && isOlder(m, best) {
 			best, highest = m, s
 		}
 	}
-	for _, b := range breaks {
+	for _, b := range ages {
 		before, after := g.around(f.now - b)
 		consider(after)
 		if before != nil {
-			consider(g.first(before.born)) // the oldest of those born then
+			consider(g.firstCreated(before.createdAt)) // the oldest of those created then
 		}
 	}
-	consider(g.first(g.youngest().born))
+	consider(g.firstCreated(g.youngest().createdAt))
 	return best, highest
 }
 
-// turningPoints are the ages of a class between which the score rises with age, falls or stays;
-// before the first of them it does not fall.
-func (f *Forwarder) turningPoints(c *Class, how choice, usual time.Duration) []time.Duration {
-	b := f.breaks[:0]
-	if how == asTrial {
-		b = append(b, c.Deadline-fairOf(usual)+1)
+// turningPoints are the ages of a class between which the score rises with age, falls or stays; before the
+// first of them it does not fall.
+func (f *Forwarder) turningPoints(class *Class, mode selectionMode, latency time.Duration) []time.Duration {
+	b := f.turningAges[:0]
+	if mode == forProbe {
+		b = append(b, class.Deadline-overdueAfter(latency)+1)
 	} else {
-		b = append(b, c.Aim, c.Aim-lossSpan+1-usual, c.Aim-usual, c.Aim+1-usual,
-			c.Deadline-lossSpan-usual, c.Deadline-usual)
-		if f.set.Decay == Halves && c.LateShare > 0 && c.LateShare < 1 {
-			floor := c.Aim + time.Duration(-math.Log2(c.LateShare)*float64(c.Aim))
-			b = append(b, floor-lossSpan-usual, floor-usual)
+		b = append(b, class.Aim, class.Aim-valueLossSpan+1-latency, class.Aim-latency, class.Aim+1-latency,
+			class.Deadline-valueLossSpan-latency, class.Deadline-latency)
+		if f.settings.Decay == Halves && class.LateShare > 0 && class.LateShare < 1 {
+			floor := class.Aim + time.Duration(-math.Log2(class.LateShare)*float64(class.Aim))
+			b = append(b, floor-valueLossSpan-latency, floor-latency)
 		}
 	}
-	f.breaks = b
+	f.turningAges = b
 	return b
 }
 
-// place puts a message that waits into its group.
-func (f *Forwarder) place(m *message) {
-	key := groupKey{class: m.class, worth: m.worth, again: m.tries > 0, granted: m.granted != nil, ran: m.mayRan, owed: m.owed, only: m.among.key}
-	if m.mayRan {
-		key.ranZone = m.ranZone
+// addToGroup puts a queued message into its group.
+func (f *Forwarder) addToGroup(m *message) {
+	key := groupKey{class: m.class, value: m.value, retried: m.sends > 0, retryGranted: m.retryGrant != nil, mayHaveRun: m.mayHaveRun, recovered: m.recovered, endpoints: m.filter.key}
+	if m.mayHaveRun {
+		key.runZone = m.runZone
 	}
 	switch {
-	case m.line != nil && m.line.first != m:
-		key.state = behind
-	case f.now < m.from():
-		key.state = delayed
+	case m.keyQueue != nil && m.keyQueue.first != m:
+		key.state = groupBehindKey
+	case f.now < m.earliest():
+		key.state = groupDelayed
 		m.dest.delayed.fix(m)
 	}
 	m.group = m.dest.group(f, key)
 	m.group.insert(m)
 }
 
-// displace takes a message out of its group.
-func (f *Forwarder) displace(m *message) {
+// removeFromGroup removes a message from its group.
+func (f *Forwarder) removeFromGroup(m *message) {
 	g := m.group
 	g.remove(m)
 	m.group = nil
 	m.dest.delayed.remove(m)
-	f.noteMoved(m.dest)
-	if g.n == 0 {
-		if g.at != 0 {
-			f.shedding[shedKey{g.key.class, g.key.worth}].remove(g)
+	f.invalidateShedIndex(m.dest)
+	if g.size == 0 {
+		if g.shedIndex != 0 {
+			f.shedIndex[shedKey{g.key.class, g.key.value}].remove(g)
 		}
-		g.dest.groups = without(g.dest.groups, g)
-		if len(f.spare) < 64 {
-			f.spare = append(f.spare, g)
+		g.dest.groups = withoutItem(g.dest.groups, g)
+		if len(f.spareGroups) < 64 {
+			f.spareGroups = append(f.spareGroups, g)
 		}
 	}
 }
 
-// group finds the group of a kind, or makes it.
-func (d *dest) group(f *Forwarder, key groupKey) *group {
+// group finds the group of a key, or makes it.
+func (d *destination) group(f *Forwarder, key groupKey) *group {
 	for _, g := range d.groups {
 		if g.key == key {
 			return g
 		}
 	}
 	g := &group{}
-	if n := len(f.spare); n > 0 {
-		g, f.spare = f.spare[n-1], f.spare[:n-1]
+	if n := len(f.spareGroups); n > 0 {
+		g, f.spareGroups = f.spareGroups[n-1], f.spareGroups[:n-1]
 	}
 	*g = group{key: key, dest: d}
 	d.groups = append(d.groups, g)
 	return g
 }
 
-// release puts messages whose time has come among those that are ready.
-func (f *Forwarder) release(d *dest) {
-	for d.delayed.len() > 0 && f.now >= d.delayed.min().from() {
+// releaseDelayed moves delayed messages whose time has come to the ready groups.
+func (f *Forwarder) releaseDelayed(d *destination) {
+	for d.delayed.len() > 0 && f.now >= d.delayed.min().earliest() {
 		m := d.delayed.min()
-		f.displace(m)
-		f.place(m)
+		f.removeFromGroup(m)
+		f.addToGroup(m)
 	}
 }
 
-// nextTurn is the destination whose turn it is: of those at which something may
-// have changed, and of those that wait for room among the calls in doubt, if there is some.
-func (f *Forwarder) nextTurn() (next *dest) {
-	consider := func(h *heap[*dest]) {
-		if h.len() > 0 && (next == nil || sooner(h.min(), next)) {
+// nextDestination is the next destination in fair order: of those at which something may have changed, and
+// of those that wait for a quota of suspect calls, if there is room in it.
+func (f *Forwarder) nextDestination() (next *destination) {
+	consider := func(h *heap[*destination]) {
+		if h.len() > 0 && (next == nil || scheduledBefore(h.min(), next)) {
 			next = h.min()
 		}
 	}
 	consider(&f.ready)
-	for by := range f.shy {
-		if f.roomIn(doubtKind(by)) {
-			consider(&f.shy[by])
+	for by := range f.blocked {
+		if f.suspectSlotFree(suspicion(by)) {
+			consider(&f.blocked[by])
 		}
 	}
 	return next
 }
 
-// sooner is the order of turns: fewest calls out, longest since the last turn, longest waiting.
-func sooner(a, b *dest) bool {
+// scheduledBefore is the fair order: fewest calls in flight, scheduled longest ago, queued longest.
+func scheduledBefore(a, b *destination) bool {
 	switch a, b := a.rank, b.rank; {
-	case a.out != b.out:
-		return a.out < b.out
-	case a.served != b.served:
-		return a.served < b.served
+	case a.inFlight != b.inFlight:
+		return a.inFlight < b.inFlight
+	case a.lastScheduled != b.lastScheduled:
+		return a.lastScheduled < b.lastScheduled
 	default:
-		return a.turn < b.turn
+		return a.queuedSeq < b.queuedSeq
 	}
 }
 
-// rank is what the turn of a destination goes by, as of when it was last stirred.
+// rank is what a destination is ordered by, as of when it was last reconsidered.
 type rank struct {
-	out    int
-	served time.Duration
-	turn   uint64
+	inFlight      int
+	lastScheduled time.Duration
+	queuedSeq     uint64
 }
 
-// stirred notes that a destination must be looked at again.
-func (f *Forwarder) stirred(d *dest) {
-	f.gates.remove(d)
-	f.unshy(d)
-	if d.n > 0 {
-		d.rank = rank{d.out, d.served, d.turn}
+// reconsider notes that a destination must be looked at again.
+func (f *Forwarder) reconsider(d *destination) {
+	f.parked.remove(d)
+	f.unblock(d)
+	if d.queued > 0 {
+		d.rank = rank{d.inFlight, d.lastScheduled, d.queuedSeq}
 		f.ready.fix(d)
 	} else {
 		f.ready.remove(d)
 	}
-	f.noteMoved(d)
+	f.invalidateShedIndex(d)
 }
 
-// noteMoved notes that what may be shed of a destination must be looked at again.
-func (f *Forwarder) noteMoved(d *dest) {
-	if f.set.MaxHeld > 0 && !d.moved {
-		d.moved = true
-		f.moved = append(f.moved, d)
+// invalidateShedIndex notes that a destination's place in the shed index must be computed anew.
+func (f *Forwarder) invalidateShedIndex(d *destination) {
+	if f.settings.MaxHeld > 0 && !d.shedStale {
+		d.shedStale = true
+		f.shedStale = append(f.shedStale, d)
 	}
 }
 
-// rest notes from when on a destination must be looked at again, though nothing comes for it, and
-// for which room it waits.
-func (f *Forwarder) rest(d *dest, gate time.Duration, by doubtKind) {
+// parkDestination notes from when on a destination must be looked at again if nothing happens there, and
+// which quota it waits for.
+func (f *Forwarder) parkDestination(d *destination, eligibleAt time.Duration, bound suspicion) {
 	f.ready.remove(d)
-	f.unshy(d)
-	if d.gate = gate; gate < never {
-		f.gates.fix(d)
+	f.unblock(d)
+	if d.eligibleAt = eligibleAt; eligibleAt < never {
+		f.parked.fix(d)
 	}
-	if by != noDoubt {
-		d.shyBy = by
-		f.shy[by].fix(d)
+	if bound != notSuspect {
+		d.blockedBy = bound
+		f.blocked[bound].fix(d)
 	}
 }
 
-func (f *Forwarder) unshy(d *dest) {
-	if d.shyPlace != 0 {
-		f.shy[d.shyBy].remove(d)
+func (f *Forwarder) unblock(d *destination) {
+	if d.blockedIndex != 0 {
+		f.blocked[d.blockedBy].remove(d)
 	}
 }
 
-// shedKey is a kind of message for which what is worth least is what was born first,
-// the wait before it counted in.
+// shedKey is a kind of message of which the oldest is worth least, the wait before it included.
 type shedKey struct {
 	class *Class
-	worth float64
+	value float64
 }
 
-// sheddable brings the index of what may be shed up to date and returns the
-// group of each kind in which the one worth least is the oldest.
-func (f *Forwarder) sheddable(each func(g *group)) {
-	for _, d := range f.moved {
-		d.moved = false
-		d.delay = f.queueTime(d)
+// forEachSheddable brings the shed index up to date and passes on the group of each kind whose oldest
+// message is worth least.
+func (f *Forwarder) forEachSheddable(each func(g *group)) {
+	for _, d := range f.shedStale {
+		d.shedStale = false
+		d.drainTime = f.queueDrainTime(d)
 		for _, g := range d.groups {
-			if g.key.owed || !f.refusable(g.root) {
+			if g.key.recovered || !f.isRefusable(g.root) {
 				continue
 			}
-			k := shedKey{g.key.class, g.key.worth}
-			h := f.shedding[k]
+			k := shedKey{g.key.class, g.key.value}
+			h := f.shedIndex[k]
 			if h == nil {
-				h = &heap[*group]{less: shedFirst, place: func(g *group) *int { return &g.at }}
-				f.shedding[k] = h
+				h = &heap[*group]{less: shedBefore, place: func(g *group) *int { return &g.shedIndex }}
+				f.shedIndex[k] = h
 			}
 			first := g.oldest()
-			g.shedBorn, g.shedSeq = first.born-d.delay, first.seq
+			g.shedCreatedAt, g.shedSeq = first.createdAt-d.drainTime, first.seq
 			h.fix(g)
 		}
 	}
-	clear(f.moved)
-	f.moved = f.moved[:0]
-	for i := range f.set.Classes { // not over the map: the order must not be by chance
-		c := &f.set.Classes[i]
-		for _, worth := range [...]float64{c.Worth, c.Worth * f.set.OverShareWorth} {
-			if h := f.shedding[shedKey{c, worth}]; h != nil && h.len() > 0 {
+	clear(f.shedStale)
+	f.shedStale = f.shedStale[:0]
+	for i := range f.settings.Classes { // not over the map: the order must not be random
+		class := &f.settings.Classes[i]
+		for _, worth := range [...]float64{class.Worth, class.Worth * f.settings.OverShareWorth} {
+			if h := f.shedIndex[shedKey{class, worth}]; h != nil && h.len() > 0 {
 				each(h.min())
 			}
 		}
 	}
 }
 
-func shedFirst(a, b *group) bool {
-	return a.shedBorn < b.shedBorn || a.shedBorn == b.shedBorn && a.shedSeq < b.shedSeq
+func shedBefore(a, b *group) bool {
+	return a.shedCreatedAt < b.shedCreatedAt || a.shedCreatedAt == b.shedCreatedAt && a.shedSeq < b.shedSeq
 }
 
-// callList is the calls out in the order sent.
+// callList is the calls in flight in the order sent.
 type callList struct {
 	first, last *call
-	n           int
+	size        int
 }
 
 func (l *callList) push(c *call) {
@@ -507,7 +506,7 @@
 		l.first = c
 	}
 	l.last = c
-	l.n++
+	l.size++
 }
 
 func (l *callList) remove(c *call) {
@@ -522,5 +521,5 @@
 		l.last = c.prev
 	}
 	c.prev, c.next = nil, nil
-	l.n--
+	l.size--
 }
--- a/internal/decide/index_test.go
+++ b/internal/decide/index_test.go
@@ -98,18 +98,18 @@
 		s.targets[name] = t
 		return t
 	}
-	l := TargetList{Scope: []ListScope{Whole, Changes, Changes, Changes, Restored, Unavailable}[s.rng.IntN(6)]}
+	snapshot := TargetList{Scope: []ListScope{Whole, Changes, Changes, Changes, Restored, Unavailable}[s.rng.IntN(6)]}
 	n := 1 + s.rng.IntN(4)
-	if l.Scope == Whole || l.Scope == Restored {
+	if snapshot.Scope == Whole || snapshot.Scope == Restored {
 		n = 2 * s.dests
 	}
-	if l.Scope == Unavailable {
-		return l
+	if snapshot.Scope == Unavailable {
+		return snapshot
 	}
 	for range n {
-		l.Targets = append(l.Targets, entry(fmt.Sprint("t", s.rng.IntN(3*s.dests))))
+		snapshot.Targets = append(snapshot.Targets, entry(fmt.Sprint("t", s.rng.IntN(3*s.dests))))
 	}
-	return l
+	return snapshot
 }
 
 // among draws targets for a message, mostly of its own destination.
--- a/internal/decide/limits_test.go
+++ b/internal/decide/limits_test.go
@@ -81,9 +81,9 @@
 	down, silent := false, false
 	count := map[int]*state{1: {}, 2: {}}
 	events := []Event{TargetList{Scope: Whole, Targets: []Target{{ID: "a", Destination: 1}, {ID: "b", Destination: 1}, {ID: "c", Destination: 2}}}}
-	run := func(from, to time.Duration, each int) {
+	run := func(earliest, to time.Duration, each int) {
 		count[1], count[2] = &state{out: count[1].out}, &state{out: count[2].out}
-		for now := from; now < to; now += 10 * time.Millisecond {
+		for now := earliest; now < to; now += 10 * time.Millisecond {
 			for i := range each {
 				for dest := 1; dest <= 2; dest++ {
 					events = append(events, Message{ID: fmt.Sprint(dest, now, i), Class: "note", Destination: dest, Left: 30 * time.Second})
--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -11,30 +11,31 @@
 	"time"
 )
 
-// What a Forwarder remembers, for one of the same settings that goes on in its place: routes and targets with their waits, outages, budgets and
-// paces, the calls that are out, and what it knows of each message. Times are on the clock of the one that saved it; the host lets the
-// clock of the other go on from there. Nothing here decides anything.
+// The state of a Forwarder, for the hot restart into one of the same settings: routes and endpoints with
+// their retry-after times, outages, retry budgets and paces, the calls in flight, and what is known of each
+// message. Times are on the clock of the Forwarder that saved it; the host continues that clock for the
+// other one. Nothing here decides anything.
 
 // memoryFormat changes whenever what is written does.
 const memoryFormat = 4
 
 var errMemory = errors.New("what the process before remembers can't be read")
 
-// carrier writes or reads one value after the other: one list of fields serves both ways.
-type carrier struct {
+// stateCodec encodes or decodes one value after the other: one list of fields serves both ways.
+type stateCodec struct {
 	buf     []byte
 	reading bool
 	err     error
 }
 
-func (c *carrier) fail(what string) {
+func (c *stateCodec) fail(what string) {
 	if c.err == nil {
 		c.err = fmt.Errorf("%w: %s, %d bytes before its end", errMemory, what, len(c.buf))
 	}
 	c.buf = nil
 }
 
-func (c *carrier) uint(v *uint64) {
+func (c *stateCodec) uint(v *uint64) {
 	if !c.reading {
 		c.buf = binary.AppendUvarint(c.buf, *v)
 		return
@@ -47,20 +48,20 @@
 	*v, c.buf = got, c.buf[n:]
 }
 
-func carryInt[T ~int | ~int8 | ~int64](c *carrier, v *T) {
+func carryInt[T ~int | ~int8 | ~int64](c *stateCodec, v *T) {
 	u := uint64(int64(*v)<<1) ^ uint64(int64(*v)>>63)
 	if c.uint(&u); c.reading {
 		*v = T(int64(u>>1) ^ -int64(u&1))
 	}
 }
 
-func (c *carrier) times(list ...*time.Duration) {
+func (c *stateCodec) times(list ...*time.Duration) {
 	for _, v := range list {
 		carryInt(c, v)
 	}
 }
 
-func (c *carrier) ints(list ...*int) {
+func (c *stateCodec) ints(list ...*int) {
 	for _, v := range list {
 		if carryInt(c, v); *v < 0 {
 			c.fail("less than nothing")
@@ -69,7 +70,7 @@
 	}
 }
 
-func (c *carrier) floats(list ...*float64) {
+func (c *stateCodec) floats(list ...*float64) {
 	for _, v := range list {
 		u := math.Float64bits(*v)
 		if c.uint(&u); !c.reading {
@@ -81,23 +82,23 @@
 	}
 }
 
-func (c *carrier) bools(list ...*bool) {
+func (c *stateCodec) bools(list ...*bool) {
 	for _, v := range list {
-		n := int(share(*v))
+		n := int(oneIf(*v))
 		if carryInt(c, &n); c.reading {
 			*v = n == 1
 		}
 	}
 }
 
-func (c *carrier) counts(list ...*decaying) {
+func (c *stateCodec) counts(list ...*decayingCount) {
 	for _, v := range list {
 		c.floats(&v.value)
 		c.times(&v.at)
 	}
 }
 
-func (c *carrier) text(v *string) {
+func (c *stateCodec) text(v *string) {
 	n := c.length(len(*v))
 	if !c.reading {
 		c.buf = append(c.buf, *v...)
@@ -106,8 +107,8 @@
 	}
 }
 
-// length carries how many items follow, each a byte at least.
-func (c *carrier) length(n int) int {
+// length codes how many items follow, each a byte at least.
+func (c *stateCodec) length(n int) int {
 	u := uint64(n)
 	if c.uint(&u); c.reading && u > uint64(len(c.buf)) {
 		c.fail("more items than bytes")
@@ -116,119 +117,119 @@
 	return int(u)
 }
 
-// Memory is what was read of a Save.
+// Memory is the state decoded from a Save.
 type Memory struct {
-	usual, begun time.Duration
-	seq          uint64
-	chance       string // the state of what draws by chance
-	idleLoss     [idleSteps]decayingMean
-	longLoss     decayingMean
-	longer       map[string]float64
-	tenants      map[string]tenant
-	dests        []destMemory
-	targets      []targetMemory
-	calls        []callMemory
-	messages     map[string]*messageMemory
-	lines        map[string]time.Duration // keys that rest
+	meanLatency, startedAt time.Duration
+	seq                    uint64
+	rngState               string // state of the random number generator
+	idleLoss               [idleSteps]decayingMean
+	longCallLoss           decayingMean
+	latencyFactor          map[string]float64
+	tenants                map[string]tenant
+	destinations           []destinationMemory
+	endpoints              []endpointMemory
+	calls                  []callMemory
+	messages               map[string]*messageMemory
+	restingKeys            map[string]time.Duration // by key
 }
 
-type destMemory struct {
-	id        int
-	seq, turn uint64
-	served    time.Duration
-	taken     decaying
-	most      float64
-	mostAt    time.Duration
-	routes    []routeMemory
+type destinationMemory struct {
+	id               int
+	seq, queuedSeq   uint64
+	lastScheduled    time.Duration
+	accepted         decayingCount
+	connectedLimit   float64
+	connectedLimitAt time.Duration
+	routes           []routeMemory
 }
 
-// routeMemory is a route as carry carries it, with the names of its targets in their order.
+// routeMemory is a route as it is coded, with the names of its endpoints in their order.
 type routeMemory struct {
 	route
-	order []string
+	endpointOrder []string
 }
 
-type targetMemory struct {
-	listed Target
-	target
+type endpointMemory struct {
+	listing Target
+	endpoint
 }
 
 type callMemory struct {
-	target string
+	endpointID string
 	call
-	made   *call // by Restore
-	places []int // of its parts, in the order that they came
+	restored  *call // by Restore
+	positions []int // of its attempts, in the order that they came
 }
 
 type messageMemory struct {
 	message
-	granted string // the route's name, after = or, if that went with its target, -; empty for none
-	copies  bool   // a second copy is due
-	parts   []partMemory
+	retryGrant       string // the route's name after =, or after - if it is gone; empty for none
+	hedgeDue         bool   // a hedged request is due
+	inFlightAttempts []attemptMemory
 }
 
-// partMemory is an attempt that is out.
-type partMemory struct{ n, call, place int }
+// attemptMemory is an attempt that is in flight.
+type attemptMemory struct{ number, call, position int }
 
-func (r *routeMemory) carry(c *carrier) {
-	carryList(c, &r.order, c.text)
+func (r *routeMemory) carry(c *stateCodec) {
+	carryList(c, &r.endpointOrder, c.text)
 	c.text(&r.name)
-	c.times(&r.touched, &r.told, &r.spent, &r.interval, &r.mean, &r.lastOK, &r.okSent, &r.closed, &r.failing, &r.tried, &r.gap, &r.warm0,
-		&r.filled, &r.free, &r.cutAt, &r.heard)
-	c.ints(&r.seen, &r.bad, &r.fulls, &r.good, &r.allFirst, &r.all, &r.calledOff, &r.goods)
-	c.floats(&r.turn, &r.ratio, &r.fails, &r.proof, &r.draw, &r.rate, &r.pace, &r.tokens, &r.limit, &r.room, &r.asked)
-	c.bools(&r.shared, &r.open, &r.cold, &r.warming, &r.bound)
-	c.counts(&r.firsts, &r.further, &r.oks, &r.sent, &r.doubt.decaying)
-	c.text(&r.why)
-	carryInt(c, &r.silence)
-	if r.silence < 0 || r.silence >= kindsOfDoubt {
+	c.times(&r.lastUsedAt, &r.retryAfter, &r.allowanceSpentUntil, &r.intervalStart, &r.meanLatency, &r.lastSuccessAt, &r.lastSuccessSentAt, &r.closedAt, &r.failingSince, &r.lastProbeAt, &r.probeInterval, &r.slowStartAt,
+		&r.tokensAt, &r.nextTokenAt, &r.nextCutAt, &r.allowanceAt)
+	c.ints(&r.outcomes, &r.failures, &r.rejections, &r.successes, &r.totalFirstAttempts, &r.totalAttempts, &r.cancelledCalls, &r.successfulProbes)
+	c.floats(&r.virtualTime, &r.retryRatio, &r.consecutiveFailures, &r.outageEvidence, &r.probeJitter, &r.adaptiveRate, &r.currentRate, &r.tokens, &r.serverLimit, &r.allowanceLeft, &r.totalDemand)
+	c.bools(&r.weighted, &r.circuitOpen, &r.needsSlowStart, &r.slowStart, &r.paceLimited)
+	c.counts(&r.firstAttempts, &r.retries, &r.recentSuccesses, &r.recentCalls, &r.unclearShare.decayingCount)
+	c.text(&r.openReason)
+	carryInt(c, &r.suspicion)
+	if r.suspicion < 0 || r.suspicion >= suspicionKinds {
 		c.fail("a doubt of no kind")
 	}
 }
 
-func (t *targetMemory) carry(c *carrier) {
-	c.text(&t.listed.ID)
-	c.ints(&t.listed.Destination)
-	c.text(&t.listed.Kind)
-	c.text(&t.listed.Zone)
-	c.floats(&t.turn)
-	c.counts(&t.uses, &t.failing.decaying)
-	c.ints(&t.failed)
-	c.times(&t.avoidTil, &t.coldTil, &t.place)
-	carryList(c, &t.free, func(at *time.Duration) { c.times(at) })
+func (t *endpointMemory) carry(c *stateCodec) {
+	c.text(&t.listing.ID)
+	c.ints(&t.listing.Destination)
+	c.text(&t.listing.Kind)
+	c.text(&t.listing.Zone)
+	c.floats(&t.virtualDue)
+	c.counts(&t.recentCalls, &t.failureShare.decayingCount)
+	c.ints(&t.consecutiveFailures)
+	c.times(&t.avoidUntil, &t.slowStartUntil, &t.lastScheduled)
+	carryList(c, &t.idleSince, func(at *time.Duration) { c.times(at) })
 }
 
-func (k *callMemory) carry(c *carrier) {
-	c.text(&k.target)
-	c.times(&k.sent)
-	c.bools(&k.trial, &k.called, &k.missed, &k.hasty)
-	c.ints(&k.idle)
-	carryInt(c, &k.doubt)
-	if k.doubt < 0 || k.doubt >= kindsOfDoubt || k.idle < 0 || k.idle >= idleSteps {
+func (k *callMemory) carry(c *stateCodec) {
+	c.text(&k.endpointID)
+	c.times(&k.sentAt)
+	c.bools(&k.isProbe, &k.cancelled, &k.lossCounted, &k.shortTimeout)
+	c.ints(&k.idleStep)
+	carryInt(c, &k.suspicion)
+	if k.suspicion < 0 || k.suspicion >= suspicionKinds || k.idleStep < 0 || k.idleStep >= idleSteps {
 		c.fail("a call of no kind")
 	}
 }
 
-func (m *messageMemory) carry(c *carrier) {
+func (m *messageMemory) carry(c *stateCodec) {
 	c.text(&m.id)
 	c.uint(&m.seq)
-	c.times(&m.born, &m.deadline, &m.ranSent, &m.after, &m.copyAt)
-	c.floats(&m.worth)
-	c.ints(&m.attempts, &m.tries)
-	c.bools(&m.mayRan, &m.copies, &m.owed)
-	c.text(&m.ranZone)
-	c.text(&m.granted)
-	n := c.length(len(m.parts))
+	c.times(&m.createdAt, &m.deadline, &m.runSentAt, &m.notBefore, &m.hedgeAt)
+	c.floats(&m.value)
+	c.ints(&m.attempts, &m.sends)
+	c.bools(&m.mayHaveRun, &m.hedgeDue, &m.recovered)
+	c.text(&m.runZone)
+	c.text(&m.retryGrant)
+	n := c.length(len(m.inFlightAttempts))
 	if c.reading {
-		m.parts = make([]partMemory, n)
+		m.inFlightAttempts = make([]attemptMemory, n)
 	}
-	for i := range m.parts {
-		c.ints(&m.parts[i].n, &m.parts[i].call, &m.parts[i].place)
+	for i := range m.inFlightAttempts {
+		c.ints(&m.inFlightAttempts[i].number, &m.inFlightAttempts[i].call, &m.inFlightAttempts[i].position)
 	}
 }
 
-// carryList carries a list of things, each of which carries itself.
-func carryList[T any](c *carrier, list *[]T, carry func(*T)) {
+// carryList codes a list of items, each of which codes itself.
+func carryList[T any](c *stateCodec, list *[]T, carry func(*T)) {
 	n := c.length(len(*list))
 	if c.reading {
 		*list = make([]T, 0, min(n, 1024))
@@ -242,8 +243,8 @@
 	}
 }
 
-// carryMap carries what is known by name, in the order of the names.
-func carryMap[T any](c *carrier, m *map[string]T, carry func(*T)) {
+// carryMap codes a map in the order of its keys.
+func carryMap[T any](c *stateCodec, m *map[string]T, carry func(*T)) {
 	names := slices.Sorted(maps.Keys(*m))
 	if c.reading {
 		*m = map[string]T{}
@@ -256,134 +257,136 @@
 	})
 }
 
-func (m *Memory) carry(c *carrier) {
+func (m *Memory) carry(c *stateCodec) {
 	format := memoryFormat
 	if c.ints(&format); c.err == nil && format != memoryFormat {
 		c.fail(fmt.Sprintf("format %d, and this program reads %d", format, memoryFormat))
 	}
-	c.times(&m.usual, &m.begun)
+	c.times(&m.meanLatency, &m.startedAt)
 	c.uint(&m.seq)
-	c.text(&m.chance)
-	c.counts(&m.longLoss.decaying)
+	c.text(&m.rngState)
+	c.counts(&m.longCallLoss.decayingCount)
 	for i := range m.idleLoss {
-		c.counts(&m.idleLoss[i].decaying)
+		c.counts(&m.idleLoss[i].decayingCount)
 	}
-	carryMap(c, &m.longer, func(v *float64) { c.floats(v) })
+	carryMap(c, &m.latencyFactor, func(v *float64) { c.floats(v) })
 	carryMap(c, &m.tenants, func(t *tenant) {
 		c.floats(&t.tokens)
 		c.times(&t.filled)
 	})
-	carryList(c, &m.dests, func(d *destMemory) {
+	carryList(c, &m.destinations, func(d *destinationMemory) {
 		c.ints(&d.id)
 		c.uint(&d.seq)
-		c.uint(&d.turn)
-		c.times(&d.served)
-		c.counts(&d.taken)
-		c.floats(&d.most)
-		c.times(&d.mostAt)
+		c.uint(&d.queuedSeq)
+		c.times(&d.lastScheduled)
+		c.counts(&d.accepted)
+		c.floats(&d.connectedLimit)
+		c.times(&d.connectedLimitAt)
 		carryList(c, &d.routes, func(r *routeMemory) { r.carry(c) })
 	})
-	carryList(c, &m.targets, func(t *targetMemory) { t.carry(c) })
+	carryList(c, &m.endpoints, func(t *endpointMemory) { t.carry(c) })
 	carryList(c, &m.calls, func(k *callMemory) { k.carry(c) })
 	carryMap(c, &m.messages, func(v **messageMemory) {
 		if *v == nil {
 			*v = &messageMemory{}
 		}
 		(*v).carry(c)
-		for _, p := range (*v).parts {
+		for _, p := range (*v).inFlightAttempts {
 			if p.call < 0 || p.call >= len(m.calls) {
 				c.fail("an attempt of no call")
 			}
 		}
 	})
-	carryMap(c, &m.lines, func(at *time.Duration) { c.times(at) })
+	carryMap(c, &m.restingKeys, func(at *time.Duration) { c.times(at) })
 }
 
-// Save returns what the Forwarder remembers. Calls that are out without a message that is still held are left out: the host has called them off.
+// Save returns the state of the Forwarder. Calls in flight without an open message are left out: the host
+// has cancelled them.
 func (f *Forwarder) Save() []byte {
-	m := &Memory{usual: f.usual, begun: f.begun, seq: f.seq, lines: map[string]time.Duration{}, idleLoss: f.idleLoss, longLoss: f.longLoss, longer: map[string]float64{}, tenants: map[string]tenant{}, messages: map[string]*messageMemory{}}
-	for class, v := range f.longer {
-		m.longer[class.Name] = v
+	m := &Memory{meanLatency: f.meanLatency, startedAt: f.startedAt, seq: f.seq, restingKeys: map[string]time.Duration{}, idleLoss: f.idleLoss, longCallLoss: f.longCallLoss, latencyFactor: map[string]float64{}, tenants: map[string]tenant{}, messages: map[string]*messageMemory{}}
+	for class, v := range f.latencyFactor {
+		m.latencyFactor[class.Name] = v
 	}
 	for name, t := range f.tenants {
 		m.tenants[name] = *t
 	}
-	for _, d := range slices.SortedFunc(maps.Values(f.dests), func(a, b *dest) int { return cmp.Compare(a.seq, b.seq) }) {
-		dm := destMemory{id: d.id, seq: d.seq, turn: d.turn, served: d.served, taken: d.taken, most: d.most, mostAt: d.mostAt}
+	for _, d := range slices.SortedFunc(maps.Values(f.destinations), func(a, b *destination) int { return cmp.Compare(a.seq, b.seq) }) {
+		dm := destinationMemory{id: d.id, seq: d.seq, queuedSeq: d.queuedSeq, lastScheduled: d.lastScheduled, accepted: d.accepted, connectedLimit: d.connectedLimit, connectedLimitAt: d.connectedLimitAt}
 		for _, r := range d.routes {
-			f.settle(r)
+			f.closeIntervals(r)
 			rm := routeMemory{route: *r}
-			for _, t := range r.targets {
-				rm.order = append(rm.order, t.id)
+			for _, ep := range r.endpoints {
+				rm.endpointOrder = append(rm.endpointOrder, ep.id)
 			}
 			dm.routes = append(dm.routes, rm)
 		}
-		m.dests = append(m.dests, dm)
+		m.destinations = append(m.destinations, dm)
 	}
-	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
-		t := f.targets[id]
-		m.targets = append(m.targets, targetMemory{Target{ID: t.id, Destination: t.route.dest.id, Kind: t.kind.Name, Zone: t.zone}, *t})
+	for _, id := range slices.Sorted(maps.Keys(f.endpoints)) {
+		ep := f.endpoints[id]
+		m.endpoints = append(m.endpoints, endpointMemory{Target{ID: ep.id, Destination: ep.route.dest.id, Kind: ep.kind.Name, Zone: ep.zone}, *ep})
 	}
-	if state, err := f.source.MarshalBinary(); err == nil {
-		m.chance = string(state)
+	if state, err := f.rngSource.MarshalBinary(); err == nil {
+		m.rngState = string(state)
 	}
-	for key, l := range f.lines {
-		if f.now < l.rests {
-			m.lines[key] = l.rests
+	for key, queue := range f.keyQueues {
+		if f.now < queue.idleUntil {
+			m.restingKeys[key] = queue.idleUntil
 		}
 	}
 	numbers := map[*call]int{}
-	for c := f.calls.first; c != nil; c = c.next {
-		if slices.ContainsFunc(c.parts, func(a *attempt) bool { return !a.m.over && a.isOut() }) {
+	for c := f.inFlight.first; c != nil; c = c.next {
+		if slices.ContainsFunc(c.attempts, func(a *attempt) bool { return !a.message.completed && a.inFlight() }) {
 			numbers[c] = len(m.calls)
-			m.calls = append(m.calls, callMemory{target: c.target.id, call: *c})
+			m.calls = append(m.calls, callMemory{endpointID: c.endpoint.id, call: *c})
 		}
 	}
-	for id, msg := range f.msgs {
-		if msg.over {
+	for id, msg := range f.messages {
+		if msg.completed {
 			continue
 		}
-		mm := &messageMemory{message: *msg, copies: msg.copyPlace > 0}
-		if msg.granted != nil {
-			mm.granted = "=" + msg.granted.name
-			if !slices.Contains(msg.dest.routes, msg.granted) { // its target went; one of the same name may have come
-				mm.granted = "-" + msg.granted.name
+		mm := &messageMemory{message: *msg, hedgeDue: msg.hedgeIndex > 0}
+		if msg.retryGrant != nil {
+			mm.retryGrant = "=" + msg.retryGrant.name
+			if !slices.Contains(msg.dest.routes, msg.retryGrant) { // its endpoint went; one of the same name may have come
+				mm.retryGrant = "-" + msg.retryGrant.name
 			}
 		}
-		for _, a := range []*attempt{msg.other, msg.sent} {
+		for _, a := range []*attempt{msg.earlier, msg.latest} {
 			if a != nil {
-				mm.parts = append(mm.parts, partMemory{a.n, numbers[a.call], slices.Index(a.call.parts, a)})
+				mm.inFlightAttempts = append(mm.inFlightAttempts, attemptMemory{a.number, numbers[a.call], slices.Index(a.call.attempts, a)})
 			}
 		}
 		m.messages[id] = mm
 	}
-	c := &carrier{}
+	c := &stateCodec{}
 	m.carry(c)
 	return c.buf
 }
 
-// isOut tells whether an attempt has no outcome yet.
-func (a *attempt) isOut() bool { return a.m.sent == a || a.m.other == a }
+// inFlight reports whether an attempt has no outcome yet.
+func (a *attempt) inFlight() bool { return a.message.latest == a || a.message.earlier == a }
 
-// ReadMemory reads what Save returned.
+// ReadMemory decodes what Save returned.
 func ReadMemory(b []byte) (*Memory, error) {
 	m := &Memory{}
-	c := &carrier{buf: b, reading: true}
+	c := &stateCodec{buf: b, reading: true}
 	if m.carry(c); c.err == nil && len(c.buf) > 0 {
 		c.fail("more than there should be")
 	}
 	return m, c.err
 }
 
-// Restore goes on from what another Forwarder remembered, before the first Step: now is on that one's clock. The lists are those that the host
-// knows, and held is what it holds, as for a restart. It returns the final answers that are due at once, and the messages of which the
-// memory knows calls that are out.
+// Restore resumes from the state of another Forwarder, before the first Step: now is on that one's clock.
+// The lists are those that the host knows, and held is the messages that it holds, as for a restart. It
+// returns the final answers that are due at once, and the messages of which the state has attempts in
+// flight.
 func (f *Forwarder) Restore(now time.Duration, m *Memory, lists []TargetList, held []Message) (actions []Action, out map[string][]int) {
-	f.now, f.actions, f.next = now, nil, never
-	f.begun, f.usual, f.idleLoss, f.longLoss = m.begun, m.usual, m.idleLoss, m.longLoss
-	for name, c := range f.classes {
-		if v, ok := m.longer[name]; ok {
-			f.longer[c] = v
+	f.now, f.actions, f.nextDue = now, nil, never
+	f.startedAt, f.meanLatency, f.idleLoss, f.longCallLoss = m.startedAt, m.meanLatency, m.idleLoss, m.longCallLoss
+	for name, class := range f.classes {
+		if v, ok := m.latencyFactor[name]; ok {
+			f.latencyFactor[class] = v
 		}
 	}
 	for name, t := range m.tenants {
@@ -391,105 +394,105 @@
 			own.tokens, own.filled = min(t.tokens, 2*own.quota), t.filled
 		}
 	}
-	for _, l := range lists {
-		f.list(l)
+	for _, snapshot := range lists {
+		f.applySnapshot(snapshot)
 	}
 	f.restoreRoutes(m)
 	f.restoreCalls(m)
 	f.seq = max(f.seq, m.seq)
-	if err := f.source.UnmarshalBinary([]byte(m.chance)); err != nil { // its own will do
-		f.source.Seed(f.set.Seed, f.set.Seed)
+	if err := f.rngSource.UnmarshalBinary([]byte(m.rngState)); err != nil { // a fresh seed will do
+		f.rngSource.Seed(f.settings.Seed, f.settings.Seed)
 	}
 	slices.SortFunc(held, func(a, b Message) int {
 		if x, y := m.messages[a.ID], m.messages[b.ID]; x != nil && y != nil {
 			return cmp.Compare(x.seq, y.seq)
 		}
-		return 0 // the host has them in the order taken
+		return 0 // the host has them in the order accepted
 	})
 	out = map[string][]int{}
 	var unknown []Message
 	for _, e := range held {
-		if k := m.messages[e.ID]; k != nil && f.classes[e.Class] != nil && f.msgs[e.ID] == nil {
-			out[e.ID] = f.carryOn(e, k, m)
+		if k := m.messages[e.ID]; k != nil && f.classes[e.Class] != nil && f.messages[e.ID] == nil {
+			out[e.ID] = f.restoreMessage(e, k, m)
 		} else {
 			unknown = append(unknown, e)
 		}
 	}
-	for _, k := range m.calls { // one whose messages are gone would hold its slot for good
-		if c := k.made; c != nil && c.left == 0 {
+	for _, k := range m.calls { // one whose messages are gone would keep its slot for ever
+		if c := k.restored; c != nil && c.pending == 0 {
 			f.endCall(c)
 		}
 	}
-	f.restoreLines(m)
-	f.restoreRoutes(m) // again: to hold a message works its routes' paces out anew
-	for _, dm := range m.dests {
-		d := f.dests[dm.id]
-		d.seq, d.turn = dm.seq, dm.turn
+	f.restoreKeyQueues(m)
+	f.restoreRoutes(m) // again: enqueue has updated the paces of routes
+	for _, dm := range m.destinations {
+		d := f.destinations[dm.id]
+		d.seq, d.queuedSeq = dm.seq, dm.queuedSeq
 	}
-	for _, d := range f.dests {
-		f.stirred(d)
-		f.mayBeQuiet(d)
+	for _, d := range f.destinations {
+		f.reconsider(d)
+		f.scheduleExpiry(d)
 	}
 	for _, e := range unknown {
-		f.take(e)
+		f.acceptMessage(e)
 	}
 	return f.actions, out
 }
 
 func (f *Forwarder) restoreRoutes(m *Memory) {
-	for _, dm := range m.dests {
+	for _, dm := range m.destinations {
 		d := f.destination(dm.id)
-		d.served, d.taken = dm.served, dm.taken
-		d.most, d.mostAt = dm.most, dm.mostAt
+		d.lastScheduled, d.accepted = dm.lastScheduled, dm.accepted
+		d.connectedLimit, d.connectedLimitAt = dm.connectedLimit, dm.connectedLimitAt
 		for i := range dm.routes {
 			from := &dm.routes[i]
 			at := slices.IndexFunc(d.routes, func(r *route) bool { return r.name == from.name })
 			if at < 0 && from.name != "" {
-				continue // it went with its target
+				continue // it went with its endpoint
 			}
-			if at < 0 { // no target of it is listed just now; what it was told holds all the same
+			if at < 0 { // no endpoint is listed just now; its retry-after time still holds
 				at = len(d.routes)
-				d.routes = append(d.routes, f.freshRoute("", d))
+				d.routes = append(d.routes, f.newRoute("", d))
 			}
 			r := d.routes[at]
-			from.dest, from.targets, from.calls, from.trials, from.reserved = d, r.targets, r.calls, r.trials, r.reserved
-			from.watchAt, from.watchPlace, from.unwatched = r.watchAt, r.watchPlace, r.unwatched
+			from.dest, from.endpoints, from.inFlight, from.probesInFlight, from.reservedRetries = d, r.endpoints, r.inFlight, r.probesInFlight, r.reservedRetries
+			from.overdueAt, from.overdueIndex, from.overdueStale = r.overdueAt, r.overdueIndex, r.overdueStale
 			*r = from.route
-			slices.SortStableFunc(r.targets, func(a, b *target) int {
-				return cmp.Compare(slices.Index(from.order, a.id), slices.Index(from.order, b.id))
+			slices.SortStableFunc(r.endpoints, func(a, b *endpoint) int {
+				return cmp.Compare(slices.Index(from.endpointOrder, a.id), slices.Index(from.endpointOrder, b.id))
 			})
 			if to := min(i, len(d.routes)-1); to != at { // in the order of before
 				d.routes = slices.Insert(slices.Delete(d.routes, at, at+1), to, r)
 			}
 		}
 	}
-	for _, tm := range m.targets {
-		t := f.targets[tm.listed.ID]
-		if t == nil && slices.ContainsFunc(m.calls, func(k callMemory) bool { return k.target == tm.listed.ID }) {
-			t = f.target(Target{ID: tm.listed.ID, Destination: tm.listed.Destination, Kind: tm.listed.Kind, Zone: tm.listed.Zone, State: Gone})
+	for _, tm := range m.endpoints {
+		ep := f.endpoints[tm.listing.ID]
+		if ep == nil && slices.ContainsFunc(m.calls, func(k callMemory) bool { return k.endpointID == tm.listing.ID }) {
+			ep = f.endpointFor(Target{ID: tm.listing.ID, Destination: tm.listing.Destination, Kind: tm.listing.Kind, Zone: tm.listing.Zone, State: Gone})
 		}
-		if t == nil || t.route.dest.id != tm.listed.Destination {
+		if ep == nil || ep.route.dest.id != tm.listing.Destination {
 			continue
 		}
-		t.turn, t.uses, t.failing, t.failed, t.avoidTil, t.coldTil, t.place = tm.turn, tm.uses, tm.failing, tm.failed, tm.avoidTil, tm.coldTil, tm.place
-		t.free = tm.free
+		ep.virtualDue, ep.recentCalls, ep.failureShare, ep.consecutiveFailures, ep.avoidUntil, ep.slowStartUntil, ep.lastScheduled = tm.virtualDue, tm.recentCalls, tm.failureShare, tm.consecutiveFailures, tm.avoidUntil, tm.slowStartUntil, tm.lastScheduled
+		ep.idleSince = tm.idleSince
 	}
 }
 
-// restoreLines has keys rest that did, in the order in which their rests end.
-func (f *Forwarder) restoreLines(m *Memory) {
-	keys := slices.SortedFunc(maps.Keys(m.lines), func(a, b string) int { return cmp.Compare(m.lines[a], m.lines[b]) })
+// restoreKeyQueues restores idle key queues in the order in which their idle times end.
+func (f *Forwarder) restoreKeyQueues(m *Memory) {
+	keys := slices.SortedFunc(maps.Keys(m.restingKeys), func(a, b string) int { return cmp.Compare(m.restingKeys[a], m.restingKeys[b]) })
 	for _, key := range keys {
-		l := f.lines[key]
-		if l == nil {
-			l = &keyLine{key: key}
-			f.lines[key] = l
-			f.resting = append(f.resting, l)
+		queue := f.keyQueues[key]
+		if queue == nil {
+			queue = &keyQueue{key: key}
+			f.keyQueues[key] = queue
+			f.restingKeys = append(f.restingKeys, queue)
 		}
-		l.rests = m.lines[key]
-		if l.first != nil && l.first.group != nil { // it has its place by when it may go
-			f.displace(l.first)
-			f.place(l.first)
+		queue.idleUntil = m.restingKeys[key]
+		if queue.first != nil && queue.first.group != nil { // its place depends on when it may go
+			f.removeFromGroup(queue.first)
+			f.addToGroup(queue.first)
 		}
 	}
 }
@@ -497,69 +500,69 @@
 func (f *Forwarder) restoreCalls(m *Memory) {
 	for i := range m.calls {
 		k := &m.calls[i]
-		t := f.targets[k.target]
-		if t == nil {
+		ep := f.endpoints[k.endpointID]
+		if ep == nil {
 			continue
 		}
-		r := t.route
+		r := ep.route
 		f.seq++
-		c := &call{route: r, target: t, sent: k.sent, trial: k.trial, called: k.called, missed: k.missed, hasty: k.hasty, idle: k.idle, doubt: k.doubt, seq: f.seq}
-		k.made = c
-		if c.doubt != noDoubt {
-			f.doubts[c.doubt]++
+		c := &call{route: r, endpoint: ep, sentAt: k.sentAt, isProbe: k.isProbe, cancelled: k.cancelled, lossCounted: k.lossCounted, shortTimeout: k.shortTimeout, idleStep: k.idleStep, suspicion: k.suspicion, seq: f.seq}
+		k.restored = c
+		if c.suspicion != notSuspect {
+			f.suspectCalls[c.suspicion]++
 		}
-		r.calls = append(r.calls, c)
-		if c.trial {
-			r.trials++
+		r.inFlight = append(r.inFlight, c)
+		if c.isProbe {
+			r.probesInFlight++
 		}
-		r.dest.out++
-		t.out++
-		f.calls.push(c)
-		f.unwatch(r)
+		r.dest.inFlight++
+		ep.inFlight++
+		f.inFlight.push(c)
+		f.invalidateOverdue(r)
 	}
 }
 
-// carryOn goes on with one message, and returns the numbers of its attempts that are out.
-func (f *Forwarder) carryOn(e Message, k *messageMemory, mem *Memory) (out []int) {
+// restoreMessage resumes one message, and returns the numbers of its attempts in flight.
+func (f *Forwarder) restoreMessage(e Message, k *messageMemory, mem *Memory) (out []int) {
 	m := f.newMessage(e, f.classes[e.Class])
-	m.born, m.deadline, m.worth, m.ranSent, m.after, m.ranZone = k.born, k.deadline, k.worth, k.ranSent, k.after, k.ranZone
-	m.seq, m.attempts, m.tries, m.mayRan, m.owed = k.seq, e.Attempts, k.tries, k.mayRan, k.owed
-	for _, p := range k.parts {
+	m.createdAt, m.deadline, m.value, m.runSentAt, m.notBefore, m.runZone = k.createdAt, k.deadline, k.value, k.runSentAt, k.notBefore, k.runZone
+	m.seq, m.attempts, m.sends, m.mayHaveRun, m.recovered = k.seq, e.Attempts, k.sends, k.mayHaveRun, k.recovered
+	for _, p := range k.inFlightAttempts {
 		of := &mem.calls[p.call]
-		c := of.made
-		if c == nil { // to a target that is not known any more
-			m.mayRan = true
+		c := of.restored
+		if c == nil { // to an unknown endpoint
+			m.mayHaveRun = true
 			continue
 		}
-		a := &attempt{n: p.n, m: m, call: c}
-		m.sent, m.other = a, m.sent
-		at, _ := slices.BinarySearch(of.places, p.place) // those that went together keep their order
-		of.places = slices.Insert(of.places, at, p.place)
-		c.parts = slices.Insert(c.parts, at, a)
-		c.left++
-		m.out++
-		out = append(out, p.n)
-	}
-	if len(k.parts) == 0 && e.Open { // the host began one that the memory does not know
-		m.mayRan = true
-	}
-	if k.granted != "" && m.out == 0 {
-		at := slices.IndexFunc(m.dest.routes, func(r *route) bool { return "="+r.name == k.granted })
-		if m.granted = f.freshRoute(k.granted[1:], m.dest); at >= 0 { // else that went with its target, and the grant did not
-			m.granted = m.dest.routes[at]
+		a := &attempt{number: p.number, message: m, call: c}
+		m.latest, m.earlier = a, m.latest
+		at, _ := slices.BinarySearch(of.positions, p.position) // attempts of one call keep their order
+		of.positions = slices.Insert(of.positions, at, p.position)
+		c.attempts = slices.Insert(c.attempts, at, a)
+		c.pending++
+		m.inFlight++
+		out = append(out, p.number)
+	}
+	if len(k.inFlightAttempts) == 0 && e.Open { // the host began one that the state does not know
+		m.mayHaveRun = true
+	}
+	if k.retryGrant != "" && m.inFlight == 0 {
+		at := slices.IndexFunc(m.dest.routes, func(r *route) bool { return "="+r.name == k.retryGrant })
+		if m.retryGrant = f.newRoute(k.retryGrant[1:], m.dest); at >= 0 { // else the route went with its endpoint, and the grant did not
+			m.retryGrant = m.dest.routes[at]
 		}
-		m.granted.reserved++
+		m.retryGrant.reservedRetries++
 	}
 	switch {
-	case m.out > 0:
-		if k.copies && m.other == nil {
-			m.copyAt = k.copyAt
-			f.copies.fix(m)
+	case m.inFlight > 0:
+		if k.hedgeDue && m.earlier == nil {
+			m.hedgeAt = k.hedgeAt
+			f.hedges.fix(m)
 		}
-	case m.mayRan && m.class.Effect == Unsafe || f.usedUp(m) || f.now >= m.ends():
-		f.answer(m)
+	case m.mayHaveRun && m.class.Effect == Unsafe || f.attemptsExhausted(m) || f.now >= m.answerDeadline():
+		f.answerMessage(m)
 	default:
-		f.hold(m)
+		f.enqueue(m)
 	}
 	return out
 }
--- a/internal/decide/policy_test.go
+++ b/internal/decide/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"os"
 	"slices"
@@ -54,24 +55,63 @@
 	return ids
 }
 
+// policyFiles are the files that `policy` in a deploy file names.
+func policyFiles(t *testing.T, deploy string) []string {
+	t.Helper()
+	const root = "../../"
+	text, err := os.ReadFile(root + "deploy/" + deploy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for line := range strings.Lines(string(text)) {
+		if list, ok := strings.CutPrefix(line, "policy = "); ok {
+			if err := json.Unmarshal([]byte(list), &names); err != nil {
+				t.Fatalf("%s: %v", deploy, err)
+			}
+		}
+	}
+	var files []string
+	for _, name := range names {
+		files = append(files, root+name)
+	}
+	return files
+}
+
 func TestPolicyFits(t *testing.T) {
-	file, err := os.Open("policy.go")
+	files := policyFiles(t, "balancer.toml")
+	if same := policyFiles(t, "steps.toml"); !slices.Equal(files, same) {
+		t.Errorf("balancer.toml names the policy files %v, steps.toml %v", files, same)
+	}
+	if !slices.Contains(files, "../../internal/decide/policy.go") {
+		t.Errorf("policy.go is not among the policy files %v", files)
+	}
+	lines := 0
+	for _, name := range files {
+		lines += policyLines(t, name)
+	}
+	if lines > 1200 {
+		t.Errorf("%d lines that are not blank, 1200 allowed", lines)
+	}
+}
+
+// policyLines counts the lines of a policy file that are not blank, and bounds the length of each.
+func policyLines(t *testing.T, name string) (lines int) {
+	t.Helper()
+	file, err := os.Open(name)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer file.Close()
-	lines := 0
 	for s := bufio.NewScanner(file); s.Scan(); {
 		if strings.TrimSpace(s.Text()) != "" {
 			lines++
 		}
 		if n := len(strings.ReplaceAll(s.Text(), "\t", "    ")); n > 110 {
-			t.Errorf("%d characters: %s", n, s.Text())
+			t.Errorf("%s: %d characters: %s", name, n, s.Text())
 		}
 	}
-	if lines > 1200 {
-		t.Errorf("%d lines that are not blank, 1200 allowed", lines)
-	}
+	return lines
 }
 
 func TestToldWaitHoldsAll(t *testing.T) {
@@ -92,7 +132,7 @@
 
 func TestOneKeyAtATimeAndRest(t *testing.T) {
 	f := newForwarder(t, plain("x"))
-	f.dests[1].routes[0].oks.value = 9 // one time-out must not open the route
+	f.destinations[1].routes[0].recentSuccesses.value = 9 // one time-out must not open the route
 	got := sends(f.Step(0, []Event{msg("m1", "keyed", "k"), msg("m2", "keyed", "k"), msg("m3", "keyed", "j")}))
 	if strings.Join(got, " ") != "m1 m3" {
 		t.Fatalf("sent %v", got)
@@ -164,8 +204,8 @@
 func TestOverdueCallFreesSlot(t *testing.T) {
 	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"},
 		Target{ID: "z", Destination: 3, Kind: "plain", Zone: "a"})
-	for _, d := range f.dests { // they have answered before
-		d.routes[0].silence = noDoubt
+	for _, d := range f.destinations { // they have answered before
+		d.routes[0].suspicion = notSuspect
 	}
 	var events []Event
 	for i := range 5 {
@@ -206,12 +246,12 @@
 		{"cap", 40, 0, .19, .2},
 	} {
 		f := newForwarder(t, plain("x"))
-		r := f.dests[1].routes[0]
-		r.seen, r.bad, r.ratio = c.seen, c.bad, c.start
+		r := f.destinations[1].routes[0]
+		r.outcomes, r.failures, r.retryRatio = c.seen, c.bad, c.start
 		f.Step(time.Second, nil)
-		f.settle(r)
-		if d := r.ratio - c.end; d > 1e-9 || d < -1e-9 {
-			t.Errorf("%s: %v, want %v", c.name, r.ratio, c.end)
+		f.closeIntervals(r)
+		if d := r.retryRatio - c.end; d > 1e-9 || d < -1e-9 {
+			t.Errorf("%s: %v, want %v", c.name, r.retryRatio, c.end)
 		}
 	}
 }
@@ -241,10 +281,10 @@
 		}
 		now += 4 * time.Second
 	}
-	if !f.stale(idleStep(4 * time.Second)) {
+	if !f.idleTooLong(idleStep(4 * time.Second)) {
 		t.Error("connections idle for 4 s are still trusted")
 	}
-	if f.stale(idleStep(100 * ms)) {
+	if f.idleTooLong(idleStep(100 * ms)) {
 		t.Error("connections used just now are not trusted")
 	}
 }
@@ -279,7 +319,7 @@
 // safe one, yet leaves time for a repeat in its window.
 func TestPatience(t *testing.T) {
 	f := newForwarder(t)
-	usual := 250 * ms
+	latency := 250 * ms
 	for _, c := range []struct {
 		class  string
 		window time.Duration
@@ -287,7 +327,7 @@
 	}{{"pure", 0, 1000 * ms}, {"unsafe", 0, 1750 * ms}, {"keyed", 20 * time.Second, 1750 * ms}, {"keyed", 5 * time.Second, 1250 * ms}} {
 		class := *f.classes[c.class]
 		class.Window = c.window
-		if got := f.patience(&message{class: &class}, usual); got != c.want {
+		if got := f.cancelAfter(&message{class: &class}, latency); got != c.want {
 			t.Errorf("%s, window %v: %v, want %v", c.class, c.window, got, c.want)
 		}
 	}
@@ -354,7 +394,7 @@
 		forwarders, waiting, most int
 	}{{2, 1, 20}, {500, 1, 5}, {500, 20, 20}} {
 		f := newForwarder(t, plain("x"))
-		f.set.Forwarders = c.forwarders
+		f.settings.Forwarders = c.forwarders
 		sent, now := 0, time.Duration(0)
 		var events []Event
 		for i := range c.waiting {
@@ -365,7 +405,7 @@
 			for _, a := range f.Step(now, events) {
 				if s, ok := a.(Send); ok {
 					sent++
-					n := f.msgs[s.Message].attempts - 1
+					n := f.messages[s.Message].attempts - 1
 					failed = append(failed, Outcome{Message: s.Message, Attempt: n, Target: "x", Result: ConnectFailed})
 				}
 			}
@@ -392,7 +432,7 @@
 		{100, .02, 500 * ms, true}, {3, .02, 3 * time.Second, true},
 	} {
 		f := newForwarder(t, plain("x"))
-		f.set.ConnectPrice, f.set.Forwarders = c.price, c.forwarders
+		f.settings.ConnectPrice, f.settings.Forwarders = c.price, c.forwarders
 		now, kept := time.Duration(0), false
 		for i := range 30 {
 			id := fmt.Sprint("m", i)
@@ -412,7 +452,7 @@
 // own messages make up, and not by all the room that there may be, or all senders would take that at once.
 func TestToldRoomAges(t *testing.T) {
 	f := newForwarder(t, plain("x"))
-	f.set.Forwarders = 500
+	f.settings.Forwarders = 500
 	f.Step(0, []Event{msg("m1", "pure", "")})
 	f.Step(100*ms, []Event{Outcome{Message: "m1", Target: "x", Result: Done, Took: 100 * ms, Over: true,
 		Allowance: Allowance{Told: true, Rate: 6, Left: .01}}})
@@ -489,18 +529,18 @@
 		}
 		now += 200 * ms
 	}
-	r := f.dests[1].routes[0]
-	if r.why != "half failing" {
-		t.Fatalf("the route is held as %q", r.why)
+	r := f.destinations[1].routes[0]
+	if r.openReason != "half failing" {
+		t.Fatalf("the route is held as %q", r.openReason)
 	}
-	for i := 0; i < 20 && r.open; i++ {
+	for i := 0; i < 20 && r.circuitOpen; i++ {
 		id := fmt.Sprint("t", i)
 		now += time.Second
 		f.Step(now, []Event{msg(id, "pure", "")})
 		f.Step(now+50*ms, []Event{Outcome{Message: id, Target: "x", Result: Done, Took: 50 * ms, Over: true}})
 	}
-	if r.open || !r.warming {
-		t.Errorf("open %v, slow return %v", r.open, r.warming)
+	if r.circuitOpen || !r.slowStart {
+		t.Errorf("open %v, slow return %v", r.circuitOpen, r.slowStart)
 	}
 }
 
@@ -566,7 +606,7 @@
 func TestGoneTargetsAreForgotten(t *testing.T) {
 	f := newForwarder(t, plain("t0"), Target{ID: "a0", Destination: 2, Kind: "apart", Zone: "a"})
 	f.Step(0, []Event{msg("m", "pure", "")}) // out to t0 until the end
-	f.dests[1].routes[0].told = time.Hour
+	f.destinations[1].routes[0].retryAfter = time.Hour
 	for n := 1; n <= 100; n++ {
 		now := time.Duration(n) * time.Second
 		f.Step(now, []Event{TargetList{Scope: Changes, Targets: []Target{
@@ -575,21 +615,21 @@
 			{ID: fmt.Sprintf("b%d", n), Destination: 100 + n, Kind: "plain"}, {ID: fmt.Sprintf("b%d", n-1), State: Gone},
 		}}})
 	}
-	if n := len(f.targets); n != 4 { // the newest three, and the one with a call out
+	if n := len(f.endpoints); n != 4 { // the newest three, and the one with a call out
 		t.Errorf("%d targets kept", n)
 	}
 	f.Step(101*time.Second, []Event{Outcome{Message: "m", Target: "t0", Result: Done, Over: true}})
-	if n := len(f.targets); n != 3 || len(f.msgs) != 0 {
-		t.Errorf("%d targets and %d messages kept", n, len(f.msgs))
+	if n := len(f.endpoints); n != 3 || len(f.messages) != 0 {
+		t.Errorf("%d targets and %d messages kept", n, len(f.messages))
 	}
-	r := f.dests[1].routes
-	if len(r) != 1 || r[0].told != time.Hour || len(r[0].targets) != 1 || r[0].targets[0].id != "t100" {
+	r := f.destinations[1].routes
+	if len(r) != 1 || r[0].retryAfter != time.Hour || len(r[0].endpoints) != 1 || r[0].endpoints[0].id != "t100" {
 		t.Errorf("the shared route: %+v", r)
 	}
-	if r := f.dests[2].routes; len(r) != 1 || r[0].name != "a100" {
+	if r := f.destinations[2].routes; len(r) != 1 || r[0].name != "a100" {
 		t.Errorf("routes apart: %v", r)
 	}
-	if n := len(f.dests); n > 2+int(forget/time.Second)+2 {
+	if n := len(f.destinations); n > 2+int(forgetAfter/time.Second)+2 {
 		t.Errorf("%d destinations kept", n)
 	}
 }
@@ -598,9 +638,9 @@
 // would say that the route fails though it has come back. Such an end is no failure either.
 func TestTrialNeedsTime(t *testing.T) {
 	f := newForwarder(t, plain("x"))
-	r := f.dests[1].routes[0]
-	r.mean = 200 * ms
-	f.openRoute(r, "failing")
+	r := f.destinations[1].routes[0]
+	r.meanLatency = 200 * ms
+	f.openCircuit(r, "failing")
 	old := msg("old", "pure", "")
 	old.Left = 400 * ms
 	f.Step(0, []Event{old, msg("young", "pure", "")})
@@ -623,8 +663,8 @@
 		}
 		f.Step(now+100*ms, []Event{Outcome{Message: id, Target: "x", Result: TimedOut, Took: 100 * ms}})
 	}
-	if r := f.dests[1].routes[0]; r.open || r.fails > 0 || r.bad > 0 {
-		t.Errorf("judged by calls without time: open %v, fails %v", r.open, r.fails)
+	if r := f.destinations[1].routes[0]; r.circuitOpen || r.consecutiveFailures > 0 || r.failures > 0 {
+		t.Errorf("judged by calls without time: open %v, fails %v", r.circuitOpen, r.consecutiveFailures)
 	}
 }
 
@@ -632,19 +672,19 @@
 // from its last answer on. One whose call broke is not there any more.
 func TestIdleTimePerConnection(t *testing.T) {
 	f := newForwarder(t, plain("x"))
-	x := f.targets["x"]
+	x := f.endpoints["x"]
 	f.Step(0, []Event{msg("m1", "pure", ""), msg("m2", "pure", ""), msg("m3", "pure", "")})
 	for n, at := range []time.Duration{100 * ms, 200 * ms, 300 * ms} {
 		result := []Result{Done, Reset, Done}[n]
 		f.Step(at, []Event{Outcome{Message: fmt.Sprint("m", n+1), Target: "x", Result: result, Over: true}})
 	}
-	if want := []time.Duration{100 * ms, 300 * ms}; !slices.Equal(x.free, want) {
-		t.Fatalf("free since %v, want %v", x.free, want)
+	if want := []time.Duration{100 * ms, 300 * ms}; !slices.Equal(x.idleSince, want) {
+		t.Fatalf("free since %v, want %v", x.idleSince, want)
 	}
 	f.Step(400*ms, []Event{msg("m4", "pure", ""), msg("m5", "pure", ""), msg("m6", "pure", "")})
 	var idle []int
-	for c := f.calls.first; c != nil; c = c.next {
-		idle = append(idle, c.idle)
+	for c := f.inFlight.first; c != nil; c = c.next {
+		idle = append(idle, c.idleStep)
 	}
 	if want := []int{idleStep(100 * ms), idleStep(300 * ms), 0}; !slices.Equal(idle, want) {
 		t.Errorf("idle steps %v, want %v", idle, want)
@@ -659,10 +699,10 @@
 		want     int // calls called off
 	}{{true, 0}, {false, 1}} {
 		f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"})
-		f.set.Slots = 2
-		f.dests[1].routes[0].mean = 200 * ms
-		for _, d := range f.dests { // they have answered before
-			d.routes[0].silence = noDoubt
+		f.settings.Slots = 2
+		f.destinations[1].routes[0].meanLatency = 200 * ms
+		for _, d := range f.destinations { // they have answered before
+			d.routes[0].suspicion = notSuspect
 		}
 		f.Step(0, []Event{msg("long", "pure", "")})
 		f.Step(100*ms, []Event{msg("later", "pure", "")})
@@ -770,11 +810,11 @@
 // before what waits for one that answers, though it is as old and worth as much.
 func TestShutDestinationMakesRoom(t *testing.T) {
 	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"})
-	f.set.MaxHeld = 40
-	shut, well := f.dests[1].routes[0], f.dests[2].routes[0]
-	f.openRoute(shut, "silent")
-	shut.gap, well.mean, shut.mean = longestTrial, 50*ms, 50*ms
-	f.set.Slots = 1 // all wait
+	f.settings.MaxHeld = 40
+	shut, well := f.destinations[1].routes[0], f.destinations[2].routes[0]
+	f.openCircuit(shut, "silent")
+	shut.probeInterval, well.meanLatency, shut.meanLatency = maxProbeInterval, 50*ms, 50*ms
+	f.settings.Slots = 1 // all wait
 	refused := map[int]int{}
 	for i := range 60 {
 		m := msg(fmt.Sprint("m", i), "pure", "")
@@ -796,7 +836,7 @@
 // for what is worth more, and once most of its time is over.
 func TestFullHoldTurnsAwayAtTheDoor(t *testing.T) {
 	f := newForwarder(t, plain("x"), Target{ID: "y", Destination: 2, Kind: "plain", Zone: "a"})
-	f.set.MaxHeld, f.set.Slots = 20, 1
+	f.settings.MaxHeld, f.settings.Slots = 20, 1
 	refused := func(at time.Duration, m Message) (id string) {
 		for _, a := range f.Step(at, []Event{m}) {
 			if r, ok := a.(Refuse); ok {
@@ -821,7 +861,7 @@
 	if id := refused(300*ms, other); id != "held2" {
 		t.Errorf("refused %q for one before which nobody waits", id)
 	}
-	f.set.Slots = 0 // they wait on, and get late
+	f.settings.Slots = 0 // they wait on, and get late
 	if id := refused(7500*ms, msg("late", "pure", "")); id != "held3" {
 		t.Errorf("refused %q for one that comes when they have little time left", id)
 	}
@@ -832,10 +872,10 @@
 func TestCrowdedHost(t *testing.T) {
 	for _, shut := range []bool{true, false} {
 		f := newForwarder(t, plain("x"))
-		f.set.Slots = 1
+		f.settings.Slots = 1
 		f.Step(0, []Event{msg("m1", "pure", ""), msg("m2", "pure", ""), msg("m3", "unsafe", "")})
 		if shut {
-			f.openRoute(f.dests[1].routes[0], "silent")
+			f.openCircuit(f.destinations[1].routes[0], "silent")
 		}
 		var refused []string
 		for _, a := range f.Step(ms, []Event{Crowded{}}) {
--- a/internal/decide/putback_test.go
+++ b/internal/decide/putback_test.go
@@ -35,13 +35,13 @@
 					events = append(events, Message{ID: fmt.Sprint(now), Class: "note", Destination: 1, Left: 30 * time.Second})
 				}
 				if now == left || now == back {
-					e := list.Targets[0]
-					e.State, e.PutBack = Draining, 0
+					listing := list.Targets[0]
+					listing.State, listing.PutBack = Draining, 0
 					if now == back {
-						e.State, e.PutBack = Active, 1
+						listing.State, listing.PutBack = Active, 1
 					}
-					list.Targets[0] = e
-					events = append(events, TargetList{Scope: Changes, Targets: []Target{e}})
+					list.Targets[0] = listing
+					events = append(events, TargetList{Scope: Changes, Targets: []Target{listing}})
 				}
 				if now == back+time.Second { // told again, it does not begin anew
 					events = append(events, list)
--- a/internal/decide/recovery_test.go
+++ b/internal/decide/recovery_test.go
@@ -68,7 +68,7 @@
 		}
 		events = nil
 	}
-	if len(f.msgs) != 0 || f.calls.n != 0 {
+	if len(f.messages) != 0 || f.inFlight.size != 0 {
 		t.Error("the outcome of attempt 2 was passed over")
 	}
 }
@@ -164,8 +164,8 @@
 			events = append(events, msg(fmt.Sprint("new", now), "unsafe", ""))
 			if again && now == 100*ms {
 				var held []Message
-				for _, m := range f.msgs {
-					held = append(held, Message{ID: m.id, Class: m.class.Name, Destination: 1, Left: m.deadline - now, Recovered: true, Attempts: m.attempts, Open: m.out > 0})
+				for _, m := range f.messages {
+					held = append(held, Message{ID: m.id, Class: m.class.Name, Destination: 1, Left: m.deadline - now, Recovered: true, Attempts: m.attempts, Open: m.inFlight > 0})
 				}
 				memory, err := ReadMemory(f.Save())
 				if err != nil {
--- /dev/null
+++ b/internal/decide/route.go
@@ -0,0 +1,128 @@
+package decide
+
+import (
+	"math"
+	"time"
+)
+
+// route is what a limit, a retry-after time, an outage, a retry budget and a slow start apply to: a
+// destination, or one endpoint of it.
+type route struct {
+	name           string
+	dest           *destination
+	endpoints      []*endpoint
+	inFlight       []*call // in the order sent
+	probesInFlight int     // probes in flight
+	weighted       bool    // its endpoints have different shares
+	virtualTime    float64 // of the last call, for weighted round robin
+	lastUsedAt     time.Duration
+
+	retryAfter time.Duration // by the server; no call before
+
+	retryRatio                        float64 // retry budget: retries per first attempt
+	firstAttempts, retries            decayingCount
+	reservedRetries                   int           // retries granted but not yet sent
+	allowanceSpentUntil               time.Duration // no retries until then, unless reported otherwise
+	intervalStart                     time.Duration // of the current adjustment interval
+	outcomes, failures                int           // in the interval
+	rejections, successes             int           // in the interval
+	totalFirstAttempts, totalAttempts int           // for Routes
+
+	meanLatency         time.Duration // 0 if none was measured
+	unclearShare        decayingMean  // share of outcomes after which a message may have run
+	consecutiveFailures float64       // in a row; a rejection counts in part
+	lastSuccessAt       time.Duration // when the latest success arrived
+	lastSuccessSentAt   time.Duration // when the latest successful call was sent
+	recentSuccesses     decayingCount // successes
+	outageEvidence      float64       // calls that failed or are overdue, sent after lastSuccessSentAt
+
+	suspicion      suspicion
+	cancelledCalls int // suspect calls cancelled since the last answer
+
+	overdueAt    time.Duration // when a call becomes overdue
+	overdueIndex int
+	overdueStale bool // overdueAt must be computed anew
+
+	circuitOpen      bool
+	openReason       string
+	closedAt         time.Duration // when the circuit was last closed
+	failingSince     time.Duration // when the first of the failures in a row was sent
+	lastProbeAt      time.Duration // when the latest probe ended, or the circuit opened
+	probeJitter      float64       // random: the next probe comes so many intervals later
+	probeInterval    time.Duration // between probes
+	successfulProbes int           // in a row
+	needsSlowStart   bool          // after an outage
+	slowStart        bool
+	slowStartAt      time.Duration // when it began
+
+	adaptiveRate  float64 // calls a second, lowered by rejections and raised while they are absent
+	currentRate   float64 // calls a second with all bounds, as of tokensAt
+	tokens        float64 // as of tokensAt, 1 at most
+	tokensAt      time.Duration
+	nextTokenAt   time.Duration // when there will be a whole token
+	paceLimited   bool          // the pace held back a message in this interval
+	nextCutAt     time.Duration
+	recentCalls   decayingCount // calls
+	serverLimit   float64       // reported, in calls a second; 0 for none
+	allowanceAt   time.Duration // when the limit was reported
+	allowanceLeft float64       // share of the limit that was left then
+	totalDemand   float64       // estimated demand of all senders in calls a second
+}
+
+// newRoute makes a route without history.
+func (f *Forwarder) newRoute(name string, d *destination) *route {
+	return &route{name: name, dest: d, lastSuccessSentAt: -1, retryRatio: initialRetryRatio, intervalStart: f.now, adaptiveRate: math.Inf(1), allowanceLeft: 1,
+		lastUsedAt: f.now, currentRate: math.Inf(1), tokens: 1, tokensAt: f.now, nextTokenAt: f.now, suspicion: untested}
+}
+
+// resetIfUnused resets a route that was not used for long, but never a retry-after time or an outage.
+func (f *Forwarder) resetIfUnused(r *route) {
+	idle := len(r.inFlight) == 0 && r.dest.queued == 0 && !r.circuitOpen && f.now >= r.retryAfter
+	if idle && f.now-r.lastUsedAt > forgetAfter {
+		fresh := f.newRoute(r.name, r.dest)
+		fresh.endpoints, fresh.overdueStale = r.endpoints, r.overdueStale
+		fresh.overdueAt, fresh.overdueIndex = r.overdueAt, r.overdueIndex
+		*r = *fresh
+	}
+}
+
+// listedWeight is the listed rate limit of a route.
+func (f *Forwarder) listedWeight(r *route) (w float64) {
+	for _, ep := range r.endpoints {
+		if ep.state == Active {
+			w = max(w, ep.weight)
+		}
+	}
+	return w
+}
+
+// allCircuitsOpen reports whether the circuits of all routes are open.
+func allCircuitsOpen(routes []*route) bool {
+	for _, r := range routes {
+		if !r.circuitOpen {
+			return false
+		}
+	}
+	return true
+}
+
+// expectedLatency is the mean latency of the slowest of some routes, as far as it is known.
+func (f *Forwarder) expectedLatency(routes []*route) (t time.Duration) {
+	for _, r := range routes {
+		t = max(t, r.meanLatency)
+	}
+	if t == 0 {
+		return assumedLatency
+	}
+	return t
+}
+
+// refillTokens adds the tokens that a route has gained since the last time.
+func (f *Forwarder) refillTokens(r *route, at time.Duration) {
+	if math.IsInf(r.currentRate, 1) {
+		r.tokens = 1
+	} else {
+		r.tokens = min(1, r.tokens+r.currentRate*(at-r.tokensAt).Seconds())
+	}
+	r.tokensAt = at
+}
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -1,6 +1,6 @@
 package decide_test
 
-// The oracle of index_test.go: the decisions of policy.go by walks over everything that there is,
+// The oracle of index_test.go: the decisions of the policy files by walks over everything that there is,
 // as they were made before there were indexes. What does not walk stands here as there.
 // docs/large-sizes.md tells where both differ from the walks of old, and why.
 
@@ -17,217 +17,220 @@
 
 const never = time.Duration(math.MaxInt64)
 
-// The module's memory. Nothing here decides anything: see policy.go.
+// The module's memory. Nothing here decides anything: see the policy files.
 
-// message is one that was taken and is not yet forgotten.
+// message is an accepted message that is not yet completed.
 type message struct {
-	id       string
-	class    *Class
-	dest     *dest
-	line     *keyLine      // its key's line, or nil
-	born     time.Duration // when it was first handed in
-	deadline time.Duration
-	worth    float64
-	attempts int  // sends, as the host numbers them
-	tries    int  // sends that were really made
-	owed     bool // taken up from before a restart, and not sent since
-	out      int  // attempts without an outcome
-	over     bool
-	mayRan   bool          // an earlier attempt may have run
-	ranZone  string        // where the first such attempt went
-	ranSent  time.Duration // and when
-	after    time.Duration // not sent before this
-	granted  *route
-	among    *Among
-	seq      uint64
-}
-
-// keyLine holds the messages of one key in the order taken.
-type keyLine struct {
-	key   string
-	queue []*message
-	rests time.Duration // idle until then
-}
-
-// call is one or more attempts that travel together and take one slot.
+	id         string
+	class      *Class
+	dest       *destination
+	keyQueue   *keyQueue     // its key's queue, or nil
+	createdAt  time.Duration // when it was first handed in
+	deadline   time.Duration
+	value      float64
+	attempts   int  // as the host numbers them
+	sends      int  // attempts that were really sent
+	recovered  bool // taken up from before a restart, and not sent since
+	inFlight   int  // attempts without an outcome
+	completed  bool
+	mayHaveRun bool          // an earlier attempt may have run
+	runZone    string        // of the first such attempt
+	runSentAt  time.Duration // of the first such attempt
+	notBefore  time.Duration // not sent before this
+	retryGrant *route
+	filter     *Among
+	seq        uint64
+}
+
+// keyQueue holds the messages of one key in the order accepted.
+type keyQueue struct {
+	key       string
+	queue     []*message
+	idleUntil time.Duration // no message may go before, after an unclear outcome
+}
+
+// call is one or more attempts that travel together and occupy one slot.
 type call struct {
-	route  *route
-	target *target
-	sent   time.Duration
-	left   int // attempts without an outcome
-	parts  []*attempt
-	trial  bool
-	called bool // off
-	missed bool // counted as lost
-	hasty  bool // its message has too little time for a time-out to mean anything
-	doubt  doubtKind
-	seq    uint64
-	idle   int // how long its connection had been idle, as a step; 0 for a new one
+	route        *route
+	endpoint     *endpoint
+	sentAt       time.Duration
+	pending      int // attempts without an outcome
+	attempts     []*attempt
+	isProbe      bool
+	cancelled    bool // cancellation requested
+	lossCounted  bool // already counted by countLoss
+	shortTimeout bool // too short for a timeout to mean anything
+	suspicion    suspicion
+	seq          uint64
+	idleStep     int // bucket of its connection's idle time; 0 for a new one
 }
 
 // attempt is one send of one message.
 type attempt struct {
-	n    int
-	m    *message
-	call *call
-}
-
-// dest is a destination and the messages that wait for it.
-type dest struct {
-	id      int
-	routes  []*route
-	waiting []*message
-	turn    uint64
-	served  time.Duration // its last turn
-	taken   decaying      // messages that came for it
-	most    float64
-	mostAt  time.Duration
-}
-
-// target is one listed endpoint.
-type target struct {
-	id       string
-	kind     Kind
-	zone     string
-	state    TargetState
-	weight   float64
-	backup   bool
-	route    *route
-	out      int
-	free     []time.Duration // when each connection believed to be open and free became so
-	uses     decaying        // calls
-	place    time.Duration
-	failed   int // failures in a row
-	avoidTil time.Duration
-	failing  decayingMean // share of calls that left doubt
-}
-
-// route is whatever a limit, a wait, an outage, a budget and a return belong to.
+	number  int
+	message *message
+	call    *call
+}
+
+// destination is a destination and the messages queued for it.
+type destination struct {
+	id               int
+	routes           []*route
+	waiting          []*message
+	queuedSeq        uint64
+	lastScheduled    time.Duration // when it was last sent to
+	accepted         decayingCount // messages accepted for it
+	connectedLimit   float64
+	connectedLimitAt time.Duration
+}
+
+// endpoint is one listed endpoint.
+type endpoint struct {
+	id                  string
+	kind                Kind
+	zone                string
+	state               TargetState
+	weight              float64
+	backup              bool
+	route               *route
+	inFlight            int
+	idleSince           []time.Duration // since when each open connection is idle
+	recentCalls         decayingCount   // calls
+	lastScheduled       time.Duration
+	consecutiveFailures int // failures in a row
+	avoidUntil          time.Duration
+	failureShare        decayingMean // share of calls with an unclear outcome
+}
+
+// route is what a limit, a retry-after time, an outage, a retry budget and a slow start apply to: a
+// destination, or one endpoint of it.
 type route struct {
-	name    string
-	dest    *dest
-	targets []*target
-	calls   []*call
-	touched time.Duration
-
-	told time.Duration // told to wait until then
-
-	ratio           float64 // the retry budget
-	firsts, further decaying
-	reserved        int           // granted further tries not yet sent
-	spent           time.Duration // the allowance is almost spent: until then, unless told otherwise
-	interval        time.Duration // start of the budget's interval
-	seen, bad       int           // outcomes and failures in it
-	fulls, good     int           // refusals and good answers since the pace was set
-	allFirst, all   int           // for the host: first tries and all tries
-
-	mean   time.Duration // usual time to answer; 0 if none was seen
-	doubt  decayingMean  // share of outcomes that leave doubt
-	fails  float64       // failures in a row; a refusal counts as part of one
-	lastOK time.Duration // when the latest good answer came
-	okSent time.Duration // the latest send that had a good answer
-	oks    decaying      // good answers
-	proof  float64       // calls that failed or are overdue, sent after okSent
-
-	open    bool
-	why     string
-	closed  time.Duration // when it was last closed
-	failing time.Duration // when the first of the failures in a row was sent
-	tried   time.Duration // when the latest trial call ended, or the route opened
-	draw    float64       // by chance: the next comes so many gaps later
-	gap     time.Duration // between trial calls
-	goods   int           // good trial calls in a row
-	cold    bool          // it is an outage: what comes back is cold
-	warming bool
-	warm0   time.Duration // start of the return
-
-	silence   doubtKind
-	calledOff int
-	pace      float64
-	free      time.Duration
-	rate      float64 // calls a second that this sender allows itself
-	tokens    float64
-	filled    time.Duration
-	bound     bool // the pace held a message in this interval
-	cutAt     time.Duration
-	sent      decaying      // calls
-	limit     float64       // told limit in calls a second; 0 for none
-	heard     time.Duration // when the limit and the room were told
-	room      float64       // share of the limit's allowance that was left then
-	asked     float64       // calls a second that all senders together have messages for, as far as that tells
-}
-
-// decaying is a count that fades.
-type decaying struct {
+	name       string
+	dest       *destination
+	endpoints  []*endpoint
+	inFlight   []*call
+	lastUsedAt time.Duration
+
+	retryAfter time.Duration // by the server; no call before
+
+	retryRatio                        float64 // retry budget: retries per first attempt
+	firstAttempts, retries            decayingCount
+	reservedRetries                   int           // retries granted but not yet sent
+	allowanceSpentUntil               time.Duration // no retries until then, unless reported otherwise
+	intervalStart                     time.Duration // of the current adjustment interval
+	outcomes, failures                int           // in the interval
+	rejections, successes             int           // in the interval
+	totalFirstAttempts, totalAttempts int           // for Routes
+
+	meanLatency         time.Duration // 0 if none was measured
+	unclearShare        decayingMean  // share of outcomes after which a message may have run
+	consecutiveFailures float64       // in a row; a rejection counts in part
+	lastSuccessAt       time.Duration // when the latest success arrived
+	lastSuccessSentAt   time.Duration // when the latest successful call was sent
+	recentSuccesses     decayingCount // successes
+	outageEvidence      float64       // calls that failed or are overdue, sent after lastSuccessSentAt
+
+	circuitOpen      bool
+	openReason       string
+	closedAt         time.Duration // when the circuit was last closed
+	failingSince     time.Duration // when the first of the failures in a row was sent
+	lastProbeAt      time.Duration // when the latest probe ended, or the circuit opened
+	probeJitter      float64       // random: the next probe comes so many intervals later
+	probeInterval    time.Duration // between probes
+	successfulProbes int           // in a row
+	needsSlowStart   bool          // after an outage
+	slowStart        bool
+	slowStartAt      time.Duration // when it began
+
+	suspicion      suspicion
+	cancelledCalls int
+	currentRate    float64
+	nextTokenAt    time.Duration
+	adaptiveRate   float64 // calls a second, lowered by rejections and raised while they are absent
+	tokens         float64
+	tokensAt       time.Duration
+	paceLimited    bool // the pace held back a message in this interval
+	nextCutAt      time.Duration
+	recentCalls    decayingCount // calls
+	serverLimit    float64       // reported, in calls a second; 0 for none
+	allowanceAt    time.Duration // when the limit was reported
+	allowanceLeft  float64       // share of the limit that was left then
+	totalDemand    float64       // estimated demand of all senders in calls a second
+}
+
+// decayingCount is a count that decays exponentially.
+type decayingCount struct {
 	value float64
 	at    time.Duration
 }
 
-func (d decaying) get(now, tau time.Duration) float64 {
+func (d decayingCount) get(now, tau time.Duration) float64 {
 	if now > d.at {
 		return d.value * math.Exp(-float64(now-d.at)/float64(tau))
 	}
 	return d.value
 }
 
-func (d *decaying) add(now, tau time.Duration) { d.value, d.at = d.get(now, tau)+1, max(d.at, now) }
+func (d *decayingCount) add(now, tau time.Duration) {
+	d.value, d.at = d.get(now, tau)+1, max(d.at, now)
+}
 
-func (d decaying) until(tau time.Duration, lower float64) time.Duration {
+func (d decayingCount) until(tau time.Duration, lower float64) time.Duration {
 	if d.value > lower {
 		return d.at + time.Duration(math.Log(d.value/lower)*float64(tau)) + time.Microsecond
 	}
 	return 0
 }
 
-// decayingMean is a mean that follows new values and fades towards nought.
-type decayingMean struct{ decaying }
+// decayingMean is a mean that follows new values and decays to zero.
+type decayingMean struct{ decayingCount }
 
-// share counts one outcome as a share: 1 if it is of a kind, else 0.
-func share(of bool) float64 {
+// oneIf is 1 if a condition holds, else 0.
+func oneIf(of bool) float64 {
 	if of {
 		return 1
 	}
 	return 0
 }
 
-func (d *decayingMean) put(now, tau time.Duration, share, v float64) {
+func (d *decayingMean) record(now, tau time.Duration, share, v float64) {
 	d.value, d.at = d.get(now, tau), max(d.at, now)
 	d.value += share * (v - d.value)
 }
 
 // scanner decides as a Forwarder does.
 type scanner struct {
-	set      Settings
-	classes  map[string]*Class
-	kinds    map[string]Kind
-	tenants  map[string]*tenant
-	idleLoss [idleSteps]decayingMean // share of calls lost, by how long the connection was idle
-	longLoss decayingMean
-	longer   map[*Class]float64 // time that a class takes, over its route's usual time
-	rng      *rand.Rand
-	now      time.Duration
-
-	msgs     map[string]*message
-	held     []*message // all not yet answered, in the order taken
-	attempts map[string][]*attempt
-	lines    map[string]*keyLine
-	dests    map[int]*dest
-	order    []*dest
-	targets  map[string]*target
-	calls    []*call // out, in the order sent
-	turns    []*dest // those with messages waiting
-	doubts   [kindsOfDoubt]int
-	seq      uint64
-	usual    time.Duration
-	shy      [kindsOfDoubt]int
-	begun    time.Duration // the first Step
-	stop     time.Duration // when the host ends
-	next     time.Duration // when something falls due that no event will tell
-
-	actions []Action
-	wakeAt  time.Duration
-	asked   bool
-	askAt   time.Duration
+	settings      Settings
+	classes       map[string]*Class
+	kinds         map[string]Kind
+	tenants       map[string]*tenant
+	idleLoss      [idleSteps]decayingMean // share of calls lost, by idle time of the connection
+	longCallLoss  decayingMean
+	latencyFactor map[*Class]float64 // latency of a class, relative to its route's
+	rng           *rand.Rand
+	now           time.Duration
+
+	messages     map[string]*message
+	pending      []*message // all not yet answered, in the order taken
+	attempts     map[string][]*attempt
+	keyQueues    map[string]*keyQueue
+	destinations map[int]*destination
+	order        []*destination
+	endpoints    map[string]*endpoint
+	inFlight     []*call        // in the order sent
+	turns        []*destination // those with messages waiting
+	suspectCalls [suspicionKinds]int
+	seq          uint64
+	meanLatency  time.Duration
+	blocked      [suspicionKinds]int
+	startedAt    time.Duration // the first Step
+	stopsAt      time.Duration // when the host stops
+	nextDue      time.Duration // when something falls due without an event
+
+	actions     []Action
+	wakeAt      time.Duration
+	subscribed  bool
+	subscribeAt time.Duration
 }
 
 type tenant struct {
@@ -239,11 +242,11 @@
 func newScanner(s Settings) (*scanner, error) {
 	s.Forwarders = max(s.Forwarders, 1)
 	f := &scanner{
-		set: s, classes: map[string]*Class{}, kinds: map[string]Kind{}, tenants: map[string]*tenant{},
-		longer: map[*Class]float64{},
-		rng:    rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
-		msgs:   map[string]*message{}, attempts: map[string][]*attempt{}, lines: map[string]*keyLine{},
-		dests: map[int]*dest{}, targets: map[string]*target{}, begun: never, stop: never,
+		settings: s, classes: map[string]*Class{}, kinds: map[string]Kind{}, tenants: map[string]*tenant{},
+		latencyFactor: map[*Class]float64{},
+		rng:           rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
+		messages:      map[string]*message{}, attempts: map[string][]*attempt{}, keyQueues: map[string]*keyQueue{},
+		destinations: map[int]*destination{}, endpoints: map[string]*endpoint{}, startedAt: never, stopsAt: never,
 	}
 	for i := range s.Classes {
 		f.classes[s.Classes[i].Name] = &s.Classes[i]
@@ -258,70 +261,70 @@
 	return f, nil
 }
 
-// target finds a listed endpoint, or makes it and its route.
-func (f *scanner) target(e Target) *target {
-	if t := f.targets[e.ID]; t != nil {
-		return t
+// endpointFor finds a listed endpoint, or makes it and its route.
+func (f *scanner) endpointFor(listing Target) *endpoint {
+	if ep := f.endpoints[listing.ID]; ep != nil {
+		return ep
 	}
-	kind := f.kinds[e.Kind]
+	kind := f.kinds[listing.Kind]
 	kind.PerCall = max(kind.PerCall, 1)
-	t := &target{id: e.ID, kind: kind, zone: e.Zone, state: Gone}
-	f.targets[e.ID] = t
-	d := f.destination(e.Destination)
-	f.settleAll(d)
+	ep := &endpoint{id: listing.ID, kind: kind, zone: listing.Zone, state: Gone}
+	f.endpoints[listing.ID] = ep
+	d := f.destination(listing.Destination)
+	f.closeAllIntervals(d)
 	if kind.Apart || len(d.routes) == 0 {
 		name := strconv.Itoa(d.id)
 		if kind.Apart {
-			name = e.ID
+			name = listing.ID
 		}
-		d.routes = append(d.routes, f.freshRoute(name, d))
+		d.routes = append(d.routes, f.newRoute(name, d))
 	}
-	t.route = d.routes[len(d.routes)-1]
-	t.route.targets = append(t.route.targets, t)
-	return t
+	ep.route = d.routes[len(d.routes)-1]
+	ep.route.endpoints = append(ep.route.endpoints, ep)
+	return ep
 }
 
-// dropGone forgets a target that is gone once no call to it is out. What it taught the route that it
-// shared with others stays; a route of its own goes with it.
-func (f *scanner) dropGone(t *target) {
-	if t.state != Gone || t.out > 0 || f.targets[t.id] != t {
+// removeIfGone removes an endpoint that is gone once no call to it is in flight. What the route that it
+// shared with others learned stays; a route of its own goes with it.
+func (f *scanner) removeIfGone(ep *endpoint) {
+	if ep.state != Gone || ep.inFlight > 0 || f.endpoints[ep.id] != ep {
 		return
 	}
-	delete(f.targets, t.id)
-	r := t.route
-	f.settleAll(r.dest)
-	r.targets = without(r.targets, t)
-	if t.kind.Apart && len(r.targets) == 0 {
-		r.dest.routes = without(r.dest.routes, r)
+	delete(f.endpoints, ep.id)
+	r := ep.route
+	f.closeAllIntervals(r.dest)
+	r.endpoints = withoutItem(r.endpoints, ep)
+	if ep.kind.Apart && len(r.endpoints) == 0 {
+		r.dest.routes = withoutItem(r.dest.routes, r)
 	}
 }
 
-// dropQuiet forgets the destinations that have had no target, message or call for long.
-func (f *scanner) dropQuiet() {
-	f.order = slices.DeleteFunc(f.order, func(d *dest) bool {
+// expireDestinations removes the destinations that have had no endpoint, message or call for long.
+func (f *scanner) expireDestinations() {
+	f.order = slices.DeleteFunc(f.order, func(d *destination) bool {
 		for _, r := range d.routes {
-			if len(r.targets)+len(r.calls) > 0 || f.now < r.told || f.now-r.touched <= forget {
+			if len(r.endpoints)+len(r.inFlight) > 0 || f.now < r.retryAfter || f.now-r.lastUsedAt <= forgetAfter {
 				return false
 			}
 		}
-		if len(d.waiting) > 0 || len(d.routes) == 0 && f.now-d.served <= forget {
+		if len(d.waiting) > 0 || len(d.routes) == 0 && f.now-d.lastScheduled <= forgetAfter {
 			return false
 		}
-		delete(f.dests, d.id)
+		delete(f.destinations, d.id)
 		return true
 	})
 }
 
-func (f *scanner) freshRoute(name string, d *dest) *route {
-	return &route{name: name, dest: d, okSent: -1, ratio: startRatio, interval: f.now, rate: math.Inf(1), room: 1, touched: f.now,
-		pace: math.Inf(1), tokens: 1, filled: f.now, free: f.now, silence: untried}
+func (f *scanner) newRoute(name string, d *destination) *route {
+	return &route{name: name, dest: d, lastSuccessSentAt: -1, retryRatio: initialRetryRatio, intervalStart: f.now, adaptiveRate: math.Inf(1), allowanceLeft: 1, lastUsedAt: f.now,
+		currentRate: math.Inf(1), tokens: 1, tokensAt: f.now, nextTokenAt: f.now, suspicion: untested}
 }
 
-func (f *scanner) destination(id int) *dest {
-	d := f.dests[id]
+func (f *scanner) destination(id int) *destination {
+	d := f.destinations[id]
 	if d == nil {
-		d = &dest{id: id, most: math.Inf(1)}
-		f.dests[id] = d
+		d = &destination{id: id, connectedLimit: math.Inf(1)}
+		f.destinations[id] = d
 		f.order = append(f.order, d)
 	}
 	return d
@@ -330,7 +333,7 @@
 func (f *scanner) takeAttempt(o Outcome) *attempt {
 	list := f.attempts[o.Message]
 	for i, a := range list {
-		if a.n == o.Attempt {
+		if a.number == o.Attempt {
 			f.attempts[o.Message] = append(list[:i:i], list[i+1:]...)
 			return a
 		}
@@ -338,8 +341,8 @@
 	return nil
 }
 
-// without removes one item and keeps the order.
-func without[T comparable](list []T, item T) []T {
+// withoutItem removes one item and keeps the order.
+func withoutItem[T comparable](list []T, item T) []T {
 	for i, x := range list {
 		if x == item {
 			return slices.Delete(list, i, i+1)
@@ -348,120 +351,121 @@
 	return list
 }
 
-// queue puts a message last in the line of its key.
-func (f *scanner) queue(m *message, key string) {
-	m.line = f.lines[key]
-	if m.line == nil {
-		m.line = &keyLine{key: key}
-		f.lines[key] = m.line
+// enqueueByKey appends a message to the queue of its key.
+func (f *scanner) enqueueByKey(m *message, key string) {
+	m.keyQueue = f.keyQueues[key]
+	if m.keyQueue == nil {
+		m.keyQueue = &keyQueue{key: key}
+		f.keyQueues[key] = m.keyQueue
 	}
-	m.line.queue = append(m.line.queue, m)
+	m.keyQueue.queue = append(m.keyQueue.queue, m)
 }
 
-func (f *scanner) hold(m *message) {
-	f.settleAll(m.dest)
+func (f *scanner) enqueue(m *message) {
+	f.closeAllIntervals(m.dest)
 	if len(m.dest.waiting) == 0 {
 		f.turns = append(f.turns, m.dest)
 		f.seq++
-		m.dest.turn = f.seq
+		m.dest.queuedSeq = f.seq
 	}
 	m.dest.waiting = append(m.dest.waiting, m)
-	f.touch(m.dest)
+	f.invalidate(m.dest)
 }
 
-func (f *scanner) unhold(m *message) {
+func (f *scanner) dequeue(m *message) {
 	if !slices.Contains(m.dest.waiting, m) {
 		return
 	}
-	f.settleAll(m.dest)
-	m.dest.waiting = without(m.dest.waiting, m)
+	f.closeAllIntervals(m.dest)
+	m.dest.waiting = withoutItem(m.dest.waiting, m)
 	if len(m.dest.waiting) == 0 {
-		f.turns = without(f.turns, m.dest)
+		f.turns = withoutItem(f.turns, m.dest)
 	}
-	f.touch(m.dest)
+	f.invalidate(m.dest)
 }
 
-func callsOut(d *dest) (n int) {
+func callsOut(d *destination) (n int) {
 	for _, r := range d.routes {
-		n += len(r.calls)
+		n += len(r.inFlight)
 	}
 	return n
 }
 
 func trialOut(r *route) bool {
-	for _, c := range r.calls {
-		if c.trial {
+	for _, c := range r.inFlight {
+		if c.isProbe {
 			return true
 		}
 	}
 	return false
 }
 
-func (f *scanner) weight(r *route) (w float64) {
-	for _, t := range r.targets {
-		if t.state == Active {
-			w = max(w, t.weight)
+func (f *scanner) listedWeight(r *route) (w float64) {
+	for _, ep := range r.endpoints {
+		if ep.state == Active {
+			w = max(w, ep.weight)
 		}
 	}
 	return w
 }
 
-func allOpen(routes []*route) bool {
+func allCircuitsOpen(routes []*route) bool {
 	for _, r := range routes {
-		if !r.open {
+		if !r.circuitOpen {
 			return false
 		}
 	}
 	return true
 }
 
-// forget drops a message that is over; its key's line waits until no attempt is out.
-func (f *scanner) forget(m *message) {
-	if !m.over {
-		m.over = true
-		f.held = without(f.held, m)
-		if m.granted != nil {
-			m.granted.reserved--
-			m.granted = nil
+// completeMessage removes a message that is completed; its place in its key's queue stays until no attempt
+// is in flight.
+func (f *scanner) completeMessage(m *message) {
+	if !m.completed {
+		m.completed = true
+		f.pending = withoutItem(f.pending, m)
+		if m.retryGrant != nil {
+			m.retryGrant.reservedRetries--
+			m.retryGrant = nil
 		}
-		f.unhold(m)
+		f.dequeue(m)
 	}
-	if m.out > 0 {
+	if m.inFlight > 0 {
 		return
 	}
-	delete(f.msgs, m.id)
+	delete(f.messages, m.id)
 	delete(f.attempts, m.id)
-	if m.line != nil {
-		m.line.queue = without(m.line.queue, m)
-		if len(m.line.queue) == 0 && f.now >= m.line.rests {
-			delete(f.lines, m.line.key)
+	if m.keyQueue != nil {
+		m.keyQueue.queue = withoutItem(m.keyQueue.queue, m)
+		if len(m.keyQueue.queue) == 0 && f.now >= m.keyQueue.idleUntil {
+			delete(f.keyQueues, m.keyQueue.key)
 		}
 	}
 }
 
-func (f *scanner) startCall(t *target) *call {
-	r := t.route
-	f.settleAll(r.dest)
+func (f *scanner) startCall(ep *endpoint) *call {
+	r := ep.route
+	f.closeAllIntervals(r.dest)
 	f.seq++
-	c := &call{route: r, target: t, sent: f.now, trial: r.open, seq: f.seq}
-	if n := f.idle(t); n > 0 { // the host uses the one used last
-		c.idle = idleStep(f.now - t.free[n-1])
-		t.free = t.free[:n-1]
-	}
-	r.calls = append(r.calls, c)
-	f.fill(r, f.now)
-	if !math.IsInf(r.pace, 1) {
+	c := &call{route: r, endpoint: ep, sentAt: f.now, isProbe: r.circuitOpen, seq: f.seq}
+	if n := f.idleConnections(ep); n > 0 { // the host uses the most recent one
+		c.idleStep = idleStep(f.now - ep.idleSince[n-1])
+		ep.idleSince = ep.idleSince[:n-1]
+	}
+	r.inFlight = append(r.inFlight, c)
+	f.refillTokens(r, f.now)
+	if !math.IsInf(r.currentRate, 1) {
 		r.tokens = max(0, r.tokens-1)
 	}
-	if r.silence != noDoubt {
-		f.suspect(c)
+	if r.suspicion != notSuspect {
+		f.countSuspect(c)
 	}
-	r.sent.add(f.now, rateSpan)
-	r.touched = f.now
-	f.calls = append(f.calls, c)
-	t.out++
-	t.uses.add(f.now, max(f.set.ConnIdle, 1))
-	t.place = f.now
+	r.recentCalls.add(f.now, rateWindow)
+	r.lastUsedAt = f.now
+	f.inFlight = append(f.inFlight, c)
+	ep.inFlight++
+	ep.recentCalls.add(f.now, max(f.settings.ConnIdle, 1))
+	ep.lastScheduled = f.now
 	return c
 }
 
@@ -469,177 +473,177 @@
 	return time.Duration(f.rng.Float64() * float64(most))
 }
 
-// pacing is how much longer than others at the same route the messages of a class take.
-func (f *scanner) pacing(c *Class) float64 {
-	if p, ok := f.longer[c]; ok {
+// classLatencyFactor is how much longer than others at the same route the messages of a class take.
+func (f *scanner) classLatencyFactor(class *Class) float64 {
+	if p, ok := f.latencyFactor[class]; ok {
 		return p
 	}
 	return 1
 }
 
-// idleStep puts idle times into steps, each twice as long as the one before.
+// idleStep buckets idle times, each bucket twice as wide as the one before.
 func idleStep(idle time.Duration) (step int) {
-	for limit := firstIdle; step < idleSteps-1 && idle >= limit; limit *= 2 {
+	for limit := firstIdleStep; step < idleSteps-1 && idle >= limit; limit *= 2 {
 		step++
 	}
 	return step
 }
 
-// noteLoss counts a call that was reset or is overdue as lost, by how long its connection was idle.
-func (f *scanner) noteLoss(c *call) {
-	if !c.missed {
-		c.missed = true
-		f.idleLoss[c.idle].put(f.now, forget, idleShare, 1)
+// countLoss counts a call that was reset or is overdue as lost, by how long its connection was idle.
+func (f *scanner) countLoss(c *call) {
+	if !c.lossCounted {
+		c.lossCounted = true
+		f.idleLoss[c.idleStep].record(f.now, forgetAfter, idleLossWeight, 1)
 	}
 }
 
-// idle is the number of connections to a target believed to be open and free.
-func (f *scanner) idle(t *target) int {
+// idleConnections is the number of connections to an endpoint believed to be open and idle.
+func (f *scanner) idleConnections(ep *endpoint) int {
 	n := 0
-	for n < len(t.free) && f.now-t.free[n] >= f.set.ConnIdle {
+	for n < len(ep.idleSince) && f.now-ep.idleSince[n] >= f.settings.ConnIdle {
 		n++
 	}
-	t.free = slices.Delete(t.free, 0, n)
-	return len(t.free)
+	ep.idleSince = slices.Delete(ep.idleSince, 0, n)
+	return len(ep.idleSince)
 }
 
-func (f *scanner) withdraw(w Withdrawn) {
-	if m := f.msgs[w.Message]; m != nil {
-		f.forget(m)
+func (f *scanner) withdrawMessage(w Withdrawn) {
+	if m := f.messages[w.Message]; m != nil {
+		f.completeMessage(m)
 	}
 }
 
-func (f *scanner) closeIdle(t *target) {
-	f.do(CloseIdle{Target: t.id})
-	t.free = nil
+func (f *scanner) closeIdleConnections(ep *endpoint) {
+	f.emit(CloseIdle{Target: ep.id})
+	ep.idleSince = nil
 }
 
 const (
 	// The design's own figures.
-	startRatio   = 0.2  // retry budget at the start, and its cap
-	floorRatio   = 0.01 // its floor
-	adjustEvery  = time.Second
-	highFailure  = 0.3 // above this share of failures the budget halves
-	lowFailure   = 0.05
-	growth       = 0.1
-	firstBackoff = 100 * time.Millisecond
-	maxFurther   = 3   // further tries for one message
-	nearlySpent  = 0.1 // an allowance with less left than this stops further tries
+	initialRetryRatio    = 0.2  // at the start, and the cap
+	minRetryRatio        = 0.01 // the floor
+	adjustInterval       = time.Second
+	highFailureShare     = 0.3 // above it the budget halves
+	lowFailureShare      = 0.05
+	retryRatioGrowth     = 0.1
+	firstBackoff         = 100 * time.Millisecond
+	maxRetries           = 3   // of one message
+	allowanceNearlySpent = 0.1 // with less left there are no retries
 
 	// Extensions.
-	refusedBackoff = 2 * adjustEvery // first backoff after a refusal that tells no wait
-
-	enoughSeen  = 10                     // outcomes to judge a failure rate by
-	memory      = 10 * time.Second       // span over which tries are counted, and doubt fades
-	forget      = 60 * time.Second       // a route not used for so long starts afresh; losses fade over it
-	answerEarly = 15 * time.Millisecond  // held messages are answered so long before their time is up
-	keyMargin   = 300 * time.Millisecond // a keyed repeat keeps this far from the end of its window
-	guessTime   = 400 * time.Millisecond // time to answer, before any was seen
-	minPatience = 600 * time.Millisecond // no call is overdue before this
-	lateFactor  = 4                      // times the usual time: overdue if others are too
-	lostFactor  = 7                      // overdue on its own
-	minTimeout  = 1500 * time.Millisecond
-	timeFactor  = 10 // time-out of a call that may be repeated, over the usual time
-
-	idleSteps  = 9 // steps of the time that a connection was idle
-	firstIdle  = 60 * time.Millisecond
-	lossShare  = 1.0 / 8 // weight of one call in the share lost
-	longFactor = 4.0
-	lostLong   = 1.5
-	idleShare  = 1.0 / 16 // the same for connections of one idle time
-	staleLoss  = 0.17     // above this share, connections idle for so long are not used
-	roomCost   = 0.1      // price of a connection that idles at a target
-	tableRoom  = 20.0     // connections that a small table takes: fewer senders than that can't fill it
-	rareGap    = 1.65
-
-	fullsPerFail  = 2.0 // so many refusals in a row say as much of an outage as one failure
-	trialShare    = 0.5 // of what a cold route may be sent: trial calls of all senders together
-	halfFailing   = 0.5 // share of outcomes in doubt that opens a route and lets unsafe messages wait
-	firstTrial    = 300 * time.Millisecond
-	longestTrial  = 1500 * time.Millisecond
-	fewSenders    = 4.0  // so many may each make trial calls so far apart; more leave each other room
-	proofOfOutage = 3    // failures in a row, at most, that open a route; what comes back then is cold
-	goodsToClose  = 2    // good trial calls that close a route
-	warmShare     = 0.75 // of what the rule on return allows
-	evenOut       = 0.25 // of a call: differences in cost that chance may outweigh
-	failCost      = 4    // calls out that an endpoint failing all calls seems to have too many
-
-	minRate     = 1.0  // calls a second that all senders together may make at least, whatever is refused
-	leastPart   = 0.5  // of the own part: refusals don't cut the pace below
-	fullUse     = 0.85 // of the equal part of a limit: with so much each the limit is not used up
-	evenRoom    = 0.5  // share of an allowance that is left where all senders together keep to the limit
-	littleRoom  = 0.2  // with less, a sender keeps to its own part
-	muchRoom    = 0.7  // with more, it may use it all
-	crowdUp     = 1.0  // a second: how soon more is taken to be asked for than fits, after refusals
-	crowdDown   = 0.3  // and while the allowance says so
-	mostCrowd   = 16   // times the limit that all senders together may ask for
-	steadyLimit = 0.3  // a told limit that differs by less is noise
-	cutTo       = 0.7  // of what was sent, after a refusal
-	paceUp      = 1.25
-	rateSpan    = 3 * time.Second
-	slotShare   = 0.5
-	doubtShare  = 0.75
-	silentShare = 1.0 / 8
-	fullShare   = 1.0 / 32
-	crowdShare  = 0.25
-	fewSilent   = 8
-	longDoubt   = 3
-	lossSpan    = time.Second
-	stopFactor  = 3   // times the usual time that a call needs before the host ends
-	fullHold    = 0.9 // of the hold: from here on the least worth is shed
-	earlyPrice  = 0.3
-	early       = 0.7
+	rejectedBackoff = 2 * adjustInterval // after a rejection without a retry-after time
+
+	minOutcomes          = 10                     // to judge a failure rate by
+	recentWindow         = 10 * time.Second       // span of the counts of attempts and outcomes
+	forgetAfter          = 60 * time.Second       // an unused route is reset after it; losses decay over it
+	answerMargin         = 15 * time.Millisecond  // queued messages are answered so long before their deadline
+	keyWindowMargin      = 300 * time.Millisecond // a keyed repeat keeps this far from the end of its window
+	assumedLatency       = 400 * time.Millisecond // before any was measured
+	minOverdue           = 600 * time.Millisecond // no call is overdue before it
+	lateLatencyFactor    = 4                      // latencies: overdue if others are too
+	lostLatencyFactor    = 7                      // latencies: overdue on its own
+	minTimeout           = 1500 * time.Millisecond
+	timeoutLatencyFactor = 10 // latencies: timeout of a repeatable call
+
+	idleSteps          = 9 // buckets of connection idle times
+	firstIdleStep      = 60 * time.Millisecond
+	lossWeight         = 1.0 / 8 // weight of one call in loss and failure shares
+	longCallFactor     = 4.0
+	lostLongCallFactor = 1.5
+	idleLossWeight     = 1.0 / 16 // weight of one call in idleLoss
+	staleLossShare     = 0.17     // connections idle for so long are not used above it
+	idleConnectionCost = 0.1      // price of an idle connection at a small table
+	smallTableSize     = 20.0     // connections: fewer senders can't fill a table
+	rareGapDeviations  = 1.65
+
+	rejectionsPerFailure = 2.0 // so many weigh as much as one failure
+	probeShare           = 0.5 // of what a cold route may get: probes of all senders together
+	halfFailingShare     = 0.5 // of unclear outcomes: opens the circuit and holds unsafe messages
+	minProbeInterval     = 300 * time.Millisecond
+	maxProbeInterval     = 1500 * time.Millisecond
+	unspacedSenders      = 4.0  // so many may each probe at maxProbeInterval; more space their probes out
+	maxOutageEvidence    = 3    // failures in a row that always open a circuit
+	probesToClose        = 2    // successful ones that close a circuit
+	slowStartShare       = 0.75 // of what the fail-back rule allows
+	recencyCost          = 0.25 // calls: differences in cost that chance may outweigh
+	failureCost          = 4    // calls in flight that a failure share of 1 weighs
+
+	minTotalRate         = 1.0  // calls a second of all senders, whatever is rejected
+	minOwnShare          = 0.5  // of the own share: rejections cut no deeper
+	overloadShare        = 0.85 // of the equal share: if all keep to it the limit is not used up
+	balancedAllowance    = 0.5  // share left where all senders together keep to the limit
+	scarceAllowance      = 0.2  // with less, a sender keeps to its own share
+	ampleAllowance       = 0.7  // with more, it may use the whole limit
+	demandRise           = 1.0  // a second: growth of the estimated demand after rejections
+	demandDrift          = 0.3  // the same while the allowance is scarce
+	maxDemandFactor      = 16   // times the limit: bound of the estimated demand
+	limitNoise           = 0.3  // relative differences of reported limits that are smoothed
+	rateCut              = 0.7  // of the rate sent, after a rejection
+	rateGrowth           = 1.25
+	rateWindow           = 3 * time.Second
+	routeQuota           = 0.5
+	suspectQuota         = 0.75
+	unresponsiveQuota    = 1.0 / 8
+	scarceQuota          = 1.0 / 32
+	occupiedQuota        = 0.25
+	minUnresponsiveCalls = 8
+	maxCancelDoublings   = 3
+	valueLossSpan        = time.Second
+	stopLatencyFactor    = 3   // latencies that must be left before the host stops
+	shedThreshold        = 0.9 // of MaxHeld: from here on messages are shed
+	earlyShedCost        = 0.3
+	earlyShedAge         = 0.7
 )
 
 // Step takes the clock and what happened since the last Step, and returns what to do, in order.
 func (f *scanner) Step(now time.Duration, events []Event) []Action {
 	f.now = max(f.now, now)
-	if f.begun == never {
-		f.begun = f.now
+	if f.startedAt == never {
+		f.startedAt = f.now
 	}
-	f.actions, f.next = nil, never
+	f.actions, f.nextDue = nil, never
 	for _, e := range events {
 		switch e := e.(type) {
 		case TargetList:
-			f.list(e)
+			f.applySnapshot(e)
 		case Message:
-			f.take(e)
+			f.acceptMessage(e)
 		case Outcome:
-			f.outcome(e)
+			f.handleOutcome(e)
 		case Crowded:
-			if m := f.least(); m != nil && allOpen(m.dest.routes) {
-				f.answer(m)
+			if m := f.leastValuable(); m != nil && allCircuitsOpen(m.dest.routes) {
+				f.answerMessage(m)
 			}
 		case Withdrawn:
-			f.withdraw(e)
+			f.withdrawMessage(e)
 		case Stopping:
-			f.stop = min(f.stop, f.now+e.Left)
+			f.stopsAt = min(f.stopsAt, f.now+e.Left)
 		case Woken:
-			f.wakeAt = f.now // the host may have rounded the time: ask again for what is still to come
+			f.wakeAt = f.now // the host may have rounded the time: ask again
 		case PeerWait:
-			if t := f.targets[e.Target]; t != nil {
-				f.settleAll(t.route.dest)
-				t.route.told = max(t.route.told, f.now+e.Wait)
-				f.touch(t.route.dest)
+			if ep := f.endpoints[e.Target]; ep != nil {
+				f.closeAllIntervals(ep.route.dest)
+				ep.route.retryAfter = max(ep.route.retryAfter, f.now+e.Wait)
+				f.invalidate(ep.route.dest)
 			}
 		}
 	}
-	f.askForList()
-	f.answerInTime()
-	f.watchCalls()
-	f.sendWaiting()
-	f.watchNew()
+	f.subscribeIfDue()
+	f.answerDue()
+	f.checkOverdue()
+	f.sendQueued()
+	f.checkNewCalls()
 	f.freeSlots()
-	f.setWake()
+	f.scheduleWake()
 	return f.actions
 }
 
-func (f *scanner) do(a Action) { f.actions = append(f.actions, a) }
+func (f *scanner) emit(a Action) { f.actions = append(f.actions, a) }
 
-// before tells whether a time is still to come; the host is then asked for a Step at that time.
-func (f *scanner) before(t time.Duration) bool {
+// waitUntil reports whether a time is still to come; if so, the host is asked for a Step at that time.
+func (f *scanner) waitUntil(t time.Duration) bool {
 	if f.now < t {
-		f.next = min(f.next, t)
+		f.nextDue = min(f.nextDue, t)
 		return true
 	}
 	return false
@@ -647,116 +651,116 @@
 
 // ---- The list of targets.
 
-func (f *scanner) list(l TargetList) {
-	if l.Scope == Unavailable {
-		f.asked = false
-		f.askAt = f.now + f.jitter(f.set.AskEvery)
+func (f *scanner) applySnapshot(snapshot TargetList) {
+	if snapshot.Scope == Unavailable {
+		f.subscribed = false
+		f.subscribeAt = f.now + f.jitter(f.settings.AskEvery)
 		return
 	}
 	listed := map[string]bool{}
-	for _, e := range l.Targets {
-		listed[e.ID] = true
-		f.listed(f.target(e), e)
+	for _, listing := range snapshot.Targets {
+		listed[listing.ID] = true
+		f.updateEndpoint(f.endpointFor(listing), listing)
 	}
-	for id, t := range f.targets { // a target missing from a whole list is gone
-		if l.Scope != Changes && !listed[id] {
-			f.listed(t, Target{Zone: t.zone, State: Gone, Weight: t.weight})
+	for id, ep := range f.endpoints { // an endpoint missing from a snapshot is gone
+		if snapshot.Scope != Changes && !listed[id] {
+			f.updateEndpoint(ep, Target{Zone: ep.zone, State: Gone, Weight: ep.weight})
 		}
 	}
-	f.dropQuiet()
+	f.expireDestinations()
 }
 
-// listed takes what a list says of one target.
-func (f *scanner) listed(t *target, e Target) {
-	if t.state == e.State && t.zone == e.Zone && t.weight == e.Weight && t.backup == e.Backup && e.State != Gone {
+// updateEndpoint applies the listing of one endpoint.
+func (f *scanner) updateEndpoint(ep *endpoint, listing Target) {
+	if ep.state == listing.State && ep.zone == listing.Zone && ep.weight == listing.Weight && ep.backup == listing.Backup && listing.State != Gone {
 		return
 	}
-	d := t.route.dest
-	f.settleAll(d)
-	if t.state != Active && e.State == Active {
-		f.requeue(t)
+	d := ep.route.dest
+	f.closeAllIntervals(d)
+	if ep.state != Active && listing.State == Active {
+		f.resetTurn(ep)
 	}
-	t.state, t.zone, t.weight, t.backup = e.State, e.Zone, e.Weight, e.Backup
-	f.dropGone(t)
-	f.touch(d)
+	ep.state, ep.zone, ep.weight, ep.backup = listing.State, listing.Zone, listing.Weight, listing.Backup
+	f.removeIfGone(ep)
+	f.invalidate(d)
 }
 
-func (f *scanner) askForList() {
-	if f.set.MustAsk && !f.asked && !f.before(f.askAt) {
-		f.asked = true
-		f.do(Subscribe{})
+func (f *scanner) subscribeIfDue() {
+	if f.settings.MustAsk && !f.subscribed && !f.waitUntil(f.subscribeAt) {
+		f.subscribed = true
+		f.emit(Subscribe{})
 	}
 }
 
 // ---- A message is taken.
 
-func (f *scanner) take(e Message) {
-	if f.msgs[e.ID] != nil {
+func (f *scanner) acceptMessage(e Message) {
+	if f.messages[e.ID] != nil {
 		return
 	}
-	c := f.classes[e.Class]
+	class := f.classes[e.Class]
 	switch {
-	case e.Recovered && c == nil:
-		f.do(Fail{Message: e.ID})
+	case e.Recovered && class == nil:
+		f.emit(Fail{Message: e.ID})
 		return
-	case e.Recovered: // it is owed its answer, whatever else holds
-	case c == nil || e.Left <= 0:
-		f.do(Refuse{Message: e.ID})
+	case e.Recovered: // it was accepted: it must get its answer
+	case class == nil || e.Left <= 0:
+		f.emit(Refuse{Message: e.ID})
 		return
-	case f.set.MaxHeld > 0 && len(f.held) >= f.set.MaxHeld:
-		f.do(Refuse{Message: e.ID, Wait: f.advice(f.destination(e.Destination))})
+	case f.settings.MaxHeld > 0 && len(f.pending) >= f.settings.MaxHeld:
+		f.emit(Refuse{Message: e.ID, Wait: f.retryAdvice(f.destination(e.Destination))})
 		return
 	}
 	f.seq++
-	m := &message{id: e.ID, seq: f.seq, class: c, dest: f.destination(e.Destination), worth: c.Worth,
-		born: f.now + e.Left - c.Deadline, deadline: f.now + e.Left, among: e.Among}
-	if f.overShare(e.Tenant) {
-		m.worth = c.Worth * f.set.OverShareWorth
+	m := &message{id: e.ID, seq: f.seq, class: class, dest: f.destination(e.Destination), value: class.Worth,
+		createdAt: f.now + e.Left - class.Deadline, deadline: f.now + e.Left, filter: e.Among}
+	if f.exceedsQuota(e.Tenant) {
+		m.value = class.Worth * f.settings.OverShareWorth
 	}
-	if c.KeepsOrder && e.Key != "" {
-		f.queue(m, e.Key)
+	if class.KeepsOrder && e.Key != "" {
+		f.enqueueByKey(m, e.Key)
 	}
-	f.msgs[m.id] = m
-	f.held = append(f.held, m)
-	f.settleAll(m.dest)
+	f.messages[m.id] = m
+	f.pending = append(f.pending, m)
+	f.closeAllIntervals(m.dest)
 	for _, r := range m.dest.routes {
-		f.age(r)
+		f.resetIfUnused(r)
 	}
 	if e.Recovered {
-		f.recover(m, e)
+		f.recoverMessage(m, e)
 		return
 	}
-	m.dest.taken.add(f.now, forget)
-	f.hold(m)
-	f.shed(m)
+	m.dest.accepted.add(f.now, forgetAfter)
+	f.enqueue(m)
+	f.shedIfFull(m)
 }
 
-// recover goes on with a message from before a restart. A try that the restart cut off is no
-// failure of its destination, so the next one is not a further try. What was known of outages is
-// gone, and what waited may have waited for one to end: its routes are entered like returning ones.
-func (f *scanner) recover(m *message, e Message) {
-	m.attempts, m.tries, m.mayRan, m.owed = e.Attempts, e.Attempts, e.MayHaveRun, true
+// recoverMessage resumes a message from before a restart. An attempt that the restart interrupted is no
+// failure of its destination, so the next one is no retry. Knowledge of outages is lost, and the queue may
+// have built up during one: routes begin with a slow start.
+func (f *scanner) recoverMessage(m *message, e Message) {
+	m.attempts, m.sends, m.mayHaveRun, m.recovered = e.Attempts, e.Attempts, e.MayHaveRun, true
 	if e.Open {
-		m.tries--
+		m.sends--
 	}
-	m.tries = min(m.tries, maxFurther)
-	if m.mayRan && m.class.Effect != Pure || f.usedUp(m) || f.now >= m.ends() {
-		f.answer(m) // when a keyed one may have run is not known any more
+	m.sends = min(m.sends, maxRetries)
+	if m.mayHaveRun && m.class.Effect != Pure || f.attemptsExhausted(m) || f.now >= m.answerDeadline() {
+		f.answerMessage(m) // the time at which a keyed one ran is lost
 		return
 	}
 	for _, r := range m.dest.routes {
-		if r.okSent < 0 && !r.warming {
-			r.warming, r.warm0 = true, f.now
+		if r.lastSuccessSentAt < 0 && !r.slowStart {
+			r.slowStart, r.slowStartAt = true, f.now
 		}
-		if f.fairPart(r) <= 0 { // no limit is told: what waits is all there is to pace the return by
-			m.dest.taken.add(f.now, forget)
+		if f.equalShare(r) <= 0 { // without a limit the queue alone sets the pace
+			m.dest.accepted.add(f.now, forgetAfter)
 		}
 	}
-	f.hold(m)
+	f.enqueue(m)
 }
 
-// overShare tells whether a tenant has used up this forwarder's part of its quota.
-func (f *scanner) overShare(name string) bool {
+// exceedsQuota reports whether a tenant has used up this forwarder's part of its quota.
+func (f *scanner) exceedsQuota(name string) bool {
 	t := f.tenants[name]
 	if t == nil || t.quota <= 0 {
 		return false
@@ -770,42 +774,43 @@
 	return false
 }
 
-// shed makes room in an almost full hold by refusing what is worth least, so that messages
-// for destinations in trouble don't keep out those for the others.
-func (f *scanner) shed(taken *message) {
-	if f.set.MaxHeld == 0 || float64(len(f.held)) < fullHold*float64(f.set.MaxHeld) {
+// shedIfFull rejects the least valuable message when the queues are almost full, so that messages for
+// failing destinations do not displace the others. If others are queued before it, a new message is rejected
+// before an old one of slightly less value, since its client has no acceptance yet.
+func (f *scanner) shedIfFull(incoming *message) {
+	if f.settings.MaxHeld == 0 || float64(len(f.pending)) < shedThreshold*float64(f.settings.MaxHeld) {
 		return
 	}
-	if m := f.least(); m != nil {
+	if m := f.leastValuable(); m != nil {
 		promised := 0.0
-		if left := float64(m.deadline-f.now) / float64(m.class.Deadline); left > 1-early {
-			promised = earlyPrice * m.worth
+		if left := float64(m.deadline-f.now) / float64(m.class.Deadline); left > 1-earlyShedAge {
+			promised = earlyShedCost * m.value
 		}
-		if len(taken.dest.waiting) > 1 && f.value(taken) <= f.value(m)+promised {
-			m = taken
+		if len(incoming.dest.waiting) > 1 && f.valueWhenSent(incoming) <= f.valueWhenSent(m)+promised {
+			m = incoming
 		}
-		f.answer(m)
+		f.answerMessage(m)
 	}
 }
 
-func (f *scanner) value(m *message) float64 {
-	return m.worth * f.share(m.class, f.now+f.queueTime(m.dest)-m.born)
+func (f *scanner) valueWhenSent(m *message) float64 {
+	return m.value * f.valueShare(m.class, f.now+f.queueDrainTime(m.dest)-m.createdAt)
 }
 
-func (f *scanner) least() (least *message) {
+func (f *scanner) leastValuable() (least *message) {
 	var lowest float64
-	if f.set.MaxHeld == 0 {
+	if f.settings.MaxHeld == 0 {
 		return nil
 	}
-	for _, m := range f.held {
-		if m.out > 0 || m.owed || !f.refusable(m) {
+	for _, m := range f.pending {
+		if m.inFlight > 0 || m.recovered || !f.isRefusable(m) {
 			continue
 		}
-		delay := f.queueTime(m.dest)
-		v := f.value(m)
-		born := m.born - delay
+		delay := f.queueDrainTime(m.dest)
+		v := f.valueWhenSent(m)
+		born := m.createdAt - delay
 		if least != nil {
-			other := least.born - f.queueTime(least.dest)
+			other := least.createdAt - f.queueDrainTime(least.dest)
 			if v > lowest || v == lowest && (born > other || born == other && m.seq > least.seq) {
 				continue
 			}
@@ -815,373 +820,368 @@
 	return least
 }
 
-// queueTime is how long it takes until the last of those that wait for a destination is sent. Where
-// all routes are open they go out by trial calls only: so messages for a destination that does not
-// answer are worth least in a hold that is almost full, and make room for the others.
-func (f *scanner) queueTime(d *dest) time.Duration {
-	each := f.usualTime(d.routes)
-	if len(d.routes) > 0 && allOpen(d.routes) {
+// queueDrainTime is how long it takes to send all that is queued for a destination. With all circuits open
+// only probes go out, so messages for a failing destination are worth least and are shed first.
+func (f *scanner) queueDrainTime(d *destination) time.Duration {
+	each := f.expectedLatency(d.routes)
+	if len(d.routes) > 0 && allCircuitsOpen(d.routes) {
 		for _, r := range d.routes {
-			each = max(each, r.gap)
+			each = max(each, r.probeInterval)
 		}
 	}
 	return time.Duration(len(d.waiting)) * each
 }
 
-// share is the share of its worth that a message of a class has at an age.
-func (f *scanner) share(c *Class, age time.Duration) float64 {
-	if age <= c.Aim || c.Aim <= 0 {
+// valueShare is the share of its value that a message of a class has left at an age.
+func (f *scanner) valueShare(class *Class, age time.Duration) float64 {
+	if age <= class.Aim || class.Aim <= 0 {
 		return 1
 	}
-	if age >= c.Deadline {
+	if age >= class.Deadline {
 		return 0
 	}
-	if f.set.Decay == Halves {
-		return max(c.LateShare, math.Pow(0.5, float64(age-c.Aim)/float64(c.Aim)))
+	if f.settings.Decay == Halves {
+		return max(class.LateShare, math.Pow(0.5, float64(age-class.Aim)/float64(class.Aim)))
 	}
-	return 1 - (1-c.LateShare)*float64(age-c.Aim)/float64(c.Deadline-c.Aim)
+	return 1 - (1-class.LateShare)*float64(age-class.Aim)/float64(class.Deadline-class.Aim)
 }
 
 // ---- Sending. Free slots go in turns over the waiting destinations.
 
-func (f *scanner) sendWaiting() {
+func (f *scanner) sendQueued() {
 	turns := slices.Clone(f.turns)
-	next := f.next
-	f.shy = [kindsOfDoubt]int{}
-	for len(turns) > 0 && len(f.calls) < f.set.Slots {
-		d := slices.MinFunc(turns, func(a, b *dest) int { // fewest calls out first
-			return cmp.Or(cmp.Compare(callsOut(a), callsOut(b)), cmp.Compare(a.served, b.served), cmp.Compare(a.turn, b.turn))
+	next := f.nextDue
+	f.blocked = [suspicionKinds]int{}
+	for len(turns) > 0 && len(f.inFlight) < f.settings.Slots {
+		d := slices.MinFunc(turns, func(a, b *destination) int { // fewest calls out first
+			return cmp.Or(cmp.Compare(callsOut(a), callsOut(b)), cmp.Compare(a.lastScheduled, b.lastScheduled), cmp.Compare(a.queuedSeq, b.queuedSeq))
 		})
-		sent, gate, by := f.sendOne(d)
+		sent, eligibleAt, bound := f.sendFrom(d)
 		if sent {
-			d.served = f.now
-			f.touch(d)
+			d.lastScheduled = f.now
+			f.invalidate(d)
 			if len(d.waiting) == 0 {
-				turns = without(turns, d)
+				turns = withoutItem(turns, d)
 			}
 			continue
 		}
-		if gate < never {
-			f.before(gate)
+		if eligibleAt < never {
+			f.waitUntil(eligibleAt)
 		}
-		f.shy[by]++
-		turns = without(turns, d)
+		f.blocked[bound]++
+		turns = withoutItem(turns, d)
 	}
-	if len(f.calls) >= f.set.Slots {
-		f.next = next
+	if len(f.inFlight) >= f.settings.Slots {
+		f.nextDue = next
 	}
 }
 
-func (f *scanner) sendOne(d *dest) (sent bool, gate time.Duration, by doubtKind) {
+func (f *scanner) sendFrom(d *destination) (sent bool, eligibleAt time.Duration, bound suspicion) {
 	usable, others := []*route(nil), []*route(nil)
-	gate = never
-	trial, careful := true, true
+	eligibleAt = never
+	halfOpen, allSuspect := true, true
 	for _, r := range d.routes {
-		switch from := f.routeGate(r); {
-		case from > f.now:
-			gate = min(gate, from)
-		case !f.roomIn(r.kind()):
+		switch earliest := f.routeEligibleAt(r); {
+		case earliest > f.now:
+			eligibleAt = min(eligibleAt, earliest)
+		case !f.suspectSlotFree(r.suspicionBound()):
 			others = append(others, r)
 		default:
 			usable = append(usable, r)
-			trial, careful = trial && r.open, careful && r.silence != noDoubt
+			halfOpen, allSuspect = halfOpen && r.circuitOpen, allSuspect && r.suspicion != notSuspect
 		}
 	}
-	how := byUrgency
+	mode := byPriority
 	switch {
-	case trial:
-		how = asTrial
-	case careful:
-		how = asFirst
+	case halfOpen:
+		mode = forProbe
+	case allSuspect:
+		mode = forUntested
 	}
-	m, from := f.choose(d, usable, how, nil)
+	m, earliest := f.chooseMessage(d, usable, mode, nil)
 	if m == nil {
-		for i, r := range others { // a route that no message may go to is held by no bound
-			m, other := f.choose(d, others[i:i+1], how, nil)
-			if gate = min(gate, other); m != nil && (by == noDoubt || r.kind() < by) {
-				by = r.kind()
+		for i, r := range others { // a route is only blocked if a message may go there
+			m, other := f.chooseMessage(d, others[i:i+1], mode, nil)
+			if eligibleAt = min(eligibleAt, other); m != nil && (bound == notSuspect || r.suspicionBound() < bound) {
+				bound = r.suspicionBound()
 			}
 		}
-		return false, min(gate, from), by
+		return false, min(eligibleAt, earliest), bound
 	}
-	to := f.chooseTarget(m, usable)
-	if n := f.idle(to); n > 0 && f.stale(idleStep(f.now-to.free[n-1])) {
-		f.closeIdle(to)
+	to := f.chooseEndpoint(m, usable)
+	if n := f.idleConnections(to); n > 0 && f.idleTooLong(idleStep(f.now-to.idleSince[n-1])) {
+		f.closeIdleConnections(to)
 	}
 	c := f.startCall(to)
-	f.send(m, c)
-	for n := 1; n < to.kind.PerCall && !trial; n++ {
-		if m, _ = f.choose(d, usable, how, to); m == nil {
+	f.sendMessage(m, c)
+	for n := 1; n < to.kind.PerCall && !halfOpen; n++ {
+		if m, _ = f.chooseMessage(d, usable, mode, to); m == nil {
 			break
 		}
-		f.send(m, c)
+		f.sendMessage(m, c)
 	}
-	return true, 0, noDoubt
+	return true, 0, notSuspect
 }
 
-type choice int
+type selectionMode int
 
 const (
-	byUrgency choice = iota
-	asTrial
-	asFirst
+	byPriority selectionMode = iota
+	forProbe
+	forUntested
 )
 
-// choose looks at every message that waits for a destination.
-func (f *scanner) choose(d *dest, usable []*route, how choice, only *target) (best *message, gate time.Duration) {
-	highest, gate := 0.0, never
-	usual := f.usualTime(d.routes)
+// chooseMessage picks the next message for an endpoint or any, or returns when one becomes eligible.
+func (f *scanner) chooseMessage(d *destination, usable []*route, mode selectionMode, only *endpoint) (best *message, eligibleAt time.Duration) {
+	highest, eligibleAt := 0.0, never
+	latency := f.expectedLatency(d.routes)
 	for _, m := range d.waiting {
-		from := never
+		earliest := never
 		for _, r := range usable {
-			for _, t := range r.targets {
-				if only == nil || t == only {
-					from = min(from, f.mayGo(m, t))
+			for _, ep := range r.endpoints {
+				if only == nil || ep == only {
+					earliest = min(earliest, f.sendEligibleAt(m, ep))
 				}
 			}
 		}
-		if m.line == nil || m.line.queue[0] == m { // its time counts also where no target is usable
+		if m.keyQueue == nil || m.keyQueue.queue[0] == m { // its time counts also where no target is usable
 			if at := f.fromOf(m); at > f.now && len(usable) > 0 {
-				from = at
+				earliest = at
 			}
 		}
-		if from > f.now {
-			gate = min(gate, from)
+		if earliest > f.now {
+			eligibleAt = min(eligibleAt, earliest)
 			continue
 		}
-		s := f.score(m, how, usual)
-		if best == nil || s > highest || s == highest && (m.born < best.born || m.born == best.born && m.seq < best.seq) {
+		s := f.score(m, mode, latency)
+		if best == nil || s > highest || s == highest && (m.createdAt < best.createdAt || m.createdAt == best.createdAt && m.seq < best.seq) {
 			best, highest = m, s
 		}
 	}
-	return best, gate
+	return best, eligibleAt
 }
 
 func (f *scanner) fromOf(m *message) time.Duration {
-	if m.line != nil && m.tries == 0 {
-		return max(m.after, m.line.rests)
+	if m.keyQueue != nil && m.sends == 0 {
+		return max(m.notBefore, m.keyQueue.idleUntil)
 	}
-	return m.after
+	return m.notBefore
 }
 
-// score ranks the messages of a destination where the usual time to answer is known.
-func (f *scanner) score(m *message, how choice, usual time.Duration) float64 {
-	switch how {
-	case asTrial:
-		s := -m.worth*f.share(m.class, f.now-m.born) - 100*float64(m.class.Effect)
-		if m.deadline-f.now < fairOf(usual) { // its time-out would say nothing
+// score ranks the messages of a destination, given the expected latency.
+func (f *scanner) score(m *message, mode selectionMode, latency time.Duration) float64 {
+	switch mode {
+	case forProbe:
+		s := -m.value*f.valueShare(m.class, f.now-m.createdAt) - 100*float64(m.class.Effect)
+		if m.deadline-f.now < overdueAfter(latency) { // its timeout would prove nothing
 			s -= 1e6
 		}
 		return s
-	case asFirst:
-		return f.urgency(m, usual) - 1e12*float64(m.class.Effect)
+	case forUntested:
+		return f.priority(m, latency) - 1e12*float64(m.class.Effect)
 	}
-	return f.urgency(m, usual)
+	return f.priority(m, latency)
 }
 
-// urgency ranks messages by what they lose if they wait a little longer. Those that lose nothing
-// yet come next, by worth and then by age; those that have no more to lose come last.
-func (f *scanner) urgency(m *message, usual time.Duration) float64 {
-	age := f.now - m.born
-	if loss := m.worth * f.loss(m.class, age+usual); loss > 0 {
+// priority ranks messages by the value that they lose by a short delay; then come those that lose nothing
+// yet, by value and age, and last those with nothing left to lose.
+func (f *scanner) priority(m *message, latency time.Duration) float64 {
+	age := f.now - m.createdAt
+	if loss := m.value * f.valueLoss(m.class, age+latency); loss > 0 {
 		return 1e6 * loss
 	}
 	if age < m.class.Aim {
-		return 1e3*m.worth + age.Seconds()
+		return 1e3*m.value + age.Seconds()
 	}
-	return m.worth + age.Seconds()/1e3
+	return m.value + age.Seconds()/1e3
 }
 
-// loss is the share of its worth that a message loses in the second after an age.
-func (f *scanner) loss(c *Class, age time.Duration) float64 {
-	if f.set.Decay == Line && c.Aim > 0 && age >= c.Aim && age+lossSpan < c.Deadline {
-		// The same for all, to the last bit: rounding is not to rank them.
-		return (1 - c.LateShare) * float64(lossSpan) / float64(c.Deadline-c.Aim)
+// valueLoss is the share of its value that a message loses in valueLossSpan after an age.
+func (f *scanner) valueLoss(class *Class, age time.Duration) float64 {
+	if f.settings.Decay == Line && class.Aim > 0 && age >= class.Aim && age+valueLossSpan < class.Deadline {
+		// The same for all, to the last bit: rounding must not rank them.
+		return (1 - class.LateShare) * float64(valueLossSpan) / float64(class.Deadline-class.Aim)
 	}
-	return f.share(c, age) - f.share(c, age+lossSpan)
+	return f.valueShare(class, age) - f.valueShare(class, age+valueLossSpan)
 }
 
-// routeGate is from when on any message may go to a route: the part of the gate that is the same for
-// all of its messages.
-func (f *scanner) routeGate(r *route) (from time.Duration) {
-	f.settle(r)
+// routeEligibleAt is when any message may go to a route: the part of eligibility that all of them share.
+func (f *scanner) routeEligibleAt(r *route) (earliest time.Duration) {
+	f.closeIntervals(r)
 	switch {
-	case f.now < r.told:
-		return r.told
-	case r.open && trialOut(r):
+	case f.now < r.retryAfter:
+		return r.retryAfter
+	case r.circuitOpen && trialOut(r):
 		return never
-	case r.open:
-		return f.nextTrial(r)
-	case len(r.calls) >= max(2, int(slotShare*float64(f.set.Slots))):
+	case r.circuitOpen:
+		return f.nextProbeAt(r)
+	case len(r.inFlight) >= max(2, int(routeQuota*float64(f.settings.Slots))):
 		return never
-	case f.now < r.free:
-		return min(r.free, r.interval+adjustEvery) // the pace may rise then
+	case f.now < r.nextTokenAt:
+		return min(r.nextTokenAt, r.intervalStart+adjustInterval) // the pace may rise then
 	}
 	return f.now
 }
 
-// kind is by which bound on calls in doubt one more call to a route is held.
-func (r *route) kind() doubtKind {
-	if r.silence != noDoubt && !r.open && len(r.calls) > 0 {
-		return crowded
+// suspicionBound is which quota of suspect calls applies to one more call to a route.
+func (r *route) suspicionBound() suspicion {
+	if r.suspicion != notSuspect && !r.circuitOpen && len(r.inFlight) > 0 {
+		return occupied
 	}
-	return r.silence
+	return r.suspicion
 }
 
-// roomIn tells whether there is room for one more call in doubt. Routes that don't answer leave some
-// slots to those that do; each gets one call before any gets more than the few that do no harm;
-// and those known to be silent leave most of the room, so that new ones are heard soon.
-func (f *scanner) roomIn(kind doubtKind) bool {
-	share, slots := doubtShare, float64(f.set.Slots)
+// suspectSlotFree reports whether a quota has room for one more suspect call. Unresponsive routes leave
+// slots to the others; each gets one call before any gets a second beyond a few; and those known to be
+// unresponsive leave most of the room to untested ones.
+func (f *scanner) suspectSlotFree(kind suspicion) bool {
+	share, slots := suspectQuota, float64(f.settings.Slots)
 	switch kind {
-	case noDoubt:
+	case notSuspect:
 		return true
-	case crowded:
-		share = crowdShare
+	case occupied:
+		share = occupiedQuota
 	}
-	silent := silentShare
-	if 2*len(f.calls) > f.set.Slots {
-		silent = fullShare
+	silent := unresponsiveQuota
+	if 2*len(f.inFlight) > f.settings.Slots {
+		silent = scarceQuota
 	}
-	if kind != untried && f.doubts[silenced] >= max(fewSilent, int(silent*slots)) {
+	if kind != untested && f.suspectCalls[unresponsive] >= max(minUnresponsiveCalls, int(silent*slots)) {
 		return false
 	}
-	return f.doubts[untried]+f.doubts[silenced] < int(math.Ceil(share*slots))
+	return f.suspectCalls[untested]+f.suspectCalls[unresponsive] < int(math.Ceil(share*slots))
 }
 
-// mayGo is from when on a message may go to a target, as far as that lies with the two; no send
-// passes without it. Times come first and the rest is looked at when they have come: what holds a
-// message for now but may end with time must not hide when it ends.
-func (f *scanner) mayGo(m *message, t *target) (from time.Duration) {
-	r, c := t.route, m.class
+// sendEligibleAt is when a message may go to an endpoint, as far as the two decide; no send bypasses it.
+// Times are checked first: a condition that may end must not hide when the wait for time ends.
+func (f *scanner) sendEligibleAt(m *message, ep *endpoint) (earliest time.Duration) {
+	r, class := ep.route, m.class
 	switch {
-	case m.over || m.out > 0 || t.state != Active || r.dest != m.dest, f.usedUp(m), f.now >= m.ends(),
-		m.mayRan && !repeatable(m, t), m.among != nil && len(m.among.Only) > 0 && !slices.Contains(m.among.Only, t.id), m.line != nil && m.line.queue[0] != m:
+	case m.completed || m.inFlight > 0 || ep.state != Active || r.dest != m.dest, f.attemptsExhausted(m), f.now >= m.answerDeadline(),
+		m.mayHaveRun && !isRepeatable(m, ep), m.filter != nil && len(m.filter.Only) > 0 && !slices.Contains(m.filter.Only, ep.id), m.keyQueue != nil && m.keyQueue.queue[0] != m:
 		return never
 	}
-	from = f.fromOf(m)
-	if m.tries > 0 && !r.open {
-		from = max(from, r.spent)
+	earliest = f.fromOf(m)
+	if m.sends > 0 && !r.circuitOpen {
+		earliest = max(earliest, r.allowanceSpentUntil)
 	}
-	if c.Effect == Unsafe {
-		// One that meets doubt is lost: it waits for better times. Trial calls are for messages that
-		// may be repeated, if there are any.
-		from = max(from, r.doubt.until(memory, halfFailing))
-		if r.open {
-			from = max(from, f.nextTrial(r)+longestTrial)
+	if class.Effect == Unsafe {
+		// An unclear outcome would lose it: it waits, and leaves probes to repeatable messages.
+		earliest = max(earliest, r.unclearShare.until(recentWindow, halfFailingShare))
+		if r.circuitOpen {
+			earliest = max(earliest, f.nextProbeAt(r)+maxProbeInterval)
 		}
 	}
 	switch {
-	case from > f.now:
-		return from
-	case m.tries > 0 && !r.open && m.granted == nil && !f.budgetRoom(r):
+	case earliest > f.now:
+		return earliest
+	case m.sends > 0 && !r.circuitOpen && m.retryGrant == nil && !f.retryBudgetLeft(r):
 		return never
-	case f.stop < never && f.now+stopFactor*f.usualTime(m.dest.routes) > f.stop:
-		return never // the host would end before the answer comes
+	case f.stopsAt < never && f.now+stopLatencyFactor*f.expectedLatency(m.dest.routes) > f.stopsAt:
+		return never // the host would stop before the answer comes
 	}
-	return from
+	return earliest
 }
 
-func (f *scanner) usedUp(m *message) bool {
-	return m.tries > maxFurther || f.set.MaxAttempts > 0 && m.attempts >= f.set.MaxAttempts
+func (f *scanner) attemptsExhausted(m *message) bool {
+	return m.sends > maxRetries || f.settings.MaxAttempts > 0 && m.attempts >= f.settings.MaxAttempts
 }
 
-// repeatable tells whether a message that may have run may be sent to a target again in its time.
-func repeatable(m *message, t *target) bool {
+// isRepeatable reports whether a message that may have run may be sent to an endpoint again in its time.
+func isRepeatable(m *message, ep *endpoint) bool {
 	e := m.class.Effect
-	return e == Pure || e == Keyed && (!m.class.ZoneGroup || t.zone == m.ranZone)
+	return e == Pure || e == Keyed && (!m.class.ZoneGroup || ep.zone == m.runZone)
 }
 
-// chooseTarget picks the cheapest target that a message may go to: not one that fails while
-// others work, of the own zone where that costs less, with an idle connection, least busy. Between
-// equals chance decides, or else all senders that seldom call would call the same one.
-func (f *scanner) chooseTarget(m *message, usable []*route) (best *target) {
+// chooseEndpoint picks the eligible endpoint of least cost: not failing alone, near, connected, least busy.
+// Among equals it goes round robin.
+func (f *scanner) chooseEndpoint(m *message, usable []*route) (best *endpoint) {
 	lowest := math.Inf(1)
-	all, held, worth := f.kept(usable)
-	explore := held > 0 && held < all && float64(held+1) <= min(worth, m.dest.most+float64(f.now-m.dest.mostAt)/float64(max(f.set.ConnIdle, 1))) && f.rng.Float64()*float64(all) < float64(all-held)
+	all, held, worth := f.connectionStats(usable)
+	explore := held > 0 && held < all && float64(held+1) <= min(worth, m.dest.connectedLimit+float64(f.now-m.dest.connectedLimitAt)/float64(max(f.settings.ConnIdle, 1))) && f.rng.Float64()*float64(all) < float64(all-held)
 	for _, r := range usable {
-		for _, t := range r.targets {
-			if f.mayGo(m, t) > f.now {
+		for _, ep := range r.endpoints {
+			if f.sendEligibleAt(m, ep) > f.now {
 				continue
 			}
 			chance := f.rng.Float64()
-			if f.now < t.avoidTil {
-				f.requeue(t)
+			if f.now < ep.avoidUntil {
+				f.resetTurn(ep)
 			}
-			lately := math.Exp(-float64(f.now-t.place) / float64(f.set.ConnIdle))
-			if f.idle(t) == 0 {
+			lately := math.Exp(-float64(f.now-ep.lastScheduled) / float64(f.settings.ConnIdle))
+			if f.idleConnections(ep) == 0 {
 				lately = chance
 			}
-			cost := float64(t.out) + evenOut*lately + failCost*t.failing.get(f.now, forget)
-			cost += 2 * f.preferred(m, t)
-			if f.now < t.avoidTil {
+			cost := float64(ep.inFlight) + recencyCost*lately + failureCost*ep.failureShare.get(f.now, forgetAfter)
+			cost += 2 * f.preferred(m, ep)
+			if f.now < ep.avoidUntil {
 				cost += 1e6
 			}
-			if t.zone != f.set.Zone {
-				cost += 100 * f.set.CrossPrice
+			if ep.zone != f.settings.Zone {
+				cost += 100 * f.settings.CrossPrice
 			}
-			if t.kind.Apart {
-				cost += 100 * f.set.ZoneFee[t.zone]
+			if ep.kind.Apart {
+				cost += 100 * f.settings.ZoneFee[ep.zone]
 			}
-			if (f.idle(t) == 0) != explore {
+			if (f.idleConnections(ep) == 0) != explore {
 				cost += 0.5
 			}
 			if cost < lowest {
-				best, lowest = t, cost
+				best, lowest = ep, cost
 			}
 		}
 	}
 	return best
 }
 
-func (f *scanner) kept(usable []*route) (all, held int, worth float64) {
+func (f *scanner) connectionStats(usable []*route) (all, held int, worth float64) {
 	calls := 0.0
 	for _, r := range usable {
-		calls += r.firsts.get(f.now, memory) * float64(f.set.ConnIdle) / float64(memory)
-		for _, t := range r.targets {
-			if t.state == Active {
-				if all++; t.out > 0 || f.idle(t) > 0 {
+		calls += r.firstAttempts.get(f.now, recentWindow) * float64(f.settings.ConnIdle) / float64(recentWindow)
+		for _, ep := range r.endpoints {
+			if ep.state == Active {
+				if all++; ep.inFlight > 0 || f.idleConnections(ep) > 0 {
 					held++
 				}
 			}
 		}
 	}
-	room := roomCost * min(1, float64(f.set.Forwarders)/tableRoom)
-	worth = calls - rareGap*math.Sqrt(calls)
-	if f.set.ConnectPrice < room {
-		worth = min(worth, -calls*math.Log1p(-f.set.ConnectPrice/room))
+	room := idleConnectionCost * min(1, float64(f.settings.Forwarders)/smallTableSize)
+	worth = calls - rareGapDeviations*math.Sqrt(calls)
+	if f.settings.ConnectPrice < room {
+		worth = min(worth, -calls*math.Log1p(-f.settings.ConnectPrice/room))
 	}
 	return all, held, worth
 }
 
-func (f *scanner) requeue(t *target) {
-	if others := t.route.targets; len(others) > 1 {
-		t.place = others[f.rng.IntN(len(others))].place
+func (f *scanner) resetTurn(ep *endpoint) {
+	if others := ep.route.endpoints; len(others) > 1 {
+		ep.lastScheduled = others[f.rng.IntN(len(others))].lastScheduled
 	}
 }
 
 // preferred is the place of a target in what its message prefers.
-func (f *scanner) preferred(m *message, t *target) float64 {
+func (f *scanner) preferred(m *message, ep *endpoint) float64 {
 	var prefer []string
-	if m.among != nil {
-		prefer = m.among.Prefer
+	if m.filter != nil {
+		prefer = m.filter.Prefer
 	}
-	failed := t.failed > 0 && f.now < t.uses.at+memory
+	failed := ep.consecutiveFailures > 0 && f.now < ep.recentCalls.at+recentWindow
 	place := len(prefer)
 	for i, id := range prefer {
-		if id == t.id && !failed {
+		if id == ep.id && !failed {
 			place = i
 			break
 		}
 	}
 	spare := false
-	for _, o := range t.route.targets {
+	for _, o := range ep.route.endpoints {
 		spare = spare || o.backup && o.state == Active
 	}
 	switch { // a backup; one that failed, where there is a backup; a backup that failed
-	case t.backup && failed:
+	case ep.backup && failed:
 		place += 3000
-	case t.backup:
+	case ep.backup:
 		place += 1000
 	case failed && spare:
 		place += 2000
@@ -1189,221 +1189,223 @@
 	return float64(place)
 }
 
-func (f *scanner) send(m *message, c *call) {
+func (f *scanner) sendMessage(m *message, c *call) {
 	r := c.route
-	r.all++
-	if m.tries == 0 {
-		r.allFirst++
-		r.firsts.add(f.now, memory)
+	r.totalAttempts++
+	if m.sends == 0 {
+		r.totalFirstAttempts++
+		r.firstAttempts.add(f.now, recentWindow)
 	} else {
-		r.further.add(f.now, memory)
+		r.retries.add(f.now, recentWindow)
 	}
-	if m.granted != nil {
-		m.granted.reserved--
-		m.granted = nil
+	if m.retryGrant != nil {
+		m.retryGrant.reservedRetries--
+		m.retryGrant = nil
 	}
-	a := &attempt{n: m.attempts, m: m, call: c}
+	a := &attempt{number: m.attempts, message: m, call: c}
 	f.attempts[m.id] = append(f.attempts[m.id], a)
-	c.parts = append(c.parts, a)
+	c.attempts = append(c.attempts, a)
 	m.attempts++
-	m.tries++
-	m.owed = false
-	m.out++
-	c.left++
-	f.unhold(m)
-	limit := f.timeout(m, c)
-	c.hasty = limit < f.fairTime(m.dest.routes)
-	f.do(Send{Message: m.id, Target: c.target.id, Timeout: limit})
+	m.sends++
+	m.recovered = false
+	m.inFlight++
+	c.pending++
+	f.dequeue(m)
+	limit := f.attemptTimeout(m, c)
+	c.shortTimeout = limit < f.fairTime(m.dest.routes)
+	f.emit(Send{Message: m.id, Target: c.endpoint.id, Timeout: limit})
 }
 
 // fairTime is how long a call must be waited for before silence says anything of its route.
 func (f *scanner) fairTime(routes []*route) time.Duration {
-	return fairOf(f.usualTime(routes))
+	return overdueAfter(f.expectedLatency(routes))
 }
 
-func fairOf(usual time.Duration) time.Duration { return max(minPatience, lateFactor*usual) }
+func overdueAfter(latency time.Duration) time.Duration {
+	return max(minOverdue, lateLatencyFactor*latency)
+}
 
-// timeout is how long to wait for an answer: what may be repeated is given up well after its
-// usual time; what may not is lost by giving up, so it waits as long as its time lasts.
-func (f *scanner) timeout(m *message, c *call) time.Duration {
+// attemptTimeout is how long to wait for an answer: a repeatable message times out well after its expected
+// latency; one that must not be repeated is lost by a timeout, so it waits until its deadline.
+func (f *scanner) attemptTimeout(m *message, c *call) time.Duration {
 	left := m.deadline - f.now
 	if m.class.Effect == Unsafe {
 		return left
 	}
-	own := time.Duration(f.pacing(m.class) * float64(f.usualTime(m.dest.routes)))
-	return min(left, max(minTimeout, timeFactor*own))
+	own := time.Duration(f.classLatencyFactor(m.class) * float64(f.expectedLatency(m.dest.routes)))
+	return min(left, max(minTimeout, timeoutLatencyFactor*own))
 }
 
-func (f *scanner) usualTime(routes []*route) (t time.Duration) {
+func (f *scanner) expectedLatency(routes []*route) (t time.Duration) {
 	for _, r := range routes {
-		t = max(t, r.mean)
+		t = max(t, r.meanLatency)
 	}
 	if t == 0 {
-		return guessTime
+		return assumedLatency
 	}
 	return t
 }
 
 // ---- Outcomes.
 
-func (f *scanner) outcome(o Outcome) {
+func (f *scanner) handleOutcome(o Outcome) {
 	a := f.takeAttempt(o)
 	if a == nil {
 		return
 	}
-	m, r := a.m, a.call.route
-	d, t := r.dest, a.call.target
-	f.settleAll(d)
-	r.told = max(r.told, f.now+o.Wait) // told to any one message of a call, it holds all
-	m.out--
-	a.call.left--
-	last := a.call.left == 0
+	m, r := a.message, a.call.route
+	d, ep := r.dest, a.call.endpoint
+	f.closeAllIntervals(d)
+	r.retryAfter = max(r.retryAfter, f.now+o.Wait) // it applies to all messages of a call
+	m.inFlight--
+	a.call.pending--
+	last := a.call.pending == 0
 	if last {
-		r.calls = without(r.calls, a.call)
-		f.calls = without(f.calls, a.call)
-		a.call.target.out--
-		f.believe(a.call)
+		r.inFlight = withoutItem(r.inFlight, a.call)
+		f.inFlight = withoutItem(f.inFlight, a.call)
+		a.call.endpoint.inFlight--
+		f.uncountSuspect(a.call)
 		if o.Result == Done || o.Result == Errored || o.Result == Full || o.Result == NotSent {
-			a.call.target.free = append(a.call.target.free, f.now) // its connection is kept
+			a.call.endpoint.idleSince = append(a.call.endpoint.idleSince, f.now) // its connection is kept
 		}
 	}
 	if o.Result == NotSent {
-		m.tries--
+		m.sends--
 	} else if last {
-		f.learn(r, a.call, o)
+		f.recordOutcome(r, a.call, o)
 	}
-	f.leave(t)
-	f.dropGone(t)
-	doubtful := o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled
-	if doubtful && m.line != nil {
-		m.line.rests = max(m.line.rests, f.now+f.set.KeyRest)
+	f.closeSurplusIdle(ep)
+	f.removeIfGone(ep)
+	unclear := o.Result == TimedOut || o.Result == Reset || o.Result == Cancelled
+	if unclear && m.keyQueue != nil {
+		m.keyQueue.idleUntil = max(m.keyQueue.idleUntil, f.now+f.settings.KeyRest)
 	}
-	if (doubtful || o.Result == Errored || o.Result == Done) && !m.mayRan {
-		m.mayRan, m.ranZone, m.ranSent = true, a.call.target.zone, a.call.sent
+	if (unclear || o.Result == Errored || o.Result == Done) && !m.mayHaveRun {
+		m.mayHaveRun, m.runZone, m.runSentAt = true, a.call.endpoint.zone, a.call.sentAt
 	}
-	if o.Over || m.over {
-		f.forget(m)
+	if o.Over || m.completed {
+		f.completeMessage(m)
 	} else {
-		f.again(m, r, o)
+		f.retryOrAnswer(m, r, o)
 	}
-	f.touch(d)
+	f.invalidate(d)
 }
 
-// doubtKind is what is known of a route that does not answer, and of the calls out to it.
-type doubtKind int8
+// suspicion is what is known of a route that does not answer, and of the calls in flight to it.
+type suspicion int8
 
 const (
-	noDoubt  doubtKind = iota
-	untried            // it has not answered yet
-	silenced           // it is known to be silent
-	crowded
-	kindsOfDoubt
+	notSuspect   suspicion = iota
+	untested               // it has not answered yet
+	unresponsive           // calls to it are overdue
+	occupied
+	suspicionKinds
 )
 
-// doubt counts the calls to a route among those in doubt from now on.
-func (f *scanner) doubt(r *route) {
-	if r.silence == silenced {
+// markUnresponsive counts the calls to a route as suspect from now on.
+func (f *scanner) markUnresponsive(r *route) {
+	if r.suspicion == unresponsive {
 		return
 	}
-	r.silence = silenced
-	for _, c := range r.calls {
-		f.suspect(c)
+	r.suspicion = unresponsive
+	for _, c := range r.inFlight {
+		f.countSuspect(c)
 	}
 }
 
-// trust takes them out again: the route has answered.
-func (f *scanner) trust(r *route) {
-	r.silence, r.calledOff = noDoubt, 0
-	for _, c := range r.calls {
-		f.believe(c)
+// clearSuspicion uncounts them: the route has answered.
+func (f *scanner) clearSuspicion(r *route) {
+	r.suspicion, r.cancelledCalls = notSuspect, 0
+	for _, c := range r.inFlight {
+		f.uncountSuspect(c)
 	}
 }
 
-func (f *scanner) suspect(c *call) {
-	if c.doubt == noDoubt {
-		c.doubt = c.route.silence
-		f.doubts[c.doubt]++
+func (f *scanner) countSuspect(c *call) {
+	if c.suspicion == notSuspect {
+		c.suspicion = c.route.suspicion
+		f.suspectCalls[c.suspicion]++
 	}
 }
 
-func (f *scanner) believe(c *call) {
-	if c.doubt != noDoubt {
-		f.doubts[c.doubt]--
-		c.doubt = noDoubt
+func (f *scanner) uncountSuspect(c *call) {
+	if c.suspicion != notSuspect {
+		f.suspectCalls[c.suspicion]--
+		c.suspicion = notSuspect
 	}
 }
 
-// again decides whether a message whose attempt failed waits for a further try or is answered.
-func (f *scanner) again(m *message, r *route, o Outcome) {
+// retryOrAnswer queues a message whose attempt failed for a retry, or gives its final answer.
+func (f *scanner) retryOrAnswer(m *message, r *route, o Outcome) {
 	notSent := o.Result == NotSent
-	if f.usedUp(m) || m.mayRan && m.class.Effect == Unsafe || f.now >= m.ends() {
-		f.answer(m)
+	if f.attemptsExhausted(m) || m.mayHaveRun && m.class.Effect == Unsafe || f.now >= m.answerDeadline() {
+		f.answerMessage(m)
 		return
 	}
-	// On an open route nothing but trial calls is sent, so there is nothing to budget: the
-	// message is held like the first tries there, and asks again when it is to go.
-	if !notSent && !r.open {
-		if !f.budgetRoom(r) {
-			f.answer(m)
+	// An open route gets probes only, so there is nothing to budget: the message is
+	// queued like first attempts there, and is checked again when it is to go.
+	if !notSent && !r.circuitOpen {
+		if !f.retryBudgetLeft(r) {
+			f.answerMessage(m)
 			return
 		}
-		m.granted = r
-		r.reserved++
+		m.retryGrant = r
+		r.reservedRetries++
 	}
 	first := firstBackoff
-	if o.Result == Full && o.Wait == 0 { // it is full now, and still will be in a tenth of a second
-		first = refusedBackoff
+	if o.Result == Full && o.Wait == 0 { // it will still be full after firstBackoff
+		first = rejectedBackoff
 	}
-	m.after = max(m.after, f.now+o.Hold)
+	m.notBefore = max(m.notBefore, f.now+o.Hold)
 	if !notSent {
-		m.after = f.now + f.jitter(first<<max(0, m.tries-1))
+		m.notBefore = f.now + f.jitter(first<<max(0, m.sends-1))
 	}
-	f.hold(m)
+	f.enqueue(m)
 }
 
 // ---- Final answers.
 
-// ends is when a message that waits must be answered: its time, or that for a keyed repeat, is up.
-func (m *message) ends() time.Duration {
-	if m.mayRan && m.class.Effect == Keyed {
-		return min(m.deadline-answerEarly, m.ranSent+m.class.Window-keyMargin)
+// answerDeadline is when a queued message must be answered: its deadline, or the end of its keyed window.
+func (m *message) answerDeadline() time.Duration {
+	if m.mayHaveRun && m.class.Effect == Keyed {
+		return min(m.deadline-answerMargin, m.runSentAt+m.class.Window-keyWindowMargin)
 	}
-	return m.deadline - answerEarly
+	return m.deadline - answerMargin
 }
 
-func (f *scanner) answerInTime() {
-	for _, m := range slices.Clone(f.held) {
-		if m.out == 0 && f.now >= m.ends() { // with an attempt out, its time-out comes first
-			f.answer(m)
+func (f *scanner) answerDue() {
+	for _, m := range slices.Clone(f.pending) {
+		if m.inFlight == 0 && f.now >= m.answerDeadline() { // with an attempt out, its time-out comes first
+			f.answerMessage(m)
 		}
 	}
 }
 
-// refusable tells whether the client may be told that handing the message in again is harmless.
-func (f *scanner) refusable(m *message) bool {
-	if !m.mayRan && m.out == 0 || m.class.Effect == Pure {
+// isRefusable reports whether the client may be told that handing the message in again is harmless.
+func (f *scanner) isRefusable(m *message) bool {
+	if !m.mayHaveRun && m.inFlight == 0 || m.class.Effect == Pure {
 		return true
 	}
 	return m.class.Effect == Keyed && !m.class.ZoneGroup
 }
 
-// answer gives the one final answer.
-func (f *scanner) answer(m *message) {
-	if f.refusable(m) {
-		f.do(Refuse{Message: m.id, Wait: f.advice(m.dest)})
+// answerMessage gives the one final answer.
+func (f *scanner) answerMessage(m *message) {
+	if f.isRefusable(m) {
+		f.emit(Refuse{Message: m.id, Wait: f.retryAdvice(m.dest)})
 	} else {
-		f.do(Fail{Message: m.id})
+		f.emit(Fail{Message: m.id})
 	}
-	f.forget(m)
+	f.completeMessage(m)
 }
 
-// advice is how long a client should stay away: until a told wait or the next trial is over.
-func (f *scanner) advice(d *dest) time.Duration {
-	wait := f.set.AdviceLimit
+// retryAdvice is how long a client should stay away: until the retry-after time or the next probe.
+func (f *scanner) retryAdvice(d *destination) time.Duration {
+	wait := f.settings.AdviceLimit
 	for _, r := range d.routes {
-		w := max(0, r.told-f.now)
-		if r.open {
-			w = max(w, f.nextTrial(r)-f.now)
+		w := max(0, r.retryAfter-f.now)
+		if r.circuitOpen {
+			w = max(w, f.nextProbeAt(r)-f.now)
 		}
 		wait = min(wait, w)
 	}
@@ -1412,290 +1414,290 @@
 
 // ---- Route health.
 
-// learn takes what the outcome of a call tells of its route and target.
-func (f *scanner) long(c *call, o Outcome) bool {
-	return c.sent <= c.route.okSent && f.now-c.sent > max(2*minPatience, lostFactor*cmp.Or(c.route.mean, guessTime)) &&
-		(o.Result == Done || o.Result == Rejected || o.Result == TimedOut || o.Result == Cancelled && c.called)
+// isLongCall reports whether a call that has ended was in flight for long though its route works, and was
+// either answered or abandoned.
+func (f *scanner) isLongCall(c *call, o Outcome) bool {
+	return c.sentAt <= c.route.lastSuccessSentAt && f.now-c.sentAt > max(2*minOverdue, lostLatencyFactor*cmp.Or(c.route.meanLatency, assumedLatency)) &&
+		(o.Result == Done || o.Result == Rejected || o.Result == TimedOut || o.Result == Cancelled && c.cancelled)
 }
 
-func (f *scanner) learn(r *route, c *call, o Outcome) {
+func (f *scanner) recordOutcome(r *route, c *call, o Outcome) {
 	switch o.Result {
 	case Done, Errored, Full:
-		f.trust(r)
+		f.clearSuspicion(r)
 	case TimedOut:
-		if c.sent > r.okSent {
-			f.doubt(r)
+		if c.sentAt > r.lastSuccessSentAt {
+			f.markUnresponsive(r)
 		}
 	}
-	if f.long(c, o) { // unless such calls mostly were
-		f.longLoss.put(f.now, forget, lossShare, share(o.Result != Done && o.Result != Rejected))
+	if f.isLongCall(c, o) {
+		f.longCallLoss.record(f.now, forgetAfter, lossWeight, oneIf(o.Result != Done && o.Result != Rejected))
 	}
-	if o.Result == TimedOut && c.hasty { // its message had no time left: that is no one's failure
-		if c.trial {
-			r.tried = f.now
+	if o.Result == TimedOut && c.shortTimeout { // its message ran out of time: nobody's failure
+		if c.isProbe {
+			r.lastProbeAt = f.now
 		}
 		return
 	}
 	if o.Result == Reset || o.Result == TimedOut {
-		f.noteLoss(c)
-	} else if !c.missed && o.Result != ConnectFailed {
-		f.idleLoss[c.idle].put(f.now, forget, idleShare, 0)
+		f.countLoss(c)
+	} else if !c.lossCounted && o.Result != ConnectFailed {
+		f.idleLoss[c.idleStep].record(f.now, forgetAfter, idleLossWeight, 0)
 	}
 	good := o.Result == Done
 	if o.Result == Cancelled {
 		return
 	}
 	if o.Allowance.Told {
-		f.heed(r, o)
-		r.spent = 0
-		if o.Allowance.Rate > 0 && o.Allowance.Left < nearlySpent {
-			r.spent = f.now + rateSpan
+		f.observeAllowance(r, o)
+		r.allowanceSpentUntil = 0
+		if o.Allowance.Rate > 0 && o.Allowance.Left < allowanceNearlySpent {
+			r.allowanceSpentUntil = f.now + rateWindow
 		}
 	}
-	r.seen++
-	doubtful := share(!good && o.Result != Full && o.Result != ConnectFailed)
-	r.doubt.put(f.now, memory, 0.2, doubtful)
-	if o.Result != TimedOut { // that is the route's trouble more often than the endpoint's
-		c.target.failing.put(f.now, forget, lossShare, doubtful)
+	r.outcomes++
+	unclear := oneIf(!good && o.Result != Full && o.Result != ConnectFailed)
+	r.unclearShare.record(f.now, recentWindow, 0.2, unclear)
+	if o.Result != TimedOut { // a timeout is mostly the route's failure, not the endpoint's
+		c.endpoint.failureShare.record(f.now, forgetAfter, lossWeight, unclear)
 	}
 	if good {
-		f.learnGood(r, c, o.Took)
+		f.recordSuccess(r, c, o.Took)
 		return
 	}
-	r.bad++
-	if r.fails == 0 {
-		r.failing = c.sent
+	r.failures++
+	if r.consecutiveFailures == 0 {
+		r.failingSince = c.sentAt
 	}
 	weight := 1.0
 	if o.Result == Full {
-		weight = 1 / fullsPerFail
+		weight = 1 / rejectionsPerFailure
 	}
-	r.fails += weight
-	if c.sent > r.okSent {
-		r.proof += weight
+	r.consecutiveFailures += weight
+	if c.sentAt > r.lastSuccessSentAt {
+		r.outageEvidence += weight
 	}
 	if o.Result == ConnectFailed {
-		c.target.free = nil
-		if r.lastOK > f.now-memory {
-			_, held, _ := f.kept(r.dest.routes)
-			r.dest.most, r.dest.mostAt = float64(held), f.now
+		c.endpoint.idleSince = nil
+		if r.lastSuccessAt > f.now-recentWindow {
+			_, held, _ := f.connectionStats(r.dest.routes)
+			r.dest.connectedLimit, r.dest.connectedLimitAt = float64(held), f.now
 		}
 	}
-	if f.targetAlone(r, c.target, o.Result) {
+	if f.avoidFailingEndpoint(r, c.endpoint, o.Result) {
 		return
 	}
-	if c.trial || r.open {
-		f.trialFailed(r)
+	if c.isProbe || r.circuitOpen {
+		f.scheduleProbe(r)
 		return
 	}
 	switch {
-	case o.Wait > 0 && o.Wait >= f.set.Fall && f.set.Fall > 0:
-		f.openRoute(r, "shut")
-	case r.fails >= f.proof(r):
-		f.openRoute(r, "failing")
-	case r.doubt.get(f.now, memory) > halfFailing:
-		r.cold = true // that some are answered makes it no less of an outage
-		f.openRoute(r, "half failing")
+	case o.Wait > 0 && o.Wait >= f.settings.Fall && f.settings.Fall > 0:
+		f.openCircuit(r, "shut")
+	case r.consecutiveFailures >= f.outageThreshold(r):
+		f.openCircuit(r, "failing")
+	case r.unclearShare.get(f.now, recentWindow) > halfFailingShare:
+		r.needsSlowStart = true // a partial outage is one, too
+		f.openCircuit(r, "half failing")
 	case o.Result == Full:
-		f.refusedAtPace(r)
+		f.cutRate(r)
 	}
 }
 
-func (f *scanner) learnGood(r *route, c *call, took time.Duration) {
-	r.good++
-	r.oks.add(f.now, memory)
-	r.fails = 0
-	c.target.failed, c.target.avoidTil = 0, 0
-	r.lastOK, r.okSent = f.now, max(r.okSent, c.sent)
-	if !r.open {
-		r.proof = 0
+func (f *scanner) recordSuccess(r *route, c *call, took time.Duration) {
+	r.successes++
+	r.recentSuccesses.add(f.now, recentWindow)
+	r.consecutiveFailures = 0
+	c.endpoint.consecutiveFailures, c.endpoint.avoidUntil = 0, 0
+	r.lastSuccessAt, r.lastSuccessSentAt = f.now, max(r.lastSuccessSentAt, c.sentAt)
+	if !r.circuitOpen {
+		r.outageEvidence = 0
 	}
-	for _, a := range c.parts {
-		p := f.pacing(a.m.class)
-		if r.mean > 0 {
-			p += (min(lateFactor, float64(took)/float64(r.mean)) - p) / 64
+	for _, a := range c.attempts {
+		p := f.classLatencyFactor(a.message.class)
+		if r.meanLatency > 0 {
+			p += (min(lateLatencyFactor, float64(took)/float64(r.meanLatency)) - p) / 64
 		}
-		f.longer[a.m.class] = p
+		f.latencyFactor[a.message.class] = p
 	}
-	if r.mean == 0 {
-		r.mean = took
+	if r.meanLatency == 0 {
+		r.meanLatency = took
 	} else {
-		r.mean += (took - r.mean) / 8
+		r.meanLatency += (took - r.meanLatency) / 8
 	}
-	if f.usual == 0 {
-		f.usual = took
+	if f.meanLatency == 0 {
+		f.meanLatency = took
 	} else {
-		f.usual += (took - f.usual) / 64
+		f.meanLatency += (took - f.meanLatency) / 64
 	}
-	if !r.open {
+	if !r.circuitOpen {
 		return
 	}
-	if c.trial {
-		r.goods++
-		r.tried, r.draw = f.now, 0
+	if c.isProbe {
+		r.successfulProbes++
+		r.lastProbeAt, r.probeJitter = f.now, 0
 	}
-	if !r.cold || r.goods >= goodsToClose { // calls lost one by one, or late, were no outage
-		f.closeRoute(r)
+	if !r.needsSlowStart || r.successfulProbes >= probesToClose {
+		f.closeCircuit(r)
 	}
 }
 
-// proof is how many calls in a row without a good answer make an outage: half as many as were
-// answered well of late, and one more. A sender that seldom calls a route can't wait for many.
-func (f *scanner) proof(r *route) float64 {
-	return min(proofOfOutage, 1+r.oks.get(f.now, memory)/2)
+// outageThreshold is how many failures in a row make an outage: one more than half of the recent successes.
+// A sender with little traffic to a route cannot wait for many.
+func (f *scanner) outageThreshold(r *route) float64 {
+	return min(maxOutageEvidence, 1+r.recentSuccesses.get(f.now, recentWindow)/2)
 }
 
-// targetAlone tells whether one target fails while others of its route work: then it is
-// avoided for a while, and the route is not judged by it.
-func (f *scanner) targetAlone(r *route, t *target, res Result) bool {
-	t.failed++
-	if res == Full || t.failed < 2 {
+// avoidFailingEndpoint avoids an endpoint for a while if it fails while others of its route work, and
+// reports whether it does: then the failure does not count against the route.
+func (f *scanner) avoidFailingEndpoint(r *route, ep *endpoint, res Result) bool {
+	ep.consecutiveFailures++
+	if res == Full || ep.consecutiveFailures < 2 {
 		return false
 	}
-	for _, other := range r.targets {
-		if other != t && other.state == Active && other.failed == 0 && r.lastOK > f.now-memory && !r.open {
-			t.avoidTil = f.now + min(firstTrial<<min(t.failed, 4), 4*longestTrial)
+	for _, other := range r.endpoints {
+		if other != ep && other.state == Active && other.consecutiveFailures == 0 && r.lastSuccessAt > f.now-recentWindow && !r.circuitOpen {
+			ep.avoidUntil = f.now + min(minProbeInterval<<min(ep.consecutiveFailures, 4), 4*maxProbeInterval)
 			return true
 		}
 	}
 	return false
 }
 
-func (f *scanner) openRoute(r *route, why string) {
-	f.settle(r)
-	r.open, r.why, r.warming = true, why, false
-	if r.gap == 0 || f.now-r.closed > memory { // soon after the last time it goes on where it was
-		r.gap = firstTrial / 2
+func (f *scanner) openCircuit(r *route, why string) {
+	f.closeIntervals(r)
+	r.circuitOpen, r.openReason, r.slowStart = true, why, false
+	if r.probeInterval == 0 || f.now-r.closedAt > recentWindow { // else the back-off goes on
+		r.probeInterval = minProbeInterval / 2
 	}
-	if r.fails == 0 {
-		r.failing = f.now
+	if r.consecutiveFailures == 0 {
+		r.failingSince = f.now
 	}
-	f.trialFailed(r)
-	for _, t := range r.targets {
-		if t.state == Active && f.idle(t) > 0 { // a new connection tells a dead target from a busy one
-			f.closeIdle(t)
+	f.scheduleProbe(r)
+	for _, ep := range r.endpoints {
+		if ep.state == Active && f.idleConnections(ep) > 0 { // a new connection tells dead from busy
+			f.closeIdleConnections(ep)
 		}
 	}
 }
 
-func (f *scanner) trialFailed(r *route) {
-	r.gap = min(2*r.gap, longestTrial)
-	r.cold = r.cold || r.proof >= f.proof(r)
-	r.goods, r.tried, r.draw = 0, f.now, 0.5+f.rng.Float64()
+func (f *scanner) scheduleProbe(r *route) {
+	r.probeInterval = min(2*r.probeInterval, maxProbeInterval)
+	r.needsSlowStart = r.needsSlowStart || r.outageEvidence >= f.outageThreshold(r)
+	r.successfulProbes, r.lastProbeAt, r.probeJitter = 0, f.now, 0.5+f.rng.Float64()
 }
 
-// nextTrial is when an open route may get its next trial call. All who hold messages for it try it:
-// so that together they don't push it over on its return, each tries as often as its own messages have
-// come since the outage began, or its equal part of a limit would let it call, times the part of its capacity
-// that a cold route may be sent in trials. So it goes from the end of a told wait on, too: all were told the same.
-func (f *scanner) nextTrial(r *route) time.Duration {
-	cold := max(trialShare*f.set.TipMultiple*f.set.StartCapacity, floorRatio)
-	from := max(r.tried, r.told)
-	took := from - r.failing
-	own := float64(took) / (cold * max(1, float64(len(r.dest.waiting)), f.fairPart(r)*took.Seconds()))
-	gap := max(float64(r.gap), min(own, float64(longestTrial)*float64(f.set.Forwarders)/fewSenders))
-	return from + time.Duration(r.draw*gap)
+// nextProbeAt is when an open route may get its next probe. All senders probe it: so as not to overload it
+// on its return each does so at the rate of its own messages in the outage, or its equal share of a limit,
+// times the capacity that a returning route has for probes; from a retry-after time on too, as all got it.
+func (f *scanner) nextProbeAt(r *route) time.Duration {
+	cold := max(probeShare*f.settings.TipMultiple*f.settings.StartCapacity, minRetryRatio)
+	earliest := max(r.lastProbeAt, r.retryAfter)
+	took := earliest - r.failingSince
+	own := float64(took) / (cold * max(1, float64(len(r.dest.waiting)), f.equalShare(r)*took.Seconds()))
+	gap := max(float64(r.probeInterval), min(own, float64(maxProbeInterval)*float64(f.settings.Forwarders)/unspacedSenders))
+	return earliest + time.Duration(r.probeJitter*gap)
 }
 
-func (f *scanner) closeRoute(r *route) {
-	r.open, r.why, r.fails, r.closed = false, "", 0, f.now
-	r.doubt.value = 0
-	r.warming, r.warm0, r.cold = r.cold, f.now, false
-	r.tokens, r.filled, r.cutAt = 0, f.now, f.now
+func (f *scanner) closeCircuit(r *route) {
+	r.circuitOpen, r.openReason, r.consecutiveFailures, r.closedAt = false, "", 0, f.now
+	r.unclearShare.value = 0
+	r.slowStart, r.slowStartAt, r.needsSlowStart = r.needsSlowStart, f.now, false
+	r.tokens, r.tokensAt, r.nextCutAt = 0, f.now, f.now
 }
 
-// age starts a quiet entry afresh, but never a wait or an outage.
-func (f *scanner) age(r *route) {
-	idle := len(r.calls) == 0 && len(r.dest.waiting) == 0 && !r.open && f.now >= r.told
-	if idle && f.now-r.touched > forget {
-		targets := r.targets
-		*r = *f.freshRoute(r.name, r.dest)
-		r.targets = targets
+// resetIfUnused resets a route that was not used for long, but never a retry-after time or an outage.
+func (f *scanner) resetIfUnused(r *route) {
+	idle := len(r.inFlight) == 0 && len(r.dest.waiting) == 0 && !r.circuitOpen && f.now >= r.retryAfter
+	if idle && f.now-r.lastUsedAt > forgetAfter {
+		targets := r.endpoints
+		*r = *f.newRoute(r.name, r.dest)
+		r.endpoints = targets
 	}
 }
 
-func (f *scanner) watchCalls() {
-	for _, c := range slices.Clone(f.calls) {
-		if r := c.route; c == r.calls[0] && !r.open {
-			if silent, _ := f.silent(r); silent {
-				f.openRoute(r, "silent")
-				f.touch(r.dest)
+func (f *scanner) checkOverdue() {
+	for _, c := range slices.Clone(f.inFlight) {
+		if r := c.route; c == r.inFlight[0] && !r.circuitOpen {
+			if silent, _ := f.checkUnresponsive(r); silent {
+				f.openCircuit(r, "silent")
+				f.invalidate(r.dest)
 			}
 		}
 	}
 }
 
-func (f *scanner) watchNew() {
-	for _, c := range f.calls {
-		if r := c.route; c == r.calls[0] && !r.open {
-			if silent, next := f.silent(r); silent {
+func (f *scanner) checkNewCalls() {
+	for _, c := range f.inFlight {
+		if r := c.route; c == r.inFlight[0] && !r.circuitOpen {
+			if silent, next := f.checkUnresponsive(r); silent {
 				panic("a call became overdue in the Step that it was made in")
 			} else if next < never {
-				f.before(next)
+				f.waitUntil(next)
 			}
 		}
 	}
 }
 
-// silent tells whether calls are out for far longer than usual while none sent later came back,
-// and when the next one will be out for so long.
-func (f *scanner) silent(r *route) (silent bool, next time.Duration) {
-	usual := cmp.Or(r.mean, guessTime)
+// checkUnresponsive reports whether calls are overdue while none sent later came back, and when the next
+// call becomes overdue.
+func (f *scanner) checkUnresponsive(r *route) (silent bool, next time.Duration) {
+	latency := cmp.Or(r.meanLatency, assumedLatency)
 	late, overdue := 0, 0
 	next = never
-	for _, c := range r.calls {
-		if at := c.sent + fairOf(usual); f.now < at {
+	for _, c := range r.inFlight {
+		if at := c.sentAt + overdueAfter(latency); f.now < at {
 			next = min(next, at)
 			continue
 		}
-		f.noteLoss(c)
-		if c.sent <= r.okSent {
-			continue // a later call was answered: this one is lost or slow, the route is not silent
+		f.countLoss(c)
+		if c.sentAt <= r.lastSuccessSentAt {
+			continue // a later call was answered: the route is responsive
 		}
 		late++
 		overdue++
-		if at := c.sent + max(2*minPatience, lostFactor*usual); f.now < at {
+		if at := c.sentAt + max(2*minOverdue, lostLatencyFactor*latency); f.now < at {
 			next = min(next, at)
 		} else {
 			late++
 		}
 	}
 	if overdue > 0 {
-		f.doubt(r)
+		f.markUnresponsive(r)
 	}
 	if late >= 2 {
-		r.proof = max(r.proof, float64(overdue))
+		r.outageEvidence = max(r.outageEvidence, float64(overdue))
 	}
 	return late >= 2, next
 }
 
-// leave closes the idle connections to a target unless the new ones that they are likely to save
-// are worth the room that they take there: idle ones of very many senders fill a target's table.
-func (f *scanner) leave(t *target) {
-	room := roomCost * min(1, float64(f.set.Forwarders)/tableRoom)
-	saved := f.set.ConnectPrice * t.uses.get(f.now, max(f.set.ConnIdle, 1))
-	if _, held, worth := f.kept(t.route.dest.routes); saved < room && float64(held) > worth && f.idle(t) > 0 && len(t.route.dest.waiting) == 0 {
-		f.closeIdle(t)
+// closeSurplusIdle closes the idle connections to an endpoint unless the handshakes that they are likely to
+// save outweigh the room that they take in its connection table, which many senders fill.
+func (f *scanner) closeSurplusIdle(ep *endpoint) {
+	room := idleConnectionCost * min(1, float64(f.settings.Forwarders)/smallTableSize)
+	saved := f.settings.ConnectPrice * ep.recentCalls.get(f.now, max(f.settings.ConnIdle, 1))
+	if _, held, worth := f.connectionStats(ep.route.dest.routes); saved < room && float64(held) > worth && f.idleConnections(ep) > 0 && len(ep.route.dest.waiting) == 0 {
+		f.closeIdleConnections(ep)
 	}
 }
 
-// stale tells whether connections idle for so long have been losing calls that newer ones don't:
-// something on the way has forgotten them. They are closed before a send, at the price of a new one.
-func (f *scanner) stale(step int) bool {
-	fresh := f.idleLoss[0].get(f.now, forget)
+// idleTooLong reports whether connections idle for so long lose calls that fresh ones do not, as behind a
+// middlebox that forgets them: they are closed before a send, at the price of a handshake.
+func (f *scanner) idleTooLong(step int) bool {
+	fresh := f.idleLoss[0].get(f.now, forgetAfter)
 	for s := 1; s <= step; s++ {
-		if loss := f.idleLoss[s].get(f.now, forget); loss > staleLoss && loss > 2*fresh {
+		if loss := f.idleLoss[s].get(f.now, forgetAfter); loss > staleLossShare && loss > 2*fresh {
 			return true
 		}
 	}
 	return false
 }
 
-// patience is how long a call is left out when slots are short. What could not be refused after
-// that is given longer, but a keyed message is left time for a repeat within its window.
-func (f *scanner) patience(m *message, usual time.Duration) time.Duration {
-	own := time.Duration(float64(usual) * f.pacing(m.class))
-	short, long := lateFactor*own, max(2*minPatience, lostFactor*own)
+// cancelAfter is how long a call may be out when slots are short. A message that could not be refused after
+// that gets longer; a keyed one is left time for a repeat within its window.
+func (f *scanner) cancelAfter(m *message, latency time.Duration) time.Duration {
+	own := time.Duration(float64(latency) * f.classLatencyFactor(m.class))
+	short, long := lateLatencyFactor*own, max(2*minOverdue, lostLatencyFactor*own)
 	switch {
 	case m.class.Effect == Unsafe:
 		return long
@@ -1706,51 +1708,51 @@
 }
 
 func (f *scanner) freeSlots() {
-	if !f.set.MayCancel {
+	if !f.settings.MayCancel {
 		return
 	}
-	if len(f.calls) < f.set.Slots {
-		f.freeDoubts(f.shy[untried])
+	if len(f.inFlight) < f.settings.Slots {
+		f.cancelSuspects(f.blocked[untested])
 		return
 	}
-	if f.freeDoubts(1) {
+	if f.cancelSuspects(1) {
 		return
 	}
 	var worst *call
 	most := 1.0
-	for _, c := range f.calls {
-		usual, limit := f.usualTime(c.route.dest.routes), minPatience
-		for _, a := range c.parts {
-			limit = max(limit, f.patience(a.m, usual))
+	for _, c := range f.inFlight {
+		latency, limit := f.expectedLatency(c.route.dest.routes), minOverdue
+		for _, a := range c.attempts {
+			limit = max(limit, f.cancelAfter(a.message, latency))
 		}
-		if r := c.route; !r.open && c.sent <= r.okSent { // its route works: it is long rather than lost,
-			lost := f.longLoss.get(f.now, forget)
-			limit = time.Duration(float64(limit) * (longFactor - (longFactor-lostLong)*lost))
+		if r := c.route; !r.circuitOpen && c.sentAt <= r.lastSuccessSentAt { // it is long rather than lost
+			lost := f.longCallLoss.get(f.now, forgetAfter)
+			limit = time.Duration(float64(limit) * (longCallFactor - (longCallFactor-lostLongCallFactor)*lost))
 		}
-		over := float64(f.now-c.sent) / float64(limit)
-		if !c.called && !f.before(c.sent+limit) && over >= most {
+		over := float64(f.now-c.sentAt) / float64(limit)
+		if !c.cancelled && !f.waitUntil(c.sentAt+limit) && over >= most {
 			worst, most = c, over
 		}
 	}
 	if worst != nil {
-		f.callOff(worst)
+		f.cancelCall(worst)
 	}
 }
 
-func (f *scanner) freeDoubts(need int) (freed bool) {
-	for _, c := range f.calls {
-		if c.doubt == noDoubt || need <= 0 || slices.ContainsFunc(c.parts, (*attempt).notPure) {
+func (f *scanner) cancelSuspects(need int) (freed bool) {
+	for _, c := range f.inFlight {
+		if c.suspicion == notSuspect || need <= 0 || slices.ContainsFunc(c.attempts, (*attempt).notPure) {
 			continue
 		}
-		if c.called {
+		if c.cancelled {
 			need--
 			continue
 		}
-		usual := cmp.Or(c.route.mean, f.usual, guessTime)
-		if !f.before(c.sent + fairOf(usual)<<min(c.route.calledOff, longDoubt)) {
-			c.route.calledOff++
-			f.doubt(c.route)
-			f.callOff(c)
+		latency := cmp.Or(c.route.meanLatency, f.meanLatency, assumedLatency)
+		if !f.waitUntil(c.sentAt + overdueAfter(latency)<<min(c.route.cancelledCalls, maxCancelDoublings)) {
+			c.route.cancelledCalls++
+			f.markUnresponsive(c.route)
+			f.cancelCall(c)
 			freed = true
 			need--
 		}
@@ -1758,177 +1760,178 @@
 	return freed
 }
 
-func (a *attempt) notPure() bool { return a.m.class.Effect != Pure }
+func (a *attempt) notPure() bool { return a.message.class.Effect != Pure }
 
-func (f *scanner) callOff(c *call) {
-	c.called = true
-	for _, a := range c.parts {
-		f.do(Cancel{Message: a.m.id, Attempt: a.n})
+func (f *scanner) cancelCall(c *call) {
+	c.cancelled = true
+	for _, a := range c.attempts {
+		f.emit(Cancel{Message: a.message.id, Attempt: a.number})
 	}
 }
 
 // ---- The retry budget.
 
-// settle closes the budget's intervals that are over, each at its end: the budget halves when many
-// fail, and grows when few do. With too few outcomes to judge by they go on counting in the next one:
-// else the budget lurches where a route is called only a few times a second.
-func (f *scanner) settle(r *route) {
-	for f.now-r.interval >= adjustEvery {
-		if !r.bound && r.seen < enoughSeen && r.free <= r.interval {
-			// Nothing comes of the ends of intervals in which nothing goes on.
-			f.closeInterval(r, r.interval+(f.now-r.interval)/adjustEvery*adjustEvery)
+// closeIntervals closes the adjustment intervals that are over, each at its end. Too few outcomes count on in
+// the next one, or else the retry budget of a route with few calls would fluctuate.
+func (f *scanner) closeIntervals(r *route) {
+	for f.now-r.intervalStart >= adjustInterval {
+		if !r.paceLimited && r.outcomes < minOutcomes && r.nextTokenAt <= r.intervalStart {
+			// Idle intervals change nothing: close them all at once.
+			f.closeInterval(r, r.intervalStart+(f.now-r.intervalStart)/adjustInterval*adjustInterval)
 			return
 		}
-		f.closeInterval(r, r.interval+adjustEvery)
+		f.closeInterval(r, r.intervalStart+adjustInterval)
 	}
 }
 
-func (f *scanner) settleAll(d *dest) {
+func (f *scanner) closeAllIntervals(d *destination) {
 	for _, r := range d.routes {
-		f.settle(r)
+		f.closeIntervals(r)
 	}
 }
 
 func (f *scanner) closeInterval(r *route, end time.Duration) {
-	if r.bound && r.fulls == 0 && r.good > 0 && !r.open && !f.warming(r, end) {
-		r.rate *= paceUp
+	if r.paceLimited && r.rejections == 0 && r.successes > 0 && !r.circuitOpen && !f.inSlowStart(r, end) {
+		r.adaptiveRate *= rateGrowth
 	}
-	r.fulls, r.good, r.interval = 0, 0, end
-	f.repace(r, end)
-	if r.seen < enoughSeen {
+	r.rejections, r.successes, r.intervalStart = 0, 0, end
+	f.updatePace(r, end)
+	if r.outcomes < minOutcomes {
 		return
 	}
-	switch rate := float64(r.bad) / float64(r.seen); {
-	case rate > highFailure:
-		r.ratio = max(floorRatio, r.ratio/2)
-	case rate < lowFailure:
-		r.ratio = min(startRatio, r.ratio*(1+growth))
+	switch rate := float64(r.failures) / float64(r.outcomes); {
+	case rate > highFailureShare:
+		r.retryRatio = max(minRetryRatio, r.retryRatio/2)
+	case rate < lowFailureShare:
+		r.retryRatio = min(initialRetryRatio, r.retryRatio*(1+retryRatioGrowth))
 	}
-	r.seen, r.bad = 0, 0
+	r.outcomes, r.failures = 0, 0
 }
 
-// repace works out when a route may be called next, and whether its pace holds a message now.
-func (f *scanner) repace(r *route, at time.Duration) {
-	f.fill(r, at)
-	r.pace = f.paceAt(r, at)
-	r.free = at
-	if r.tokens < 1 && !math.IsInf(r.pace, 1) {
-		r.free += time.Duration(min((1-r.tokens)/r.pace, 1e6) * float64(time.Second))
+// updatePace computes when a route may be called next, and whether its pace holds back a message now.
+func (f *scanner) updatePace(r *route, at time.Duration) {
+	f.refillTokens(r, at)
+	r.currentRate = f.allowedRate(r, at)
+	r.nextTokenAt = at
+	if r.tokens < 1 && !math.IsInf(r.currentRate, 1) {
+		r.nextTokenAt += time.Duration(min((1-r.tokens)/r.currentRate, 1e6) * float64(time.Second))
 	}
-	held := len(r.dest.waiting) > 0 && !r.open && at >= r.told && at < r.free
-	r.bound = held || r.bound && at != r.interval
+	held := len(r.dest.waiting) > 0 && !r.circuitOpen && at >= r.retryAfter && at < r.nextTokenAt
+	r.paceLimited = held || r.paceLimited && at != r.intervalStart
 }
 
-// touch: here it is looked at in any case.
-func (f *scanner) touch(d *dest) {
+// invalidate notes a change at a destination: its pace is computed anew, and it is reconsidered before this
+// Step is over.
+func (f *scanner) invalidate(d *destination) {
 	for _, r := range d.routes {
-		f.settle(r)
-		f.repace(r, f.now)
+		f.closeIntervals(r)
+		f.updatePace(r, f.now)
 	}
 }
 
-// budgetRoom tells whether one more further try fits the budget: those of the last seconds, and
-// those granted, stay under the ratio of the first tries. One is in hand where none was made.
-func (f *scanner) budgetRoom(r *route) bool {
-	return r.further.get(f.now, memory)+float64(r.reserved) <= r.ratio*r.firsts.get(f.now, memory)
+// retryBudgetLeft reports whether one more retry fits the budget: recent and granted retries stay under
+// retryRatio of the recent first attempts. One is allowed when none was made.
+func (f *scanner) retryBudgetLeft(r *route) bool {
+	return r.retries.get(f.now, recentWindow)+float64(r.reservedRetries) <= r.retryRatio*r.firstAttempts.get(f.now, recentWindow)
 }
 
 // ---- Pace.
 
-// paceAt is the rate in calls a second at which this sender may call a route.
-func (f *scanner) paceAt(r *route, at time.Duration) float64 {
-	p := r.rate
-	if fair := f.fairPart(r); fair > 0 {
-		old := min(1, (at-r.heard).Seconds()/rateSpan.Seconds())
-		room := r.room + (littleRoom-r.room)*old // who has heard nothing lately keeps to the own part
-		limit, own := fair*float64(f.set.Forwarders), f.part(r, at)
-		if r.asked > limit { // each lets through the same share of its messages
-			own = max(fullUse*fair, own*limit/r.asked*(evenRoom+min(room, muchRoom)))
-		} else { // more than the own part while others leave room
-			own = max(own, limit*min(1, (room-littleRoom)/(muchRoom-littleRoom)))
+// allowedRate is the rate in calls a second at which this sender may call a route.
+func (f *scanner) allowedRate(r *route, at time.Duration) float64 {
+	p := r.adaptiveRate
+	if equal := f.equalShare(r); equal > 0 {
+		staleness := min(1, (at-r.allowanceAt).Seconds()/rateWindow.Seconds())
+		room := r.allowanceLeft + (scarceAllowance-r.allowanceLeft)*staleness // without recent reports: the own share
+		limit, own := equal*float64(f.settings.Forwarders), f.ownShare(r, at)
+		if r.totalDemand > limit { // each sender lets through the same share of its messages
+			own = max(overloadShare*equal, own*limit/r.totalDemand*(balancedAllowance+min(room, ampleAllowance)))
+		} else { // more than the own share while others leave room
+			own = max(own, limit*min(1, (room-scarceAllowance)/(ampleAllowance-scarceAllowance)))
 		}
 		p = min(p, own)
 	}
-	if f.warming(r, at) {
-		t := float64(at-r.warm0) / float64(f.set.Cold)
-		present := f.set.StartCapacity + (1-f.set.StartCapacity)*t
-		p = min(p, warmShare*f.set.TipMultiple*present*f.part(r, at))
+	if f.inSlowStart(r, at) {
+		t := float64(at-r.slowStartAt) / float64(f.settings.Cold)
+		present := f.settings.StartCapacity + (1-f.settings.StartCapacity)*t
+		p = min(p, slowStartShare*f.settings.TipMultiple*present*f.ownShare(r, at))
 	}
 	return p
 }
 
-// warming tells whether a route is on its return from an outage.
-func (f *scanner) warming(r *route, at time.Duration) bool {
-	return r.warming && at-r.warm0 < f.set.Cold
+// inSlowStart reports whether a route is returning from an outage.
+func (f *scanner) inSlowStart(r *route, at time.Duration) bool {
+	return r.slowStart && at-r.slowStartAt < f.settings.Cold
 }
 
-// part is this sender's part of what a route can take, as far as it knows: its equal part, or the
-// part that its own messages make up, over the last minute.
-func (f *scanner) part(r *route, at time.Duration) float64 {
-	span := min(forget, max(at-f.begun, rateSpan))
-	own := r.dest.taken.get(at, forget) / span.Seconds() / float64(len(r.dest.routes))
-	return max(f.fairPart(r), own)
+// ownShare is the rate of a route that is this sender's: its equal share of a known limit, or the rate of
+// its own messages over the last minute if that is more.
+func (f *scanner) ownShare(r *route, at time.Duration) float64 {
+	span := min(forgetAfter, max(at-f.startedAt, rateWindow))
+	own := r.dest.accepted.get(at, forgetAfter) / span.Seconds() / float64(len(r.dest.routes))
+	return max(f.equalShare(r), own)
 }
 
-// heed takes what an answer tells of a limit.
-func (f *scanner) heed(r *route, o Outcome) {
-	limit, since := o.Allowance.Rate, min(f.now-r.heard, rateSpan).Seconds()
+// observeAllowance follows a reported limit and estimates the demand of all senders from what is left. All
+// get the same reports, so they agree; a falling limit applies at once, as demand stays.
+func (f *scanner) observeAllowance(r *route, o Outcome) {
+	limit, since := o.Allowance.Rate, min(f.now-r.allowanceAt, rateWindow).Seconds()
 	if limit <= 0 {
-		r.limit, r.asked = 0, 0
+		r.serverLimit, r.totalDemand = 0, 0
 		return
 	}
-	if r.limit > 0 && math.Abs(limit-r.limit) < steadyLimit*r.limit {
-		limit = r.limit + (limit-r.limit)/4
+	if r.serverLimit > 0 && math.Abs(limit-r.serverLimit) < limitNoise*r.serverLimit {
+		limit = r.serverLimit + (limit-r.serverLimit)/4
 	}
-	r.limit, r.room, r.heard = limit, o.Allowance.Left, f.now
-	rise := crowdDown * min(0, evenRoom-r.room)
-	if o.Result == Full && o.Allowance.Left < nearlySpent { // refused calls may use it up, too
-		r.room, rise = 0, crowdUp
+	r.serverLimit, r.allowanceLeft, r.allowanceAt = limit, o.Allowance.Left, f.now
+	rise := demandDrift * min(0, balancedAllowance-r.allowanceLeft)
+	if o.Result == Full && o.Allowance.Left < allowanceNearlySpent { // rejected calls may use it up, too
+		r.allowanceLeft, rise = 0, demandRise
 	}
-	r.asked = min(mostCrowd*limit, max(limit, r.asked*math.Exp(since*rise)))
+	r.totalDemand = min(maxDemandFactor*limit, max(limit, r.totalDemand*math.Exp(since*rise)))
 }
 
-// fairPart is an equal part of the limit of a route, where that is told; else 0.
-func (f *scanner) fairPart(r *route) float64 {
-	w := r.limit
-	if w <= 0 && f.set.Weights == ExactWeights {
-		w = f.weight(r)
+// equalShare is an equal share of a route's limit for each sender, or 0 if none is known.
+func (f *scanner) equalShare(r *route) float64 {
+	w := r.serverLimit
+	if w <= 0 && f.settings.Weights == ExactWeights {
+		w = f.listedWeight(r)
 	}
-	return w / float64(f.set.Forwarders)
+	return w / float64(f.settings.Forwarders)
 }
 
-// fill counts what has come to a route's tokens since.
-func (f *scanner) fill(r *route, at time.Duration) {
-	if math.IsInf(r.pace, 1) {
+// refillTokens adds the tokens that a route has gained since the last time.
+func (f *scanner) refillTokens(r *route, at time.Duration) {
+	if math.IsInf(r.currentRate, 1) {
 		r.tokens = 1
 	} else {
-		r.tokens = min(1, r.tokens+r.pace*(at-r.filled).Seconds())
+		r.tokens = min(1, r.tokens+r.currentRate*(at-r.tokensAt).Seconds())
 	}
-	r.filled = at
+	r.tokensAt = at
 }
 
-// refusedAtPace slows a route down after a refusal, once for each lot of refusals.
-func (f *scanner) refusedAtPace(r *route) {
-	r.fulls++
-	if f.now < r.cutAt {
+// cutRate slows a route down after a rejection, once for each burst of rejections.
+func (f *scanner) cutRate(r *route) {
+	r.rejections++
+	if f.now < r.nextCutAt {
 		return
 	}
-	r.cutAt = f.now + adjustEvery
-	sent := r.sent.get(f.now, rateSpan) / rateSpan.Seconds()
-	least := max(leastPart, share(r.limit > 0)) // paceAt sees to a told limit
-	r.rate = max(minRate/float64(f.set.Forwarders), least*f.part(r, f.now), min(r.rate, sent)*cutTo)
+	r.nextCutAt = f.now + adjustInterval
+	sent := r.recentCalls.get(f.now, rateWindow) / rateWindow.Seconds()
+	least := max(minOwnShare, oneIf(r.serverLimit > 0)) // allowedRate applies a known limit
+	r.adaptiveRate = max(minTotalRate/float64(f.settings.Forwarders), least*f.ownShare(r, f.now), min(r.adaptiveRate, sent)*rateCut)
 }
 
 // ---- For the host.
 
-func (f *scanner) setWake() {
-	for _, m := range f.held {
-		if m.out == 0 {
-			f.before(m.ends())
+func (f *scanner) scheduleWake() {
+	for _, m := range f.pending {
+		if m.inFlight == 0 {
+			f.waitUntil(m.answerDeadline())
 		}
 	}
-	if f.next < never && (f.wakeAt <= f.now || f.next < f.wakeAt) {
-		f.wakeAt = f.next
-		f.do(Wake{After: f.next - f.now})
+	if f.nextDue < never && (f.wakeAt <= f.now || f.nextDue < f.wakeAt) {
+		f.wakeAt = f.nextDue
+		f.emit(Wake{After: f.nextDue - f.now})
 	}
 }
--- a/internal/decide/shares_test.go
+++ b/internal/decide/shares_test.go
@@ -9,7 +9,7 @@
 
 // forward plays messages for destination 1, each taking a time at the target that it is sent to, and counts the calls of each target from a
 // time on.
-func forward(t *testing.T, targets []Target, every, span, from time.Duration, takes func(target string, now time.Duration) (time.Duration, Result)) map[string]int {
+func forward(t *testing.T, targets []Target, every, span, earliest time.Duration, takes func(target string, now time.Duration) (time.Duration, Result)) map[string]int {
 	t.Helper()
 	f, err := New(Settings{Slots: 512, Seed: 7, ConnIdle: time.Minute, ConnectLimit: time.Second, AdviceLimit: time.Second, StartCapacity: 1,
 		TipMultiple: 2, Fall: time.Second, Classes: []Class{{Name: "note", Deadline: 10 * time.Second, Aim: 3 * time.Second, Worth: 1}}})
@@ -29,7 +29,7 @@
 				took, how := takes(s.Target, now)
 				due[now+took] = append(due[now+took], Outcome{Message: s.Message, Attempt: attempts[s.Message], Target: s.Target, Result: how, Over: how == Done, Took: took})
 				attempts[s.Message]++
-				if now >= from {
+				if now >= earliest {
 					got[s.Target]++
 				}
 			}
@@ -146,10 +146,10 @@
 		clear(out)
 		step(events...)
 	}
-	if len(f.targets) != 1 || len(f.targets["x"].route.targets) != 1 {
-		t.Errorf("%d targets are remembered, and there is one", len(f.targets))
-		for id, x := range f.targets {
-			t.Logf("%q: %d calls out", id, x.out)
+	if len(f.endpoints) != 1 || len(f.endpoints["x"].route.endpoints) != 1 {
+		t.Errorf("%d targets are remembered, and there is one", len(f.endpoints))
+		for id, x := range f.endpoints {
+			t.Logf("%q: %d calls out", id, x.inFlight)
 		}
 	}
 }
