--- /dev/null
+++ b/internal/decide/shedding.go
@@ -0,0 +1,132 @@
+package decide
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	shedThreshold = 0.9 // of MaxHeld: from here on messages are shed
+	earlyShedCost = 0.3 // of its value: the cost of shedding an accepted message
+	earlyShedAge  = 0.7 // before so much of its time has passed
+)
+
+// acceptMessage queues a new or recovered message, or rejects it.
+func (f *Forwarder) acceptMessage(e Message) {
+	if f.messages[e.ID] != nil {
+		return
+	}
+	class := f.classes[e.Class]
+	switch {
+	case e.Recovered && class == nil:
+		f.emit(Fail{Message: e.ID})
+		return
+	case e.Recovered: // it was accepted: it must get its answer
+	case class == nil || e.Left <= 0:
+		f.emit(Refuse{Message: e.ID})
+		return
+	case f.fenced, f.settings.MaxHeld > 0 && f.pending >= f.settings.MaxHeld:
+		f.emit(Refuse{Message: e.ID, Wait: f.retryAdvice(f.destination(e.Destination))})
+		return
+	}
+	m := f.newMessage(e, class)
+	if f.exceedsQuota(e.Tenant) {
+		m.value = class.Worth * f.settings.OverShareWorth
+	}
+	f.closeAllIntervals(m.dest)
+	for _, r := range m.dest.routes {
+		f.resetIfUnused(r)
+	}
+	if e.Recovered {
+		f.recoverMessage(m, e)
+		return
+	}
+	m.dest.accepted.add(f.now, forgetAfter)
+	f.enqueue(m)
+	f.shedIfFull(m)
+}
+
+// recoverMessage resumes a message from before a restart. An attempt that the restart interrupted is no
+// failure of its destination, so the next one is no retry. Knowledge of outages is lost, and the queue may
+// have built up during one: routes begin with a slow start.
+func (f *Forwarder) recoverMessage(m *message, e Message) {
+	m.attempts, m.sends, m.mayHaveRun, m.recovered = e.Attempts, e.Attempts, e.MayHaveRun, true
+	if e.Open {
+		m.sends--
+	}
+	m.sends = min(m.sends, maxRetries) // the host counts unsent attempts too: one is left
+	if m.mayHaveRun && m.class.Effect != Pure || f.attemptsExhausted(m) || f.now >= m.answerDeadline() {
+		f.answerMessage(m) // the time at which a keyed one ran is lost
+		return
+	}
+	for _, r := range m.dest.routes {
+		if r.lastSuccessSentAt < 0 && !r.slowStart {
+			r.slowStart, r.slowStartAt = true, f.now
+		}
+		if f.equalShare(r) <= 0 { // without a limit the queue alone sets the pace
+			m.dest.accepted.add(f.now, forgetAfter)
+		}
+	}
+	f.enqueue(m)
+}
+
+// shedIfFull rejects the least valuable message when the queues are almost full, so that messages for
+// failing destinations do not displace the others. If others are queued before it, a new message is rejected
+// before an old one of slightly less value, since its client has no acceptance yet.
+func (f *Forwarder) shedIfFull(incoming *message) {
+	if f.settings.MaxHeld == 0 || float64(f.pending) < shedThreshold*float64(f.settings.MaxHeld) {
+		return
+	}
+	if m := f.leastValuable(); m != nil {
+		left := float64(m.deadline-f.now) / float64(m.class.Deadline)
+		highest := f.valueWhenSent(m) + earlyShedCost*m.value*oneIf(left > 1-earlyShedAge)
+		if incoming.dest.queued > 1 && f.valueWhenSent(incoming) <= highest {
+			m = incoming
+		}
+		f.answerMessage(m)
+	}
+}
+
+// valueWhenSent is the value that a message will have once all queued for its destination are sent.
+func (f *Forwarder) valueWhenSent(m *message) float64 {
+	return m.value * f.valueShare(m.class, f.now+m.dest.drainTime-m.createdAt)
+}
+
+// leastValuable is the rejectable message with the lowest value when sent.
+func (f *Forwarder) leastValuable() (least *message) {
+	var lowest float64
+	f.forEachSheddable(func(g *group) {
+		m := g.oldest()
+		v := f.valueWhenSent(m)
+		if least == nil || v < lowest || v == lowest && shedBefore(g, least.group) {
+			least, lowest = m, v
+		}
+	})
+	return least
+}
+
+// queueDrainTime is how long it takes to send all that is queued for a destination. With all circuits open
+// only probes go out, so messages for a failing destination are worth least and are shed first.
+func (f *Forwarder) queueDrainTime(d *destination) time.Duration {
+	each := f.expectedLatency(d.routes)
+	if len(d.routes) > 0 && allCircuitsOpen(d.routes) {
+		for _, r := range d.routes {
+			each = max(each, r.probeInterval)
+		}
+	}
+	return time.Duration(d.queued) * each
+}
+
+// valueShare is the share of its value that a message of a class has left at an age.
+func (f *Forwarder) valueShare(class *Class, age time.Duration) float64 {
+	if age <= class.Aim || class.Aim <= 0 {
+		return 1
+	}
+	if age >= class.Deadline {
+		return 0
+	}
+	if f.settings.Decay == Halves {
+		return max(class.LateShare, math.Pow(0.5, float64(age-class.Aim)/float64(class.Aim)))
+	}
+	return 1 - (1-class.LateShare)*float64(age-class.Aim)/float64(class.Deadline-class.Aim)
+}
--- a/internal/decide/size_test.go
+++ b/internal/decide/size_test.go
@@ -135,12 +135,12 @@
 		t.Errorf("%.0f bytes for an idle destination, %d allowed", idle, perDestination)
 	}
 	runtime.KeepAlive(kept)
-	all, kept := heapOf(func() any {
+	active, kept := heapOf(func() any {
 		f := newStepper(t, "indexes", sizeSettings())
 		atSize(t, f, dests, held)
 		return f
 	})
-	each := (all - idle*dests) / held
+	each := (active - idle*dests) / held
 	if each > perHeld {
 		t.Errorf("%.0f bytes for a held message, %d allowed", each, perHeld)
 	}
@@ -156,11 +156,11 @@
 	set.Slots = dests
 	f := newStepper(t, "indexes", set)
 	list := func(life int) TargetList {
-		l := TargetList{Scope: Whole}
+		snapshot := TargetList{Scope: Whole}
 		for d := range dests {
-			l.Targets = append(l.Targets, Target{ID: fmt.Sprint("t", life, ".", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e6})
+			snapshot.Targets = append(snapshot.Targets, Target{ID: fmt.Sprint("t", life, ".", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e6})
 		}
-		return l
+		return snapshot
 	}
 	f.Step(0, []Event{list(1)})
 	events := []Event{}
@@ -194,12 +194,12 @@
 	set := sizeSettings()
 	set.Slots = 100
 	f := newStepper(t, "indexes", set)
-	l := TargetList{Scope: Whole}
+	snapshot := TargetList{Scope: Whole}
 	var events []Event
 	for d := range others + 1 {
-		l.Targets = append(l.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e9})
+		snapshot.Targets = append(snapshot.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e9})
 	}
-	f.Step(0, []Event{l})
+	f.Step(0, []Event{snapshot})
 	for i := range many {
 		events = append(events, Message{ID: fmt.Sprint("many", i), Class: "pure", Destination: 0, Left: time.Hour})
 	}
@@ -237,15 +237,15 @@
 	set := sizeSettings()
 	set.Slots, set.Fall = 2*dests, 0
 	f := newStepper(t, "indexes", set)
-	l := TargetList{Scope: Whole}
+	snapshot := TargetList{Scope: Whole}
 	var events []Event
 	for d := range dests {
-		l.Targets = append(l.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e9})
+		snapshot.Targets = append(snapshot.Targets, Target{ID: fmt.Sprint("t", d), Destination: d, Kind: "std", Zone: "a", Weight: 1e9})
 		for i := range 2 {
 			events = append(events, Message{ID: fmt.Sprint("m", d, ".", i), Class: "pure", Destination: d, Left: time.Hour})
 		}
 	}
-	f.Step(0, []Event{l})
+	f.Step(0, []Event{snapshot})
 	var told []Event
 	for _, a := range f.Step(0, events) {
 		if s, ok := a.(Send); ok {
--- a/internal/decide/view.go
+++ b/internal/decide/view.go
@@ -5,17 +5,18 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 )
 
-// Routes tells what is known of each route, for on-call staff.
+// Routes returns the state of each route, for operators.
 func (f *Forwarder) Routes() []RouteView {
 	var views []RouteView
-	for _, d := range slices.SortedFunc(maps.Values(f.dests), func(a, b *dest) int { return cmp.Compare(a.seq, b.seq) }) {
+	for _, d := range slices.SortedFunc(maps.Values(f.destinations), func(a, b *destination) int { return cmp.Compare(a.seq, b.seq) }) {
 		for _, r := range d.routes {
-			v := RouteView{Route: cmp.Or(r.name, strconv.Itoa(d.id)), Open: r.open, Why: r.why, WaitLeft: max(0, r.told-f.now),
-				Budget: r.ratio, Out: len(r.calls), Waiting: d.n, Amplification: 1}
-			if r.allFirst > 0 {
-				v.Amplification = float64(r.all) / float64(r.allFirst)
+			v := RouteView{Route: cmp.Or(r.name, strconv.Itoa(d.id)), Open: r.circuitOpen, Why: r.openReason, WaitLeft: max(0, r.retryAfter-f.now),
+				Budget: r.retryRatio, Out: len(r.inFlight), Waiting: d.queued, Amplification: 1}
+			if r.totalFirstAttempts > 0 {
+				v.Amplification = float64(r.totalAttempts) / float64(r.totalFirstAttempts)
 			}
 			views = append(views, v)
 		}
@@ -23,17 +24,54 @@
 	return views
 }
 
-// Rotation tells how many targets are listed, and how many of those are not called now: left out, told to wait for, or held to be
-// failing.
+// Rotation returns how many endpoints are listed, and how many of those are not called now: disabled, within
+// a retry-after time, or failing.
 func (f *Forwarder) Rotation() (listed, out int) {
-	for _, t := range f.targets {
-		if t.state == Gone {
+	for _, ep := range f.endpoints {
+		if ep.state == Gone {
 			continue
 		}
 		listed++
-		if r := t.route; t.state != Active || r.open || f.now < r.told || f.now < t.avoidTil {
+		if r := ep.route; ep.state != Active || r.circuitOpen || f.now < r.retryAfter || f.now < ep.avoidUntil {
 			out++
 		}
 	}
 	return listed, out
 }
+
+// TargetView is the state of an endpoint as operators see it.
+type TargetView struct {
+	Target
+	Out, Connections int    // calls in flight; those and idle connections
+	Held             string // why it would not be called now; empty if it would
+}
+
+// Targets lists the endpoints that are known and not gone, by name.
+func (f *Forwarder) Targets(now time.Duration) (list []TargetView) {
+	for _, ep := range f.endpoints {
+		if ep.state == Gone {
+			continue
+		}
+		v := TargetView{Target: ep.listing, Out: ep.inFlight, Connections: ep.inFlight + f.idleConnections(ep)}
+		v.ID, v.Zone, v.State, v.Weight = ep.id, ep.zone, ep.state, ep.weight
+		switch r := ep.route; {
+		case ep.state != Active:
+		case now < r.retryAfter:
+			v.Held = "told to wait"
+		case r.circuitOpen:
+			v.Held = "outage: " + r.openReason
+		case now < ep.avoidUntil:
+			v.Held = "fails while others work"
+		case now < r.nextTokenAt:
+			v.Held = "pace"
+		case f.endpointCapacity(ep) < 1:
+			v.Held = "cold"
+		}
+		if r := ep.route; r != nil && r.dest != nil {
+			v.Destination = r.dest.id
+		}
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b TargetView) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
