--- /dev/null
+++ b/internal/journal/append.go
@@ -0,0 +1,187 @@
+package journal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+)
+
+// Accepted records a message, in the room reserved for it.
+func (j *Journal) Accepted(s *Saved) error {
+	if old := j.live[s.ID]; old != nil {
+		j.Closed(old.ID)
+	}
+	s.number, s.recordCount, s.journal = j.nextNumber, 0, j
+	j.nextNumber++
+	j.live[s.ID] = s
+	return j.appendState(s)
+}
+
+// appendState appends a message as it is now.
+func (j *Journal) appendState(s *Saved) error {
+	body, err := s.Body.Load()
+	if err != nil {
+		j.markBodyLost(s, err)
+		body = nil
+	}
+	at, size := j.appendMessageRecord(kindState, s, encodeState(s, body))
+	if j.err == nil {
+		s.unlink()
+		j.activeSegment().link(s, int64(size+maxIndexEntry))
+		j.pendingPositions = append(j.pendingPositions, pendingPosition{s, position{j.activeSegment(), at, size}})
+	}
+	return j.err
+}
+
+// Sending records that an attempt is about to be made.
+func (j *Journal) Sending(id string) {
+	if s := j.live[id]; s != nil {
+		s.MayHaveRun = s.Ran()
+		s.Attempts, s.Open = s.Attempts+1, true
+		j.appendMessageRecord(kindSending, s, nil)
+	}
+}
+
+// Outcome records how the attempt in flight ended.
+func (j *Journal) Outcome(id string, mayHaveRun bool) {
+	if s := j.live[id]; s != nil {
+		s.Open, s.MayHaveRun = false, s.MayHaveRun || mayHaveRun
+		j.appendMessageRecord(kindOutcome, s, []byte{flagByte(mayHaveRun)})
+	}
+}
+
+// Ended records the final answer; its completion notice is owed from then on.
+func (j *Journal) Ended(id string, end byte, wait time.Duration) {
+	if s := j.live[id]; s != nil {
+		s.End, s.Wait = end, wait
+		j.appendMessageRecord(kindEnd, s, binary.AppendUvarint([]byte{end}, uint64(wait.Milliseconds())))
+	}
+}
+
+// Closed removes a message for which nothing is owed any more.
+func (j *Journal) Closed(id string) {
+	if s := j.live[id]; s != nil {
+		j.appendMessageRecord(kindClosed, s, nil)
+		j.removeMessage(s)
+	}
+}
+
+// removeMessage removes a message from memory and returns its room.
+func (j *Journal) removeMessage(s *Saved) {
+	s.unlink()
+	j.memory.release(s)
+	delete(j.live, s.ID)
+	j.Release(s.Size())
+}
+
+// appendMessageRecord buffers a record of a message, and returns its offset and size.
+func (j *Journal) appendMessageRecord(k kind, s *Saved, rest []byte) (at int64, size int) {
+	if j.err != nil {
+		return 0, 0
+	}
+	var few [32]byte
+	payload := binary.AppendUvarint(few[:0], s.number)
+	payload = append(append(payload, s.recordCount), rest...)
+	n := recordHeaderBytes + len(payload)
+	if j.bytesLeft() < n+maxIndexEntry {
+		if j.err = j.rollSegment(); j.err != nil {
+			return 0, 0
+		}
+	}
+	at = j.writeOffset + int64(len(j.buffer))
+	j.appendToBuffer(k, payload)
+	j.unindexed = append(j.unindexed, recordID{s.number, s.recordCount})
+	s.recordCount++
+	if j.unindexedBytes += n; j.unindexedBytes >= indexInterval {
+		j.appendIndex()
+	}
+	return at, n
+}
+
+// bytesLeft is the room in the active segment for records, without that for their index entries.
+func (j *Journal) bytesLeft() int {
+	index := recordHeaderBytes + 16 + len(j.unindexed)*maxIndexEntry
+	return int(j.segmentSize-j.writeOffset) - len(j.buffer) - index - sealBytes
+}
+
+// appendToBuffer buffers a record.
+func (j *Journal) appendToBuffer(k kind, payload []byte) {
+	j.buffer = appendRecord(j.buffer, j.activeSegment().nonce, j.writeOffset+int64(len(j.buffer)), k, payload)
+}
+
+// appendIndex appends an index of the records since the last one, by which replay can tell which messages damage
+// has hit.
+func (j *Journal) appendIndex() {
+	if len(j.unindexed) == 0 {
+		return
+	}
+	payload := binary.AppendUvarint(nil, j.indexCount)
+	payload = binary.AppendUvarint(payload, uint64(len(j.unindexed)))
+	j.indexCount++
+	for _, t := range j.unindexed {
+		payload = append(binary.AppendUvarint(payload, t.number), t.count)
+	}
+	j.appendToBuffer(kindIndex, payload)
+	j.unindexed, j.unindexedBytes = j.unindexed[:0], 0
+}
+
+// rollSegment seals the active segment and begins the next one.
+func (j *Journal) rollSegment() error {
+	j.appendIndex()
+	j.appendToBuffer(kindSeal, binary.AppendUvarint(nil, j.nextNumber))
+	if err := j.writeBuffer(); err != nil {
+		return err
+	}
+	if err := j.syncNow(); err != nil {
+		return err
+	}
+	if err := j.beginSegment(); err != nil {
+		return err
+	}
+	return j.ensureSpare()
+}
+
+// Flush writes the buffer, and compacts a part of the oldest segment if room is short.
+func (j *Journal) Flush() error {
+	if j.err != nil || len(j.buffer) == 0 {
+		return j.err
+	}
+	n := int64(len(j.buffer))
+	if j.err = j.writeBuffer(); j.err != nil {
+		return j.err
+	}
+	if len(j.spares) < 2 && len(j.segments) > 1 {
+		if _, j.err = j.compact(max(compactionSlice, compactionFactor*n)); j.err == nil {
+			j.err = j.writeBuffer()
+		}
+	}
+	return j.err
+}
+
+// writeBuffer writes the buffer to the active segment.
+func (j *Journal) writeBuffer() error {
+	if len(j.buffer) == 0 {
+		return nil
+	}
+	s := j.activeSegment()
+	n, err := s.file.WriteAt(j.buffer, j.writeOffset)
+	if err != nil {
+		return fmt.Errorf("journal: writing %d bytes at %d of %s: %w", len(j.buffer), j.writeOffset, s.name, err)
+	}
+	j.writeOffset += int64(n)
+	j.writtenBytes += int64(n)
+	j.syncNeeded = j.writtenBytes
+	j.recordPositions()
+	if j.buffer = j.buffer[:0]; cap(j.buffer) > 1<<20 {
+		j.buffer = nil
+	}
+	return nil
+}
+
+// flagByte is 1 if a flag is set, else 0.
+func flagByte(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -87,7 +87,7 @@
 			if err := j.Flush(); err != nil {
 				b.Fatal(err)
 			}
-			wrote, n := j.written, 0
+			wrote, n := j.writtenBytes, 0
 			for b.Loop() {
 				id := fmt.Sprint("m", n)
 				n++
@@ -100,7 +100,7 @@
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(j.written-wrote)/float64(n*len(body)), "written/taken")
+			b.ReportMetric(float64(j.writtenBytes-wrote)/float64(n*len(body)), "written/taken")
 		})
 	}
 }
--- a/internal/journal/extras_test.go
+++ b/internal/journal/extras_test.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := j.active().version; got != want {
+		if got := j.activeSegment().version; got != want {
 			t.Fatalf("format %d, want %d", got, want)
 		}
 		return j
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -9,8 +9,8 @@
 	"syscall"
 )
 
-// FS is what the journal asks of a file system. Names have no folder: all files
-// are in one. Tests inject faults here.
+// FS is what the journal needs of a file system. Names have no folder: all files are in one. Tests inject faults
+// here.
 type FS interface {
 	List() ([]string, error)
 	Open(name string, create bool) (File, error)
@@ -33,7 +33,7 @@
 // Folder is a folder of the operating system.
 func Folder(dir string) FS { return osFS{dir: dir} }
 
-// osFS is one.
+// osFS is a folder of the operating system.
 type osFS struct {
 	dir      string
 	readOnly bool
--- a/internal/journal/old.go
+++ b/internal/journal/legacy.go
@@ -11,7 +11,7 @@
 	"scaleroute/internal/message"
 )
 
-// The journal of old was one file. It is read and taken over at the first start; nothing writes it any
+// The legacy journal was one file. It is read and upgraded at the first start; nothing writes it any
 // more. Its records had a header of 8 bytes - length of the payload and its CRC-32C, both
 // little-endian - and a payload: a byte for the type, the length of the id in one byte, the id, and then by type:
 //
@@ -23,9 +23,9 @@
 //	C closed     nothing is owed any more
 //	M attempts   3 bytes: made, 1 if the last has no outcome, 1 if one may have run (by compaction)
 const (
-	oldName   = "journal"
-	oldHead   = 8
-	oldRecord = MaxBody + 1024
+	legacyName      = "journal"
+	legacyHeader    = 8
+	maxLegacyRecord = MaxBody + 1024
 
 	// MaxBody is the longest body of a message, in bytes.
 	MaxBody = 64 << 10
@@ -35,47 +35,47 @@
 
 func millis(ms uint64) time.Duration { return time.Duration(min(ms, 1<<40)) * time.Millisecond }
 
-// abandonTakeOver drops what a take-over has written that a kill cut off: while the file of old is there it
-// holds all. Segments that come from anywhere else are nothing to drop.
-func (j *Journal) abandonTakeOver(readOnly bool) error {
-	for _, s := range j.segs {
+// abandonUpgrade removes what an interrupted upgrade has written: while the legacy file is there it has
+// everything. Segments that come from anywhere else are an error.
+func (j *Journal) abandonUpgrade(readOnly bool) error {
+	for _, s := range j.segments {
 		f, err := j.fs.Open(s.name, false)
 		if err != nil {
 			return fmt.Errorf("journal: %w", err)
 		}
-		text := make([]byte, segmentHead)
+		text := make([]byte, segmentHeaderBytes)
 		n, _ := f.ReadAt(text, 0)
 		f.Close()
 		if _, err := s.readHeader(text[:n]); err != nil {
 			return err
 		}
-		if s.flags&takingOver == 0 {
-			return fmt.Errorf("journal: the folder has a journal of the old form beside segments: an older program has run on it since. Move %q away, or the files *%s and *%s, whichever is not wanted", oldName, segmentEnd, spareEnd)
+		if s.flags&upgrading == 0 {
+			return fmt.Errorf("journal: the folder has a journal of the old form beside segments: an older program has run on it since. Move %q away, or the files *%s and *%s, whichever is not wanted", legacyName, segmentEnd, spareEnd)
 		}
 	}
 	if !readOnly {
-		for _, s := range j.segs {
+		for _, s := range j.segments {
 			if err := j.fs.Remove(s.name); err != nil {
 				return fmt.Errorf("journal: %w", err)
 			}
 		}
 	}
-	j.segs = nil
+	j.segments = nil
 	return nil
 }
 
-// takeOver writes what the file of old holds into segments that are marked as such, and removes it.
-func (j *Journal) takeOver() error {
-	if j.flags&takingOver == 0 {
+// upgradeLegacy writes the messages of the legacy file into segments that are marked as such, and removes it.
+func (j *Journal) upgradeLegacy() error {
+	if j.flags&upgrading == 0 {
 		return nil
 	}
-	text, err := j.readOldFile()
+	text, err := j.readLegacyFile()
 	if err != nil {
 		return err
 	}
-	for _, s := range readOld(text) {
-		j.need += cost(s.Size())
-		j.largest = max(j.largest, stateBytes(s.Size()))
+	for _, s := range readLegacy(text) {
+		j.reservedBytes += cost(s.Size())
+		j.largestState = max(j.largestState, stateBytes(s.Size()))
 		if err := j.Accepted(s); err != nil {
 			return err
 		}
@@ -83,7 +83,7 @@
 	if err := j.Flush(); err != nil {
 		return err
 	}
-	if err := j.fs.Remove(oldName); err != nil {
+	if err := j.fs.Remove(legacyName); err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
 	j.flags = 0
@@ -96,42 +96,43 @@
 	return nil
 }
 
-// settle ends a take-over, also one that a kill ended when the file of old was gone: from then on the
-// segments are the journal, and the last one gets its room.
-func (j *Journal) settle() error {
-	for _, s := range j.segs {
-		if s.flags&takingOver == 0 {
+// finishUpgrade ends an upgrade, also one that a kill interrupted after the legacy file was removed: from then
+// on the segments are the journal, and the last one is allocated in full.
+func (j *Journal) finishUpgrade() error {
+	for _, s := range j.segments {
+		if s.flags&upgrading == 0 {
 			continue
 		}
-		s.flags &^= takingOver
+		s.flags &^= upgrading
 		if _, err := s.file.WriteAt(s.header(), 0); err != nil {
 			return fmt.Errorf("journal: %w", err)
 		}
 	}
-	if last := j.active(); last.size < j.size {
-		if err := last.file.Allocate(j.size); err != nil {
+	if last := j.activeSegment(); last.size < j.segmentSize {
+		if err := last.file.Allocate(j.segmentSize); err != nil {
 			slog.Warn("no room for the rest of a segment", "file", last.name, "err", err)
 			return nil
 		}
-		last.size = j.size
+		last.size = j.segmentSize
 	}
 	return nil
 }
 
-// readOldOnly shows what a folder that was not taken over yet holds.
-func (j *Journal) readOldOnly() error {
-	if j.flags&takingOver == 0 {
+// showLegacy loads the messages of a folder that is not upgraded yet, for reading.
+func (j *Journal) showLegacy() error {
+	if j.flags&upgrading == 0 {
 		return nil
 	}
-	text, err := j.readOldFile()
-	for _, s := range readOld(text) {
+	text, err := j.readLegacyFile()
+	for _, s := range readLegacy(text) {
 		j.live[s.ID] = s
 	}
 	return err
 }
 
-func (j *Journal) readOldFile() ([]byte, error) {
-	f, err := j.fs.Open(oldName, false)
+// readLegacyFile reads the legacy file.
+func (j *Journal) readLegacyFile() ([]byte, error) {
+	f, err := j.fs.Open(legacyName, false)
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -142,49 +143,49 @@
 		_, err = f.ReadAt(text, 0)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("journal: reading %s: %w", oldName, err)
+		return nil, fmt.Errorf("journal: reading %s: %w", legacyName, err)
 	}
 	return text, nil
 }
 
-// readOld replays the file of old, up to a record that does not check: a kill cut that off.
-func readOld(text []byte) []*Saved {
-	r := oldReader{live: map[string]*Saved{}}
+// readLegacy replays the legacy file, up to the first invalid record: a kill cut that off.
+func readLegacy(text []byte) []*Saved {
+	r := legacyReader{live: map[string]*Saved{}}
 	for {
-		payload, ok := nextRecord(text)
-		if !ok || !r.apply(payload) {
+		payload, ok := nextLegacyRecord(text)
+		if !ok || !r.applyRecord(payload) {
 			break
 		}
-		text = text[oldHead+len(payload):]
+		text = text[legacyHeader+len(payload):]
 	}
-	var held []*Saved
+	var open []*Saved
 	for _, s := range r.live {
-		held = append(held, s)
+		open = append(open, s)
 	}
-	slices.SortFunc(held, func(a, b *Saved) int { return int(int64(a.n) - int64(b.n)) })
-	return held
+	slices.SortFunc(open, func(a, b *Saved) int { return int(int64(a.number) - int64(b.number)) })
+	return open
 }
 
-type oldReader struct {
-	live map[string]*Saved
-	next uint64
+type legacyReader struct {
+	live       map[string]*Saved
+	nextNumber uint64
 }
 
-// nextRecord returns the payload at the start of text, if it is whole.
-func nextRecord(text []byte) ([]byte, bool) {
-	if len(text) < oldHead {
+// nextLegacyRecord returns the payload at the start of text, if it is complete.
+func nextLegacyRecord(text []byte) ([]byte, bool) {
+	if len(text) < legacyHeader {
 		return nil, false
 	}
 	n := binary.LittleEndian.Uint32(text)
-	if n < 2 || n > oldRecord || int(n) > len(text)-oldHead {
+	if n < 2 || n > maxLegacyRecord || int(n) > len(text)-legacyHeader {
 		return nil, false
 	}
-	payload := text[oldHead : oldHead+int(n)]
+	payload := text[legacyHeader : legacyHeader+int(n)]
 	return payload, crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(text[4:])
 }
 
-// apply replays one record; false means that it makes no sense.
-func (r *oldReader) apply(p []byte) bool {
+// applyRecord replays one record, and reports whether it is valid.
+func (r *legacyReader) applyRecord(p []byte) bool {
 	kind, n := p[0], int(p[1])
 	if len(p) < 2+n {
 		return false
@@ -195,8 +196,8 @@
 			return false
 		}
 		c := 13 + int(rest[12])
-		r.next++
-		r.live[id] = &Saved{n: r.next, ID: id, Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
+		r.nextNumber++
+		r.live[id] = &Saved{number: r.nextNumber, ID: id, Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
 			Dest:  int(int32(binary.LittleEndian.Uint32(rest[8:]))),
 			Class: string(rest[13:c]), Body: message.Bytes(slices.Clone(rest[c:]))}
 		return true
--- /dev/null
+++ b/internal/journal/lifecycle.go
@@ -0,0 +1,117 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// Open replays the journal in a folder, or begins one, and locks the folder. A journal in the legacy format is
+// upgraded. The options name no file system.
+func Open(dir string, o Options) (*Journal, error) {
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return nil, err
+	}
+	o.FS, o.Limit = osFS{dir: dir}, o.Limit-diskMargin
+	j, err := OpenWith(o)
+	if err != nil {
+		lock.Close()
+		return nil, err
+	}
+	j.lock = lock
+	return j, nil
+}
+
+// lockFolder keeps two forwarders from one folder. The lock ends with the process.
+func lockFolder(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("journal: %s is in use by another forwarder: stop that one, or name another folder (%w)", dir, err)
+	}
+	return f, nil
+}
+
+// OpenWith replays the journal of a file system, or begins one.
+func OpenWith(o Options) (*Journal, error) {
+	j := &Journal{fs: o.FS, live: map[string]*Saved{}, nextNumber: 1, durability: o.Durability, version: plainVersion, memory: bodyMemory{limit: o.Memory}}
+	if o.Limit >= minLimit {
+		j.limit = o.Limit
+		j.segmentSize = min(max(o.Limit/minSegments, minSegmentSize), maxSegmentSize, o.Limit/5) / 512 * 512
+	}
+	if err := j.replay(o.ReadOnly); err != nil {
+		j.Close()
+		return nil, err
+	}
+	if o.ReadOnly {
+		return j, j.showLegacy()
+	}
+	if j.limit == 0 {
+		return j, nil
+	}
+	if err := j.startAppending(o.Extras); err != nil {
+		j.Close()
+		return nil, err
+	}
+	return j, nil
+}
+
+// startAppending prepares a replayed journal for new records.
+func (j *Journal) startAppending(extras bool) error {
+	for _, s := range j.live {
+		extras = extras || s.Extras != nil
+	}
+	if extras {
+		j.version = version
+	}
+	if err := j.clearTornTail(); err != nil {
+		return err
+	}
+	if len(j.segments) == 0 || j.sealed {
+		err := j.beginSegment()
+		if errors.Is(err, errNoRoom) && len(j.segments) == 0 && j.flags&upgrading == 0 {
+			return nil // nothing is open: all messages are rejected until there is room
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if j.activeSegment().flags&grouped != j.groupFlag() || j.activeSegment().version != j.version { // a segment is of one kind
+		if err := j.rollSegment(); err != nil {
+			return err
+		}
+	}
+	for _, step := range []func() error{j.upgradeLegacy, j.finishUpgrade, j.allocateReserved, j.rewriteDamaged} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// allocateReserved allocates the segments that must always be free, as far as there is room.
+func (j *Journal) allocateReserved() error {
+	for j.allocatedSegments() < reservedSegments && j.allocateSpare() {
+	}
+	return j.ensureSpare()
+}
+
+// Close closes the files; what is buffered is not written.
+func (j *Journal) Close() error {
+	var errs []error
+	for _, s := range j.segments {
+		if s.file != nil {
+			errs = append(errs, s.file.Close())
+		}
+	}
+	if j.lock != nil {
+		errs = append(errs, j.lock.Close())
+	}
+	return errors.Join(errs...)
+}
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -86,8 +86,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if j.moved == 0 || j.active().seq < segments {
-		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.moved, j.active().seq)
+	if j.compactedBytes == 0 || j.activeSegment().seq < segments {
+		t.Fatalf("%d bytes moved, %d segments: the workload does too little", j.compactedBytes, j.activeSegment().seq)
 	}
 	if testing.Short() || raceEnabled {
 		return j, dry.ops, 7
@@ -230,7 +230,7 @@
 			}
 		}
 	}
-	t.Logf("%d fault points; %d segments, %d of %d bytes written by compaction", points, j.active().seq, j.moved, j.written)
+	t.Logf("%d fault points; %d segments, %d of %d bytes written by compaction", points, j.activeSegment().seq, j.compactedBytes, j.writtenBytes)
 }
 
 // differ lists what two states have not in common.
@@ -400,18 +400,18 @@
 			if err := j.Flush(); err != nil {
 				t.Fatal(err)
 			}
-			j.noRoom = time.Time{}
+			j.allocationFailedUntil = time.Time{}
 			if !accept(id) {
 				t.Fatal("what ended gives no room")
 			}
 		}
 	}
-	j.noRoom = time.Time{}
+	j.allocationFailedUntil = time.Time{}
 	if accept("more") {
 		t.Error("taken on without room")
 	}
 	fs.limit = 0
-	j.noRoom = time.Time{}
+	j.allocationFailedUntil = time.Time{}
 	if !accept("more") {
 		t.Error("turned away though there is room again")
 	}
@@ -560,7 +560,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	gone := j0.segs[1].name
+	gone := j0.segments[1].name
 	delete(fs.files, gone)
 	as, err := OpenWith(Options{FS: fs.after(), Limit: smallLimit, ReadOnly: true})
 	if err != nil {
@@ -576,7 +576,7 @@
 	missing, _, _ := parseName(gone)
 	got, before := heldIn(j), 0
 	for id, m := range as.live { // where their states stood as it was opened
-		if m.seg.seq < missing {
+		if m.segment.seq < missing {
 			if before++; !got[id].ran {
 				t.Errorf("%s may have been sent in what is missing, and counts as never run", id)
 			}
@@ -691,7 +691,7 @@
 func TestDamagedCopiesCount(t *testing.T) {
 	fs, limit := newMemFS(), int64(3e6-diskMargin)
 	for i := range 5 {
-		fs.files[fmt.Sprintf("%016x-00000001.seg.damaged", i)] = &memFile{fs: fs, text: make([]byte, limit/fewSegments/512*512)}
+		fs.files[fmt.Sprintf("%016x-00000001.seg.damaged", i)] = &memFile{fs: fs, text: make([]byte, limit/minSegments/512*512)}
 	}
 	j, err := OpenWith(Options{FS: fs, Limit: limit})
 	if err != nil {
@@ -742,14 +742,14 @@
 	}
 	j := open()
 	accept(j, "hit")
-	from := j.end
+	from := j.writeOffset
 	j.Sending("hit")
 	if err := j.Flush(); err != nil {
 		t.Fatal(err)
 	}
-	to := j.end
+	to := j.writeOffset
 	accept(j, "behind")
-	text := fs.files[j.active().name].text
+	text := fs.files[j.activeSegment().name].text
 	for i := from; i < to; i++ {
 		text[i] = 0x55
 	}
--- a/internal/journal/old_test.go
+++ b/internal/journal/old_test.go
@@ -49,7 +49,7 @@
 	text, want := oldFile()
 	begin := func() *memFS {
 		fs := newMemFS()
-		fs.files[oldName] = &memFile{fs: fs, text: append([]byte(nil), text...)}
+		fs.files[legacyName] = &memFile{fs: fs, text: append([]byte(nil), text...)}
 		return fs
 	}
 	dry := begin()
@@ -60,7 +60,7 @@
 	if got := heldIn(j); !maps.Equal(got, want) {
 		t.Fatalf("got %v, want %v", got, want)
 	}
-	if dry.files[oldName] != nil {
+	if dry.files[legacyName] != nil {
 		t.Error("the file of old is still there")
 	}
 	for at := 1; at <= dry.ops; at++ {
@@ -88,11 +88,11 @@
 func TestOldBesideSegments(t *testing.T) {
 	fs, want := filled(t)
 	text, _ := oldFile()
-	fs.files[oldName] = &memFile{fs: fs, text: text}
+	fs.files[legacyName] = &memFile{fs: fs, text: text}
 	if _, err := OpenWith(small(fs)); err == nil || !strings.Contains(err.Error(), "Move") {
 		t.Fatalf("opened: %v", err)
 	}
-	delete(fs.files, oldName)
+	delete(fs.files, legacyName)
 	j, err := OpenWith(small(fs))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -16,9 +16,9 @@
 // whatever was in the file before. CRC-32C has a Hamming distance of 4 at these lengths: one bit flipped is
 // put right, and two are never taken for one.
 const (
-	mark       = 0xc7
-	recordHead = 9
-	maxPayload = 2 * MaxBody // extras take as much as a body at most
+	recordMark        = 0xc7
+	recordHeaderBytes = 9
+	maxPayload        = 2 * MaxBody // extras take as much as a body at most
 )
 
 type kind byte
@@ -26,14 +26,14 @@
 // The kinds of records, and their payloads. Every one but seal, synced and index begins with the message's
 // number (uvarint) and the count of its records (1 byte).
 const (
-	kindState   kind = 'A' // a message as it is: taken on, or moved here by compaction
+	kindState   kind = 'A' // a message as it is: accepted, or moved here by compaction
 	kindSending kind = 'S' // an attempt is about to be made
 	kindOutcome kind = 'O' // 1 byte: 1 if it may have run
 	kindEnd     kind = 'E' // d or b, and the wait advised (ms, uvarint); a final answer is owed
 	kindClosed  kind = 'C' // nothing is owed any more
 	kindIndex   kind = 'X' // number and count of each record since the last index or the segment's begin
 	kindSeal    kind = 'Z' // the segment is complete
-	kindSynced  kind = 'Y' // the offset (uvarint) before which all is synced: written before anyone hears of it
+	kindSynced  kind = 'Y' // the offset (uvarint) before which all is synced: written before anyone relies on it
 )
 
 func (k kind) known() bool {
@@ -44,8 +44,8 @@
 	return false
 }
 
-// salt is what the check of a record begins with.
-func salt(nonce uint32, offset int64) uint32 {
+// checkSeed is what the check of a record begins with.
+func checkSeed(nonce uint32, offset int64) uint32 {
 	var b [12]byte
 	binary.LittleEndian.PutUint32(b[:], nonce)
 	binary.LittleEndian.PutUint64(b[4:], uint64(offset))
@@ -56,22 +56,22 @@
 func appendRecord(buf []byte, nonce uint32, offset int64, k kind, payload []byte) []byte {
 	n := len(payload)
 	start := len(buf)
-	buf = append(buf, mark, byte(k), byte(n), byte(n>>8), byte(n>>16), 0, 0, 0, 0)
-	check := crc32.Update(salt(nonce, offset), castagnoli, buf[start+1:start+5])
+	buf = append(buf, recordMark, byte(k), byte(n), byte(n>>8), byte(n>>16), 0, 0, 0, 0)
+	check := crc32.Update(checkSeed(nonce, offset), castagnoli, buf[start+1:start+5])
 	check = crc32.Update(check, castagnoli, payload)
 	binary.LittleEndian.PutUint32(buf[start+5:], check)
 	return append(buf, payload...)
 }
 
-// readRecord reads the record at the start of text, which stands at an offset. A record with one bit
-// flipped is put right, in text too, if mend is set.
-func readRecord(text []byte, nonce uint32, offset int64, mend bool) (k kind, payload []byte, mended, ok bool) {
-	if k, payload, ok = checkRecord(text, nonce, offset); ok || !mend || len(text) < recordHead {
+// readRecord reads the record at the start of text, which is at an offset. A record with one flipped bit is
+// repaired, in text too, if repair is set.
+func readRecord(text []byte, nonce uint32, offset int64, repair bool) (k kind, payload []byte, repaired, ok bool) {
+	if k, payload, ok = checkRecord(text, nonce, offset); ok || !repair || len(text) < recordHeaderBytes {
 		return k, payload, false, ok
 	}
 	// In the payload, or in the check: the header reads well.
-	if n, plausible := lengthOf(text); plausible && text[0] == mark && kind(text[1]).known() {
-		if at, bit, found := flipped(text[:recordHead+n], nonce, offset); found {
+	if n, plausible := payloadLength(text); plausible && text[0] == recordMark && kind(text[1]).known() {
+		if at, bit, found := findFlippedBit(text[:recordHeaderBytes+n], nonce, offset); found {
 			text[at] ^= bit
 			if k, payload, ok = checkRecord(text, nonce, offset); ok {
 				return k, payload, true, true
@@ -91,29 +91,29 @@
 	return 0, nil, false, false
 }
 
-func lengthOf(text []byte) (n int, plausible bool) {
+func payloadLength(text []byte) (n int, plausible bool) {
 	n = int(text[2]) | int(text[3])<<8 | int(text[4])<<16
-	return n, n <= maxPayload && n <= len(text)-recordHead
+	return n, n <= maxPayload && n <= len(text)-recordHeaderBytes
 }
 
 func checkRecord(text []byte, nonce uint32, offset int64) (kind, []byte, bool) {
-	if len(text) < recordHead || text[0] != mark || !kind(text[1]).known() {
+	if len(text) < recordHeaderBytes || text[0] != recordMark || !kind(text[1]).known() {
 		return 0, nil, false
 	}
-	n, plausible := lengthOf(text)
+	n, plausible := payloadLength(text)
 	if !plausible {
 		return 0, nil, false
 	}
-	check := crc32.Update(salt(nonce, offset), castagnoli, text[1:5])
-	check = crc32.Update(check, castagnoli, text[recordHead:recordHead+n])
-	return kind(text[1]), text[recordHead : recordHead+n], check == binary.LittleEndian.Uint32(text[5:])
+	check := crc32.Update(checkSeed(nonce, offset), castagnoli, text[1:5])
+	check = crc32.Update(check, castagnoli, text[recordHeaderBytes:recordHeaderBytes+n])
+	return kind(text[1]), text[recordHeaderBytes : recordHeaderBytes+n], check == binary.LittleEndian.Uint32(text[5:])
 }
 
-// flipped finds the one bit that would make a record check: the difference between the check that
-// stands there and that worked out tells which it is.
-func flipped(record []byte, nonce uint32, offset int64) (at int, bit byte, found bool) {
-	check := crc32.Update(salt(nonce, offset), castagnoli, record[1:5])
-	check = crc32.Update(check, castagnoli, record[recordHead:])
+// findFlippedBit finds the one bit that would make a record valid: the difference between the check in the
+// record and the computed one tells which it is.
+func findFlippedBit(record []byte, nonce uint32, offset int64) (at int, bit byte, found bool) {
+	check := crc32.Update(checkSeed(nonce, offset), castagnoli, record[1:5])
+	check = crc32.Update(check, castagnoli, record[recordHeaderBytes:])
 	diff := check ^ binary.LittleEndian.Uint32(record[5:])
 	if diff != 0 && diff&(diff-1) == 0 { // in the check itself
 		for i := range 4 {
@@ -126,7 +126,7 @@
 	for b := range effect {
 		effect[b] = castagnoli[1<<b]
 	}
-	for i := len(record) - 1; i >= recordHead; i-- {
+	for i := len(record) - 1; i >= recordHeaderBytes; i-- {
 		for b, e := range effect {
 			if e == diff {
 				return i, 1 << b, true
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -15,7 +15,7 @@
 	Offset int64    `json:"offset"`
 	Bytes  int64    `json:"bytes"`
 	What   string   `json:"what"`
-	IDs    []string `json:"ids,omitempty"` // messages that it hit and that are held: they may have run
+	IDs    []string `json:"ids,omitempty"` // open messages that it hit: they may have run
 }
 
 // Damage lists what replay found.
@@ -23,82 +23,91 @@
 
 // replayer reads segments in their order.
 type replayer struct {
-	j    *Journal
-	byN  map[uint64]*Saved
-	seen map[touch]bool // records since the last index, if something was passed over there
-	gap  int            // the damage that the next index will tell of, as an index into the list plus one
-	next uint64         // number of the next index
-	text []byte         // of the segment
+	journal    *Journal
+	byNumber   map[uint64]*Saved
+	seen       map[recordID]bool // records since the last index, if something was passed over there
+	openDamage int               // the damage that the next index will tell of, as an index into the list plus one
+	nextIndex  uint64            // number of the next index
+	text       []byte            // of the segment
 }
 
-// replay reads all segments. What a kill cut off at the end of the last one is left out; damage anywhere
-// else costs what it hit.
+// replay reads all segments. What a kill cut off at the end of the last one is ignored; damage anywhere else
+// costs what it hit.
 func (j *Journal) replay(readOnly bool) error {
+	if err := j.findFiles(readOnly); err != nil {
+		return err
+	}
+	if !readOnly {
+		if err := j.fitSegmentSize(); err != nil {
+			return err
+		}
+		if err := j.removeWrongSpares(); err != nil {
+			return err
+		}
+	}
+	r := &replayer{journal: j, byNumber: map[uint64]*Saved{}, seen: map[recordID]bool{}}
+	for i, s := range j.segments {
+		if i > 0 && s.seq != j.segments[i-1].seq+1 {
+			missing := s.seq - j.segments[i-1].seq - 1
+			j.addDamage(Damage{File: j.segments[i-1].name, What: fmt.Sprintf("%d segments behind it are missing", missing)})
+			r.openDamage = len(j.damage)
+			r.markAllHit()
+		}
+		if err := r.replaySegment(s, i == len(j.segments)-1); err != nil {
+			return err
+		}
+	}
+	for _, s := range j.live {
+		s.journal = j
+		j.reservedBytes += cost(s.Size())
+		j.largestState = max(j.largestState, stateBytes(s.Size()))
+	}
+	for _, d := range j.damage {
+		slog.Error("the journal is damaged", "file", d.File, "offset", d.Offset, "bytes", d.Bytes, "what", d.What, "hit", d.IDs)
+	}
+	return nil
+}
+
+// findFiles lists the segments in their order, the spares and the copies of damaged segments.
+func (j *Journal) findFiles(readOnly bool) error {
 	names, err := j.fs.List()
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
 	for _, name := range names {
 		if seq, nonce, ok := parseName(name); ok {
-			j.segs = append(j.segs, &segment{name: name, seq: seq, nonce: nonce})
+			j.segments = append(j.segments, &segment{name: name, seq: seq, nonce: nonce})
 		} else if strings.HasSuffix(name, spareEnd) {
 			j.spares = append(j.spares, name)
 		} else if strings.HasSuffix(name, damagedEnd) {
-			size, err := j.sizeOf(name)
+			size, err := j.fileSize(name)
 			if err != nil {
 				return err
 			}
-			j.aside += (size + 511) / 512 * 512
+			j.damagedBytes += (size + 511) / 512 * 512
 		}
 	}
-	if j.aside > j.limit/2 && !readOnly {
-		slog.Warn("copies of damaged segments take more than half of what the folder may hold: remove them", "bytes", j.aside)
-		j.aside = j.limit / 2
+	if j.damagedBytes > j.limit/2 && !readOnly {
+		slog.Warn("copies of damaged segments take more than half of what the folder may hold: remove them", "bytes", j.damagedBytes)
+		j.damagedBytes = j.limit / 2
 	}
-	slices.SortFunc(j.segs, func(a, b *segment) int {
+	slices.SortFunc(j.segments, func(a, b *segment) int {
 		if a.seq < b.seq {
 			return -1
 		}
 		return 1
 	})
-	if slices.Contains(names, oldName) {
-		if err := j.abandonTakeOver(readOnly); err != nil {
-			return err
-		}
-		j.flags = takingOver
-	}
-	if !readOnly {
-		if err := j.fit(); err != nil {
-			return err
-		}
-		if err := j.checkSpares(); err != nil {
+	if slices.Contains(names, legacyName) {
+		if err := j.abandonUpgrade(readOnly); err != nil {
 			return err
 		}
-	}
-	r := &replayer{j: j, byN: map[uint64]*Saved{}, seen: map[touch]bool{}}
-	for i, s := range j.segs {
-		if i > 0 && s.seq != j.segs[i-1].seq+1 {
-			j.note(Damage{File: j.segs[i-1].name, What: fmt.Sprintf("%d segments behind it are missing", s.seq-j.segs[i-1].seq-1)})
-			r.gap = len(j.damage)
-			r.unknown()
-		}
-		if err := r.segment(s, i == len(j.segs)-1); err != nil {
-			return err
-		}
-	}
-	for _, s := range j.live {
-		s.j = j
-		j.need += cost(s.Size())
-		j.largest = max(j.largest, stateBytes(s.Size()))
-	}
-	for _, d := range j.damage {
-		slog.Error("the journal is damaged", "file", d.File, "offset", d.Offset, "bytes", d.Bytes, "what", d.What, "hit", d.IDs)
+		j.flags = upgrading
 	}
 	return nil
 }
 
-// checkSpares drops spare files that are not of the size that they must have: their allocation was cut off.
-func (j *Journal) checkSpares() error {
+// removeWrongSpares removes spare files of a wrong size: their allocation was cut off.
+func (j *Journal) removeWrongSpares() error {
 	kept := j.spares[:0]
 	for _, name := range j.spares {
 		f, err := j.fs.Open(name, false)
@@ -107,7 +116,7 @@
 		}
 		size, err := f.Size()
 		f.Close()
-		if err != nil || size != j.size || j.limit == 0 || int64(len(j.segs)+len(kept)+1)*j.size > j.limit-j.aside {
+		if err != nil || size != j.segmentSize || j.limit == 0 || int64(len(j.segments)+len(kept)+1)*j.segmentSize > j.limit-j.damagedBytes {
 			if err := j.fs.Remove(name); err != nil {
 				return fmt.Errorf("journal: %w", err)
 			}
@@ -119,117 +128,157 @@
 	return nil
 }
 
-func (j *Journal) note(d Damage) { j.damage = append(j.damage, d) }
+// addDamage adds to the damage found.
+func (j *Journal) addDamage(d Damage) { j.damage = append(j.damage, d) }
 
-// segment replays one.
-func (r *replayer) segment(s *segment, last bool) error {
-	j := r.j
-	f, err := j.fs.Open(s.name, false)
+// replaySegment replays one segment.
+func (r *replayer) replaySegment(s *segment, last bool) error {
+	j := r.journal
+	text, err := r.loadSegment(s)
 	if err != nil {
-		return fmt.Errorf("journal: %w", err)
+		return err
+	}
+	damaged, err := s.readHeader(text)
+	if err != nil {
+		return err
+	}
+	if damaged {
+		j.addDamage(Damage{File: s.name, Bytes: segmentHeaderBytes, What: "the header does not check; nothing is lost by that"})
+	}
+	j.nextNumber = max(j.nextNumber, s.firstNumber)
+	clear(r.seen)
+	r.nextIndex = 0
+	before := len(j.damage)
+	end, sealed := r.applyRecords(s, text, last)
+	if r.openDamage > 0 { // no index tells what it hit
+		r.markAllHit()
+	}
+	if last {
+		r.resumeAt(end, sealed)
+	}
+	if len(j.damage) > before {
+		j.copyDamagedSegment(s, text)
+	}
+	return nil
+}
+
+// loadSegment opens a segment and reads all of it. The text is valid until the next call.
+func (r *replayer) loadSegment(s *segment) (text []byte, err error) {
+	f, err := r.journal.fs.Open(s.name, false)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
 	}
 	s.file = f
 	if s.size, err = f.Size(); err != nil {
-		return fmt.Errorf("journal: %s: %w", s.name, err)
+		return nil, fmt.Errorf("journal: %s: %w", s.name, err)
 	}
 	if int64(cap(r.text)) < s.size {
 		r.text = make([]byte, s.size)
 	}
-	text := r.text[:s.size]
+	text = r.text[:s.size]
 	if n, err := f.ReadAt(text, 0); err != nil && n < len(text) {
-		return fmt.Errorf("journal: reading %s: %w", s.name, err)
+		return nil, fmt.Errorf("journal: reading %s: %w", s.name, err)
 	}
-	damaged, err := s.readHeader(text)
-	if err != nil {
-		return err
-	}
-	if damaged {
-		j.note(Damage{File: s.name, Bytes: segmentHead, What: "the header does not check; nothing is lost by that"})
-	}
-	j.next = max(j.next, s.first)
-	clear(r.seen)
-	r.next = 0
-	off, sealed, before := int64(segmentHead), false, len(j.damage)
-	for off < int64(len(text)) {
-		rest := text[off:]
-		k, payload, _, ok := readRecord(rest, s.nonce, off, false)
+	return text, nil
+}
+
+// applyRecords applies the records of a segment, and returns where they end and whether the segment is sealed.
+func (r *replayer) applyRecords(s *segment, text []byte, last bool) (offset int64, sealed bool) {
+	offset = segmentHeaderBytes
+	for offset < int64(len(text)) {
+		k, payload, _, ok := readRecord(text[offset:], s.nonce, offset, false)
 		if !ok {
-			next := find(text, s.nonce, off+1)
-			atEnd := next < 0 && last
-			if !atEnd || looksSmall(rest) {
-				var mended bool
-				if k, payload, mended, ok = readRecord(rest, s.nonce, off, true); ok && mended {
-					j.note(Damage{File: s.name, Offset: off, Bytes: int64(recordHead + len(payload)), What: "one bit was flipped, and is put right"})
-				}
-			}
-			if !ok && atEnd {
-				break // the end, or what a kill cut off
-			}
-			if !ok && last && s.flags&grouped != 0 && syncedBefore(text, s.nonce, next) <= off {
-				// A failing machine kept what was written behind it and not this: nobody was told of either.
-				j.cut = true
-				break
+			next := findRecord(text, s.nonce, offset+1)
+			k, payload, ok = r.repairRecord(s, text, offset, next < 0 && last)
+			if !ok && last && r.isEnd(s, text, offset, next) {
+				return offset, false
 			}
 			if !ok {
-				bytes := int64(len(text)) - off
-				if next >= 0 {
-					bytes = next - off
-				}
-				j.note(Damage{File: s.name, Offset: off, Bytes: bytes, What: "what stood here can't be read"})
-				r.gap = len(j.damage)
-				if off += bytes; next < 0 {
-					break
-				}
+				offset = r.skipDamage(s, offset, next)
 				continue
 			}
 		}
-		off += int64(recordHead + len(payload))
+		at := position{s, offset, recordHeaderBytes + len(payload)}
+		offset += int64(at.size)
 		if k == kindSeal {
-			sealed = true
-			break
+			return offset, true
 		}
-		if err := r.apply(place{s, off - int64(recordHead+len(payload)), recordHead + len(payload)}, k, payload); err != nil {
-			j.note(Damage{File: s.name, Offset: off, What: err.Error()})
-			r.gap = len(j.damage)
+		if err := r.applyRecord(at, k, payload); err != nil {
+			r.journal.addDamage(Damage{File: s.name, Offset: offset, What: err.Error()})
+			r.openDamage = len(r.journal.damage)
 		}
 	}
-	if r.gap > 0 { // no index tells what it hit
-		r.unknown()
-	}
-	if last {
-		j.end, j.syncedAt = off, off
-		j.sealed = sealed // killed between the end of one and the beginning of the next
-		j.batch, j.since, j.batches = j.batch[:0], 0, r.next
-		for t := range r.seen {
-			j.batch = append(j.batch, t)
-		}
-		slices.SortFunc(j.batch, func(a, b touch) int {
-			if a.n != b.n {
-				return int(int64(a.n) - int64(b.n))
-			}
-			return int(a.count) - int(b.count)
-		})
+	return offset, false
+}
+
+// repairRecord reads a damaged record by repairing one flipped bit, if that is its damage. At the end of the
+// log only a small record is repaired.
+func (r *replayer) repairRecord(s *segment, text []byte, offset int64, atEnd bool) (k kind, payload []byte, ok bool) {
+	if atEnd && !isSmallRecord(text[offset:]) {
+		return 0, nil, false
+	}
+	k, payload, repaired, ok := readRecord(text[offset:], s.nonce, offset, true)
+	if ok && repaired {
+		bytes := int64(recordHeaderBytes + len(payload))
+		r.journal.addDamage(Damage{File: s.name, Offset: offset, Bytes: bytes, What: "one bit was flipped, and is put right"})
+	}
+	return k, payload, ok
+}
+
+// isEnd reports whether the log ends at an unreadable record of the last segment: no record follows, or
+// none that was synced. The latter is what a failing machine kept of unsynced writes, which nobody relies on.
+func (r *replayer) isEnd(s *segment, text []byte, offset, next int64) bool {
+	if next < 0 {
+		return true
 	}
-	if len(j.damage) > before {
-		j.keepAside(s, text)
+	if s.flags&grouped != 0 && syncedBefore(text, s.nonce, next) <= offset {
+		r.journal.tornTail = true
+		return true
 	}
-	return nil
+	return false
+}
+
+// skipDamage notes what can't be read up to the next record, or to the end of the segment if there is none.
+func (r *replayer) skipDamage(s *segment, offset, next int64) int64 {
+	if next < 0 {
+		next = s.size
+	}
+	r.journal.addDamage(Damage{File: s.name, Offset: offset, Bytes: next - offset, What: "what stood here can't be read"})
+	r.openDamage = len(r.journal.damage)
+	return next
+}
+
+// resumeAt prepares the last segment for new records. It is sealed if a kill came between its end and the
+// beginning of the next one.
+func (r *replayer) resumeAt(offset int64, sealed bool) {
+	j := r.journal
+	j.writeOffset, j.syncedOffset, j.sealed = offset, offset, sealed
+	j.unindexed, j.unindexedBytes, j.indexCount = j.unindexed[:0], 0, r.nextIndex
+	for id := range r.seen {
+		j.unindexed = append(j.unindexed, id)
+	}
+	slices.SortFunc(j.unindexed, func(a, b recordID) int {
+		if a.number != b.number {
+			return int(int64(a.number) - int64(b.number))
+		}
+		return int(a.count) - int(b.count)
+	})
 }
 
-// looksSmall tells whether text begins with the header of a small record: only such a one is put right at
+// isSmallRecord reports whether text begins with the header of a small record: only such a one is repaired at
 // the end of the log, where half a record is nothing unusual.
-func looksSmall(text []byte) bool {
-	if len(text) < recordHead {
+func isSmallRecord(text []byte) bool {
+	if len(text) < recordHeaderBytes {
 		return false
 	}
-	n, plausible := lengthOf(text)
+	n, plausible := payloadLength(text)
 	return plausible && n <= 1024
 }
 
-// find looks for the next record that checks.
-func find(text []byte, nonce uint32, from int64) int64 {
+// findRecord finds the next record with a valid check.
+func findRecord(text []byte, nonce uint32, from int64) int64 {
 	for from < int64(len(text)) {
-		i := bytes.IndexByte(text[from:], mark)
+		i := bytes.IndexByte(text[from:], recordMark)
 		if i < 0 {
 			return -1
 		}
@@ -242,43 +291,54 @@
 	return -1
 }
 
-// apply takes one record.
-func (r *replayer) apply(at place, k kind, p []byte) error {
-	j := r.j
+// applyRecord applies one record.
+func (r *replayer) applyRecord(at position, k kind, p []byte) error {
+	j := r.journal
 	switch k {
 	case kindIndex:
-		return r.index(p)
+		return r.applyIndex(p)
 	case kindSynced:
 		return nil
 	}
-	n, count, rest, ok := numbered(p)
+	n, count, rest, ok := splitNumber(p)
 	if !ok {
 		return errShort
 	}
-	r.seen[touch{n, count}] = true
-	j.next = max(j.next, n+1)
-	s := r.byN[n]
+	r.seen[recordID{n, count}] = true
+	j.nextNumber = max(j.nextNumber, n+1)
+	s := r.byNumber[n]
 	if k == kindState {
-		m, body, err := decodeState(rest)
-		if err != nil {
-			return err
-		}
-		m.n, m.records, m.j, m.at = n, count+1, j, at
-		j.memory.decide(m, body, false)
-		if s != nil {
-			r.forget(s)
-		}
-		if old := j.live[m.ID]; old != nil { // the record of its end was lost
-			r.forget(old)
-		}
-		j.live[m.ID], r.byN[n] = m, m
-		at.seg.add(m, int64(at.size+indexEntry))
-		return nil
+		return r.applyState(at, recordID{n, count}, rest)
 	}
 	if s == nil {
-		return nil // its state stood in what could not be read, or it is closed
+		return nil // its state can't be read, or it is closed
+	}
+	s.recordCount = count + 1
+	return r.applyChange(s, k, rest)
+}
+
+// applyState applies a record of a message's state.
+func (r *replayer) applyState(at position, id recordID, payload []byte) error {
+	j := r.journal
+	m, body, err := decodeState(payload)
+	if err != nil {
+		return err
+	}
+	m.number, m.recordCount, m.journal, m.position = id.number, id.count+1, j, at
+	j.memory.keepOrRelease(m, body, false)
+	if s := r.byNumber[id.number]; s != nil {
+		r.remove(s)
 	}
-	s.records = count + 1
+	if old := j.live[m.ID]; old != nil { // the record of its end was lost
+		r.remove(old)
+	}
+	j.live[m.ID], r.byNumber[id.number] = m, m
+	at.segment.link(m, int64(at.size+maxIndexEntry))
+	return nil
+}
+
+// applyChange applies a record of a change of a message.
+func (r *replayer) applyChange(s *Saved, k kind, rest []byte) error {
 	switch k {
 	case kindSending:
 		s.MayHaveRun = s.Ran()
@@ -295,13 +355,14 @@
 		}
 		s.End, s.Wait = rest[0], millis(ms)
 	case kindClosed:
-		r.forget(s)
+		r.remove(s)
 	}
 	return nil
 }
 
-// numbered splits the payload of a record of a message.
-func numbered(p []byte) (n uint64, count byte, rest []byte, ok bool) {
+// splitNumber splits the payload of a message's record into the message's number, the record's count and the
+// rest.
+func splitNumber(p []byte) (n uint64, count byte, rest []byte, ok bool) {
 	n, w := binary.Uvarint(p)
 	if w <= 0 || len(p) < w+1 {
 		return 0, 0, nil, false
@@ -309,34 +370,40 @@
 	return n, p[w], p[w+1:], true
 }
 
-func (r *replayer) forget(s *Saved) {
-	s.leave()
-	r.j.memory.leave(s)
-	delete(r.byN, s.n)
-	if r.j.live[s.ID] == s {
-		delete(r.j.live, s.ID)
+// remove removes a message.
+func (r *replayer) remove(s *Saved) {
+	s.unlink()
+	r.journal.memory.release(s)
+	delete(r.byNumber, s.number)
+	if r.journal.live[s.ID] == s {
+		delete(r.journal.live, s.ID)
 	}
 }
 
-// index compares what was read with what was written, where something could not be read.
-func (r *replayer) index(p []byte) error {
+// applyIndex compares what was read with what was written, where something could not be read.
+func (r *replayer) applyIndex(p []byte) error {
 	defer clear(r.seen)
 	number, w := binary.Uvarint(p)
 	if w <= 0 {
 		return errShort
 	}
 	p = p[w:]
-	missed := number != r.next // one before it was lost with all that it named
-	r.next = number + 1
-	if r.gap == 0 {
+	missed := number != r.nextIndex // one before it was lost with all that it named
+	r.nextIndex = number + 1
+	if r.openDamage == 0 {
 		return nil
 	}
 	if missed {
-		r.unknown()
+		r.markAllHit()
 		return nil
 	}
-	d := &r.j.damage[r.gap-1]
-	r.gap = 0
+	return r.compareIndex(p)
+}
+
+// compareIndex marks the messages of which an index names a record that was not read.
+func (r *replayer) compareIndex(p []byte) error {
+	d := &r.journal.damage[r.openDamage-1]
+	r.openDamage = 0
 	count, w := binary.Uvarint(p)
 	if w <= 0 || count > uint64(len(p)) {
 		return errShort
@@ -348,13 +415,13 @@
 		if w <= 0 || len(p) < w+1 {
 			return errShort
 		}
-		t := touch{n, p[w]}
+		t := recordID{n, p[w]}
 		p = p[w+1:]
 		if r.seen[t] {
 			continue
 		}
-		if s := r.byN[n]; s != nil {
-			r.hit(s, d)
+		if s := r.byNumber[n]; s != nil {
+			r.markHit(s, d)
 		} else {
 			lost++
 		}
@@ -365,8 +432,8 @@
 	return nil
 }
 
-// hit counts a message as one that may have run: what is lost may have said that it was sent.
-func (r *replayer) hit(s *Saved, d *Damage) {
+// markHit counts a message as one that may have run: the lost record may have said that it was sent.
+func (r *replayer) markHit(s *Saved, d *Damage) {
 	if !slices.Contains(d.IDs, s.ID) {
 		d.IDs = append(d.IDs, s.ID)
 		s.MayHaveRun = true
@@ -374,20 +441,20 @@
 	}
 }
 
-// unknown does so for all that are held, where nothing tells which were hit.
-func (r *replayer) unknown() {
-	d := &r.j.damage[r.gap-1]
-	r.gap = 0
-	for _, s := range r.j.Held() {
-		r.hit(s, d)
+// markAllHit does so for all open messages, where no index tells which were hit.
+func (r *replayer) markAllHit() {
+	d := &r.journal.damage[r.openDamage-1]
+	r.openDamage = 0
+	for _, s := range r.journal.Held() {
+		r.markHit(s, d)
 	}
 }
 
 const damagedEnd = ".damaged"
 
-// keepAside copies a damaged segment, if there is room, before its file serves again.
-func (j *Journal) keepAside(s *segment, text []byte) {
-	if j.bytes()+s.size+keptFree*j.size > j.limit {
+// copyDamagedSegment copies a damaged segment, if there is room, before its file is used again.
+func (j *Journal) copyDamagedSegment(s *segment, text []byte) {
+	if j.allocatedBytes()+s.size+reservedSegments*j.segmentSize > j.limit {
 		return
 	}
 	f, err := j.fs.Open(s.name+damagedEnd, true)
@@ -396,13 +463,13 @@
 	}
 	defer f.Close()
 	if _, err := f.WriteAt(text, 0); err == nil {
-		j.aside += s.size
+		j.damagedBytes += s.size
 	}
 }
 
-// fit makes segments as small as what the disk has left calls for, in halves, so that the same disk gives the same size
-// at the next start.
-func (j *Journal) fit() error {
+// fitSegmentSize halves the segment size until the segments fit the free disk space, so that the same disk gives
+// the same size at the next start.
+func (j *Journal) fitSegmentSize() error {
 	if j.limit == 0 {
 		return nil
 	}
@@ -411,8 +478,8 @@
 		slog.Warn("the size of segments follows the limit alone", "err", err)
 		return nil
 	}
-	for _, s := range j.segs {
-		size, err := j.sizeOf(s.name)
+	for _, s := range j.segments {
+		size, err := j.fileSize(s.name)
 		if err != nil {
 			return err
 		}
@@ -420,19 +487,20 @@
 		left += size
 	}
 	for _, name := range j.spares {
-		size, err := j.sizeOf(name)
+		size, err := j.fileSize(name)
 		if err != nil {
 			return err
 		}
 		left += size
 	}
-	for j.size > smallestSeg && j.size*fewSegments > left {
-		j.size = max(j.size/2/512*512, smallestSeg)
+	for j.segmentSize > minSegmentSize && j.segmentSize*minSegments > left {
+		j.segmentSize = max(j.segmentSize/2/512*512, minSegmentSize)
 	}
 	return nil
 }
 
-func (j *Journal) sizeOf(name string) (int64, error) {
+// fileSize is the size of a file.
+func (j *Journal) fileSize(name string) (int64, error) {
 	f, err := j.fs.Open(name, false)
 	if err != nil {
 		return 0, fmt.Errorf("journal: %w", err)
@@ -444,3 +512,18 @@
 	}
 	return size, nil
 }
+
+// rewriteDamaged appends the messages that damage has hit again, as they count now: records behind the damage
+// must not hide at the next start that something is missing there.
+func (j *Journal) rewriteDamaged() error {
+	for _, d := range j.damage {
+		for _, id := range d.IDs {
+			if s := j.live[id]; s != nil && s.MayHaveRun {
+				if err := j.appendState(s); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return j.Flush()
+}
--- a/internal/journal/room_test.go
+++ b/internal/journal/room_test.go
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	defer j.Close()
-	j.memory.bodies = 1 << 20 // no room for any
+	j.memory.bodyBytes = 1 << 20 // no room for any
 	body := func(i int) string { return strings.Repeat(fmt.Sprint(i), 300) }
 	var readers sync.WaitGroup
 	stop := make(chan struct{})
@@ -69,8 +69,8 @@
 			}
 		})
 	}
-	first := j.active().seq
-	for i := 0; j.active().seq < first+60; i++ {
+	first := j.activeSegment().seq
+	for i := 0; j.activeSegment().seq < first+60; i++ {
 		id := fmt.Sprint("m", i)
 		if take(t, j, id, body(i)) {
 			j.Closed(id)
@@ -78,7 +78,7 @@
 	}
 	close(stop)
 	readers.Wait()
-	if j.moved == 0 {
+	if j.compactedBytes == 0 {
 		t.Error("nothing was moved: the test says nothing")
 	}
 }
@@ -87,21 +87,21 @@
 func TestBodyLost(t *testing.T) {
 	fs := newMemFS()
 	j := mustOpen(t, small(fs))
-	j.memory.bodies = 1 << 20
+	j.memory.bodyBytes = 1 << 20
 	for _, id := range []string{"a", "hit", "z"} {
 		take(t, j, id, strings.Repeat(id, 200))
 	}
-	at := j.live["hit"].at
+	at := j.live["hit"].position
 	for i := range 100 {
-		fs.files[at.seg.name].text[at.off+100+int64(i)] ^= 0x5a
+		fs.files[at.segment.name].text[at.offset+100+int64(i)] ^= 0x5a
 	}
-	for i := 0; len(j.segs) < 2 || j.segs[0].seq == 1; i++ { // until they have been moved
+	for i := 0; len(j.segments) < 2 || j.segments[0].seq == 1; i++ { // until they have been moved
 		id := fmt.Sprint("m", i)
 		take(t, j, id, strings.Repeat("x", 1000))
 		j.Closed(id)
 	}
 	for range 2 {
-		if _, err := j.live["hit"].Body.Load(); !errors.Is(err, errLost) {
+		if _, err := j.live["hit"].Body.Load(); !errors.Is(err, errBodyLost) {
 			t.Errorf("the body that was hit: %v", err)
 		}
 		for _, id := range []string{"a", "z"} {
@@ -122,11 +122,11 @@
 	for take(t, j, fmt.Sprint("m", n), strings.Repeat("b", 2000)) {
 		n++
 	}
-	if want := int(o.Memory * 2 / 3 / heldBytes); n != want {
+	if want := int(o.Memory * 2 / 3 / messageMemoryBytes); n != want {
 		t.Errorf("%d taken on, want %d", n, want)
 	}
-	if j.memory.bodies > o.Memory/3 {
-		t.Errorf("%d bytes of bodies in memory", j.memory.bodies)
+	if j.memory.bodyBytes > o.Memory/3 {
+		t.Errorf("%d bytes of bodies in memory", j.memory.bodyBytes)
 	}
 	for id, k := range heldIn(j) {
 		if k.body != strings.Repeat("b", 2000) {
@@ -145,8 +145,8 @@
 	for id := range maps.Clone(j.live) {
 		j.Closed(id)
 	}
-	if j.memory.bodies != 0 || j.need != 0 {
-		t.Errorf("left over: %d bytes in memory, %d of room", j.memory.bodies, j.need)
+	if j.memory.bodyBytes != 0 || j.reservedBytes != 0 {
+		t.Errorf("left over: %d bytes in memory, %d of room", j.memory.bodyBytes, j.reservedBytes)
 	}
 }
 
@@ -196,7 +196,7 @@
 			}
 			for i := range 2000 { // a turn of the ring
 				id := fmt.Sprint("later", i)
-				if j.noRoom = (time.Time{}); !take(t, j, id, body) {
+				if j.allocationFailedUntil = (time.Time{}); !take(t, j, id, body) {
 					t.Fatalf("no room for %s with nothing held", id)
 				}
 				j.Closed(id)
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -11,37 +11,37 @@
 // A segment is a file of records. Its name, and its header again, tell its place and its nonce:
 //
 //	0   "SRJL"
-//	4   version (2 bytes, little-endian), now 5; 4 has no routes, 3 has no extras, 2 had no synced offsets, the single file of old was 1
-//	6   flags (2): 1 while the journal of old is being taken over; 2 if what is synced is written down (sync.go)
+//	4   version (2 bytes, little-endian), now 5; 4 has no routes, 3 has no extras, 2 had no synced offsets, the legacy file was 1
+//	6   flags (2): 1 during the upgrade of a legacy journal; 2 if synced offsets are recorded (sync.go)
 //	8   sequence number (8)
 //	16  nonce (4)
 //	20  the first message number that was not given yet (8)
 //	28  CRC-32C of all that
 const (
-	segmentHead  = 32
-	version      = 5
-	plainVersion = 3 // where no message has extras
-	takingOver   = 1
-	grouped      = 2
+	segmentHeaderBytes = 32
+	version            = 5
+	plainVersion       = 3 // where no message has extras
+	upgrading          = 1
+	grouped            = 2
 
 	segmentEnd = ".seg"
 	spareEnd   = ".spare"
 )
 
 type segment struct {
-	name    string
-	seq     uint64
-	nonce   uint32
-	first   uint64 // message number not given when it was begun
-	flags   uint16
-	version uint16
-	file    File
-	size    int64 // of the file
+	name        string
+	seq         uint64
+	nonce       uint32
+	firstNumber uint64 // message number not given when it was begun
+	flags       uint16
+	version     uint16
+	file        File
+	size        int64 // of the file
 
-	live  int // messages whose state stands here
-	bytes int64
-	head  *Saved // those, in the order written
-	tail  *Saved
+	liveCount int // messages whose state is here
+	liveBytes int64
+	head      *Saved // those, in the order written
+	tail      *Saved
 }
 
 func segmentName(seq uint64, nonce uint32) string {
@@ -59,20 +59,20 @@
 }
 
 func (s *segment) header() []byte {
-	h := make([]byte, 0, segmentHead)
+	h := make([]byte, 0, segmentHeaderBytes)
 	h = append(h, "SRJL"...)
 	h = binary.LittleEndian.AppendUint16(h, s.version)
 	h = binary.LittleEndian.AppendUint16(h, s.flags)
 	h = binary.LittleEndian.AppendUint64(h, s.seq)
 	h = binary.LittleEndian.AppendUint32(h, s.nonce)
-	h = binary.LittleEndian.AppendUint64(h, s.first)
+	h = binary.LittleEndian.AppendUint64(h, s.firstNumber)
 	return binary.LittleEndian.AppendUint32(h, crc32.Checksum(h, castagnoli))
 }
 
-// readHeader takes the header from a segment's text. One that does not check costs nothing but its
-// flags and first number: the name has the rest. A newer version is an error.
+// readHeader parses the header of a segment. One with an invalid check loses no more than its flags and first
+// number: the name has the rest. A newer version is an error.
 func (s *segment) readHeader(text []byte) (damaged bool, err error) {
-	if len(text) < segmentHead {
+	if len(text) < segmentHeaderBytes {
 		return true, nil
 	}
 	if crc32.Checksum(text[:28], castagnoli) != binary.LittleEndian.Uint32(text[28:]) {
@@ -83,40 +83,41 @@
 	}
 	s.version = binary.LittleEndian.Uint16(text[4:])
 	s.flags = binary.LittleEndian.Uint16(text[6:])
-	s.first = binary.LittleEndian.Uint64(text[20:])
+	s.firstNumber = binary.LittleEndian.Uint64(text[20:])
 	return binary.LittleEndian.Uint64(text[8:]) != s.seq || binary.LittleEndian.Uint32(text[16:]) != s.nonce, nil
 }
 
-// add puts a message last among those whose state stands here.
-func (s *segment) add(m *Saved, size int64) {
-	m.seg, m.size = s, size
-	m.before, m.after = s.tail, nil
+// link appends a message to those whose state is in this segment.
+func (s *segment) link(m *Saved, size int64) {
+	m.segment, m.stateSize = s, size
+	m.previous, m.next = s.tail, nil
 	if s.tail != nil {
-		s.tail.after = m
+		s.tail.next = m
 	} else {
 		s.head = m
 	}
 	s.tail = m
-	s.live++
-	s.bytes += size
+	s.liveCount++
+	s.liveBytes += size
 }
 
-func (m *Saved) leave() {
-	s := m.seg
+// unlink removes a message from those of its segment.
+func (m *Saved) unlink() {
+	s := m.segment
 	if s == nil {
 		return
 	}
-	if m.before != nil {
-		m.before.after = m.after
+	if m.previous != nil {
+		m.previous.next = m.next
 	} else {
-		s.head = m.after
+		s.head = m.next
 	}
-	if m.after != nil {
-		m.after.before = m.before
+	if m.next != nil {
+		m.next.previous = m.previous
 	} else {
-		s.tail = m.before
+		s.tail = m.previous
 	}
-	s.live--
-	s.bytes -= m.size
-	m.seg, m.before, m.after = nil, nil, nil
+	s.liveCount--
+	s.liveBytes -= m.stateSize
+	m.segment, m.previous, m.next = nil, nil, nil
 }
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -25,7 +25,7 @@
 	p := make([]byte, 0, 24+s.Size())
 	p = binary.LittleEndian.AppendUint64(p, uint64(s.Deadline.UnixMilli()))
 	p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Dest)))
-	p = append(p, byte(min(s.Attempts, 255)), bit(s.Open)*flagOpen|bit(s.MayHaveRun)*flagMayHaveRun|bit(s.lost())*flagLost|bit(s.Extras != nil)*flagExtras|bit(s.Extras.Took() != "")*flagRoute, s.End)
+	p = append(p, byte(min(s.Attempts, 255)), flagByte(s.Open)*flagOpen|flagByte(s.MayHaveRun)*flagMayHaveRun|flagByte(s.isBodyLost())*flagLost|flagByte(s.Extras != nil)*flagExtras|flagByte(s.Extras.Took() != "")*flagRoute, s.End)
 	p = binary.LittleEndian.AppendUint32(p, uint32(min(s.Wait.Milliseconds(), 1<<32-1)))
 	p = append(p, byte(len(s.ID)), byte(len(s.Class)), byte(len(s.Origin)))
 	p = append(append(append(p, s.ID...), s.Class...), s.Origin...)
@@ -49,7 +49,7 @@
 	return append(p, body...)
 }
 
-// extrasBytes is what extras take.
+// extrasBytes is the encoded size of extras.
 func extrasBytes(a *message.Extras) (n int) {
 	if a == nil {
 		return 0
@@ -70,7 +70,7 @@
 	return n
 }
 
-// decodeExtras reads them and returns what stands behind.
+// decodeExtras decodes extras and returns the rest of p.
 func decodeExtras(p []byte, routed bool) (a *message.Extras, rest []byte, err error) {
 	a = &message.Extras{}
 	short := false
--- a/internal/journal/tool.go
+++ b/internal/journal/tool.go
@@ -11,19 +11,19 @@
 func Read(dir string) (*Journal, error) {
 	for try := 0; ; try++ {
 		j, err := OpenWith(Options{FS: osFS{dir: dir, readOnly: true}, ReadOnly: true, Memory: readMemory})
-		if !errors.Is(err, fs.ErrNotExist) || try == readTries {
+		if !errors.Is(err, fs.ErrNotExist) || try == readAttempts {
 			return j, err
 		}
-		// A segment was given up between the listing and its turn.
+		// A segment was recycled after the listing.
 	}
 }
 
 const (
-	readTries  = 10
-	readMemory = 3 * mostBody // for bodies; a reader takes on nothing, and so is not held by the rest
+	readAttempts = 10
+	readMemory   = 3 * maxBodyMemory // for bodies; a reader accepts nothing, so the rest does not apply
 )
 
-// Copy writes what a journal holds into a folder without one, and returns how many messages that are.
+// Copy writes the open messages of a journal into an empty folder, and returns how many there are.
 func Copy(from *Journal, dir string) (n int, err error) {
 	held := from.Held()
 	o := Options{}
@@ -45,7 +45,7 @@
 			return n, fmt.Errorf("journal: no room for %s (%w)", s.ID, err)
 		}
 		copied := *s
-		copied.seg, copied.before, copied.after, copied.at, copied.resident = nil, nil, nil, place{}, 0
+		copied.segment, copied.previous, copied.next, copied.position, copied.residentBytes = nil, nil, nil, position{}, 0
 		if err := j.Accepted(&copied); err != nil {
 			return n, err
 		}
