--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,6 +34,7 @@
 
 const (
 	listTime    = 2 * time.Second
+	askedTime   = 5 * time.Second / 2    // where the list must be asked for: a refusal may take 2 s to come, and tells more than silence
 	noticeTime  = 100 * time.Millisecond // the first time; twice as long each time after
 	noticeMost  = time.Second
 	maxList     = 64 << 20 // bytes of a list
@@ -193,7 +194,7 @@
 		p.note(known)
 	}
 	fetch := func(ctx context.Context, a *agent, at *position, wait bool) (*List, error) {
-		l, err := a.list(ctx, at.from, p.fleet.hold(), wait)
+		l, err := a.list(ctx, at.from, p.fleet.hold(), p.fleet.callTime(), wait)
 		if err == nil {
 			err = at.accept(l.Index, l.Snapshot)
 		}
@@ -234,6 +235,7 @@
 // watch makes one call after another, and tells what came of those that did not fail; warn is told of the others.
 func (p *Platform) watch(ctx context.Context, index int64, again backoff, warn func(error, time.Duration), fetch fetchList, tell func(*List)) {
 	at, last := startingAt(index), p.current()
+	failing := false // the call before failed, or was given up: this one is to come back at once
 	last.pause(ctx, time.Duration(p.fleet.random()*float64(p.fleet.firstWait())))
 	for ctx.Err() == nil {
 		a := p.current()
@@ -243,16 +245,17 @@
 		}
 		call, done, waiting := p.begin(ctx)
 		began := time.Now()
-		held := len(waiting) == 0 && at.from >= 0
-		l, err := fetch(call, a, &at, len(waiting) == 0)
+		held := len(waiting) == 0 && at.from >= 0 && !failing
+		l, err := fetch(call, a, &at, held)
 		if err != nil {
 			p.put(waiting)
 			if a.left.Err() == nil && call.Err() == nil {
-				wait := again.failed()
+				wait := p.fleet.retryPause(&again, time.Since(began), err)
 				if held && time.Since(began) >= p.fleet.hold() { // it has fallen silent: whoever waits now is told too late
 					again.worked()
 					wait = min(wait, time.Duration(p.fleet.random()*float64(reopenPause)))
 				}
+				failing = p.fleet.Asks
 				warn(err, wait)
 				if p.fleet.Asks { // each call is work there, whoever wants it
 					a.pause(ctx, wait)
@@ -265,6 +268,7 @@
 		}
 		done()
 		again.worked()
+		failing = false
 		at = startingAt(l.Index)
 		tell(l)
 		for _, w := range waiting {
@@ -313,9 +317,8 @@
 }
 
 // list asks for the whole list, or from a version on for changes. It is held for so long until there are some, if wait says so; else it is to come at
-// once.
-func (a *agent) list(ctx context.Context, from int64, hold time.Duration, wait bool) (*List, error) {
-	limit := listTime
+// once, within limit.
+func (a *agent) list(ctx context.Context, from int64, hold, limit time.Duration, wait bool) (*List, error) {
 	if from >= 0 && wait {
 		limit = hold + holdMargin
 	}
@@ -338,7 +341,7 @@
 	var l *List
 	err := a.do(ctx, limit, http.MethodGet, path, nil, func(status int, body io.Reader) (err error) {
 		if status != http.StatusOK {
-			return fmt.Errorf("status %d", status)
+			return &refusedError{status}
 		}
 		in := &io.LimitedReader{R: body, N: maxList}
 		l, err = readList(in, whole)
