--- a/internal/ci/testverdict/main.go
+++ b/internal/ci/testverdict/main.go
@@ -2,7 +2,8 @@
 //
 //	go tool testverdict [-known-red FILE] COMMAND [ARGUMENT...]
 //
-// The command runs as it is, with -json in GOFLAGS: that alone makes the output of go test one that a program can read.
+// The command runs as it is, with -json in GOFLAGS: that alone makes the output of go test one that a program can read. Tests inherit it, and so does
+// a go command that one of them starts: go build is silent with it as without, go env and go list are not.
 // It exits with 0 if the run passed, 1 if it failed, and 2 if it could not be run.
 package main
 
@@ -56,14 +57,26 @@
 	return statusOK
 }
 
+// currentGoFlags is what GOFLAGS is set to, in the environment or else by go env -w.
+func currentGoFlags() (string, error) {
+	if set := os.Getenv("GOFLAGS"); set != "" { // go env is not asked: a -json in it holds for its output too
+		return set, nil
+	}
+	set, err := exec.Command("go", "env", "GOFLAGS").Output()
+	if err != nil {
+		return "", fmt.Errorf("go env GOFLAGS: %w", err)
+	}
+	return strings.TrimSpace(string(set)), nil
+}
+
 // runTests runs the command to its end and judges what it wrote.
 func runTests(command []string, known []ci.Entry, out, errs io.Writer) (*ci.Verdict, error) {
-	goFlags, err := exec.Command("go", "env", "GOFLAGS").Output()
+	goFlags, err := currentGoFlags()
 	if err != nil {
-		return nil, fmt.Errorf("go env GOFLAGS: %w", err)
+		return nil, err
 	}
 	cmd := exec.Command(command[0], command[1:]...)
-	cmd.Env = append(os.Environ(), "GOFLAGS="+strings.TrimSpace(string(goFlags))+" -json")
+	cmd.Env = append(os.Environ(), "GOFLAGS="+goFlags+" -json")
 	cmd.Stderr = errs
 	events, err := cmd.StdoutPipe()
 	if err != nil {
