Read whole numbers of operators' files in one place

Need: limits, plug-ins and routes each read one of their own. loader.number is told what the number may be and which one the remedy names; what is said stays the same.

--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/big"
 	"os"
 	"path/filepath"
@@ -354,13 +355,8 @@
 		case "routes":
 			rule.Routes = l.names(a, `["handovers of tartu"]`)
 		case "attempts", "held", "out":
-			if v, ok := l.value(a); ok {
-				list, ok := numbers(cty.TupleVal([]cty.Value{v}))
-				if !ok || list[0] < 1 {
-					l.fail(at, name+" is a whole number, 1 or more", fmt.Sprintf("Write %s = 2.", name))
-				} else {
-					*map[string]*int{"attempts": &rule.Attempts, "held": &rule.Held, "out": &rule.Out}[name] = list[0]
-				}
+			if n, ok := l.number(a, positiveNumber, 2); ok {
+				*map[string]*int{"attempts": &rule.Attempts, "held": &rule.Held, "out": &rule.Out}[name] = n
 			}
 		case "answer", "whole", "connect", "wait", "copy":
 			if d, ok := l.duration(a); ok && d == 0 {
@@ -384,6 +380,32 @@
 	}
 }
 
+// numberKind is what a whole number may be.
+type numberKind struct {
+	min  int
+	name string
+}
+
+var (
+	anyNumber      = numberKind{math.MinInt32, "a whole number"}
+	positiveNumber = numberKind{1, "a whole number, 1 or more"}
+)
+
+// number reads a whole number; a remedy names the example.
+func (l *loader) number(a *hclsyntax.Attribute, kind numberKind, example int) (int, bool) {
+	v, ok := l.value(a)
+	if !ok {
+		return 0, false
+	}
+	list, ok := numbers(cty.TupleVal([]cty.Value{v}))
+	if !ok || list[0] < kind.min {
+		l.fail(a.Expr.Range(), a.Name+" is "+kind.name, fmt.Sprintf("Write %s = %d.", a.Name, example))
+		return 0, false
+	}
+	return list[0], true
+}
+
+// numbers reads a list of whole numbers of 32 bits.
 func numbers(v cty.Value) (list []int, ok bool) {
 	if v.IsNull() || !v.IsWhollyKnown() || !v.Type().IsTupleType() && !v.Type().IsListType() {
 		return nil, false
--- a/internal/opfile/plugins.go
+++ b/internal/opfile/plugins.go
@@ -63,13 +63,8 @@
 				}
 			}
 			if n := counts[name]; n != nil {
-				if v, ok := l.value(a); ok {
-					list, ok := numbers(cty.TupleVal([]cty.Value{v}))
-					if !ok {
-						l.fail(at, name+" is a whole number", fmt.Sprintf("Write %s = 1.", name))
-					} else {
-						*n = list[0]
-					}
+				if v, ok := l.number(a, anyNumber, 1); ok {
+					*n = v
 				}
 			}
 			if n := sizes[name]; n != nil {
--- a/internal/opfile/pools.go
+++ b/internal/opfile/pools.go
@@ -28,7 +28,7 @@
 	l.places[key] = block.DefRange()
 	if a := block.Body.Attributes["destination"]; a != nil {
 		l.places[key+".destination"] = a.Expr.Range()
-		if n, ok := l.number(a); ok {
+		if n, ok := l.number(a, anyNumber, 7); ok {
 			p.Destination = &n
 		}
 	}
@@ -77,7 +77,7 @@
 		case "zone":
 			e.Zone, _ = l.text(a)
 		case "weight":
-			if n, ok := l.number(a); ok && n < 1 {
+			if n, ok := l.number(a, anyNumber, 7); ok && n < 1 {
 				l.fail(a.Expr.Range(), fmt.Sprintf("weight is %d", n), "Write 1 or more; drain = true keeps calls away.")
 			} else if ok {
 				e.Weight = n
--- a/internal/opfile/routes.go
+++ b/internal/opfile/routes.go
@@ -37,7 +37,7 @@
 		case "fronts":
 			r.Fronts = l.names(a, `["resp2"]`)
 		case "order":
-			r.Order, _ = l.number(a)
+			r.Order, _ = l.number(a, anyNumber, 7)
 		case "pool":
 			r.Pool, _ = l.text(a)
 		case "fields":
@@ -84,17 +84,3 @@
 	slices.Sort(list)
 	return slices.Compact(list)
 }
-
-// number reads a whole number.
-func (l *loader) number(a *hclsyntax.Attribute) (int, bool) {
-	v, ok := l.value(a)
-	if !ok {
-		return 0, false
-	}
-	list, ok := numbers(cty.TupleVal([]cty.Value{v}))
-	if !ok {
-		l.fail(a.Expr.Range(), a.Name+" is a whole number", fmt.Sprintf("Write %s = 7.", a.Name))
-		return 0, false
-	}
-	return list[0], true
-}
