--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"scaleroute/internal/commandline"
 )
 
 // options are what a run is asked for.
@@ -83,41 +85,15 @@
 
 // command carries out what the arguments say, and returns the exit status.
 func command(args []string, out, errs io.Writer) (status int) {
-	var c commands
-	parser, err := kong.New(&c, kong.Name("scaleroute-lab"), kong.Description("Experiments with scaleroute."), kong.Writers(out, errs),
-		kong.Vars{"sicknesses": strings.Join(sicknesses(), ", ")}, kong.Exit(func(code int) { panic(exit(code)) }))
-	if err != nil {
-		fmt.Fprintln(errs, "scaleroute-lab:", err)
-		return 2
-	}
-	defer func() {
-		switch e := recover().(type) {
-		case nil:
-		case exit: // after --help
-			status = int(e)
-		default:
-			panic(e)
-		}
-	}()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	parsed, err := parser.Parse(doubled(args))
-	if err == nil {
-		parsed.BindTo(ctx, (*context.Context)(nil))
-		parsed.BindTo(out, (*io.Writer)(nil))
-		err = parsed.Run()
-	}
-	switch {
-	case errors.Is(err, errBroken):
-		return 1
-	case err != nil:
-		fmt.Fprintln(errs, "scaleroute-lab:", err)
-		return 2
-	}
-	return 0
+	tool := commandline.Tool{Name: "scaleroute-lab", Description: "Experiments with scaleroute.", Out: out, Errs: errs, StatusOf: statusOf,
+		Options: []kong.Option{kong.Vars{"sicknesses": strings.Join(sicknesses(), ", ")}, kong.BindTo(ctx, (*context.Context)(nil))}}
+	return tool.Run(&commands{}, doubled(args))
 }
 
-type exit int
+// statusOf is the exit status of a broken rule.
+func statusOf(err error) (status int, isFinding bool) { return 1, errors.Is(err, errBroken) }
 
 // doubled takes -flag for --flag.
 func doubled(args []string) []string {
--- a/cmd/scaleroutectl/main.go
+++ b/cmd/scaleroutectl/main.go
@@ -6,13 +6,14 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/kong"
 
+	"scaleroute/internal/commandline"
 	"scaleroute/internal/plugin/host"
 )
 
@@ -39,47 +40,35 @@
 }
 
 func run(args []string, out, errs io.Writer) (status int) {
-	var c commands
-	parser, err := kong.New(&c, kong.Name("scaleroutectl"), kong.Description("The operators' tool of scaleroute."), kong.Writers(out, errs),
-		kong.UsageOnError(), kong.Exit(func(code int) { panic(exit(code)) }), kong.BindTo(out, (*io.Writer)(nil)), kong.Bind(stderr{errs}))
-	if err != nil {
-		fmt.Fprintln(errs, "scaleroutectl:", err)
-		return 2
-	}
-	defer func() {
-		switch e := recover().(type) {
-		case nil:
-		case exit: // after --help
-			status = int(e)
-		default:
-			panic(e)
-		}
-	}()
-	for i, a := range args { // -json as well as --json
+	tool := commandline.Tool{Name: "scaleroutectl", Description: "The operators' tool of scaleroute.", Out: out, Errs: errs, StatusOf: statusOf,
+		Options: []kong.Option{kong.UsageOnError(), kong.Bind(stderr{errs})}}
+	return tool.Run(&commands{}, doubleDashes(args))
+}
+
+// doubleDashes takes -flag for --flag.
+func doubleDashes(args []string) []string {
+	list := slices.Clone(args)
+	for i, a := range args {
 		if a == "--" {
 			break
 		}
 		if len(a) > 2 && a[0] == '-' && a[1] != '-' && !strings.Contains(a, "=") {
-			args[i] = "-" + a
+			list[i] = "-" + a
 		}
 	}
-	ctx, err := parser.Parse(args)
-	if err == nil {
-		err = ctx.Run()
-	}
+	return list
+}
+
+// statusOf is the exit status of what a command found.
+func statusOf(err error) (status int, isFinding bool) {
 	var worst found
-	switch {
-	case errors.As(err, &worst):
-		return int(worst.exit)
-	case errors.Is(err, errFound):
-		return 1
-	case err != nil:
-		fmt.Fprintln(errs, "scaleroutectl:", err)
-		return 2
+	if errors.As(err, &worst) {
+		return int(worst.exit), true
 	}
-	return 0
+	return 1, errors.Is(err, errFound)
 }
 
+// exit is an exit status.
 type exit int
 
 // stderr is where findings go.
