--- a/internal/control/figures.go
+++ b/internal/control/figures.go
@@ -19,13 +19,14 @@
 type Figures struct {
 	Name           string  `json:"name"`
 	UpSeconds      float64 `json:"up_seconds"`
-	Index          int64   `json:"index"` // -1: no list yet
+	Index          int64   `json:"index"`      // -1: no list yet
 	KeptIndex      int64   `json:"kept_index"` // that a restart would begin with
 	Entries        int     `json:"entries"`
 	Scopes         int     `json:"scopes"`
 	Watchers       int     `json:"watchers"` // held calls for lists
 	Members        int     `json:"members"`
 	LeasesHere     int     `json:"leases_here"`
+	KeptLeases     int64   `json:"kept_leases"` // that a restart would begin with
 	Settled        bool    `json:"settled"`
 	Requests       int64   `json:"requests"`
 	UnderWay       int64   `json:"requests_under_way"`
@@ -41,7 +42,7 @@
 }
 
 func (s *Server) snapshotFigures() Figures {
-	f := Figures{Name: s.options.Name, KeptIndex: s.keptIndex.Load(), UpSeconds: time.Since(s.started).Seconds(), Requests: s.figures.requests.Load(), UnderWay: s.figures.underWay.Load(),
+	f := Figures{Name: s.options.Name, KeptIndex: s.keptIndex.Load(), KeptLeases: s.keptLeases.Load(), UpSeconds: time.Since(s.started).Seconds(), Requests: s.figures.requests.Load(), UnderWay: s.figures.underWay.Load(),
 		Refused: s.figures.refused.Load(), RefusedEntries: s.figures.refusedEntries.Load(), Snapshots: s.figures.snapshots.Load(), Deltas: s.figures.deltas.Load(),
 		WholeLists: s.figures.wholeLists.Load(), WakeUps: s.figures.wakeUps.Load(), Connections: s.figures.connections.Load(),
 		BytesSent: s.figures.bytesSent.Load(), BytesReceived: s.figures.bytesReceived.Load()}
--- a/internal/control/keep.go
+++ b/internal/control/keep.go
@@ -46,7 +46,7 @@
 		slog.Error("changes are not kept until the next snapshot: make room in the state folder", "err", err)
 		s.requestSave()
 	}
-	if kept {
+	if kept && !s.snapshotMissing {
 		s.keptIndex.Store(index)
 	}
 }
@@ -59,13 +59,16 @@
 }
 
 // minSavePause is between two snapshots that are due at once.
-const minSavePause = 2 * time.Second
+const (
+	minSavePause = 2 * time.Second
+	maxLeaseSave = 2 * time.Second // between two times that the leases are kept
+)
 
 // saveRegularly writes snapshots of the list, and the leases.
 func (s *Server) saveRegularly(ctx context.Context) {
 	snapshots := time.NewTicker(s.options.SaveEvery)
 	defer snapshots.Stop()
-	leases := time.NewTicker(s.options.Lease / 4)
+	leases := time.NewTicker(min(s.options.Lease/4, maxLeaseSave))
 	defer leases.Stop()
 	for {
 		isDue := false
@@ -104,6 +107,7 @@
 	}
 	s.folder.removeChangesAfter(index)
 	err := s.folder.beginChanges(index)
+	s.snapshotMissing = true
 	s.keepMu.Unlock()
 	if err != nil {
 		return err
@@ -114,7 +118,7 @@
 		return err
 	}
 	s.keepMu.Lock()
-	s.savedIndex = index
+	s.savedIndex, s.snapshotMissing = index, false
 	s.keptIndex.Store(max(index, s.folder.changes.last))
 	s.folder.removeChanges(index)
 	s.keepMu.Unlock()
@@ -153,8 +157,10 @@
 		s.memberMu.Lock()
 		s.membersToSave = true
 		s.memberMu.Unlock()
+		return err
 	}
-	return err
+	s.keptLeases.Store(int64(len(zones)))
+	return nil
 }
 
 // restoreMembers gives those who had a lease before a new one.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -29,10 +29,11 @@
 	listMu sync.RWMutex // held by upstream for one entry at a time
 	list   *catalog.Catalog
 
-	keepMu     sync.Mutex    // what the folder gets
-	savedIndex int64         // of the snapshot in the folder that this process has written; -1: none
-	keptIndex  atomic.Int64  // that a restart would begin with; -1: none
-	saveDue    chan struct{} // of one place: a snapshot is due at once
+	keepMu          sync.Mutex    // what the folder gets
+	savedIndex      int64         // of the snapshot in the folder that this process has written; -1: none
+	snapshotMissing bool          // the changes that are kept come after a snapshot that is not
+	keptIndex       atomic.Int64  // that a restart would begin with; -1: none
+	saveDue         chan struct{} // of one place: a snapshot is due at once
 
 	memberMu      sync.Mutex
 	members       *members
@@ -41,6 +42,7 @@
 	restored      bool          // members are known from before this process
 	peersHeard    map[string]bool
 	membersToSave bool
+	keptLeases    atomic.Int64 // that a restart would begin with
 
 	building   chan struct{} // a place for each answer that is being built
 	wholeLists chan struct{} // a place for each whole list that is being sent
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -49,7 +49,7 @@
 func (u *upstreamSink) Commit() {
 	s := u.server
 	s.listMu.Lock()
-	before, entriesBefore := s.list.Index(), s.list.Len()
+	before := s.list.Index()
 	touched, err := s.list.Commit()
 	after, entries := s.list.Index(), s.list.Len()
 	s.listMu.Unlock()
@@ -62,7 +62,7 @@
 		slog.Warn("more entries of discovery's list are refused", "index", u.index, "refused", u.refused)
 	}
 	if u.snapshot || after < before {
-		slog.Info("the whole list is taken over", "index", after, "index_before", before, "entries", entries, "entries_before", entriesBefore,
+		slog.Info("the whole list is taken over", "index", after, "index_before", before, "entries", entries,
 			"refused", u.refused, "changed", len(touched.Groups), "all_changed", touched.All, "took", time.Since(u.began).Round(time.Millisecond))
 	}
 	s.noteChange(before, touched)
