--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -40,7 +40,7 @@
 type Catalog struct {
 	layout  ownership.Layout
 	limits  Limits
-	entries store
+	entries *store
 	log     changeLog
 	index   int64 // of the list; -1: none yet
 	highest int64 // the highest index before it went back; -1: it never did
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -255,6 +255,30 @@
 	}
 }
 
+// TestNameIndex: names come and go, and each that is there is found in its slot, and no other.
+func TestNameIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := make([]string, 400)
+		for i := range names {
+			names[i] = fmt.Sprint("name-", i)
+		}
+		x, there := newNameIndex(func(at slot) string { return names[at] }), map[int]bool{}
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(names)-1), 0, 2000).Draw(t, "toggled") {
+			if there[i] {
+				x.delete(names[i])
+			} else {
+				x.add(slot(i))
+			}
+			there[i] = !there[i]
+		}
+		for i, name := range names {
+			if at, found := x.find(name); found != there[i] || found && at != slot(i) {
+				t.Fatalf("%s: slot %d, %t; there: %t", name, at, found, there[i])
+			}
+		}
+	})
+}
+
 // BenchmarkLoad fills a catalog of the plan's size and says what memory an entry takes.
 func BenchmarkLoad(b *testing.B) {
 	const entries = 2_200_000
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -37,14 +37,15 @@
 	pages        [][]record
 	end          slot // of the slots that were ever used
 	free         slot // the first free one below end
-	byName       map[string]slot
+	byName       nameIndex
 	first        []slot // by partition
 	zones, kinds names
 	statuses     names
 }
 
-func newStore(layout ownership.Layout) store {
-	s := store{layout: layout, free: noSlot, byName: map[string]slot{}, first: make([]slot, layout.Partitions)}
+func newStore(layout ownership.Layout) *store {
+	s := &store{layout: layout, free: noSlot, first: make([]slot, layout.Partitions)}
+	s.byName = newNameIndex(func(at slot) string { return s.at(at).name() })
 	for p := range s.first {
 		s.first[p] = noSlot
 	}
@@ -52,17 +53,14 @@
 	return s
 }
 
-func (s *store) len() int { return len(s.byName) }
+func (s *store) len() int { return s.byName.count }
 
 // slots are the slots that were ever used, from 0 on.
 func (s *store) slots() slot { return s.end }
 
 func (s *store) at(at slot) *record { return &s.pages[at/pageLen][at%pageLen] }
 
-func (s *store) find(name string) (slot, bool) {
-	at, found := s.byName[name]
-	return at, found
-}
+func (s *store) find(name string) (slot, bool) { return s.byName.find(name) }
 
 func (s *store) endpoint(at slot) agent.Endpoint {
 	r := s.at(at)
@@ -95,7 +93,7 @@
 	}
 	at := s.takeSlot()
 	*s.at(at) = packed
-	s.byName[packed.name()] = at
+	s.byName.add(at)
 	s.link(at)
 	return at, nil
 }
@@ -119,11 +117,8 @@
 	}
 	s.unlink(at)
 	r := s.at(at)
-	if packed.text == r.text && packed.nameLen == r.nameLen {
+	if packed.text == r.text { // one text is enough: the log may have a part of the former
 		packed.text = r.text
-	} else { // the map's key must not keep the former text
-		delete(s.byName, r.name())
-		s.byName[packed.name()] = at
 	}
 	*r = packed
 	s.link(at)
@@ -133,7 +128,7 @@
 func (s *store) delete(at slot) {
 	s.unlink(at)
 	r := s.at(at)
-	delete(s.byName, r.name())
+	s.byName.delete(r.name())
 	*r = record{next: s.free}
 	s.free = at
 }
