--- a/cmd/scaleroute-control/main_test.go
+++ b/cmd/scaleroute-control/main_test.go
@@ -83,6 +83,7 @@
 // process is a control server of its own process.
 type process struct {
 	t       *testing.T
+	program string // empty: the test binary
 	command *exec.Cmd
 	address string
 	args    []string
@@ -131,7 +132,11 @@
 func (p *process) start() {
 	p.t.Helper()
 	p.logs, p.ended = &syncBuffer{}, make(chan error, 1)
-	p.command = exec.Command(os.Args[0], p.args...)
+	program := p.program
+	if program == "" {
+		program = os.Args[0]
+	}
+	p.command = exec.Command(program, p.args...)
 	p.command.Env = append(os.Environ(), processMarker+"=1")
 	p.command.Stderr = p.logs
 	if err := p.command.Start(); err != nil {
