--- a/cmd/scaleroute-lab/capacitymeasure.go
+++ b/cmd/scaleroute-lab/capacitymeasure.go
@@ -46,22 +46,10 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	if c.Commit == "" {
-		if c.Commit, err = commitHere(ctx); err != nil {
-			return err
-		}
-	}
-	lab := &measure.Lab{Commit: c.Commit, Program: c.Program, Operators: c.Operators, Folder: folder, Repeats: c.Repeats, Sizes: c.Size, Progress: func(text string) {
-		if !c.Quiet {
-			fmt.Fprintln(os.Stderr, text)
-		}
-	}}
-	if lab.Program == "" {
-		if lab.Program, err = buildForMeasuring(ctx, folder); err != nil {
-			return err
-		}
+	lab, err := c.lab(ctx, folder)
+	if err != nil {
+		return err
 	}
-	lab.Tool = filepath.Join(filepath.Dir(lab.Program), "scaleroutectl")
 	series, err := lab.Run(ctx, c.Name)
 	if err != nil {
 		return err
@@ -74,6 +62,27 @@
 	return errors.Join(errs...)
 }
 
+// lab finds out what to run and which commit it is from.
+func (c *capacityMeasure) lab(ctx context.Context, folder string) (lab *measure.Lab, err error) {
+	lab = &measure.Lab{Program: c.Program, Commit: c.Commit, Operators: c.Operators, Folder: folder, Repeats: c.Repeats, Sizes: c.Size, Progress: func(text string) {
+		if !c.Quiet {
+			fmt.Fprintln(os.Stderr, text)
+		}
+	}}
+	if lab.Commit == "" {
+		if lab.Commit, err = commitHere(ctx); err != nil {
+			return nil, err
+		}
+	}
+	if lab.Program == "" {
+		if lab.Program, err = buildForMeasuring(ctx, folder); err != nil {
+			return nil, err
+		}
+	}
+	lab.Tool = filepath.Join(filepath.Dir(lab.Program), "scaleroutectl")
+	return lab, nil
+}
+
 // buildForMeasuring makes the daemon, what speaks for it, and the operators' tool.
 func buildForMeasuring(ctx context.Context, to string) (string, error) {
 	program, err := build(ctx, to, "")
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -92,47 +92,59 @@
 	return plan, checkPlan(path, file.Body.(*hclsyntax.Body), plan)
 }
 
-// checkPlan holds each figure against its range. All are numbers above 0 but for those of zeroAllowed.
-func checkPlan(path string, body *hclsyntax.Body, plan *Plan) error {
-	var wrong []string
-	report := func(place hcl.Range, name, problem string) {
-		wrong = append(wrong, fmt.Sprintf("%s:%d: %s: %s", path, place.Start.Line, name, problem))
+// checker collects what is wrong with a plan, with the place of each figure.
+type checker struct {
+	path  string
+	body  *hclsyntax.Body
+	wrong []string
+}
+
+func (c *checker) report(attribute *hclsyntax.Attribute, remedy string) {
+	c.wrong = append(c.wrong, fmt.Sprintf("%s:%d: %s: %s", c.path, attribute.SrcRange.Start.Line, attribute.Name, remedy))
+}
+
+// attribute finds a figure; block is empty for those outside of blocks.
+func (c *checker) attribute(block, name string) *hclsyntax.Attribute {
+	for _, one := range c.body.Blocks {
+		if one.Type == block {
+			return one.Body.Attributes[name]
+		}
 	}
-	checkAttributes := func(attributes hclsyntax.Attributes) {
-		for name, attribute := range attributes {
-			value, _ := attribute.Expr.Value(nil)
-			number, _ := value.AsBigFloat().Float64()
-			if number < 0 || number == 0 && !zeroAllowed[name] || math.IsInf(number, 0) {
-				report(attribute.SrcRange, name, fmt.Sprintf("%v: write a number above 0, in the unit that the name says", number))
-			}
+	return c.body.Attributes[name]
+}
+
+// positive holds figures against 0. All are numbers above it but for those of zeroAllowed.
+func (c *checker) positive(attributes hclsyntax.Attributes) {
+	for name, attribute := range attributes {
+		value, _ := attribute.Expr.Value(nil)
+		number, _ := value.AsBigFloat().Float64()
+		if number < 0 || number == 0 && !zeroAllowed[name] || math.IsInf(number, 0) {
+			c.report(attribute, fmt.Sprintf("%v: write a number above 0, in the unit that the name says", number))
 		}
 	}
-	checkAttributes(body.Attributes)
+}
+
+// checkPlan holds each figure against its range.
+func checkPlan(path string, body *hclsyntax.Body, plan *Plan) error {
+	c := &checker{path: path, body: body}
+	c.positive(body.Attributes)
 	for _, block := range body.Blocks {
-		checkAttributes(block.Body.Attributes)
-	}
-	place := func(block, name string) hcl.Range {
-		for _, one := range body.Blocks {
-			if one.Type == block && one.Body.Attributes[name] != nil {
-				return one.Body.Attributes[name].SrcRange
-			}
-		}
-		return body.Attributes[name].SrcRange
+		c.positive(block.Body.Attributes)
 	}
 	if plan.DestinationsDownPercent > 100 {
-		report(place("", "destinations_down_percent"), "destinations_down_percent", "a share, from 0 to 100")
+		c.report(c.attribute("", "destinations_down_percent"), "a share, from 0 to 100")
 	}
 	if plan.Allowed.ControlServersAlive > plan.Allowed.ControlServers {
-		report(place("allowed", "control_servers_alive"), "control_servers_alive", "no more than control_servers can be alive: lower it")
+		c.report(c.attribute("allowed", "control_servers_alive"), "no more than control_servers can be alive: lower it")
 	}
 	if plan.Zones < plan.Regions {
-		report(place("", "zones"), "zones", "each region has at least one: raise it, or lower regions")
+		c.report(c.attribute("", "zones"), "each region has at least one: raise it, or lower regions")
 	}
 	if n := plan.Ownership.Partitions; n != math.Trunc(n) || n < 1 || int64(n)&(int64(n)-1) != 0 {
-		report(place("partial_list", "partitions"), "partitions", "a power of two, as ownership asks for")
+		c.report(c.attribute("partial_list", "partitions"), "a power of two, as ownership asks for")
 	}
-	if len(wrong) > 0 {
-		return fmt.Errorf("%s", strings.Join(sorted(wrong), "\n"))
+	if len(c.wrong) > 0 {
+		return fmt.Errorf("%s", strings.Join(sorted(c.wrong), "\n"))
 	}
 	return nil
 }
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -156,12 +156,6 @@
 	return text + fmt.Sprintf(", residual %s", percent(r.Fit.Residual))
 }
 
-// before and after are the mechanisms that stand beside each other.
-var (
-	before = []Mechanism{WholeList, Gossip}
-	after  = []Mechanism{PartialList, Leases}
-)
-
 // calm has each role's costs while nothing happens.
 func calm(m *Model) string {
 	var text strings.Builder
