--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -104,6 +104,10 @@
 	if !known {
 		return nil, fmt.Errorf("%s: the plan has no size of %s: add it to Plan.Size", s.Name, s.Variable)
 	}
+	perForwarder, scaled := m.Plan.sizeOfPart(s)
+	if scaled {
+		size = perForwarder
+	}
 	row := &Row{Mechanism: s.Mechanism, Role: s.Role, Resource: s.Resource, Event: s.Event, Hop: s.Hop, Standing: Extrapolated, Series: s, Fit: fit, Size: size, Allowed: m.Plan.allowed(s)}
 	if s.Resource == Kept {
 		row.bounded(s)
@@ -114,15 +118,30 @@
 		row.EndsAt = fit.SizeAt(row.Allowed)
 	}
 	switch {
-	case fit.Covers(size):
+	case fit.Covers(size) && !scaled:
 		row.Standing = Measured
-	case fit.Shape == Single:
+	case fit.Shape == Single && !fit.Covers(size):
 		row.Standing, row.EndsAt = NotMeasured, 0
 		row.Why = fmt.Sprintf("only at %s %s: one size has no slope", count(fit.largest), s.Variable)
 	}
 	return row, nil
 }
 
+// sizeOfPart is the size at which a smaller fleet has as many destinations for each forwarder as the plan's: what a forwarder that holds a part costs goes by that, not by all.
+func (p *Plan) sizeOfPart(s *Series) (size float64, scaled bool) {
+	if s.Mechanism != PartialList || s.Role != Forwarder || s.Held[Members] > 0 {
+		return 0, false
+	}
+	perForwarder := p.Destinations / p.Forwarders
+	if forwarders := s.Held[Forwarders]; s.Variable == Destinations && forwarders > 0 {
+		return forwarders * perForwarder, true
+	}
+	if destinations := s.Held[Destinations]; s.Variable == Forwarders && destinations > 0 && s.Resource != Evenness && s.Resource != Moved && s.Event != Machine {
+		return destinations / perForwarder, true
+	}
+	return 0, false
+}
+
 // bounded has the row of a series that says how many of what was offered are kept.
 func (r *Row) bounded(s *Series) {
 	r.Cost, r.EndsAt, r.Allowed = 0, math.Inf(1), r.Size
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -148,3 +148,31 @@
 		}
 	}
 }
+
+// TestSizeOfPart: a small fleet with many destinations has larger parts than the plan's, and counts at the plan's number for each forwarder.
+func TestSizeOfPart(t *testing.T) {
+	few := seriesOf(PartialList, Forwarder, State, Destinations, Calm, 20e6, 100, 10_000, 100_000)
+	few.Held = map[Variable]float64{Forwarders: 100}
+	many := seriesOf(PartialList, Forwarder, State, Forwarders, Calm, 20e6, 0, 10, 1000)
+	many.Held = map[Variable]float64{Destinations: 32_353}
+	server := seriesOf(PartialList, ControlServer, State, Destinations, Calm, 20e6, 100, 10_000, 100_000)
+	server.Held = map[Variable]float64{Forwarders: 100}
+	m := modelOf(t, few, many, server)
+	near(t, "destinations of 100 forwarders", rowOf(t, m, few).Size, 32_353, 1e-4)
+	near(t, "forwarders of 32,353 destinations", rowOf(t, m, many).Size, 100, 1e-4)
+	near(t, "destinations of a control server", rowOf(t, m, server).Size, 2.2e6, 0)
+	if standing := rowOf(t, m, few).Standing; standing != Extrapolated {
+		t.Errorf("%s: a fleet of 100 is not the plan's", standing)
+	}
+}
+
+// TestFirstNamesEachOnce: a cost that two series have is one line of what breaks first.
+func TestFirstNamesEachOnce(t *testing.T) {
+	one := seriesOf(WholeList, Forwarder, State, Destinations, Calm, 26e6, 2400, 2000, 20_000)
+	two := seriesOf(WholeList, Forwarder, State, Destinations, Calm, 26e6, 2500, 2000, 20_000)
+	two.Process = "simulated"
+	text := breaksFirst(modelOf(t, one, two))
+	if strings.Count(text, "| whole list |") != 1 || !strings.Contains(text, "state, simulated") {
+		t.Errorf("want the worse of the two alone:\n%s", text)
+	}
+}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -30,7 +30,7 @@
 // breaksFirst is the list of what ends before the plan's size, and what is expected to carry it.
 func breaksFirst(m *Model) string {
 	t := newTable("", "who", "what", "mechanism", "at the plan's size", "allowed", "used", "ends at", "carried by")
-	broken := m.Broken()
+	broken := worstOfEach(m.Broken())
 	for i, r := range broken[:min(len(broken), maxFirst)] {
 		t.add(fmt.Sprint(i+1), string(r.Role), r.what(), string(r.Mechanism), r.cost(), r.allowed(), percent(r.Used()), r.ends(), m.carrier(r))
 	}
@@ -41,6 +41,24 @@
 	return text + "\n" + m.standings()
 }
 
+// worstOfEach leaves out what the same cost has been measured by once more, in a list with the worst first.
+func worstOfEach(rows []*Row) (list []*Row) {
+	type cost struct {
+		mechanism Mechanism
+		role      Role
+		resource  Resource
+		event     Event
+	}
+	seen := map[cost]bool{}
+	for _, r := range rows {
+		if key := (cost{r.Mechanism, r.Role, r.Resource, r.Event}); !seen[key] {
+			seen[key] = true
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // standings counts the rows of each standing.
 func (m *Model) standings() string {
 	counts := map[Standing]int{}
