--- a/internal/capacity/demands.go
+++ b/internal/capacity/demands.go
@@ -24,11 +24,8 @@
 	{WholeList, Forwarder, Processor, Calm, notYet},
 	{PartialList, Forwarder, Processor, Calm, notYet},
 	{Gossip, Forwarder, State, Calm, notYet},
-	{Leases, Forwarder, State, Calm, notYet},
 	{Gossip, Forwarder, Messages, Calm, "the gossip process speaks for it; what the two tell each other is not counted"},
-	{Leases, Forwarder, Messages, Calm, notYet},
 	{Gossip, Forwarder, Processor, Calm, notYet},
-	{Leases, Forwarder, Processor, Calm, notYet},
 	{Gossip, Forwarder, Kept, Calm, notYet},
 	{Queue, Forwarder, State, Calm, notYet},
 
@@ -46,7 +43,7 @@
 
 	{Gossip, OperatorsTool, State, Calm, notYet},
 	{Gossip, OperatorsTool, Work, Calm, notYet},
-	{Leases, OperatorsTool, State, Calm, notYet},
+	{PartialList, OperatorsTool, State, Calm, notWatched},
 
 	{WholeList, Target, State, Calm, notOurs},
 	{WholeList, Target, Messages, Calm, notWatched},
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -20,9 +20,8 @@
 // The mechanisms.
 const (
 	WholeList   Mechanism = "whole list"   // each forwarder holds all destinations
-	PartialList Mechanism = "partial list" // each forwarder holds the destinations that it owns (docs/ownership.md)
+	PartialList Mechanism = "partial list" // each forwarder holds the destinations that it owns, and members are known by leases (docs/ownership.md)
 	Gossip      Mechanism = "gossip"       // members hear of each other by memberlist
-	Leases      Mechanism = "leases"       // members hear of each other from control servers
 	Queue       Mechanism = "queue"        // messages that wait in a forwarder
 )
 
@@ -96,7 +95,7 @@
 )
 
 var (
-	mechanisms = []Mechanism{WholeList, PartialList, Gossip, Leases, Queue}
+	mechanisms = []Mechanism{WholeList, PartialList, Gossip, Queue}
 	roles      = []Role{Forwarder, GossipProcess, Agent, ControlServer, OperatorsTool, Target, ClientSide}
 	resources  = []Resource{State, Messages, Processor, Work, Transfer, Delay, Kept, Moved, Evenness}
 	variables  = []Variable{Destinations, PartDestinations, Forwarders, ServedForwarders, Members, QueuedMessages, ChangesPerSecond, ChangedEntries, LookupsPerSecond, RestartsPerSecond}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -68,8 +68,8 @@
 	return fmt.Sprintf("Of %d costs %d are measured at the plan's size, %d extrapolated and %d not measured.\n", len(m.Rows), counts[Measured], counts[Extrapolated], counts[NotMeasured])
 }
 
-// successor is the mechanism that is to carry what another one does not.
-var successor = map[Mechanism]Mechanism{WholeList: PartialList, Gossip: Leases}
+// successor is the mechanism that is to carry what another one does not. With the partial list members are known by leases, whose cost is measured with it.
+var successor = map[Mechanism]Mechanism{WholeList: PartialList, Gossip: PartialList}
 
 // carrier says what carries a cost in place of a mechanism that breaks, and with which share of the allowance.
 func (m *Model) carrier(r *Row) string {
@@ -200,11 +200,11 @@
 
 // beside has the mechanisms of before and after in one line for each cost of a forwarder, the worst row of each.
 func beside(m *Model) string {
-	t := newTable("a forwarder's", "allowed", "whole list", "used", "partial list", "used", "members by gossip", "used", "members by leases", "used")
+	t := newTable("a forwarder's", "allowed", "whole list", "used", "members by gossip", "used", "partial list, members by leases", "used")
 	names := map[Resource]string{State: "memory", Messages: "bytes a second", Processor: "processor"}
 	for _, resource := range []Resource{State, Messages, Processor} {
 		cells := []string{names[resource], amount(m.Plan.allowedRunning(Forwarder, resource), resource)}
-		for _, mechanism := range []Mechanism{WholeList, PartialList, Gossip, Leases} {
+		for _, mechanism := range []Mechanism{WholeList, Gossip, PartialList} {
 			r := worst(m.Find(func(r *Row) bool {
 				return r.Mechanism == mechanism && (r.Role == Forwarder || r.Role == GossipProcess) && r.Resource == resource && r.Event == Calm && r.Allowed > 0
 			}))
