--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -30,7 +30,7 @@
 // breaksFirst is the list of what ends before the plan's size, and what is expected to carry it.
 func breaksFirst(m *Model) string {
 	t := newTable("", "who", "what", "mechanism", "at the plan's size", "allowed", "used", "ends at", "carried by")
-	broken := m.Broken()
+	broken := worstOfEach(m.Broken())
 	for i, r := range broken[:min(len(broken), maxFirst)] {
 		t.add(fmt.Sprint(i+1), string(r.Role), r.what(), string(r.Mechanism), r.cost(), r.allowed(), percent(r.Used()), r.ends(), m.carrier(r))
 	}
@@ -41,6 +41,24 @@
 	return text + "\n" + m.standings()
 }
 
+// worstOfEach leaves out what the same cost has been measured by once more, in a list with the worst first.
+func worstOfEach(rows []*Row) (list []*Row) {
+	type cost struct {
+		mechanism Mechanism
+		role      Role
+		resource  Resource
+		event     Event
+	}
+	seen := map[cost]bool{}
+	for _, r := range rows {
+		if key := (cost{r.Mechanism, r.Role, r.Resource, r.Event}); !seen[key] {
+			seen[key] = true
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // standings counts the rows of each standing.
 func (m *Model) standings() string {
 	counts := map[Standing]int{}
@@ -50,8 +68,8 @@
 	return fmt.Sprintf("Of %d costs %d are measured at the plan's size, %d extrapolated and %d not measured.\n", len(m.Rows), counts[Measured], counts[Extrapolated], counts[NotMeasured])
 }
 
-// successor is the mechanism that is to carry what another one does not.
-var successor = map[Mechanism]Mechanism{WholeList: PartialList, Gossip: Leases}
+// successor is the mechanism that is to carry what another one does not. With the partial list members are known by leases, whose cost is measured with it.
+var successor = map[Mechanism]Mechanism{WholeList: PartialList, Gossip: PartialList}
 
 // carrier says what carries a cost in place of a mechanism that breaks, and with which share of the allowance.
 func (m *Model) carrier(r *Row) string {
@@ -151,17 +169,11 @@
 	}
 	text += fmt.Sprintf(", %s", r.Fit.Shape)
 	if r.Fit.Shape == Power {
-		text += fmt.Sprintf(" %.2f: not linear", r.Fit.Exponent)
+		text += fmt.Sprintf(" %.2f: not linear, a line comes to %s", r.Fit.Exponent, amount(r.Fit.LineAt(r.Size), r.Resource))
 	}
 	return text + fmt.Sprintf(", residual %s", percent(r.Fit.Residual))
 }
 
-// before and after are the mechanisms that stand beside each other.
-var (
-	before = []Mechanism{WholeList, Gossip}
-	after  = []Mechanism{PartialList, Leases}
-)
-
 // calm has each role's costs while nothing happens.
 func calm(m *Model) string {
 	var text strings.Builder
@@ -188,11 +200,11 @@
 
 // beside has the mechanisms of before and after in one line for each cost of a forwarder, the worst row of each.
 func beside(m *Model) string {
-	t := newTable("a forwarder's", "allowed", "whole list", "used", "partial list", "used", "members by gossip", "used", "members by leases", "used")
+	t := newTable("a forwarder's", "allowed", "whole list", "used", "members by gossip", "used", "partial list, members by leases", "used")
 	names := map[Resource]string{State: "memory", Messages: "bytes a second", Processor: "processor"}
 	for _, resource := range []Resource{State, Messages, Processor} {
 		cells := []string{names[resource], amount(m.Plan.allowedRunning(Forwarder, resource), resource)}
-		for _, mechanism := range []Mechanism{WholeList, PartialList, Gossip, Leases} {
+		for _, mechanism := range []Mechanism{WholeList, Gossip, PartialList} {
 			r := worst(m.Find(func(r *Row) bool {
 				return r.Mechanism == mechanism && (r.Role == Forwarder || r.Role == GossipProcess) && r.Resource == resource && r.Event == Calm && r.Allowed > 0
 			}))
