Part the playing of a scenario in the load test tool into steps

fleetRun.Run (133 lines) loaded the scenario, made the fleet, started it, played and reported. It is now 32 lines, over scenario, shape, operatorsFile, keepLogs, start, play and publish.

--- a/cmd/scaleroute-lab/fleetrun.go
+++ b/cmd/scaleroute-lab/fleetrun.go
@@ -26,6 +26,9 @@
 	"scaleroute/internal/version"
 )
 
+// loadClients is how many connections put load on each forwarder.
+const loadClients = 4
+
 // fleetRun plays a scenario.
 type fleetRun struct {
 	File    string `arg:"" type:"existingfile" help:"The scenario (docs/fleet-audit.md)."`
@@ -84,17 +87,12 @@
 	return spread{float64(h.ValueAtQuantile(50)) / unit, float64(h.ValueAtQuantile(99)) / unit, float64(h.Max()) / unit, h.TotalCount()}
 }
 
+// Run plays the scenario and reports what came of it.
 func (c *fleetRun) Run(ctx context.Context, out io.Writer) error {
-	s, err := fleet.LoadScenario(c.File)
+	s, err := c.scenario()
 	if err != nil {
 		return err
 	}
-	if c.Seed != 0 {
-		s.Seed = c.Seed
-	}
-	if c.Size != 0 {
-		s.Forwarders = c.Size
-	}
 	dir := c.Keep
 	if dir == "" {
 		if dir, err = os.MkdirTemp("", "scaleroute-fleet-"); err != nil {
@@ -102,58 +100,108 @@
 		}
 		defer os.RemoveAll(dir)
 	}
+	shape, err := c.shape(ctx, s, dir)
+	if err != nil {
+		return err
+	}
+	r, err := fleet.New(shape)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	report := &fleetReport{Scenario: c.File, Forwarders: s.Forwarders}
+	if err := report.start(ctx, s, r); err != nil {
+		return err
+	}
+	cpu := map[*fleet.Node]time.Duration{}
+	for _, n := range r.Nodes {
+		cpu[n], _ = n.Used()
+	}
+	if err := c.play(ctx, s, r, report); err != nil {
+		return err
+	}
+	report.fill(ctx, s, r, cpu, shape.Set != nil)
+	return c.publish(report, r, out)
+}
+
+// scenario loads the scenario, with the seed and size asked for.
+func (c *fleetRun) scenario() (*fleet.Scenario, error) {
+	s, err := fleet.LoadScenario(c.File)
+	if err != nil {
+		return nil, err
+	}
+	if c.Seed != 0 {
+		s.Seed = c.Seed
+	}
+	if c.Size != 0 {
+		s.Forwarders = c.Size
+	}
+	return s, nil
+}
+
+// shape is the fleet of a scenario. The program is built if none is named.
+func (c *fleetRun) shape(ctx context.Context, s *fleet.Scenario, dir string) (shape fleet.Shape, err error) {
 	program := c.Program
 	if program == "" {
 		if program, err = build(ctx, dir, ""); err != nil {
-			return err
+			return shape, err
 		}
 	}
-	shape := fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Targets, Zones: s.Zones, Left: s.Lifetime, Seed: s.Seed, MustAsk: s.MustAsk,
+	shape = fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Targets, Zones: s.Zones, Left: s.Lifetime, Seed: s.Seed, MustAsk: s.MustAsk,
 		Command: []string{program}, Dir: dir}
 	if s.Gossip && !c.Off {
 		if shape.Mesh, err = fleet.NewMesh(s.Forwarders, s.Seed); err != nil {
-			return err
+			return shape, err
 		}
 	}
 	if s.Operators != "" && !c.Off {
-		path := filepath.Join(filepath.Dir(c.File), s.Operators)
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return fmt.Errorf("%s: operators: %w", c.File, err)
-		}
-		set, err := operator.Decode(path, text)
-		if err != nil {
-			return err
+		if shape.Set, err = c.operatorsFile(s, shape.Mesh); err != nil {
+			return shape, err
 		}
-		if shape.Mesh != nil && set.Fleet != nil && set.Fleet.Gossip != nil { // whom to join is known here alone
-			set.Fleet.Gossip.Join = []string{shape.Mesh.Told(0)}
-			if text, err = json.Marshal(set); err != nil {
-				return err
-			}
-		}
-		shape.Set = text
 	}
 	if c.Keep != "" {
-		var mu sync.Mutex
-		shape.Told = func(node, line string) {
-			mu.Lock()
-			defer mu.Unlock()
-			f, err := os.OpenFile(filepath.Join(dir, node+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-			if err == nil {
-				fmt.Fprintln(f, line)
-				f.Close()
-			}
-		}
+		shape.Told = keepLogs(dir)
 	}
-	r, err := fleet.New(shape)
+	return shape, nil
+}
+
+// operatorsFile reads the scenario's operators' file and names a member to join, which only the mesh knows.
+func (c *fleetRun) operatorsFile(s *fleet.Scenario, mesh *fleet.Mesh) ([]byte, error) {
+	path := filepath.Join(filepath.Dir(c.File), s.Operators)
+	text, err := os.ReadFile(path)
 	if err != nil {
-		return err
+		return nil, fmt.Errorf("%s: operators: %w", c.File, err)
 	}
-	defer r.Close()
+	set, err := operator.Decode(path, text)
+	if err != nil {
+		return nil, err
+	}
+	if mesh == nil || set.Fleet == nil || set.Fleet.Gossip == nil {
+		return text, nil
+	}
+	set.Fleet.Gossip.Join = []string{mesh.Told(0)}
+	return json.Marshal(set)
+}
+
+// keepLogs returns a function that appends a line to the log file of a forwarder in a folder.
+func keepLogs(dir string) func(node, line string) {
+	var mu sync.Mutex
+	return func(node, line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		f, err := os.OpenFile(filepath.Join(dir, node+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err == nil {
+			fmt.Fprintln(f, line)
+			f.Close()
+		}
+	}
+}
+
+// start starts the fleet.
+func (p *fleetReport) start(ctx context.Context, s *fleet.Scenario, r *fleet.Rig) error {
 	for _, e := range r.World.Endpoints {
 		e.Set(standin.Script{Latency: s.Takes, Jitter: s.Takes})
 	}
-	report := &fleetReport{Scenario: c.File, Forwarders: s.Forwarders}
 	for _, n := range r.Nodes {
 		n.SetAway(true)
 	}
@@ -164,22 +212,23 @@
 	for _, n := range r.Nodes {
 		n.SetAway(false)
 	}
-	report.StartedS = time.Since(began).Seconds()
-	cpu := map[*fleet.Node]time.Duration{}
-	for _, n := range r.Nodes {
-		cpu[n], _ = n.Used()
-	}
+	p.StartedS = time.Since(began).Seconds()
+	return nil
+}
+
+// play plays the scenario under load, and waits until the messages have ended.
+func (c *fleetRun) play(ctx context.Context, s *fleet.Scenario, r *fleet.Rig, report *fleetReport) error {
 	bar := progressbar.NewOptions(int(s.Length.Seconds()*10), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("playing"), progressbar.OptionSetPredictTime(true),
 		progressbar.OptionClearOnFinish(), progressbar.OptionSetVisibility(!c.Quiet && !c.JSON))
 	over := make(chan struct{})
-	wait := r.Load(s.Rate, 4, s.Body, over)
+	wait := r.Load(s.Rate, loadClients, s.Body, over)
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
 		report.Seen = watch(ctx, r, over, bar)
 	}()
-	began = time.Now()
-	err = s.Play(ctx, r)
+	began := time.Now()
+	err := s.Play(ctx, r)
 	close(over)
 	wait()
 	<-watched
@@ -192,12 +241,16 @@
 			n.Continue()
 		}
 	}
-	r.Settle(r.Nodes, s.Lifetime+3*time.Second)
+	r.Settle(r.Nodes, s.Lifetime+extraTime)
 	report.Seconds = time.Since(began).Seconds()
 	for _, window := range []time.Duration{time.Second, 10 * time.Second} {
 		report.Spreads = append(report.Spreads, r.Spread(began.Add(s.Length/3), began.Add(s.Length), window))
 	}
-	report.fill(ctx, s, r, cpu, shape.Set != nil)
+	return nil
+}
+
+// publish writes the report, and returns errBroken if it says that a rule was broken.
+func (c *fleetRun) publish(report *fleetReport, r *fleet.Rig, out io.Writer) error {
 	if c.Out != "" {
 		if err := report.write(c.Out, r); err != nil {
 			return err
