Part the acts of a scenario and its check into one function for each kind

`want` asks a member by versionsOf.

Result: `go test -race ./internal/fleet` passes (6.2 s), its tests unchanged.

--- a/internal/fleet/play.go
+++ b/internal/fleet/play.go
@@ -122,121 +122,153 @@
 	})
 }
 
+// do carries out one act on some nodes.
 func (p *player) do(a *Act, who []*Node) error {
-	w := p.r.World
 	switch acts[a.Do] {
 	case "target":
-		e := w.Endpoints[a.Target]
-		switch a.Do {
-		case "drain":
-			p.lists(who, standin.Draining, e)
-		case "delete":
-			p.lists(who, standin.Deleted, e)
-		case "serve":
-			p.lists(who, standin.Serving, e)
-		case "replace": // its address is another's from now on
-			p.lists(who, standin.Deleted, e)
-			heir := p.r.Replace(e, (e.Group+1)%p.s.Destinations)
-			if heir == nil {
-				return fmt.Errorf("%s was replaced before", e.Name)
-			}
-			p.lists(who, standin.Serving, heir)
-		case "silent":
-			e.Set(standin.Script{Silent: true})
-		case "well":
-			e.Set(standin.Script{Latency: p.s.Takes, Jitter: p.s.Takes})
-		}
-		return nil
+		return p.changeTarget(a, who)
 	case "edge":
-		f := Fault{}
-		switch a.Do {
-		case "cut":
-			f.Cut = true
-		case "silence":
-			f.Silent = map[string]Way{"up": Up, "down": Down, "both": Up | Down}[a.Way]
-		case "delay":
-			f.Delay, f.Jitter = a.Delay, a.Delay/2
-		case "thin":
-			f.Piece, f.Delay = max(1, a.Bytes), a.Delay
-		case "reset":
-			f.Reset = a.Odds
-		case "lose":
-			f.Loss = a.Odds
-		}
-		if a.Edge == "members" || a.Edge == "all" {
-			p.r.Between(who, f)
+		p.setFault(a, who)
+	case "list":
+		p.changeDiscovery(a, who)
+	case "file":
+		return p.setOperators(a, who)
+	case "want":
+		return p.want(a.Delay)
+	case "who":
+		if a.Folder == "swapped" && a.Do == "restart" {
+			return p.swap(who)
 		}
-		for _, n := range who {
-			for _, e := range n.Edges(a.Edge) {
-				e.Set(f)
-			}
+		return p.changeProcesses(a, who)
+	}
+	return nil
+}
+
+// changeTarget changes what the lists of some nodes say of a target, or how the target answers.
+func (p *player) changeTarget(a *Act, who []*Node) error {
+	e := p.r.World.Endpoints[a.Target]
+	switch a.Do {
+	case "drain":
+		p.lists(who, standin.Draining, e)
+	case "delete":
+		p.lists(who, standin.Deleted, e)
+	case "serve":
+		p.lists(who, standin.Serving, e)
+	case "replace": // its address is another's from now on
+		p.lists(who, standin.Deleted, e)
+		heir := p.r.Replace(e, (e.Group+1)%p.s.Destinations)
+		if heir == nil {
+			return fmt.Errorf("%s was replaced before", e.Name)
 		}
-		return nil
-	case "list":
-		for i, n := range who {
-			switch a.Do {
-			case "lag":
-				n.Discovery.Lag(a.Delay)
-			case "down", "up":
-				n.Discovery.Down(a.Do == "down")
-			case "fork": // the same index as others, and another target
-				n.Discovery.Set(standin.Draining, w.Endpoints[(a.Target+i)%len(w.Endpoints)])
-			}
+		p.lists(who, standin.Serving, heir)
+	case "silent":
+		e.Set(standin.Script{Silent: true})
+	case "well":
+		e.Set(standin.Script{Latency: p.s.Takes, Jitter: p.s.Takes})
+	}
+	return nil
+}
+
+// fault is the fault of an edge that an act calls for; none for an act that heals.
+func (a *Act) fault() (f Fault) {
+	switch a.Do {
+	case "cut":
+		f.Cut = true
+	case "silence":
+		f.Silent = map[string]Way{"up": Up, "down": Down, "both": Up | Down}[a.Way]
+	case "delay":
+		f.Delay, f.Jitter = a.Delay, a.Delay/2
+	case "thin":
+		f.Piece, f.Delay = max(1, a.Bytes), a.Delay
+	case "reset":
+		f.Reset = a.Odds
+	case "lose":
+		f.Loss = a.Odds
+	}
+	return f
+}
+
+// setFault puts a fault on edges of some nodes, or heals them.
+func (p *player) setFault(a *Act, who []*Node) {
+	f := a.fault()
+	if a.Edge == "members" || a.Edge == "all" {
+		p.r.Between(who, f)
+	}
+	for _, n := range who {
+		for _, e := range n.Edges(a.Edge) {
+			e.Set(f)
 		}
-		return nil
-	case "file":
-		path := a.File
-		if !filepath.IsAbs(path) {
-			path = filepath.Join(filepath.Dir(p.s.file), path)
+	}
+}
+
+// changeDiscovery changes the discovery of some nodes.
+func (p *player) changeDiscovery(a *Act, who []*Node) {
+	endpoints := p.r.World.Endpoints
+	for i, n := range who {
+		switch a.Do {
+		case "lag":
+			n.Discovery.Lag(a.Delay)
+		case "down", "up":
+			n.Discovery.Down(a.Do == "down")
+		case "fork": // the same index as others, and another target
+			n.Discovery.Set(standin.Draining, endpoints[(a.Target+i)%len(endpoints)])
 		}
-		text, err := os.ReadFile(path)
-		if err != nil {
+	}
+}
+
+// setOperators gives all nodes an operators' file, and signals some of them to reload it if that is asked for.
+func (p *player) setOperators(a *Act, who []*Node) error {
+	path := a.File
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(filepath.Dir(p.s.file), path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	for _, n := range p.r.Nodes {
+		if err := n.SetOperators(text); err != nil {
 			return err
 		}
-		for _, n := range p.r.Nodes {
-			if err := n.SetOperators(text); err != nil {
+		if !a.Signal || slices.Contains(p.tagged[a.But], n) || len(who) != len(p.r.Nodes) && !slices.Contains(who, n) {
+			continue
+		}
+		if pr := n.Process(); pr != nil {
+			if err := pr.Signal(syscall.SIGHUP); err != nil {
 				return err
 			}
-			if a.Signal && !slices.Contains(p.tagged[a.But], n) && (len(who) == len(p.r.Nodes) || slices.Contains(who, n)) {
-				if pr := n.Process(); pr != nil {
-					if err := pr.Signal(syscall.SIGHUP); err != nil {
-						return err
-					}
-				}
-			}
 		}
-		return nil
-	case "want":
-		return p.want(a.Delay)
-	case "who":
-		if a.Folder == "swapped" && a.Do == "restart" {
-			return p.swap(who)
-		}
-		for _, n := range who {
-			switch a.Do {
-			case "stop":
-				if err := n.Stop(); err != nil {
-					return err
-				}
-			case "continue":
-				if err := n.Continue(); err != nil {
-					return err
-				}
-			case "kill":
-				p.beside(n.Kill)
-			case "end":
-				p.beside(n.End)
-			case "restart":
-				p.beside(func() error {
-					return n.Restart(n.Kill, map[string]func() error{"lost": n.LoseFolder, "damaged": func() error { return n.DamageFolder(p.s.Seed) }}[a.Folder])
-				})
+	}
+	return nil
+}
+
+// changeProcesses stops, continues, ends or restarts the processes of some nodes.
+func (p *player) changeProcesses(a *Act, who []*Node) error {
+	for _, n := range who {
+		switch a.Do {
+		case "stop":
+			if err := n.Stop(); err != nil {
+				return err
 			}
+		case "continue":
+			if err := n.Continue(); err != nil {
+				return err
+			}
+		case "kill":
+			p.beside(n.Kill)
+		case "end":
+			p.beside(n.End)
+		case "restart":
+			damage := func() error { return n.DamageFolder(p.s.Seed) }
+			change := map[string]func() error{"lost": n.LoseFolder, "damaged": damage}[a.Folder]
+			p.beside(func() error { return n.Restart(n.Kill, change) })
 		}
 	}
 	return nil
 }
 
-// want has all act under the newest list that anybody acts on, and under the operators' file of most.
+// want puts a desired version to the members: the newest list that any of them acts on, and the operators'
+// file of most.
 func (p *player) want(deadline time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -248,20 +280,14 @@
 		if pr == nil || pr.Door() == "" || n.Stopped() {
 			continue
 		}
-		var acts struct {
-			Vector version.Vector `json:"vector"`
-		}
-		d := door.To(pr.Door())
-		text, err := d.Call(ctx, "GET", "/versions")
-		if err == nil {
-			err = json.Unmarshal([]byte(text), &acts)
-		}
+		client := door.To(pr.Door())
+		acts, err := versionsOf(ctx, client)
 		if err != nil {
 			return fmt.Errorf("%s: %w", n.Name, err)
 		}
-		to = d
-		want.What.Index = max(want.What.Index, acts.Vector.List.Index)
-		set := acts.Vector.Operators.Digest
+		to = client
+		want.What.Index = max(want.What.Index, acts.List.Index)
+		set := acts.Operators.Digest
 		if files[set]++; files[set] > most {
 			want.What.Operators, most = set, files[set]
 		}
@@ -278,6 +304,18 @@
 	return err
 }
 
+// versionsOf is what a member acts on.
+func versionsOf(ctx context.Context, client *door.Client) (version.Vector, error) {
+	var acts struct {
+		Vector version.Vector `json:"vector"`
+	}
+	text, err := client.Call(ctx, "GET", "/versions")
+	if err == nil {
+		err = json.Unmarshal([]byte(text), &acts)
+	}
+	return acts.Vector, err
+}
+
 // lists tells the state of a target to some agents; all others keep what they have.
 func (p *player) lists(who []*Node, state string, e *standin.Endpoint) {
 	for _, n := range who {
--- a/internal/fleet/scenario.go
+++ b/internal/fleet/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -86,92 +87,131 @@
 	if diags := gohcl.DecodeBody(file.Body, nil, s); diags.HasErrors() {
 		return nil, diags
 	}
-	var places []hcl.Range
-	for _, b := range file.Body.(*hclsyntax.Body).Blocks {
-		places = append(places, b.DefRange())
+	for i, b := range file.Body.(*hclsyntax.Body).Blocks {
+		s.Steps[i].where = b.DefRange()
 	}
-	var wrong []string
-	fail := func(line int, format string, args ...any) {
-		wrong = append(wrong, fmt.Sprintf("%s:%d: %s", path, line, fmt.Sprintf(format, args...)))
+	c := &scenarioCheck{scenario: s}
+	c.checkFleet()
+	for i := range s.Steps {
+		c.checkAct(&s.Steps[i])
 	}
-	duration := func(line int, name, text string, to *time.Duration) {
-		d, err := time.ParseDuration(text)
-		if err != nil || d < 0 || d > time.Hour {
-			fail(line, "%s = %q is no time: write it with its unit, from 0s to 1h", name, text)
-		}
-		*to = d
-	}
-	duration(1, "for", s.For, &s.Length)
-	duration(1, "left", s.Left, &s.Lifetime)
-	duration(1, "latency", s.Latency, &s.Takes)
-	for _, c := range []struct {
-		name        string
-		v, low, top float64
-	}{{"forwarders", float64(s.Forwarders), 1, 1000}, {"destinations", float64(s.Destinations), 1, 100}, {"targets", float64(s.Targets), 1, 100}, {"zones", float64(s.Zones), 1, 20},
-		{"rate", s.Rate, 0.01, 10_000}, {"body", float64(s.Body), 0, 64 << 10}} {
-		if c.v < c.low || c.v > c.top {
-			fail(1, "%s = %v: from %v to %v", c.name, c.v, c.low, c.top)
-		}
+	slices.SortStableFunc(s.Steps, func(a, b Act) int { return int(a.At - b.At) })
+	if len(c.wrong) > 0 {
+		return nil, fmt.Errorf("%s", strings.Join(c.wrong, "\n"))
 	}
-	for i := range s.Steps {
-		a := &s.Steps[i]
-		a.where = places[i]
-		line := a.where.Start.Line
-		duration(line, "at", a.When, &a.At)
-		if a.Time != "" {
-			duration(line, "time", a.Time, &a.Delay)
-		}
-		needs, known := acts[a.Do]
-		if !known {
-			var names []string
-			for name := range acts {
-				names = append(names, name)
-			}
-			slices.Sort(names)
-			fail(line, "nothing is called %q: do is one of %s", a.Do, strings.Join(names, ", "))
-		}
-		if a.At > s.Length {
-			fail(line, "at %v, and the run is over after %v: set for = higher, or this lower", a.At, s.Length)
-		}
-		for _, name := range a.Who {
-			if n := 0; func() bool { _, err := fmt.Sscanf(name, "n%d", &n); return err != nil || n < 1 || n > s.Forwarders }() {
-				fail(line, "there is no forwarder %q: they are n1 to n%d", name, s.Forwarders)
-			}
-		}
-		if a.Share < 0 || a.Share > 1 || a.Odds < 0 || a.Odds > 1 || a.Bytes < 0 {
-			fail(line, "share and odds go from 0 to 1, and bytes from 0 on")
-		}
-		if needs == "who" && len(a.Who) == 0 && a.Share == 0 && a.Tag == "" {
-			fail(line, "%s whom? Set who, or share", a.Do)
-		}
-		if needs == "edge" && !slices.Contains(edges, a.Edge) {
-			fail(line, "edge = %q: list, clients, targets, members or all", a.Edge)
-		}
-		if a.Do == "silence" && !slices.Contains([]string{"up", "down", "both"}, a.Way) {
-			fail(line, "way = %q: up (from who connects), down or both", a.Way)
-		}
-		if needs == "edge" && (a.Edge == "members" || a.Do == "lose") && !s.Gossip {
-			fail(line, "%s between members that do not gossip: set gossip = true", a.Do)
-		}
-		if a.Do == "lose" && a.Edge != "members" {
-			fail(line, "edge = %q: packets go between members alone; thin or reset what goes elsewhere", a.Edge)
-		}
-		if needs == "target" && (a.Target < 0 || a.Target >= s.Destinations*s.Targets) {
-			fail(line, "there is no target %d: they go from 0 to %d", a.Target, s.Destinations*s.Targets-1)
-		}
-		if needs == "want" && !s.Gossip {
-			fail(line, "a want is told among members that gossip: set gossip = true")
-		}
-		if needs == "file" && a.File == "" {
-			fail(line, "set what? Name a resolved file by file = ")
+	return s, nil
+}
+
+// scenarioCheck collects what is wrong with a scenario, and fills in the times that are written as texts.
+type scenarioCheck struct {
+	scenario *Scenario
+	wrong    []string
+}
+
+func (c *scenarioCheck) fail(line int, format string, args ...any) {
+	c.wrong = append(c.wrong, fmt.Sprintf("%s:%d: %s", c.scenario.file, line, fmt.Sprintf(format, args...)))
+}
+
+func (c *scenarioCheck) duration(line int, name, text string, to *time.Duration) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 || d > time.Hour {
+		c.fail(line, "%s = %q is no time: write it with its unit, from 0s to 1h", name, text)
+	}
+	*to = d
+}
+
+// checkFleet checks the fleet and the load.
+func (c *scenarioCheck) checkFleet() {
+	s := c.scenario
+	c.duration(1, "for", s.For, &s.Length)
+	c.duration(1, "left", s.Left, &s.Lifetime)
+	c.duration(1, "latency", s.Latency, &s.Takes)
+	for _, bound := range []struct {
+		name       string
+		value      float64
+		least, top float64
+	}{
+		{"forwarders", float64(s.Forwarders), 1, 1000},
+		{"destinations", float64(s.Destinations), 1, 100},
+		{"targets", float64(s.Targets), 1, 100},
+		{"zones", float64(s.Zones), 1, 20},
+		{"rate", s.Rate, 0.01, 10_000},
+		{"body", float64(s.Body), 0, 64 << 10},
+	} {
+		if bound.value < bound.least || bound.value > bound.top {
+			c.fail(1, "%s = %v: from %v to %v", bound.name, bound.value, bound.least, bound.top)
 		}
-		if !slices.Contains(folders, a.Folder) {
-			fail(line, "folder = %q: kept, lost, damaged or swapped", a.Folder)
+	}
+}
+
+// checkAct checks one act.
+func (c *scenarioCheck) checkAct(a *Act) {
+	line := a.where.Start.Line
+	c.duration(line, "at", a.When, &a.At)
+	if a.Time != "" {
+		c.duration(line, "time", a.Time, &a.Delay)
+	}
+	needs, known := acts[a.Do]
+	if !known {
+		c.fail(line, "nothing is called %q: do is one of %s", a.Do, strings.Join(slices.Sorted(maps.Keys(acts)), ", "))
+	}
+	if a.At > c.scenario.Length {
+		c.fail(line, "at %v, and the run is over after %v: set for = higher, or this lower", a.At, c.scenario.Length)
+	}
+	c.checkWho(a, needs)
+	if needs == "edge" {
+		c.checkEdge(a)
+	}
+	c.checkObject(a, needs)
+}
+
+// checkWho checks the forwarders that an act names or draws.
+func (c *scenarioCheck) checkWho(a *Act, needs string) {
+	line := a.where.Start.Line
+	for _, name := range a.Who {
+		n := 0
+		if _, err := fmt.Sscanf(name, "n%d", &n); err != nil || n < 1 || n > c.scenario.Forwarders {
+			c.fail(line, "there is no forwarder %q: they are n1 to n%d", name, c.scenario.Forwarders)
 		}
 	}
-	slices.SortStableFunc(s.Steps, func(a, b Act) int { return int(a.At - b.At) })
-	if len(wrong) > 0 {
-		return nil, fmt.Errorf("%s", strings.Join(wrong, "\n"))
+	if a.Share < 0 || a.Share > 1 || a.Odds < 0 || a.Odds > 1 || a.Bytes < 0 {
+		c.fail(line, "share and odds go from 0 to 1, and bytes from 0 on")
+	}
+	if needs == "who" && len(a.Who) == 0 && a.Share == 0 && a.Tag == "" {
+		c.fail(line, "%s whom? Set who, or share", a.Do)
+	}
+}
+
+// checkEdge checks the edge of an act that needs one.
+func (c *scenarioCheck) checkEdge(a *Act) {
+	line := a.where.Start.Line
+	if !slices.Contains(edges, a.Edge) {
+		c.fail(line, "edge = %q: list, clients, targets, members or all", a.Edge)
+	}
+	if a.Do == "silence" && !slices.Contains([]string{"up", "down", "both"}, a.Way) {
+		c.fail(line, "way = %q: up (from who connects), down or both", a.Way)
+	}
+	if (a.Edge == "members" || a.Do == "lose") && !c.scenario.Gossip {
+		c.fail(line, "%s between members that do not gossip: set gossip = true", a.Do)
+	}
+	if a.Do == "lose" && a.Edge != "members" {
+		c.fail(line, "edge = %q: packets go between members alone; thin or reset what goes elsewhere", a.Edge)
+	}
+}
+
+// checkObject checks the target, desired version, file or folder of an act.
+func (c *scenarioCheck) checkObject(a *Act, needs string) {
+	line, s := a.where.Start.Line, c.scenario
+	if needs == "target" && (a.Target < 0 || a.Target >= s.Destinations*s.Targets) {
+		c.fail(line, "there is no target %d: they go from 0 to %d", a.Target, s.Destinations*s.Targets-1)
+	}
+	if needs == "want" && !s.Gossip {
+		c.fail(line, "a want is told among members that gossip: set gossip = true")
+	}
+	if needs == "file" && a.File == "" {
+		c.fail(line, "set what? Name a resolved file by file = ")
+	}
+	if !slices.Contains(folders, a.Folder) {
+		c.fail(line, "folder = %q: kept, lost, damaged or swapped", a.Folder)
 	}
-	return s, nil
 }
