--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -69,6 +69,7 @@
 		Run   fleetRun   `cmd:"" help:"Run a fleet of real processes with faults on the edges between them, as a scenario says."`
 		Count fleetCount `cmd:"" help:"Count over the logs (*.log) of forwarders that ran with -log-steps."`
 	} `cmd:"" help:"Many forwarders."`
+	Scale scaleCommands `cmd:"" help:"What control costs as fleet and destinations grow."`
 }
 
 // errBroken tells that a rule was broken.
--- /dev/null
+++ b/cmd/scaleroute-lab/scale.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/schollz/progressbar/v3"
+
+	"scaleroute/internal/scale"
+)
+
+// scaleCommands are those of the scale run.
+type scaleCommands struct {
+	Run  scaleRun  `cmd:"" help:"Measure what control costs at the sizes that a scenario names (docs/scale-run.md)."`
+	Host scaleHost `cmd:"" hidden:"" help:"A process of simulated nodes, asked over its standard input."`
+}
+
+// scaleRun measures the cells of a scenario.
+type scaleRun struct {
+	File    string `arg:"" type:"existingfile" help:"The scenario (docs/scale-run.md)."`
+	Program string `help:"The daemon, with scaleroute-control beside it; built from the module of the current folder if empty."`
+	Out     string `required:"" type:"path" help:"A folder for results, tables (Parquet, Markdown), charts and log."`
+	Quiet   bool   `help:"Show no progress."`
+}
+
+// scaleHost is a process of simulated nodes.
+type scaleHost struct{}
+
+// Run serves the scale run until it ends.
+func (scaleHost) Run() error { return scale.Host(os.Stdin, os.Stdout) }
+
+// Run measures all cells; results are kept after each of them.
+func (c *scaleRun) Run(ctx context.Context, out io.Writer) error {
+	s, err := scale.LoadScenario(c.File)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "scaleroute-scale-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	rig, err := c.rig(ctx, s, dir)
+	if err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(c.Out, "run.log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	rig.Log = slog.New(slog.NewJSONHandler(log, nil))
+	results, err := c.measure(ctx, rig, s.Cells())
+	scale.Print(out, results)
+	return errors.Join(err, c.printTo(results))
+}
+
+// rig has the programs ready.
+func (c *scaleRun) rig(ctx context.Context, s *scale.Scenario, dir string) (*scale.Rig, error) {
+	own, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	program := c.Program
+	if program == "" {
+		program = filepath.Join(dir, "scaleroute")
+		if text, err := exec.CommandContext(ctx, "go", append([]string{"build", "-o", dir}, scalePrograms...)...).CombinedOutput(); err != nil {
+			return nil, fmt.Errorf("building the programs (run this in the repository, or name one by -program): %w\n%s", err, text)
+		}
+	}
+	return &scale.Rig{Scenario: s, Dir: dir, Forwarder: []string{program}, Control: []string{filepath.Join(filepath.Dir(program), "scaleroute-control")},
+		Host: []string{own, "scale", "host"}}, nil
+}
+
+// scalePrograms are what a run starts.
+var scalePrograms = []string{"scaleroute/cmd/scaleroute"}
+
+// measure measures cells, and keeps the results after each.
+func (c *scaleRun) measure(ctx context.Context, rig *scale.Rig, cells []scale.Cell) (results []*scale.Result, err error) {
+	bar := progressbar.NewOptions(len(cells), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("measuring"), progressbar.OptionSetPredictTime(true),
+		progressbar.OptionClearOnFinish(), progressbar.OptionSetVisibility(!c.Quiet))
+	defer bar.Finish()
+	for _, cell := range cells {
+		bar.Describe(cell.String())
+		r, err := rig.Run(ctx, cell)
+		if err != nil {
+			rig.Log.Error("cell", "cell", cell.String(), "err", err)
+			return results, err
+		}
+		results = append(results, r)
+		if err := scale.Write(c.Out, results); err != nil {
+			return results, err
+		}
+		bar.Add(1)
+	}
+	return results, nil
+}
+
+// printTo keeps the tables beside the results.
+func (c *scaleRun) printTo(results []*scale.Result) error {
+	f, err := os.Create(filepath.Join(c.Out, "tables.md"))
+	if err != nil {
+		return err
+	}
+	scale.Print(f, results)
+	return f.Close()
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -119,6 +119,9 @@
 	return strings.Join(p.tail, "\n")
 }
 
+// PID is its number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends it a signal.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
