--- a/cmd/scaleroute-lab/scale.go
+++ b/cmd/scaleroute-lab/scale.go
@@ -17,23 +17,57 @@
 
 // scaleCommands are those of the scale run.
 type scaleCommands struct {
-	Run  scaleRun  `cmd:"" help:"Measure what control costs at the sizes that a scenario names (docs/scale-run.md)."`
-	Host scaleHost `cmd:"" hidden:"" help:"A process of simulated nodes, asked over its standard input."`
+	Run    scaleRun    `cmd:"" help:"Measure what control costs at the sizes that a scenario names (docs/scale-run.md)."`
+	Series scaleSeries `cmd:"" help:"Have the results of a run as series of the capacity model."`
+	Host   scaleHost   `cmd:"" hidden:"" help:"A process of simulated nodes, asked over its standard input."`
 }
 
 // scaleRun measures the cells of a scenario.
 type scaleRun struct {
 	File    string `arg:"" type:"existingfile" help:"The scenario (docs/scale-run.md)."`
 	Program string `help:"The daemon, with scaleroute-control beside it; built from the module of the current folder if empty."`
+	Commit  string `help:"The commit that the programs were built from; that of the current folder if empty."`
 	Out     string `required:"" type:"path" help:"A folder for results, tables (Parquet, Markdown), charts and log."`
 	Quiet   bool   `help:"Show no progress."`
 }
 
+// scaleSeries turns results into series.
+type scaleSeries struct {
+	Results  string `arg:"" type:"existingdir" help:"The folder that a run has written."`
+	Measured string `default:"experiments/capacity/measured" type:"path" help:"The folder for series; those of the same names are replaced."`
+}
+
+// Run writes the series.
+func (c *scaleSeries) Run(out io.Writer) error {
+	results, err := scale.ReadResults(c.Results)
+	if err != nil {
+		return err
+	}
+	provenance, err := scale.ReadProvenance(c.Results)
+	if err != nil {
+		return err
+	}
+	series, err := scale.Series(results, provenance)
+	if err != nil {
+		return err
+	}
+	for _, s := range series {
+		if err := s.Write(c.Measured); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: %d points\n", s.Name, len(s.Points))
+	}
+	return nil
+}
+
 // scaleHost is a process of simulated nodes.
 type scaleHost struct{}
 
 // Run serves the scale run until it ends.
-func (scaleHost) Run() error { return scale.Host(os.Stdin, os.Stdout) }
+func (scaleHost) Run() error {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))) // nodes warn, each of them, of what the run does to them
+	return scale.Host(os.Stdin, os.Stdout)
+}
 
 // Run measures all cells; results are kept after each of them.
 func (c *scaleRun) Run(ctx context.Context, out io.Writer) error {
@@ -59,9 +93,15 @@
 	}
 	defer log.Close()
 	rig.Log = slog.New(slog.NewJSONHandler(log, nil))
+	if c.Commit == "" {
+		if c.Commit, err = commitHere(ctx); err != nil {
+			return err
+		}
+	}
+	provenance := scale.Begin(s, "scaleroute-lab scale run "+c.File, c.Commit)
 	results, err := c.measure(ctx, rig, s.Cells())
 	scale.Print(out, results)
-	return errors.Join(err, c.printTo(results))
+	return errors.Join(err, c.printTo(results), provenance.Write(c.Out))
 }
 
 // rig has the programs ready.
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -20,7 +20,7 @@
 	tailLines = 10
 )
 
-// Process is one run of the daemon.
+// Process is one run of the daemon, or of a control server.
 type Process struct {
 	cmd   *exec.Cmd
 	ready chan struct{} // closed once it serves
@@ -64,7 +64,11 @@
 	if _, at, ok := strings.Cut(line, "msg=\"operators' door\" address="); ok {
 		p.door = at
 	}
-	if _, rest, ok := strings.Cut(line, "msg=serving "); ok {
+	_, rest, ok := strings.Cut(line, "msg=serving ")
+	if !ok {
+		_, rest, ok = strings.Cut(line, "msg=\"control server is ready\" ")
+	}
+	if ok {
 		_, at, _ := strings.Cut(rest, "address=")
 		at, _, _ = strings.Cut(at, " ")
 		if p.address == "" {
--- a/internal/scale/cell.go
+++ b/internal/scale/cell.go
@@ -60,6 +60,7 @@
 	Cell            Cell    `json:"cell"`
 	Rows            []Row   `json:"rows"`
 	Ready           Times   `json:"ready"`             // from a node's start until its first list is in force
+	RealReady       Times   `json:"real_ready"`        // from the start of a real forwarder, beside the others that run, until it serves
 	InForce         Times   `json:"in_force"`          // from one change until it is in force, over the nodes that it concerns
 	InForceImpaired Times   `json:"in_force_impaired"` // the same while one control server is dead
 	PartsMaxOver    float64 `json:"parts_max_over_mean"`
@@ -104,20 +105,26 @@
 	}
 }
 
-// spreadOfParts is the mean size of the parts, and the largest over it.
-func spreadOfParts(parts []int) (mean, maxOverMean float64) {
-	if len(parts) == 0 {
-		return 0, 0
+// spreadOfParts is the mean number of destinations of a part, and the largest over it.
+func spreadOfParts(parts []Part) (mean, maxOverMean float64) {
+	sum, largest := 0, 0
+	for _, p := range parts {
+		sum, largest = sum+p.Destinations, max(largest, p.Destinations)
 	}
-	sum := 0
-	for _, n := range parts {
-		sum += n
+	if sum == 0 {
+		return 0, 0
 	}
 	mean = float64(sum) / float64(len(parts))
-	if mean == 0 {
-		return 0, 0
+	return mean, float64(largest) / mean
+}
+
+// movedOverPart is how many partitions others gained when one left, over those that it owned.
+func movedOverPart(left Part, others []Part) float64 {
+	gained := 0
+	for _, p := range others {
+		gained += p.Gained
 	}
-	return mean, float64(slices.Max(parts)) / mean
+	return float64(gained) / float64(max(1, left.Partitions))
 }
 
 // add adds what one process uses.
--- a/internal/scale/cell_test.go
+++ b/internal/scale/cell_test.go
@@ -15,7 +15,7 @@
 	}
 	p := &phases{count: 2, empty: at(0, 0, 0, 1000), started: at(5, 100*time.Millisecond, 5000, 0), calm: at(15, 300*time.Millisecond, 7000, 0),
 		busy: at(25, 700*time.Millisecond, 17_000, 5000), settled: at(26, time.Second, 17_000, 4000)}
-	got := p.row(&Scenario{Mechanism: WholeList}, Cell{"s", 2, 100, 1}, Simulated)
+	got := p.row(&Scenario{Mechanism: WholeList}, Cell{"s", 2, 100, 64, 1}, Simulated)
 	want := Row{Mechanism: WholeList, Sweep: "s", Kind: Simulated, Forwarders: 2, Destinations: 100, Seed: 1, Count: 2, HeapBytes: 1500, ResidentBytes: 4000, PeakBytes: 5000,
 		StartCPUms: 50, StartBytes: 2500, CalmBytesPerS: 100, CalmCPUPercent: 1, BusyBytesPerS: 500, BusyCPUPercent: 2}
 	if !reflect.DeepEqual(got, want) {
@@ -38,9 +38,19 @@
 	if got := timesOf(mergeSorted([][]time.Duration{thousand[500:], thousand[:500]})); got != (Times{1000, 501, 1000, 1000}) {
 		t.Errorf("a thousand: %+v", got)
 	}
-	if mean, over := spreadOfParts([]int{10, 20, 30}); mean != 20 || over != 1.5 {
+}
+
+// TestParts: how even parts are, and what moves when one leaves.
+func TestParts(t *testing.T) {
+	if mean, over := spreadOfParts([]Part{{Destinations: 10}, {Destinations: 20}, {Destinations: 30}}); mean != 20 || over != 1.5 {
 		t.Errorf("parts: mean %v, max over mean %v", mean, over)
 	}
+	if mean, over := spreadOfParts(nil); mean != 0 || over != 0 {
+		t.Errorf("no parts: mean %v, max over mean %v", mean, over)
+	}
+	if moved := movedOverPart(Part{Partitions: 100}, []Part{{Gained: 60}, {Gained: 50}, {}}); moved != 1.1 {
+		t.Errorf("moved %v times the part", moved)
+	}
 }
 
 // TestWrite: results come back as they were written, and the tables name each size once, with the spread over the seeds.
@@ -48,7 +58,7 @@
 	var results []*Result
 	for seed := range uint64(3) {
 		for _, destinations := range []int{100, 300} {
-			c := Cell{"sizes", 2, destinations, seed + 1}
+			c := Cell{"sizes", 2, destinations, 64, seed + 1}
 			row := Row{Mechanism: WholeList, Sweep: c.Sweep, Kind: Simulated, Forwarders: 2, Destinations: int64(destinations), Seed: int64(c.Seed), Count: 2, HeapBytes: float64(destinations) * 1e4 * float64(seed+1)}
 			results = append(results, &Result{Cell: c, Rows: []Row{row}, InForce: Times{2, 1, 2, 3}})
 		}
--- a/internal/scale/directory_test.go
+++ b/internal/scale/directory_test.go
@@ -91,7 +91,7 @@
 // TestNode: a simulated node follows the whole list, and says since when a change is in force; held watches end with it.
 func TestNode(t *testing.T) {
 	d := newDirectory(t, 20)
-	n, err := NewNode("n", settingsOf(t, d), newWholeList(d.Address()))
+	n, err := NewNode("n", settingsOf(t, d), newWholeList(d.Address(), t.TempDir()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scale/host.go
+++ b/internal/scale/host.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"scaleroute/internal/config"
+	"scaleroute/internal/ownership"
 )
 
 // Operation is what a host of simulated nodes is asked to do.
@@ -25,8 +26,11 @@
 	StartNodes   Operation = "start"
 	AwaitReady   Operation = "ready"
 	AwaitChange  Operation = "change"
+	AwaitMembers Operation = "members" // where the list is partial
 	MeasureNodes Operation = "measure"
-	StopNodes    Operation = "stop"
+	StopNodes    Operation = "stop"  // without a word
+	LeaveNodes   Operation = "leave" // leases end first
+	Parts        Operation = "parts" // sizes of the parts, and what each has gained since this was asked last
 )
 
 const (
@@ -44,6 +48,7 @@
 	Within       time.Duration `json:"within_ns,omitempty"`
 	Collect      bool          `json:"collect,omitempty"` // garbage, before memory is measured
 	Last         int           `json:"last,omitempty"`    // nodes to stop, the last ones
+	Members      int           `json:"members,omitempty"` // that are awaited
 }
 
 // Start says which nodes a host starts.
@@ -51,8 +56,9 @@
 	First     int       `json:"first"` // number of the first
 	Count     int       `json:"count"`
 	Mechanism Mechanism `json:"mechanism"`
-	Addresses []string  `json:"addresses"` // of discovery, or of the control servers
-	Config    string    `json:"config"`    // file of a forwarder's configuration
+	Addresses []string  `json:"addresses"`        // of discovery, or of the control servers
+	Config    string    `json:"config"`           // file of a forwarder's configuration
+	Folder    string    `json:"folder,omitempty"` // for the file of withdrawn endpoints of the one node; empty: there is none
 	Partial   Partial   `json:"partial"`
 	Seed      uint64    `json:"seed"`
 }
@@ -63,15 +69,25 @@
 	Took  []time.Duration `json:"took_ns,omitempty"` // of each node concerned, in order of size
 	Usage Usage           `json:"usage"`
 	Heap  int64           `json:"heap_bytes"`      // in use; live, where garbage was collected before
-	Parts []int           `json:"parts,omitempty"` // destinations owned by each node
+	Parts []Part          `json:"parts,omitempty"` // of each node
+}
+
+// Part is what one node owns.
+type Part struct {
+	Destinations int `json:"destinations"`
+	Partitions   int `json:"partitions"`
+	Gained       int `json:"gained"` // partitions
 }
 
 // host is a process full of simulated nodes.
-type host struct{ nodes []*Node }
+type host struct {
+	nodes []*Node
+	parts map[*Node]ownership.Set // as they were asked for last
+}
 
 // Host serves requests until there are no more: it is the main function of a process of simulated nodes.
 func Host(in io.Reader, out io.Writer) error {
-	h := &host{}
+	h := &host{parts: map[*Node]ownership.Set{}}
 	defer h.stop(len(h.nodes))
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, maxLine)
@@ -100,6 +116,12 @@
 		a.Took, err = h.awaitChange(r)
 	case MeasureNodes:
 		err = h.measure(a, r.Collect)
+	case AwaitMembers:
+		err = h.awaitMembers(r)
+	case Parts:
+		a.Parts = h.readParts()
+	case LeaveNodes:
+		err = h.leave(r.Last)
 	case StopNodes:
 		h.stop(r.Last)
 	default:
@@ -162,10 +184,10 @@
 	var all sync.WaitGroup
 	errs, took := make([]error, len(h.nodes)), make([]time.Duration, len(h.nodes))
 	for i, n := range h.nodes {
-		if !slices.ContainsFunc(r.Destinations, n.source.concerns) {
-			continue
-		}
 		all.Go(func() {
+			if !n.source.concerns(r.Destinations) {
+				return
+			}
 			var at time.Time
 			if at, errs[i] = n.clock.reached(ctx, r.Index); errs[i] == nil {
 				took[i] = max(at.Sub(r.At), 1)
@@ -188,11 +210,58 @@
 	runtime.ReadMemStats(&memory)
 	a.Heap = int64(memory.HeapAlloc + memory.StackInuse)
 	a.Usage, err = usageOf(os.Getpid())
+	return err
+}
+
+// partial are the nodes whose list is partial.
+func (h *host) partial() (nodes []*Node, lists []*partialList) {
 	for _, n := range h.nodes {
-		if p, partial := n.source.(interface{ owned() int }); partial {
-			a.Parts = append(a.Parts, p.owned())
+		if p, isPartial := n.source.(*partialList); isPartial {
+			nodes, lists = append(nodes, n), append(lists, p)
 		}
 	}
+	return nodes, lists
+}
+
+// awaitMembers waits until each node knows so many members, and has all of its part.
+func (h *host) awaitMembers(r *Request) error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Within)
+	defer cancel()
+	nodes, lists := h.partial()
+	var all sync.WaitGroup
+	errs := make([]error, len(nodes))
+	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i, p := range lists {
+		all.Go(func() {
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			if err := p.awaitMembers(ctx, r.Members); err != nil {
+				errs[i] = fmt.Errorf("node %s: %w", nodes[i].Name, err)
+			}
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// readParts reads what each node owns.
+func (h *host) readParts() (parts []Part) {
+	nodes, lists := h.partial()
+	for i, p := range lists {
+		now := p.part()
+		parts = append(parts, Part{Destinations: p.owned(), Partitions: now.Len(), Gained: now.Minus(h.parts[nodes[i]]).Len()})
+		h.parts[nodes[i]] = now
+	}
+	return parts
+}
+
+// leave ends the leases of the last nodes, and the nodes.
+func (h *host) leave(last int) (err error) {
+	from := max(0, len(h.nodes)-last)
+	for _, n := range h.nodes[from:] {
+		err = errors.Join(err, n.Leave())
+	}
+	h.nodes = h.nodes[:from]
 	return err
 }
 
--- a/internal/scale/node.go
+++ b/internal/scale/node.go
@@ -23,21 +23,21 @@
 
 // Node is a simulated node: a forwarder's engine, decision module, addresses and watch, without clients, calls and journal.
 type Node struct {
-	Name   string
-	engine *engine.Engine
-	source source
-	loop   context.CancelFunc
-	watch  context.CancelFunc
-	all    sync.WaitGroup
-	clock  arrivals
+	Name          string
+	engine        *engine.Engine
+	source        source
+	loop          context.CancelFunc
+	watch         context.CancelFunc
+	watching, all sync.WaitGroup
+	clock         arrivals
 }
 
 // source tells a node which endpoints there are.
 type source interface {
-	// watch reports each list until ctx ends; heard returns once the list is in force.
-	watch(ctx context.Context, heard func(index int64, l engine.List))
-	// concerns tells whether changes of a destination are reported to this node.
-	concerns(destination int) bool
+	// watch has each list in force until ctx ends.
+	watch(ctx context.Context, to *Node)
+	// concerns tells whether changes of some destinations are reported to this node.
+	concerns(destinations []int) bool
 }
 
 // arrivals notes when lists were in force. Any goroutine may use it.
@@ -54,7 +54,7 @@
 func (a *arrivals) note(index int64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ready.IsZero() {
+	if a.ready.IsZero() && index >= firstIndex {
 		a.ready = now
 	}
 	if index > a.index {
@@ -105,33 +105,62 @@
 	n.loop, n.watch = endLoop, endWatch
 	e.Recover()
 	n.all.Go(func() { e.Run(loop) }) // fails by its journal alone, and that has no files
-	n.all.Go(func() {
-		from.watch(watch, func(index int64, l engine.List) {
-			if e.ListWithin(l, applyWithin) {
-				n.clock.note(index, time.Now())
-			}
-		})
-	})
+	n.watching.Go(func() { from.watch(watch, n) })
 	return n, nil
 }
 
+// apply has a list in force.
+func (n *Node) apply(index int64, l engine.List) {
+	if n.engine.ListWithin(l, applyWithin) {
+		n.clock.note(index, time.Now())
+	}
+}
+
+// Leave ends the node's lease, where it has one, and the node.
+func (n *Node) Leave() error {
+	n.watch()
+	n.watching.Wait()
+	var err error
+	if p, isPartial := n.source.(*partialList); isPartial {
+		err = p.leave()
+	}
+	n.Close()
+	return err
+}
+
 // Close ends the node, its watch first.
 func (n *Node) Close() {
 	n.watch()
+	n.watching.Wait()
 	n.loop()
 	n.all.Wait()
 }
 
 // wholeList watches the whole list, as a forwarder without a scope does.
-type wholeList struct{ platform *agent.Platform }
+type wholeList struct {
+	platform  *agent.Platform
+	withdrawn *agent.Withdrawn // what was withdrawn, in a file; nil: it is not kept
+}
 
-func newWholeList(address string) source { return &wholeList{agent.New(address, agent.Fleet{})} }
+// newWholeList makes one. A folder is where a forwarder would keep which endpoints were withdrawn; empty: that is not kept.
+func newWholeList(address, folder string) source {
+	w := &wholeList{platform: agent.New(address, agent.Fleet{})}
+	if folder != "" {
+		w.withdrawn = agent.OpenWithdrawn(folder, &agent.List{})
+	}
+	return w
+}
 
-func (w *wholeList) watch(ctx context.Context, heard func(int64, engine.List)) {
-	w.platform.Watch(ctx, nil, func(l *agent.List) { heard(l.Index, l.Told()) })
+func (w *wholeList) watch(ctx context.Context, to *Node) {
+	w.platform.Watch(ctx, nil, func(l *agent.List) {
+		if w.withdrawn != nil {
+			w.withdrawn.Tell(l)
+		}
+		to.apply(l.Index, l.Told())
+	})
 }
 
-func (w *wholeList) concerns(int) bool { return true }
+func (w *wholeList) concerns([]int) bool { return true }
 
 // noFiles is a file system without room: a journal on it keeps nothing.
 type noFiles struct{}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -41,12 +41,12 @@
 
 // ReadResults reads what Write has written.
 func ReadResults(dir string) (results []*Result, err error) {
-	text, err := os.ReadFile(filepath.Join(dir, "results.json"))
+	text, err := os.ReadFile(filepath.Join(dir, resultsFile))
 	if err != nil {
 		return nil, err
 	}
 	if err := json.Unmarshal(text, &results); err != nil {
-		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, "results.json"), err)
+		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, resultsFile), err)
 	}
 	return results, nil
 }
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(dir, "results.json"), append(text, '\n'), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, resultsFile), append(text, '\n'), 0o644); err != nil {
 		return err
 	}
 	var rows []Row
@@ -209,14 +209,14 @@
 
 // printTimes writes the times of the cells of a sweep.
 func printTimes(w io.Writer, sweep string, results []*Result) {
-	fmt.Fprint(w, "\n| forwarders | destinations | seed | ready: median, worst (ms) | change in force: median, 99.9%, worst (ms) | the same, one control server dead | part: mean, max over mean | moved over part |\n")
-	fmt.Fprintln(w, "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	fmt.Fprint(w, "\n| forwarders | destinations | seed | ready, all at once: median, worst (ms) | a real one: worst (ms) | change in force: median, 99.9%, worst (ms) | the same, one control server dead | part: mean, max over mean | moved over part |\n")
+	fmt.Fprintln(w, "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
 	for _, r := range results {
 		if r.Cell.Sweep != sweep {
 			continue
 		}
-		fmt.Fprintf(w, "| %d | %d | %d | %.0f, %.0f | %s | %s | %s | %s |\n", r.Cell.Forwarders, r.Cell.Destinations, r.Cell.Seed, r.Ready.Median, r.Ready.Max,
-			r.InForce.text(), r.InForceImpaired.text(), orNone(r.PartsMean, fmt.Sprintf("%.0f, %.2f", r.PartsMean, r.PartsMaxOver)), orNone(r.Moved, fmt.Sprintf("%.2f", r.Moved)))
+		fmt.Fprintf(w, "| %d | %d | %d | %.0f, %.0f | %s | %s | %s | %s | %s |\n", r.Cell.Forwarders, r.Cell.Destinations, r.Cell.Seed, r.Ready.Median, r.Ready.Max,
+			orNone(r.RealReady.Max, fmt.Sprintf("%.0f", r.RealReady.Max)), r.InForce.text(), r.InForceImpaired.text(), orNone(r.PartsMean, fmt.Sprintf("%.0f, %.2f", r.PartsMean, r.PartsMaxOver)), orNone(r.Moved, fmt.Sprintf("%.2f", r.Moved)))
 	}
 }
 
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -141,6 +142,7 @@
 // measure goes through the phases of a cell.
 func (b *bench) measure(ctx context.Context) error {
 	nodes, reals, controls := &phases{count: int64(b.cell.Forwarders)}, &phases{count: int64(b.rig.Scenario.Real)}, &phases{count: int64(len(b.controls))}
+	began := time.Now()
 	readAll := func(pick func(*phases) *reading, collect bool) error {
 		var err error
 		if *pick(nodes), err = b.readHosts(collect); err != nil {
@@ -156,7 +158,11 @@
 		name string
 		do   func() error
 	}{
-		{"empty", func() error { return readAll(func(p *phases) *reading { return &p.empty }, true) }},
+		{"empty", func() error {
+			err := readAll(func(p *phases) *reading { return &p.empty }, true)
+			reals.empty, controls.empty = reading{at: began}, reading{at: began} // real processes are counted whole
+			return err
+		}},
 		{"start", func() error { return b.start(ctx) }},
 		{"started", func() error { return readAll(func(p *phases) *reading { return &p.started }, false) }},
 		{"calm", func() error { return pause(ctx, b.rig.Scenario.Window) }},
@@ -165,8 +171,8 @@
 		{"changes over", func() error { return readAll(func(p *phases) *reading { return &p.busy }, false) }},
 		{"one change", func() (err error) { b.result.InForce, err = b.timeChange(); return err }},
 		{"settled", func() error { return readAll(func(p *phases) *reading { return &p.settled }, true) }},
-		{"impaired", b.impair},
 		{"leave", b.leave},
+		{"impaired", b.impair},
 	}
 	for _, step := range steps {
 		began := time.Now()
@@ -201,12 +207,15 @@
 func (b *bench) start(ctx context.Context) error {
 	took, err := b.askAll(func(h *simulatedHost) ([]time.Duration, error) {
 		file := filepath.Join(b.dir, fmt.Sprintf("host-%d.json", h.first))
-		if err := writeConfig(file, "simulated", b.directory.Address(), b.cell.Forwarders, b.cell.Seed); err != nil {
+		if err := writeConfig(file, "simulated", b.directory.Address(), b.members(), b.cell.Seed); err != nil {
 			return nil, err
 		}
 		s := b.rig.Scenario
 		start := &Start{First: h.first, Count: h.count, Mechanism: s.Mechanism, Addresses: addressesOf(h.edges), Config: file, Seed: b.cell.Seed,
-			Partial: Partial{Replicas: s.Replicas, Partitions: s.Partitions, Cached: s.Cached, LookupBytes: s.LookupBytes}}
+			Partial: Partial{Replicas: s.Replicas, Partitions: b.cell.Partitions, Cached: s.Cached, LookupBytes: s.LookupBytes, Fleet: b.members()}}
+		if s.KeepWithdrawn && b.cell.Forwarders == 1 {
+			start.Folder = b.dir
+		}
 		if _, err := h.ask(&Request{Operation: StartNodes, Start: start}); err != nil {
 			return nil, err
 		}
@@ -220,14 +229,25 @@
 		return err
 	}
 	b.result.Ready = timesOf(took)
+	took = nil
 	for i := range b.rig.Scenario.Real {
+		began := time.Now()
 		if err := b.startReal(i); err != nil {
 			return err
 		}
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	b.result.RealReady = timesOf(took)
+	if err := b.awaitMembers(); err != nil {
+		return err
 	}
 	return b.settle(ctx)
 }
 
+// members are all forwarders of the cell.
+func (b *bench) members() int { return b.cell.Forwarders + b.rig.Scenario.Real }
+
 // startReal starts a real forwarder.
 func (b *bench) startReal(number int) error {
 	name := fmt.Sprintf("real-%d", number)
@@ -243,7 +263,7 @@
 		return err
 	}
 	file := filepath.Join(dir, "config.json")
-	if err := writeConfig(file, name, edges[0].Address(), b.cell.Forwarders, b.cell.Seed); err != nil {
+	if err := writeConfig(file, name, edges[0].Address(), b.members(), b.cell.Seed); err != nil {
 		return err
 	}
 	command, err := b.realCommand(dir, edges)
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"os"
 	"time"
 
@@ -43,16 +44,18 @@
 type Scenario struct {
 	Mechanism      Mechanism `hcl:"mechanism"`
 	Seeds          []uint64  `hcl:"seeds"`
-	WindowText     string    `hcl:"window"`                   // of each measurement at rest and under changes
-	ChangeRate     float64   `hcl:"changes_per_second"`       // in the second window
-	Real           int       `hcl:"real_forwarders,optional"` // beside the simulated nodes of each cell
-	ControlServers int       `hcl:"control_servers,optional"` // where the mechanism is partial
-	Replicas       int       `hcl:"replicas,optional"`        // owners of a destination, where the mechanism is partial
-	Partitions     int       `hcl:"partitions,optional"`      // of all destinations, where the mechanism is partial
-	Cached         int       `hcl:"cached,optional"`          // destinations fetched on demand that a forwarder keeps
-	LookupBytes    int       `hcl:"lookup_bytes,optional"`    // a second, for look-ups of a forwarder
-	KillControl    bool      `hcl:"kill_control,optional"`    // one control server is killed before the last change
-	LeaveForwarder bool      `hcl:"leave_forwarder,optional"` // one forwarder leaves at the end, and what moves is counted
+	WindowText     string    `hcl:"window"`                            // of each measurement at rest and under changes
+	ChangeRate     float64   `hcl:"changes_per_second"`                // in the second window
+	Real           int       `hcl:"real_forwarders,optional"`          // beside the simulated nodes of each cell
+	ControlServers int       `hcl:"control_servers,optional"`          // where the mechanism is partial
+	Replicas       int       `hcl:"replicas,optional"`                 // owners of a destination, where the mechanism is partial
+	Partitions     int       `hcl:"partitions,optional"`               // of all destinations, where the mechanism is partial
+	PerNode        int       `hcl:"partitions_per_forwarder,optional"` // without replicas, where partitions is 0: the next power of two is taken
+	Cached         int       `hcl:"cached,optional"`                   // destinations fetched on demand that a forwarder keeps
+	LookupBytes    int       `hcl:"lookup_bytes,optional"`             // a second, for look-ups of a forwarder
+	KeepWithdrawn  bool      `hcl:"keep_withdrawn,optional"`           // where there is one node it keeps which endpoints were withdrawn in a file, as a forwarder does
+	KillControl    bool      `hcl:"kill_control,optional"`             // one control server is killed before the last change
+	LeaveForwarder bool      `hcl:"leave_forwarder,optional"`          // one forwarder leaves at the end, and what moves is counted
 	Sweeps         []Sweep   `hcl:"sweep,block"`
 
 	Window time.Duration
@@ -63,7 +66,17 @@
 type Sweep struct {
 	Name         string `hcl:"name,label"`
 	Forwarders   []int  `hcl:"forwarders"`
-	Destinations []int  `hcl:"destinations"`
+	Destinations []int  `hcl:"destinations,optional"`
+	PerForwarder []int  `hcl:"destinations_per_forwarder,optional"` // in place of destinations: the total grows with the forwarders
+}
+
+// sizes are the numbers of destinations for a number of forwarders.
+func (s *Sweep) sizes(forwarders int) (destinations []int) {
+	destinations = append(destinations, s.Destinations...)
+	for _, n := range s.PerForwarder {
+		destinations = append(destinations, n*forwarders)
+	}
+	return destinations
 }
 
 // Cell is one measurement.
@@ -71,9 +84,18 @@
 	Sweep        string
 	Forwarders   int
 	Destinations int
+	Partitions   int
 	Seed         uint64
 }
 
+// partitions are those for a number of forwarders.
+func (s *Scenario) partitions(forwarders int) int {
+	if s.Partitions > 0 {
+		return s.Partitions
+	}
+	return 1 << bits.Len(uint(s.PerNode*(forwarders+s.Real)-1))
+}
+
 // String names a cell in logs and errors.
 func (c Cell) String() string {
 	return fmt.Sprintf("%s: %d forwarders, %d destinations, seed %d", c.Sweep, c.Forwarders, c.Destinations, c.Seed)
@@ -83,9 +105,9 @@
 func (s *Scenario) Cells() (cells []Cell) {
 	for _, sweep := range s.Sweeps {
 		for _, forwarders := range sweep.Forwarders {
-			for _, destinations := range sweep.Destinations {
+			for _, destinations := range sweep.sizes(forwarders) {
 				for _, seed := range s.Seeds {
-					cells = append(cells, Cell{Sweep: sweep.Name, Forwarders: forwarders, Destinations: destinations, Seed: seed})
+					cells = append(cells, Cell{Sweep: sweep.Name, Forwarders: forwarders, Destinations: destinations, Partitions: s.partitions(forwarders), Seed: seed})
 				}
 			}
 		}
@@ -120,7 +142,7 @@
 	if diagnostics.HasErrors() {
 		return nil, diagnostics
 	}
-	s := &Scenario{ControlServers: 3, Replicas: 3, Partitions: 1 << 16, Cached: 256, LookupBytes: 1000, file: path}
+	s := &Scenario{ControlServers: 3, Replicas: 3, PerNode: 256, Cached: 256, LookupBytes: 1500, file: path}
 	if diagnostics := gohcl.DecodeBody(file.Body, nil, s); diagnostics.HasErrors() {
 		return nil, diagnostics
 	}
@@ -154,9 +176,10 @@
 	if len(s.Sweeps) == 0 {
 		p.add(1, "no sweep: add a block sweep with forwarders and destinations")
 	}
-	if s.Partitions < 1 || s.Partitions&(s.Partitions-1) != 0 {
+	if s.Partitions < 0 || s.Partitions&(s.Partitions-1) != 0 {
 		p.add(line("partitions"), "partitions = %d: a power of two", s.Partitions)
 	}
+	p.within(line("partitions_per_forwarder"), "partitions_per_forwarder", float64(s.PerNode), 1, 4096)
 	p.within(line("changes_per_second"), "changes_per_second", s.ChangeRate, 0, maxChangeRate)
 	p.within(line("real_forwarders"), "real_forwarders", float64(s.Real), 0, maxRealForwarders)
 	p.within(line("control_servers"), "control_servers", float64(s.ControlServers), 1, maxControlServers)
@@ -168,12 +191,12 @@
 
 // checkSweep reports what is wrong with one sweep.
 func (s *Scenario) checkSweep(p *problems, line int, sweep *Sweep) {
-	if len(sweep.Forwarders) == 0 || len(sweep.Destinations) == 0 {
-		p.add(line, "sweep %q: forwarders and destinations each name one size or more", sweep.Name)
+	if len(sweep.Forwarders) == 0 || (len(sweep.Destinations) == 0) == (len(sweep.PerForwarder) == 0) {
+		p.add(line, "sweep %q: forwarders, and either destinations or destinations_per_forwarder, name one size or more", sweep.Name)
 	}
 	for _, n := range sweep.Forwarders {
 		p.within(line, "forwarders", float64(n), 1, maxForwarders)
-		for _, d := range sweep.Destinations {
+		for _, d := range sweep.sizes(n) {
 			p.within(line, "destinations", float64(d), 1, maxDestinations)
 			if held := s.held(n, d); held > maxEntries {
 				p.add(line, "%d forwarders with %d destinations hold %d entries: %d at most, so that the run stays under half of the memory", n, d, held, maxEntries)
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -49,7 +49,7 @@
 	if len(cells) != 8 || s.Window != 3*time.Second {
 		t.Fatalf("%d cells, a window of %v", len(cells), s.Window)
 	}
-	if last := (Cell{"a", 3, 30, 2}); cells[7] != last {
+	if last := (Cell{"a", 3, 30, 1024, 2}); cells[7] != last {
 		t.Errorf("the last cell is %v", cells[7])
 	}
 }
