Measure parts in a fleet of the plan's size, of which most members hold a lease alone

Parts are as large as in a fleet of 6,800, which does not fit into one machine: 20 simulated nodes and a real forwarder have their parts, all other members renew leases.

--- a/internal/scale/cell_test.go
+++ b/internal/scale/cell_test.go
@@ -15,7 +15,7 @@
 	}
 	p := &phases{count: 2, empty: at(0, 0, 0, 1000), started: at(5, 100*time.Millisecond, 5000, 0), calm: at(15, 300*time.Millisecond, 7000, 0),
 		busy: at(25, 700*time.Millisecond, 17_000, 5000), settled: at(26, time.Second, 17_000, 4000)}
-	got := p.row(&Scenario{Mechanism: WholeList}, Cell{"s", 2, 100, 64, 1}, Simulated)
+	got := p.row(&Scenario{Mechanism: WholeList}, Cell{"s", 2, 2, 100, 64, 1}, Simulated)
 	want := Row{Mechanism: WholeList, Sweep: "s", Kind: Simulated, Forwarders: 2, Destinations: 100, Seed: 1, Count: 2, HeapBytes: 1500, ResidentBytes: 4000, PeakBytes: 5000,
 		StartCPUms: 50, StartBytes: 2500, CalmBytesPerS: 100, CalmCPUPercent: 1, BusyBytesPerS: 500, BusyCPUPercent: 2}
 	if !reflect.DeepEqual(got, want) {
@@ -58,7 +58,7 @@
 	var results []*Result
 	for seed := range uint64(3) {
 		for _, destinations := range []int{100, 300} {
-			c := Cell{"sizes", 2, destinations, 64, seed + 1}
+			c := Cell{"sizes", 2, 2, destinations, 64, seed + 1}
 			row := Row{Mechanism: WholeList, Sweep: c.Sweep, Kind: Simulated, Forwarders: 2, Destinations: int64(destinations), Seed: int64(c.Seed), Count: 2, HeapBytes: float64(destinations) * 1e4 * float64(seed+1)}
 			results = append(results, &Result{Cell: c, Rows: []Row{row}, InForce: Times{2, 1, 2, 3}})
 		}
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -19,6 +19,7 @@
 	leaseWithin = 2 * time.Minute // until all know of a member that came or left
 	listWithin  = 2 * time.Minute // until a control server has the whole list
 	listPause   = 100 * time.Millisecond
+	settleTime  = 5 * time.Second // servers gather members for 3 s, and tell each other of them
 )
 
 // startControls starts the control servers of a cell, and waits until each has the whole list.
@@ -99,6 +100,22 @@
 	return append(slices.Clone(b.rig.Forwarder), "-operators", file), os.WriteFile(file, text, 0o600)
 }
 
+// holdLeases has those members hold their leases that are neither simulated nor real, and waits until the servers tell of them.
+func (b *bench) holdLeases() (err error) {
+	rest := b.cell.Members - b.cell.Forwarders - b.rig.Scenario.Real
+	if b.rig.Scenario.Mechanism != PartialList || rest <= 0 {
+		return nil
+	}
+	if b.leases, err = startHost(b.rig.Host, 0, 0); err != nil {
+		return err
+	}
+	if _, err = b.leases.ask(&Request{Operation: HoldLeases, Members: rest, Addresses: b.sources()}); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
 // awaitMembers waits until all simulated nodes know all forwarders, and have their parts.
 func (b *bench) awaitMembers() error { return b.await(b.members()) }
 
--- a/internal/scale/directory.go
+++ b/internal/scale/directory.go
@@ -100,6 +100,17 @@
 	return d.index
 }
 
+// Toggle has a destination's endpoint drain, or serve where it does.
+func (d *Directory) Toggle(destination int) int64 {
+	d.mu.Lock()
+	_, away := d.status[destination]
+	d.mu.Unlock()
+	if away {
+		return d.Set(agent.Serving, destination)
+	}
+	return d.Set(agent.Draining, destination)
+}
+
 // since are the changes after an index, each destination's newest alone; not known: a snapshot is due.
 func (d *Directory) since(from int64) (changes []change, index int64, changed <-chan struct{}, known bool) {
 	d.mu.Lock()
--- a/internal/scale/host.go
+++ b/internal/scale/host.go
@@ -24,6 +24,7 @@
 // The operations.
 const (
 	StartNodes   Operation = "start"
+	HoldLeases   Operation = "leases" // of members that are no nodes
 	AwaitReady   Operation = "ready"
 	AwaitChange  Operation = "change"
 	AwaitMembers Operation = "members" // where the list is partial
@@ -46,9 +47,10 @@
 	Destinations []int         `json:"destinations,omitempty"` // that the change touches
 	At           time.Time     `json:"at,omitzero"`            // when the change was made
 	Within       time.Duration `json:"within_ns,omitempty"`
-	Collect      bool          `json:"collect,omitempty"` // garbage, before memory is measured
-	Last         int           `json:"last,omitempty"`    // nodes to stop, the last ones
-	Members      int           `json:"members,omitempty"` // that are awaited
+	Collect      bool          `json:"collect,omitempty"`   // garbage, before memory is measured
+	Last         int           `json:"last,omitempty"`      // nodes to stop, the last ones
+	Members      int           `json:"members,omitempty"`   // that are awaited, or whose leases are held
+	Addresses    []string      `json:"addresses,omitempty"` // of the servers that hold the leases
 }
 
 // Start says which nodes a host starts.
@@ -81,14 +83,15 @@
 
 // host is a process full of simulated nodes.
 type host struct {
-	nodes []*Node
-	parts map[*Node]ownership.Set // as they were asked for last
+	nodes  []*Node
+	parts  map[*Node]ownership.Set // as they were asked for last
+	leases *leases
 }
 
 // Host serves requests until there are no more: it is the main function of a process of simulated nodes.
 func Host(in io.Reader, out io.Writer) error {
 	h := &host{parts: map[*Node]ownership.Set{}}
-	defer h.stop(len(h.nodes))
+	defer h.close()
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, maxLine)
 	answers := json.NewEncoder(out)
@@ -116,6 +119,8 @@
 		a.Took, err = h.awaitChange(r)
 	case MeasureNodes:
 		err = h.measure(a, r.Collect)
+	case HoldLeases:
+		h.leases, err = newLeases(r.Members, r.Addresses)
 	case AwaitMembers:
 		err = h.awaitMembers(r)
 	case Parts:
@@ -265,6 +270,14 @@
 	return err
 }
 
+// close ends everything.
+func (h *host) close() {
+	h.stop(len(h.nodes))
+	if h.leases != nil {
+		h.leases.Close()
+	}
+}
+
 // stop ends the last nodes, all at once.
 func (h *host) stop(last int) {
 	from := max(0, len(h.nodes)-last)
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -22,7 +22,7 @@
 	settleWithin   = time.Minute
 	settleStep     = 500 * time.Millisecond
 	settledCPU     = 10 * time.Millisecond // of a process in a step: its start is over
-	perNodeChanges = 5                     // destinations of the change that is timed, for each node that holds a part
+	perNodeChanges = 5                     // destinations of each part that the change which is timed touches, in the mean
 )
 
 // Rig runs the cells of a scenario.
@@ -56,6 +56,7 @@
 	random    *rand.Rand
 	controls  []*realProcess
 	hosts     []*simulatedHost
+	leases    *hostProcess // of members that are not simulated; nil: there are none
 	reals     []*realProcess
 	result    *Result
 }
@@ -205,6 +206,10 @@
 
 // start starts all forwarders and waits until their lists are in force.
 func (b *bench) start(ctx context.Context) error {
+	if err := b.holdLeases(); err != nil {
+		return err
+	}
+	b.note("leases are held")
 	took, err := b.askAll(func(h *simulatedHost) ([]time.Duration, error) {
 		file := filepath.Join(b.dir, fmt.Sprintf("host-%d.json", h.first))
 		if err := writeConfig(file, "simulated", b.directory.Address(), b.members(), b.cell.Seed); err != nil {
@@ -229,6 +234,7 @@
 		return err
 	}
 	b.result.Ready = timesOf(took)
+	b.note("nodes are ready")
 	took = nil
 	for i := range b.rig.Scenario.Real {
 		began := time.Now()
@@ -239,14 +245,19 @@
 	}
 	slices.Sort(took)
 	b.result.RealReady = timesOf(took)
+	b.note("real forwarders are ready")
 	if err := b.awaitMembers(); err != nil {
 		return err
 	}
+	b.note("all know all members")
 	return b.settle(ctx)
 }
 
-// members are all forwarders of the cell.
-func (b *bench) members() int { return b.cell.Forwarders + b.rig.Scenario.Real }
+// members are all members of the fleet.
+func (b *bench) members() int { return b.cell.Members }
+
+// note keeps in the log how far a cell is.
+func (b *bench) note(what string) { b.rig.Log.Info(what, "cell", b.cell.String()) }
 
 // startReal starts a real forwarder.
 func (b *bench) startReal(number int) error {
@@ -277,13 +288,13 @@
 	return p.Ready()
 }
 
-// settle waits until no process works on its start any more.
+// settle waits until no real forwarder works on its start any more.
 func (b *bench) settle(ctx context.Context) error {
 	end := time.Now().Add(settleWithin)
-	before := make([]time.Duration, len(b.reals)+len(b.controls))
+	before := make([]time.Duration, len(b.reals))
 	for time.Now().Before(end) {
 		calm := true
-		for i, p := range append(append([]*realProcess{}, b.reals...), b.controls...) {
+		for i, p := range b.reals {
 			u, err := usageOf(p.PID())
 			if err != nil {
 				return err
@@ -352,11 +363,7 @@
 		case <-end:
 			return nil
 		case <-tick.C:
-			status := agent.Draining
-			if b.random.IntN(2) == 0 {
-				status = agent.Serving
-			}
-			b.directory.Set(status, b.random.IntN(b.cell.Destinations))
+			b.directory.Toggle(b.random.IntN(b.cell.Destinations))
 		}
 	}
 }
@@ -365,7 +372,7 @@
 func (b *bench) timeChange() (Times, error) {
 	touched := 1
 	if b.rig.Scenario.Mechanism == PartialList {
-		touched = min(b.cell.Destinations, perNodeChanges*b.cell.Forwarders)
+		touched = min(b.cell.Destinations, max(1, perNodeChanges*b.cell.Members/b.rig.Scenario.Replicas))
 	}
 	destinations := b.random.Perm(b.cell.Destinations)[:touched]
 	at := time.Now()
@@ -391,6 +398,9 @@
 	for _, h := range b.hosts {
 		all.Go(h.close)
 	}
+	if b.leases != nil {
+		all.Go(b.leases.close)
+	}
 	all.Wait()
 	for _, p := range append(append([]*realProcess{}, b.reals...), b.controls...) {
 		closeEdges(p.edges)
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -66,6 +66,7 @@
 type Sweep struct {
 	Name         string `hcl:"name,label"`
 	Forwarders   []int  `hcl:"forwarders"`
+	Members      int    `hcl:"members,optional"` // of the fleet; those that are not simulated hold a lease and nothing else. 0: only those that are
 	Destinations []int  `hcl:"destinations,optional"`
 	PerForwarder []int  `hcl:"destinations_per_forwarder,optional"` // in place of destinations: the total grows with the forwarders
 }
@@ -82,18 +83,19 @@
 // Cell is one measurement.
 type Cell struct {
 	Sweep        string
-	Forwarders   int
+	Forwarders   int // simulated
+	Members      int // all members of the fleet
 	Destinations int
 	Partitions   int
 	Seed         uint64
 }
 
-// partitions are those for a number of forwarders.
-func (s *Scenario) partitions(forwarders int) int {
+// partitions are those for a number of members.
+func (s *Scenario) partitions(members int) int {
 	if s.Partitions > 0 {
 		return s.Partitions
 	}
-	return 1 << bits.Len(uint(s.PerNode*(forwarders+s.Real)-1))
+	return 1 << bits.Len(uint(s.PerNode*members-1))
 }
 
 // String names a cell in logs and errors.
@@ -106,8 +108,9 @@
 	for _, sweep := range s.Sweeps {
 		for _, forwarders := range sweep.Forwarders {
 			for _, destinations := range sweep.sizes(forwarders) {
+				members := max(sweep.Members, forwarders+s.Real)
 				for _, seed := range s.Seeds {
-					cells = append(cells, Cell{Sweep: sweep.Name, Forwarders: forwarders, Destinations: destinations, Partitions: s.partitions(forwarders), Seed: seed})
+					cells = append(cells, Cell{Sweep: sweep.Name, Forwarders: forwarders, Members: members, Destinations: destinations, Partitions: s.partitions(members), Seed: seed})
 				}
 			}
 		}
@@ -196,9 +199,10 @@
 	}
 	for _, n := range sweep.Forwarders {
 		p.within(line, "forwarders", float64(n), 1, maxForwarders)
+		p.within(line, "members", float64(sweep.Members), 0, maxForwarders)
 		for _, d := range sweep.sizes(n) {
 			p.within(line, "destinations", float64(d), 1, maxDestinations)
-			if held := s.held(n, d); held > maxEntries {
+			if held := s.held(n, max(n, sweep.Members), d); held > maxEntries {
 				p.add(line, "%d forwarders with %d destinations hold %d entries: %d at most, so that the run stays under half of the memory", n, d, held, maxEntries)
 			}
 		}
@@ -206,11 +210,11 @@
 }
 
 // held is how many entries the simulated nodes of a cell hold together.
-func (s *Scenario) held(forwarders, destinations int) int {
+func (s *Scenario) held(forwarders, members, destinations int) int {
 	if s.Mechanism == WholeList {
 		return forwarders * destinations
 	}
-	return min(s.Replicas, forwarders) * destinations
+	return forwarders * destinations / members * min(s.Replicas, members)
 }
 
 // hostSizes splits the simulated nodes of a cell over processes.
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -49,7 +49,7 @@
 	if len(cells) != 8 || s.Window != 3*time.Second {
 		t.Fatalf("%d cells, a window of %v", len(cells), s.Window)
 	}
-	if last := (Cell{"a", 3, 30, 1024, 2}); cells[7] != last {
+	if last := (Cell{"a", 3, 3, 30, 1024, 2}); cells[7] != last {
 		t.Errorf("the last cell is %v", cells[7])
 	}
 }
@@ -89,15 +89,18 @@
 // TestBounds: the simulated nodes of a cell hold no more together than fits into half of the memory.
 func TestBounds(t *testing.T) {
 	whole, partial := &Scenario{Mechanism: WholeList}, &Scenario{Mechanism: PartialList, Replicas: 3}
-	if n := whole.held(300, 2000); n != 600_000 {
+	if n := whole.held(300, 300, 2000); n != 600_000 {
 		t.Errorf("whole list: %d", n)
 	}
-	if n := partial.held(3000, 200_000); n != 600_000 {
+	if n := partial.held(3000, 3000, 200_000); n != 600_000 {
 		t.Errorf("partial list: %d", n)
 	}
-	if n := partial.held(2, 200_000); n != 400_000 {
+	if n := partial.held(2, 2, 200_000); n != 400_000 {
 		t.Errorf("partial list with fewer forwarders than replicas: %d", n)
 	}
+	if n := partial.held(30, 6600, 2_200_000); n != 30*1000 {
+		t.Errorf("partial list of a part of the fleet: %d", n)
+	}
 	if sizes := hostSizes(maxPerHost*2 + 1); len(sizes) != 3 || sizes[2] != 1 {
 		t.Errorf("hosts: %v", sizes)
 	}
