--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -52,11 +52,8 @@
 	if err := os.MkdirAll(state, 0o700); err != nil {
 		return err
 	}
-	command := append(slices.Clone(b.rig.Control), "--name="+name, "--listen="+address, "--upstream="+b.directory.Address(), "--state="+state,
-		fmt.Sprintf("--partitions=%d", b.cell.Partitions), fmt.Sprintf("--replicas=%d", b.rig.Scenario.Replicas))
-	if peers := slices.DeleteFunc(slices.Clone(all), func(a string) bool { return a == address }); len(peers) > 0 {
-		command = append(command, "--peers="+strings.Join(peers, ","))
-	}
+	layout := ownership.Layout{Partitions: b.cell.Partitions, Replicas: b.rig.Scenario.Replicas}
+	command := append(slices.Clone(b.rig.Control), controlFlags(name, address, b.directory.Address(), state, all, layout)...)
 	process, err := fleet.Launch(command, os.Environ(), nil, nil)
 	if err != nil {
 		return err
@@ -65,6 +62,16 @@
 	return process.Ready()
 }
 
+// controlFlags are those of a control server among others.
+func controlFlags(name, address, upstream, state string, all []string, layout ownership.Layout) []string {
+	flags := []string{"--name=" + name, "--listen=" + address, "--upstream=" + upstream, "--state=" + state,
+		fmt.Sprintf("--partitions=%d", layout.Partitions), fmt.Sprintf("--replicas=%d", layout.Replicas)}
+	if peers := slices.DeleteFunc(slices.Clone(all), func(a string) bool { return a == address }); len(peers) > 0 {
+		flags = append(flags, "--peers="+strings.Join(peers, ","))
+	}
+	return flags
+}
+
 // awaitList waits until a control server has a list.
 func awaitList(address string) error {
 	path := "http://" + address + "/v1/servers?destinations=" + ownership.NewSet(0).String()
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -218,7 +218,7 @@
 	for i := range told {
 		told[i].At = now
 	}
-	d.log.tell(told)
+	d.log.Tell(told)
 }
 
 func (d *Discovery) finals(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -165,12 +165,14 @@
 	if out {
 		t.State = Draining
 	}
-	l.tell([]Told{t})
+	l.Tell([]Told{t})
 }
 
-func (l *Log) tell(t []Told) {
+// Tell notes changes of the list that were written to the forwarder, for whoever writes them in the place of discovery.
+func (l *Log) Tell(t []Told) {
 	l.mu.Lock()
 	l.told = append(l.told, t...)
+	l.changed.Broadcast()
 	l.mu.Unlock()
 }
 
@@ -199,7 +201,7 @@
 }
 
 // Await waits until done says so of the record, or the time is up; it tells which.
-// done is called with the record locked, each time that something has ended.
+// done is called with the record locked, each time that something has ended, or a change of the list was written.
 func (l *Log) Await(limit time.Duration, done func(*State) bool) bool {
 	late := false
 	timer := time.AfterFunc(limit, func() {
@@ -231,6 +233,9 @@
 // Calls returns the calls to endpoints, in the order in which they came.
 func (s *State) Calls() []*Call { return s.l.calls }
 
+// Told returns the changes of the list, in the order in which they were written to the forwarder.
+func (s *State) Told() []Told { return s.l.told }
+
 // Notices returns the notices, in the order in which they came.
 func (s *State) Notices() []Notice { return s.l.notices }
 
