--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -20,7 +20,7 @@
 	tailLines = 10
 )
 
-// Process is one run of the daemon.
+// Process is one run of the daemon, or of a control server.
 type Process struct {
 	cmd   *exec.Cmd
 	ready chan struct{} // closed once it serves
@@ -64,7 +64,11 @@
 	if _, at, ok := strings.Cut(line, "msg=\"operators' door\" address="); ok {
 		p.door = at
 	}
-	if _, rest, ok := strings.Cut(line, "msg=serving "); ok {
+	_, rest, ok := strings.Cut(line, "msg=serving ")
+	if !ok {
+		_, rest, ok = strings.Cut(line, "msg=\"control server is ready\" ")
+	}
+	if ok {
 		_, at, _ := strings.Cut(rest, "address=")
 		at, _, _ = strings.Cut(at, " ")
 		if p.address == "" {
@@ -119,6 +123,9 @@
 	return strings.Join(p.tail, "\n")
 }
 
+// PID is its number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends it a signal.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
@@ -183,14 +190,20 @@
 
 // Helpers is the time of the processor that the processes which it has started, and which run, have used.
 func (p *Process) Helpers() (sum time.Duration) {
+	for _, child := range p.Children() {
+		sum += used(child)
+	}
+	return sum
+}
+
+// Children are the ids of the processes which it has started, and which run.
+func (p *Process) Children() (ids []string) {
 	lists, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", p.cmd.Process.Pid))
 	for _, list := range lists {
 		text, _ := os.ReadFile(list) // a thread that is gone has none
-		for _, child := range strings.Fields(string(text)) {
-			sum += used(child)
-		}
+		ids = append(ids, strings.Fields(string(text))...)
 	}
-	return sum
+	return ids
 }
 
 // used is the time of the processor that a process has used; 0 if there is none.
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/big"
 	"os"
 	"path/filepath"
@@ -70,20 +71,21 @@
 }
 
 type loader struct {
-	getenv   func(string) (string, bool)
-	files    map[string]*hcl.File
-	bodies   map[string]bool // by the file's own path, links followed
-	order    []*hclsyntax.Body
-	env      map[string]cty.Value
-	envAt    map[string]hcl.Range
-	set      map[string]setting
-	limits   []operator.Limit
-	pools    []operator.Pool
-	routes   []operator.Route
-	plugins  []operator.Plugin
-	fleetSet *operator.Fleet
-	places   map[string]hcl.Range // of blocks and their keys
-	diags    hcl.Diagnostics
+	getenv     func(string) (string, bool)
+	files      map[string]*hcl.File
+	bodies     map[string]bool // by the file's own path, links followed
+	order      []*hclsyntax.Body
+	env        map[string]cty.Value
+	envAt      map[string]hcl.Range
+	set        map[string]setting
+	limits     []operator.Limit
+	pools      []operator.Pool
+	routes     []operator.Route
+	plugins    []operator.Plugin
+	fleetSet   *operator.Fleet
+	controlSet *operator.Control
+	places     map[string]hcl.Range // of blocks and their keys
+	diags      hcl.Diagnostics
 }
 
 func (l *loader) fail(at hcl.Range, what, remedy string) {
@@ -280,7 +282,7 @@
 
 // body takes what one file sets.
 func (l *loader) body(b *hclsyntax.Body) {
-	l.known(b, "a file", "include", "env*", "journal*", "limits*", "pool*", "route*", "plugin*", "plugins*", "fleet*", "unrouted")
+	l.known(b, "a file", "include", "env*", "journal*", "limits*", "pool*", "route*", "plugin*", "plugins*", "fleet*", "control*", "unrouted")
 	if a := b.Attributes["unrouted"]; a != nil {
 		if v, ok := l.text(a); ok {
 			l.put("unrouted", v, a.Expr.Range())
@@ -298,6 +300,8 @@
 			l.plugin(block)
 		case "fleet":
 			l.fleet(block)
+		case "control":
+			l.control(block)
 		case "plugins":
 			l.known(block.Body, "plugins", "status")
 			if a := block.Body.Attributes["status"]; a != nil {
@@ -354,13 +358,8 @@
 		case "routes":
 			rule.Routes = l.names(a, `["handovers of tartu"]`)
 		case "attempts", "held", "out":
-			if v, ok := l.value(a); ok {
-				list, ok := numbers(cty.TupleVal([]cty.Value{v}))
-				if !ok || list[0] < 1 {
-					l.fail(at, name+" is a whole number, 1 or more", fmt.Sprintf("Write %s = 2.", name))
-				} else {
-					*map[string]*int{"attempts": &rule.Attempts, "held": &rule.Held, "out": &rule.Out}[name] = list[0]
-				}
+			if n, ok := l.number(a, positiveNumber, 2); ok {
+				*map[string]*int{"attempts": &rule.Attempts, "held": &rule.Held, "out": &rule.Out}[name] = n
 			}
 		case "answer", "whole", "connect", "wait", "copy":
 			if d, ok := l.duration(a); ok && d == 0 {
@@ -384,6 +383,32 @@
 	}
 }
 
+// numberKind is what a whole number may be.
+type numberKind struct {
+	min  int
+	name string
+}
+
+var (
+	anyNumber      = numberKind{math.MinInt32, "a whole number"}
+	positiveNumber = numberKind{1, "a whole number, 1 or more"}
+)
+
+// number reads a whole number; a remedy names the example.
+func (l *loader) number(a *hclsyntax.Attribute, kind numberKind, example int) (int, bool) {
+	v, ok := l.value(a)
+	if !ok {
+		return 0, false
+	}
+	list, ok := numbers(cty.TupleVal([]cty.Value{v}))
+	if !ok || list[0] < kind.min {
+		l.fail(a.Expr.Range(), a.Name+" is "+kind.name, fmt.Sprintf("Write %s = %d.", a.Name, example))
+		return 0, false
+	}
+	return list[0], true
+}
+
+// numbers reads a list of whole numbers of 32 bits.
 func numbers(v cty.Value) (list []int, ok bool) {
 	if v.IsNull() || !v.IsWhollyKnown() || !v.Type().IsTupleType() && !v.Type().IsListType() {
 		return nil, false
@@ -498,7 +523,7 @@
 	c := operator.Default()
 	c.Limits = l.limits
 	slices.SortFunc(c.Limits, func(a, b operator.Limit) int { return strings.Compare(a.Name, b.Name) })
-	c.Pools, c.Routes, c.Plugins, c.Fleet = l.pools, l.routes, l.plugins, l.fleetSet
+	c.Pools, c.Routes, c.Plugins, c.Fleet, c.Control = l.pools, l.routes, l.plugins, l.fleetSet, l.controlSet
 	slices.SortFunc(c.Pools, func(a, b operator.Pool) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Routes, func(a, b operator.Route) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Plugins, func(a, b operator.Plugin) int { return strings.Compare(a.Name, b.Name) })
