Begin no keyed repeat after its window, however long its connection takes

Need: the window for repeats may be as short as 1 s, and connections come up as late as 1.5 s. The module decides a repeat 0.3 s before the window ends at the latest, and nothing looked at the window after that. Seen: TestKeyedRepeatInWindow, window 1 s, connections that come up after 0.9, 1.0 and 1.5 s: the repeat was begun outside of the window in each of the three. Change: decide.Send says within what time the first byte has to be written, for keyed repeats only, 0.1 s before the end of the window; the engine asks that where it asks for waits, right before the first byte.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -300,6 +300,7 @@
 	Message string
 	Target  string
 	Timeout time.Duration
+	Within  time.Duration // its first byte is written within that, or not at all; 0: whenever
 }
 
 // Refuse is a final answer: handing the message in again is harmless.
--- a/internal/decide/message.go
+++ b/internal/decide/message.go
@@ -78,6 +78,17 @@
 	return t
 }
 
+// windowEndMargin is how long before the end of its window the first byte of a keyed repeat is written at the latest.
+const windowEndMargin = 100 * time.Millisecond
+
+// sendWithin is the time that is left for the first byte of a keyed repeat; 0 for any other attempt. The attempt may wait long for its connection.
+func (m *message) sendWithin(now time.Duration) time.Duration {
+	if !m.mayHaveRun || m.class.Effect != Keyed {
+		return 0
+	}
+	return max(time.Nanosecond, m.runSentAt+m.class.Window-windowEndMargin-now)
+}
+
 // attempt is one send of one message.
 type attempt struct {
 	number  int
--- a/internal/decide/rules_test.go
+++ b/internal/decide/rules_test.go
@@ -297,7 +297,7 @@
 		Outcome{Message: "m1", Target: "shop-1", Result: Done, Took: 85 * time.Millisecond, Over: true}})
 	fmt.Println(len(over), "actions after the answer")
 	// Output:
-	// decide.Send {m1 shop-1 4s}
+	// decide.Send {m1 shop-1 4s 0s}
 	// decide.Wake {1.6s}
 	// 0 actions after the answer
 }
--- a/internal/decide/scan_test.go
+++ b/internal/decide/scan_test.go
@@ -538,6 +538,7 @@
 	forgetAfter          = 60 * time.Second       // an unused route is reset after it; losses decay over it
 	answerMargin         = 15 * time.Millisecond  // queued messages are answered so long before their deadline
 	keyWindowMargin      = 300 * time.Millisecond // a keyed repeat keeps this far from the end of its window
+	windowEndMargin      = 100 * time.Millisecond // and its first byte so far
 	assumedLatency       = 400 * time.Millisecond // before any was measured
 	minOverdue           = 600 * time.Millisecond // no call is overdue before it
 	lateLatencyFactor    = 4                      // latencies: overdue if others are too
@@ -1213,7 +1214,11 @@
 	f.dequeue(m)
 	limit := f.attemptTimeout(m, c)
 	c.shortTimeout = limit < f.fairTime(m.dest.routes)
-	f.emit(Send{Message: m.id, Target: c.endpoint.id, Timeout: limit})
+	within := time.Duration(0)
+	if m.mayHaveRun && m.class.Effect == Keyed {
+		within = m.runSentAt + m.class.Window - windowEndMargin - f.now
+	}
+	f.emit(Send{Message: m.id, Target: c.endpoint.id, Timeout: limit, Within: within})
 }
 
 // fairTime is how long a call must be waited for before silence says anything of its route.
--- a/internal/decide/scheduling.go
+++ b/internal/decide/scheduling.go
@@ -182,5 +182,5 @@
 		m.hedgeAt = f.now + m.limits.Copy
 		f.hedges.fix(m)
 	}
-	f.emit(Send{Message: m.id, Target: c.endpoint.id, Timeout: limit})
+	f.emit(Send{Message: m.id, Target: c.endpoint.id, Timeout: limit, Within: m.sendWithin(f.now)})
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -69,6 +69,7 @@
 	answer  chan<- reply  // its client waits for an answer; nil after that
 	acked   bool          // the client has its +OK
 	pending []decide.Send // decided before that, in order
+	sendBy  time.Time     // when the first byte of the attempt decided last is written at the latest; zero: whenever
 	calls   []out         // two at most: one, and a second copy
 	ended   bool          // a notice is owed, or nothing any more
 	counted bool          // among those that are open
@@ -685,6 +686,12 @@
 func (l *Engine) act(ctx context.Context, a decide.Action) {
 	switch a := a.(type) {
 	case decide.Send:
+		if e := l.entries[a.Message]; e != nil {
+			e.sendBy = time.Time{}
+			if a.Within > 0 {
+				e.sendBy = time.Now().Add(a.Within)
+			}
+		}
 		l.send(ctx, a)
 	case decide.Refuse:
 		l.end(a.Message, 'b', a.Wait)
@@ -736,6 +743,9 @@
 	if told.began(); told != nil {
 		try.Begin, try.Told = told.begin, told.tell
 	}
+	if !e.sendBy.IsZero() {
+		try.Begin = beginsBy(e.sendBy, try.Begin)
+	}
 	if x := e.saved.Extras; x != nil {
 		try.Header = x.Header
 	}
--- /dev/null
+++ b/internal/engine/repeat_test.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"scaleroute/internal/decide"
+)
+
+// TestKeyedRepeatInWindow: a message of a keyed class may have run. Its repeat has a connection that takes long; it begins only while the window lasts, which counts from
+// when the first call was begun.
+func TestKeyedRepeatInWindow(t *testing.T) {
+	const window = time.Second
+	for _, connects := range []time.Duration{0, 200 * time.Millisecond, window - 100*time.Millisecond, window, window + time.Second/2} {
+		t.Run(connects.String(), func(t *testing.T) {
+			t.Parallel()
+			var first time.Time
+			done := make(chan bool, 8)
+			var calls, late atomic.Int32
+			n := startLoop(t, func(w *world) {
+				w.settings.Classes = append(w.settings.Classes, decide.Class{Name: "keyed", Effect: decide.Keyed, Window: window, Aim: 10 * time.Second, Deadline: 20 * time.Second, Worth: 1})
+				w.call = func(_ context.Context, a Attempt) decide.Outcome {
+					if calls.Add(1) == 1 {
+						first = time.Now()
+						return decide.Outcome{Result: decide.Errored}
+					}
+					defer func() { done <- true }()
+					time.Sleep(connects) // the connection comes up
+					if !a.Begin() {
+						return decide.Outcome{Result: decide.NotSent}
+					}
+					if time.Since(first) > window {
+						late.Add(1)
+					}
+					return decide.Outcome{Result: decide.Done, Over: true}
+				}
+			})
+			m := note("m")
+			m.Class = "keyed"
+			got := n.loop.Take(m)
+			if got.Kind != Taken {
+				t.Fatalf("%+v", got)
+			}
+			got.Written(true)
+			<-done
+			if late.Load() > 0 {
+				t.Errorf("connected after %v: begun outside of the window", connects)
+			}
+		})
+	}
+}
--- a/internal/engine/waits.go
+++ b/internal/engine/waits.go
@@ -127,3 +127,8 @@
 		o.Wait = max(o.Wait, t.left())
 	}
 }
+
+// beginsBy has a call begin by a time, and only if begin, where that is not nil, says so too.
+func beginsBy(limit time.Time, begin func() bool) func() bool {
+	return func() bool { return time.Now().Before(limit) && (begin == nil || begin()) }
+}
