--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -59,8 +59,14 @@
 	Broken   []string
 	Attempts int
 	Cold     ColdLoad
+	Useless  int // forwarders that rejected all that came, uselessCount messages or more, for uselessTime on end without an attempt
 }
 
+const (
+	uselessCount = 15
+	uselessTime  = 4 * time.Second
+)
+
 // ColdLoad is the fullest window of Settings.Fall in which a cold destination was called, against what it takes before it falls.
 type ColdLoad struct {
 	Calls  int
@@ -123,6 +129,10 @@
 	messages map[string]*held
 	process  int  // how often it has begun anew
 	knows    bool // it has met the outage, also in a process before
+
+	rejected      int // messages since its last attempt
+	rejectedSince time.Duration
+	useless       bool
 }
 
 type held struct {
@@ -283,6 +293,7 @@
 				w.report.Broken = append(w.report.Broken, a.Message+" may have run and was refused")
 			}
 			n.over(a.Message)
+			n.countRejected()
 			w.second().Refused++
 		case decide.Fail:
 			n.over(a.Message)
@@ -299,6 +310,18 @@
 	}
 }
 
+// countRejected notes a rejected message.
+func (n *node) countRejected() {
+	if n.rejected == 0 {
+		n.rejectedSince = n.w.now
+	}
+	n.rejected++
+	if n.rejected >= uselessCount && n.w.now-n.rejectedSince >= uselessTime && !n.useless {
+		n.useless = true
+		n.w.report.Useless++
+	}
+}
+
 func (n *node) over(id string) { delete(n.messages, id) }
 
 // send makes a call: it is worked on, refused, or finds nobody there.
@@ -311,6 +334,7 @@
 	if m.unsafe && m.mayRan {
 		w.report.Broken = append(w.report.Broken, s.Message+" may have run and was sent again")
 	}
+	n.rejected = 0
 	number, sent, process := m.attempts, w.now, n.process
 	m.attempts++
 	m.out++
