--- a/internal/agent/retry_test.go
+++ b/internal/agent/retry_test.go
@@ -91,3 +91,23 @@
 		t.Errorf("away for %v: in force %v after discovery could be reached", away, late)
 	}
 }
+
+// TestIndentedLists: a list that is indented, whole or in part, is the same list, also through the watch.
+func TestIndentedLists(t *testing.T) {
+	for _, text := range []string{
+		"{\n  \"index\": 42,\n  \"snapshot\": true,\n  \"endpoints\": [\n    {\n      \"name\": \"a\",\n      \"group\": 3,\n      \"status\": \"DRAINING\"\n    }\n  ]\n}\n",
+		"{\r\n\t\"index\" :42 ,\"snapshot\":false,\r\n\t\"endpoints\":[ {\"name\":\"a\" , \"group\":3,\n\"status\":\"DRAINING\"} ]\r\n}",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p, over := answering(t, Fleet{}, func(_ int, _ *http.Request, conn net.Conn) { fmt.Fprint(conn, whole(text)) })
+			defer over()
+			ctx, cancel := context.WithCancel(t.Context())
+			p.Watch(ctx, &List{Index: 41}, func(l *List) {
+				if l.Index != 42 || len(l.Endpoints) != 1 || l.Endpoints[0].Name != "a" || l.Endpoints[0].Status != Draining {
+					t.Errorf("told %+v", l)
+				}
+				cancel()
+			})
+		})
+	}
+}
