--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -42,7 +42,7 @@
 	Residual  float64 // the largest distance of a run from the curve, as a share of the curve there
 
 	seedLines         []line
-	straight          line // that a power was taken for
+	straight          line    // that a power was taken for
 	smallest, largest float64 // sizes
 	sizes             int
 }
--- a/internal/opfile/control.go
+++ b/internal/opfile/control.go
@@ -44,7 +44,7 @@
 
 // setNumber reads a whole number, and leaves the default where it is none.
 func (l *loader) setNumber(a *hclsyntax.Attribute, to *int) {
-	if n, ok := l.number(a); ok {
+	if n, ok := l.number(a, anyNumber, 7); ok {
 		*to = n
 	}
 }
