--- a/cmd/scaleroute-control/scale_test.go
+++ b/cmd/scaleroute-control/scale_test.go
@@ -151,7 +151,6 @@
 	discovery *planDiscovery
 	client    *http.Client
 	scopes    []string
-	part      ownership.Set
 }
 
 // row measures what a step has used, and divides it by how often it did something.
--- a/internal/partial/model_test.go
+++ b/internal/partial/model_test.go
@@ -97,8 +97,6 @@
 		view: map[string]agent.Endpoint{}, visited: visited}
 }
 
-func (m *model) owns(d int) bool { return m.part[d] }
-
 // take does with an update what an engine would.
 func (m *model) take(u Update) {
 	for _, e := range u.Evicted {
