--- a/internal/opfile/control.go
+++ b/internal/opfile/control.go
@@ -42,9 +42,9 @@
 	l.controlSet = &set
 }
 
-// setNumber reads a whole number, and leaves the default where it is none.
+// setNumber reads a whole number, and leaves the default where it is none. A remedy names the default.
 func (l *loader) setNumber(a *hclsyntax.Attribute, to *int) {
-	if n, ok := l.number(a); ok {
+	if n, ok := l.number(a, anyNumber, *to); ok {
 		*to = n
 	}
 }
