Time a change by endpoints that serve: a node whose endpoints all drain already is not told

The second change of a cell drew some of the first one's endpoints, and waited for ever for nodes that it changed nothing for: a trial ended with "index 884 is in force, and 885 was awaited".

--- a/internal/scale/directory.go
+++ b/internal/scale/directory.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -111,6 +112,19 @@
 	return d.Set(agent.Draining, destination)
 }
 
+// Pick draws destinations whose endpoint is serving, each once.
+func (d *Directory) Pick(random *rand.Rand, count int) (destinations []int) {
+	order := random.Perm(d.destinations)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, destination := range order {
+		if _, away := d.status[destination]; !away && len(destinations) < count {
+			destinations = append(destinations, destination)
+		}
+	}
+	return destinations
+}
+
 // since are the changes after an index, each destination's newest alone; not known: a snapshot is due.
 func (d *Directory) since(from int64) (changes []change, index int64, changed <-chan struct{}, known bool) {
 	d.mu.Lock()
--- a/internal/scale/directory_test.go
+++ b/internal/scale/directory_test.go
@@ -78,6 +78,12 @@
 			t.Fatalf("step %d: the snapshot and what was followed differ", step)
 		}
 	}
+	apply(followed, get(t, d, ""))
+	for _, destination := range d.Pick(random, destinations) {
+		if status := followed[EndpointName(destination)]; status != agent.Serving {
+			t.Errorf("%d was drawn, and is %q", destination, status)
+		}
+	}
 	for _, query := range []string{"?from=x&hold_ms=0", "?from=1", "?from=1&hold_ms=-1"} {
 		if resp, err := http.Get("http://" + d.Address() + "/v1/servers" + query); err != nil || resp.StatusCode != http.StatusBadRequest {
 			t.Errorf("%s: %v, %v", query, resp, err)
--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -372,9 +372,9 @@
 func (b *bench) timeChange() (Times, error) {
 	touched := 1
 	if b.rig.Scenario.Mechanism == PartialList {
-		touched = min(b.cell.Destinations, max(1, perNodeChanges*b.cell.Members/b.rig.Scenario.Replicas))
+		touched = max(1, perNodeChanges*b.cell.Members/b.rig.Scenario.Replicas)
 	}
-	destinations := b.random.Perm(b.cell.Destinations)[:touched]
+	destinations := b.directory.Pick(b.random, touched) // a node whose endpoints all drain already would not be told
 	at := time.Now()
 	index := b.directory.Set(agent.Draining, destinations...)
 	took, err := b.askAll(func(h *simulatedHost) ([]time.Duration, error) {
