--- a/cmd/scaleroute-control/scale_test.go
+++ b/cmd/scaleroute-control/scale_test.go
@@ -39,6 +39,7 @@
 type planDiscovery struct {
 	*httptest.Server
 	index  atomic.Int64
+	all    atomic.Int64 // the index that has changed every entry
 	silent atomic.Bool
 }
 
@@ -65,9 +66,9 @@
 			separator, i, i>>16, i>>8&255, i&255, i%13, i, weight)
 		separator = ","
 	}
-	if err != nil {
+	if all := d.all.Load(); err != nil || from < all {
 		for i := range planEntries {
-			entry(i, 1.5)
+			entry(i, 1.5+float64(all))
 		}
 	} else {
 		for i := from + 1; i <= index; i++ {
@@ -139,6 +140,7 @@
 	m.partSnapshots()
 	m.calmWatches()
 	m.changes()
+	m.everyEntry()
 	m.memberCalls()
 	m.wholeList()
 	m.restart()
@@ -253,25 +255,37 @@
 	m.process.await("all watch", func(f control.Figures) bool { return f.Watchers == scaleWatches })
 	m.row("change of an entry", scaleChanges, func() {
 		for range scaleChanges {
-			index := m.discovery.index.Add(1)
-			for m.process.figures().Index != index {
-				time.Sleep(2 * time.Millisecond)
-			}
+			m.discovery.index.Add(1)
+			time.Sleep(10 * time.Millisecond)
 		}
+		m.process.await("the last change", func(f control.Figures) bool { return f.Index == m.discovery.index.Load() })
 	})
 	m.t.Logf("%d watches were woken by %d changes", m.process.figures().WakeUps, scaleChanges)
 	watching.Wait()
 }
 
+// everyEntry has all entries change while all watch, and ends when the last of them has its part.
+func (m *measurement) everyEntry() {
+	var watching sync.WaitGroup
+	watching.Go(func() { m.watchAll(1, 60_000) })
+	m.process.await("all watch", func(f control.Figures) bool { return f.Watchers == scaleWatches })
+	m.row("change of every entry", scaleWatches, func() {
+		next := m.discovery.index.Load() + 1
+		m.discovery.all.Store(next)
+		m.discovery.index.Store(next)
+		watching.Wait()
+	})
+	m.row("its snapshot", planEntries, func() {
+		m.process.await("it is kept", func(f control.Figures) bool { return f.KeptIndex == m.discovery.index.Load() })
+	})
+}
+
 func (m *measurement) memberCalls() {
-	var answers atomic.Int64
-	join := func(count int) {
-		for i := range count {
+	m.row("renewal, all members in it", scaleWatches, func() {
+		for i := range scaleWatches {
 			m.get(fmt.Sprintf("/v1/members?name=forwarder-%04d&zone=zone-%02d", i, i%13))
-			answers.Add(1)
 		}
-	}
-	m.row("renewal with all 2,000 members", scaleWatches, func() { join(scaleWatches) })
+	})
 }
 
 func (m *measurement) wholeList() {
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -99,3 +100,31 @@
 		over()
 	})
 }
+
+// discardSink takes everything.
+type discardSink struct{ entries int }
+
+func (s *discardSink) Begin(int64, bool) error { return nil }
+func (s *discardSink) Put(Endpoint, error)     { s.entries++ }
+func (s *discardSink) Commit()                 {}
+
+func BenchmarkReadStream(b *testing.B) {
+	var text strings.Builder
+	text.WriteString(`{"index":1,"snapshot":true,"endpoints":[`)
+	const entries = 200_000
+	for i := range entries {
+		fmt.Fprintf(&text, `{"name":"endpoint-%07d","address":"10.0.%d.%d:8080","zone":"zone-%02d","type":"std","group":%d,"status":"SERVING","weight":1.5,"since_ms":0}`, i, i>>8&255, i&255, i%13, i)
+		if i < entries-1 {
+			text.WriteByte(',')
+		}
+	}
+	text.WriteString("]}")
+	for b.Loop() {
+		sink := &discardSink{}
+		r := &listReader{whole: true, accept: func(int64, bool) error { return nil }, sink: sink}
+		if err := r.read(json.NewDecoder(strings.NewReader(text.String()))); err != nil || sink.entries != entries {
+			b.Fatal(err, sink.entries)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/entries, "us/entry")
+}
--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"scaleroute/internal/agent"
+	"scaleroute/internal/catalog"
+	"scaleroute/internal/ownership"
+)
+
+var benchLayout = ownership.Layout{Partitions: 1 << 21, Replicas: 3}
+
+func fullCatalog(b *testing.B, entries int) *catalog.Catalog {
+	list := catalog.New(benchLayout, catalog.DefaultLimits)
+	list.Begin(1, true)
+	for i := range entries {
+		e := agent.Endpoint{Name: fmt.Sprintf("endpoint-%07d", i), Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255), Zone: "zone-01", Type: "std", Group: i, Status: agent.Serving, Weight: 1.5}
+		if err := list.Put(e); err != nil {
+			b.Fatal(err)
+		}
+	}
+	list.Commit()
+	return list
+}
+
+func BenchmarkLoadFolder(b *testing.B) {
+	const entries = 500_000
+	folder := &folder{path: b.TempDir()}
+	s := &Server{list: fullCatalog(b, entries)}
+	if err := writeAtomically(folder.file(listName), func(to *bufio.Writer) error { return s.writeList(to, 1, -1) }); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if list := folder.loadList(benchLayout, catalog.DefaultLimits); list.Len() != entries {
+			b.Fatal(list.Len())
+		}
+	}
+	b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)/entries*1e6, "us/entry")
+}
+
+// BenchmarkPart serves the snapshot of a part of some 970 entries.
+func BenchmarkPart(b *testing.B) {
+	s := &Server{list: fullCatalog(b, 500_000), building: make(chan struct{}, 1)}
+	random := rand.New(rand.NewPCG(1, 2))
+	numbers := make([]uint32, 970*4)
+	for i := range numbers {
+		numbers[i] = random.Uint32N(uint32(benchLayout.Partitions))
+	}
+	wanted := catalog.Scope{Partitions: ownership.NewSet(numbers...)}
+	request := httptest.NewRequest("GET", "/", nil)
+	request.Header.Set("Accept-Encoding", "gzip")
+	size := 0
+	for b.Loop() {
+		body, err := s.buildList(b.Context(), -1, &wanted, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		answer := httptest.NewRecorder()
+		s.writeJSON(answer, request, body)
+		size = answer.Body.Len()
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
+// BenchmarkTakeOver reads a list from discovery into the catalog.
+func BenchmarkTakeOver(b *testing.B) {
+	const entries = 500_000
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		to := bufio.NewWriterSize(w, 1<<20)
+		to.WriteString(`{"index":1,"snapshot":true,"endpoints":[`)
+		for i := range entries {
+			if i > 0 {
+				to.WriteByte(',')
+			}
+			e := agent.Endpoint{Name: fmt.Sprintf("endpoint-%07d", i), Address: "10.1.2.3:8080", Zone: "zone-01", Type: "std", Group: i, Status: agent.Serving, Weight: 1.5}
+			to.Write(appendEntry(nil, &e, true))
+		}
+		to.WriteString("]}")
+		to.Flush()
+	}))
+	defer discovery.Close()
+	for b.Loop() {
+		options := Options{Layout: benchLayout, Limits: catalog.DefaultLimits}
+		options.setDefaults()
+		ctx, cancel := context.WithCancel(b.Context())
+		s := &Server{list: catalog.New(benchLayout, catalog.DefaultLimits), watches: newWatches(benchLayout, 1, 1), folder: &folder{}}
+		go func() {
+			for s.index() < 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		agent.New(discovery.Listener.Addr().String(), agent.Fleet{}).Stream(ctx, -1, options.Stream, &upstreamSink{server: s})
+	}
+	b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)/entries*1e6, "us/entry")
+}
