--- a/cmd/scaleroute-control/main.go
+++ b/cmd/scaleroute-control/main.go
@@ -15,8 +15,7 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"scaleroute/internal/commandline"
 	"scaleroute/internal/control"
 	"scaleroute/internal/ownership"
 )
@@ -38,45 +37,36 @@
 	LogLevel    string        `default:"info" enum:"debug,info,warn,error" help:"Lines of less weight are not written."`
 }
 
-// Statuses of the process.
-const (
-	statusFailed = 1
-	statusUsage  = 2
-)
+// statusFailed is the exit status of a server that could not serve; a wrong command line has commandline.StatusNotDone.
+const statusFailed = 1
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// exit is what kong ends the program with, after --help.
-type exit int
-
 func run(args []string, out, errs io.Writer) (status int) {
-	defer func() {
-		switch e := recover().(type) {
-		case nil:
-		case exit:
-			status = int(e)
-		default:
-			panic(e)
-		}
-	}()
-	var f flags
-	parser, err := kong.New(&f, kong.Name("scaleroute-control"), kong.Description("A control server of scaleroute."), kong.Writers(out, errs),
-		kong.Exit(func(code int) { panic(exit(code)) }))
-	if err == nil {
-		_, err = parser.Parse(args)
-	}
-	if err != nil {
-		fmt.Fprintln(errs, "scaleroute-control:", err)
-		return statusUsage
-	}
+	tool := commandline.Tool{Name: "scaleroute-control", Description: "A control server of scaleroute.", Out: out, Errs: errs, StatusOf: statusOf}
+	return tool.Run(&flags{}, args)
+}
+
+// errServing marks errors that came after the command line was read.
+type errServing struct{ error }
+
+func statusOf(err error) (status int, isFinding bool) {
+	var serving errServing
+	return statusFailed, errors.As(err, &serving)
+}
+
+// Run serves until the process is told to end.
+func (f *flags) Run() error {
 	var level slog.Level
-	level.UnmarshalText([]byte(f.LogLevel)) // kong has checked it
-	slog.SetDefault(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
-	if err := serve(&f); err != nil {
+	if err := level.UnmarshalText([]byte(f.LogLevel)); err != nil {
+		return err
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	if err := serve(f); err != nil {
 		slog.Error("control server has ended", "err", err)
-		return statusFailed
+		return errServing{err}
 	}
-	return 0
+	return nil
 }
 
 func serve(f *flags) error {
