Send large parts piece by piece instead of building them in memory

In a small fleet a part is most of the list: 330 MB for each caller, up to sixteen at a time. TestLargePart compares both ways entry by entry.

--- a/internal/catalog/scope.go
+++ b/internal/catalog/scope.go
@@ -18,6 +18,17 @@
 		s.Partitions.Len() > 0 && s.Partitions.Contains(layout.PartitionOf(int(destination)))
 }
 
+// Outside are the scope's destinations that are in none of its partitions.
+func (s *Scope) Outside(layout ownership.Layout) ownership.Set {
+	var outside []uint32
+	for destination := range s.Destinations.All() {
+		if !s.Partitions.Contains(layout.PartitionOf(int(destination))) {
+			outside = append(outside, destination)
+		}
+	}
+	return ownership.NewSet(outside...)
+}
+
 // Visit is called with one endpoint after another; it must not call the catalog.
 type Visit func(agent.Endpoint)
 
@@ -89,11 +100,8 @@
 			c.visitPartition(p, func(uint32) bool { return true }, visit)
 		}
 	}
-	for destination := range scope.Destinations.All() {
-		p := c.layout.PartitionOf(int(destination))
-		if !scope.Partitions.Contains(p) {
-			c.visitPartition(p, func(group uint32) bool { return group == destination }, visit)
-		}
+	for destination := range scope.Outside(c.layout).All() {
+		c.visitPartition(c.layout.PartitionOf(int(destination)), func(group uint32) bool { return group == destination }, visit)
 	}
 	return nil
 }
--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -1,11 +1,9 @@
 package control
 
 import (
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"net/url"
@@ -121,11 +119,11 @@
 		}
 	}
 	buffer := buffers.Get().(*[]byte)
-	defer buffers.Put(buffer)
+	defer putBuffer(buffer)
 	body, err := s.buildList(r.Context(), q.from, &wanted, (*buffer)[:0])
 	*buffer = body
-	if errors.Is(err, errWholeList) {
-		return s.streamList(w, r)
+	if errors.Is(err, errTooManyEntries) {
+		return s.streamList(w, r, &wanted)
 	}
 	if err != nil {
 		return err
@@ -137,8 +135,14 @@
 // buffers are for answers while they are built.
 var buffers = sync.Pool{New: func() any { return new([]byte) }}
 
-// errWholeList tells that an answer is the whole list, which is not built in memory.
-var errWholeList = errors.New("the whole list")
+func putBuffer(buffer *[]byte) {
+	if cap(*buffer) <= maxKeptBuffer {
+		buffers.Put(buffer)
+	}
+}
+
+// errTooManyEntries tells that an answer is not built in memory, but sent piece by piece.
+var errTooManyEntries = errors.New("too many entries to hold them")
 
 // holdList returns when something in the scope has changed since q.from, when the time is over, or when there is no use in waiting.
 func (s *Server) holdList(ctx context.Context, q *listQuery, wanted *catalog.Scope) error {
@@ -185,8 +189,8 @@
 			return answer, s.explain(err, from)
 		}
 	}
-	if wanted.Whole {
-		return body, s.explain(s.orWholeList(), from)
+	if s.list.Index() >= 0 && s.expectedEntries(wanted) > s.options.MaxBuilt {
+		return body, errTooManyEntries
 	}
 	body = appendListHeader(body, s.list.Index(), true)
 	first := true
@@ -209,11 +213,12 @@
 	return append(body, closeList...), err
 }
 
-func (s *Server) orWholeList() error {
-	if s.list.Index() < 0 {
-		return catalog.ErrNoList
+// expectedEntries is how many entries a scope has, if they are spread evenly.
+func (s *Server) expectedEntries(wanted *catalog.Scope) int {
+	if wanted.Whole {
+		return math.MaxInt
 	}
-	return errWholeList
+	return int(int64(wanted.Partitions.Len()) * int64(s.list.Len()) / int64(s.options.Layout.Partitions))
 }
 
 // explain is an error of the catalog as an answer.
@@ -226,48 +231,3 @@
 	}
 	return err
 }
-
-// streamList sends the whole list piece by piece: the list may change meanwhile, and whatever does has a later index than the answer.
-func (s *Server) streamList(w http.ResponseWriter, r *http.Request) error {
-	select {
-	case s.wholeLists <- struct{}{}:
-		defer func() { <-s.wholeLists }()
-	default:
-		return unavailable(5*time.Second, "the whole list is sent to %d callers already", maxWholeLists)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	var to io.Writer = w
-	if acceptsGzip(r) {
-		w.Header().Set("Content-Encoding", "gzip")
-		compressor := compressors.Get().(*gzip.Writer)
-		defer compressors.Put(compressor)
-		compressor.Reset(w)
-		defer compressor.Close()
-		to = compressor
-	}
-	s.figures.wholeLists.Add(1)
-	s.writeWholeList(http.NewResponseController(w), to)
-	return nil
-}
-
-// writeWholeList writes until the end, or until the caller is gone.
-func (s *Server) writeWholeList(connection *http.ResponseController, to io.Writer) {
-	piece := appendListHeader(nil, s.index(), true)
-	first := true
-	for next, more := 0, true; more; {
-		s.listMu.RLock()
-		next, more = s.list.Slots(next, slotsAtOnce, func(e agent.Endpoint) {
-			piece = appendEntry(piece, &e, first)
-			first = false
-		})
-		s.listMu.RUnlock()
-		if !more {
-			piece = append(piece, closeList...)
-		}
-		connection.SetWriteDeadline(time.Now().Add(writeTime))
-		if _, err := to.Write(piece); err != nil {
-			return
-		}
-		piece = piece[:0]
-	}
-}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -30,6 +30,7 @@
 	MaxRequests   int           // at the same time, held ones included
 	MaxScopes     int
 	MaxSetNumbers int // in all scopes together
+	MaxBuilt      int // entries of a snapshot that is built in memory; a larger one is sent piece by piece
 	Limits        catalog.Limits
 	Stream        agent.StreamLimits
 }
@@ -44,6 +45,7 @@
 	maxPeers         = 16          //
 	maxPeerAnswer    = 64 << 20    // bytes
 	minCompressed    = 1 << 10     // bytes: a shorter answer is sent as it is
+	maxKeptBuffer    = 4 << 20     // bytes of a buffer that is used again
 	slotsAtOnce      = 512         // of the list, under one lock
 	maxHeaderBytes   = 64 << 10    //
 	writeTime        = time.Minute // for an answer, or a piece of the whole list
@@ -60,6 +62,7 @@
 	setDefault(&o.MaxRequests, 16<<10)
 	setDefault(&o.MaxScopes, 32<<10)
 	setDefault(&o.MaxSetNumbers, 64<<20)
+	setDefault(&o.MaxBuilt, 20_000)
 	if o.Limits == (catalog.Limits{}) {
 		o.Limits = catalog.DefaultLimits
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -123,6 +123,7 @@
 func (s *Server) handle(serve func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.figures.requests.Add(1)
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.MaxHold + writeTime)) // of answers that set no other
 		if n := s.figures.underWay.Add(1); n > int64(s.options.MaxRequests) {
 			s.overload.warn("more requests than are served at the same time: some are answered with 503", "max_requests", s.options.MaxRequests)
 			s.writeProblem(w, unavailable(time.Second, "more than %d requests at the same time", s.options.MaxRequests))
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -332,6 +332,31 @@
 	}
 }
 
+// TestLargePart: a part that is sent piece by piece has the same entries as one that is built in memory.
+func TestLargePart(t *testing.T) {
+	d := newFakeDiscovery(t, 7, endpoints(3000)...)
+	options := testOptions(t, d.address())
+	small := startServer(t, options)
+	options.Folder, options.MaxBuilt = t.TempDir(), 10
+	large := startServer(t, options)
+	var half []uint32
+	for p := range uint32(32) {
+		half = append(half, 2*p)
+	}
+	extra := ownership.NewSet(1, 2, 3, 4, 5, 6, 7, 8, 9, 10).String()
+	var answers []*reply
+	for _, s := range []*testServer{small, large} {
+		s.awaitIndex(7)
+		answers = append(answers, s.get("/v1/servers?scope=%s&destinations=%s", s.register(half...), extra))
+	}
+	if answers[0].names() != answers[1].names() || len(answers[1].list.Endpoints) < 1000 || !answers[1].list.Snapshot || answers[1].list.Index != 7 {
+		t.Errorf("%d entries in memory, %d in pieces", len(answers[0].list.Endpoints), len(answers[1].list.Endpoints))
+	}
+	if a, b := small.snapshotFigures().WholeLists, large.snapshotFigures().WholeLists; a != 0 || b != 1 {
+		t.Errorf("%d and %d are sent piece by piece", a, b)
+	}
+}
+
 // TestCompression: an answer over a kilobyte is compressed where the caller accepts that, a smaller one is not.
 func TestCompression(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoints(200)...)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -144,6 +144,10 @@
 				t.Fatalf("number %d is in the wrong sets", number)
 			}
 		}
+		first, rest := a.Cut(len(others))
+		if first.Len() != min(len(others), a.Len()) || !first.Union(rest).Equal(a) || first.Minus(rest).Len() != first.Len() {
+			t.Fatalf("%v cut into %v and %v", a.numbers, first.numbers, rest.numbers)
+		}
 		if a.Union(b).Len() != a.Minus(b).Len()+b.Len() {
 			t.Fatalf("sizes of %v and %v", a.numbers, b.numbers)
 		}
