--- a/internal/scale/directory_test.go
+++ b/internal/scale/directory_test.go
@@ -78,6 +78,7 @@
 			t.Fatalf("step %d: the snapshot and what was followed differ", step)
 		}
 	}
+	apply(followed, get(t, d, ""))
 	for _, destination := range d.Pick(random, destinations) {
 		if status := followed[EndpointName(destination)]; status != agent.Serving {
 			t.Errorf("%d was drawn, and is %q", destination, status)
