Bound the single destinations that held watches name

Each call may name 4,096, so that 16,384 of them could keep gigabytes of wake-up entries. A million are kept for all; a watch over that is answered with 503.

--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -147,6 +147,9 @@
 // holdList returns when something in the scope has changed since q.from, when the time is over, or when there is no use in waiting.
 func (s *Server) holdList(ctx context.Context, q *listQuery, wanted *catalog.Scope) error {
 	each := s.watches.begin(q.scope, q.destinations, wanted.Whole)
+	if each == nil {
+		return unavailable(time.Second, "more than %d single destinations are watched here", maxWatchedDestinations)
+	}
 	defer s.watches.end(each)
 	timeout := time.NewTimer(q.hold)
 	defer timeout.Stop()
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -37,18 +37,19 @@
 
 // Bounds that are not set by operators.
 const (
-	maxMembers       = 1 << 16
-	maxMemberChanges = 1 << 14
-	maxNameLen       = 256         // of a member or a zone
-	maxScopeBody     = 8 << 20     // bytes
-	maxWholeLists    = 4           // sent at the same time
-	maxPeers         = 16          //
-	maxPeerAnswer    = 64 << 20    // bytes
-	minCompressed    = 1 << 10     // bytes: a shorter answer is sent as it is
-	maxKeptBuffer    = 4 << 20     // bytes of a buffer that is used again
-	slotsAtOnce      = 512         // of the list, under one lock
-	maxHeaderBytes   = 64 << 10    //
-	writeTime        = time.Minute // for an answer, or a piece of the whole list
+	maxMembers             = 1 << 16
+	maxMemberChanges       = 1 << 14
+	maxNameLen             = 256         // of a member or a zone
+	maxScopeBody           = 8 << 20     // bytes
+	maxWholeLists          = 4           // sent at the same time
+	maxWatchedDestinations = 1 << 20     // single ones, in all watches that are held
+	maxPeers               = 16          //
+	maxPeerAnswer          = 64 << 20    // bytes
+	minCompressed          = 1 << 10     // bytes: a shorter answer is sent as it is
+	maxKeptBuffer          = 4 << 20     // bytes of a buffer that is used again
+	slotsAtOnce            = 512         // of the list, under one lock
+	maxHeaderBytes         = 64 << 10    //
+	writeTime              = time.Minute // for an answer, or a piece of the whole list
 )
 
 func (o *Options) setDefaults() {
--- a/internal/control/scopes.go
+++ b/internal/control/scopes.go
@@ -11,9 +11,10 @@
 
 // watches knows the registered scopes and who waits for a change in which, so that a change wakes those alone whose scope it touches.
 type watches struct {
-	layout     ownership.Layout
-	maxScopes  int
-	maxNumbers int
+	layout          ownership.Layout
+	maxScopes       int
+	maxNumbers      int
+	maxDestinations int
 
 	mu            sync.Mutex
 	scopes        map[string]*scope
@@ -25,6 +26,7 @@
 	byDestination map[uint32]map[*watch]struct{}
 	whole         map[*watch]struct{}
 	held          int
+	destinations  int // single ones, in all calls that wait
 }
 
 // scope is a set of partitions that somebody has registered.
@@ -45,7 +47,7 @@
 }
 
 func newWatches(layout ownership.Layout, maxScopes, maxNumbers int) *watches {
-	return &watches{layout: layout, maxScopes: maxScopes, maxNumbers: maxNumbers, scopes: map[string]*scope{}, used: list.New(),
+	return &watches{layout: layout, maxDestinations: maxWatchedDestinations, maxScopes: maxScopes, maxNumbers: maxNumbers, scopes: map[string]*scope{}, used: list.New(),
 		partitions: newPartitionIndex(layout.Partitions), byDestination: map[uint32]map[*watch]struct{}{}, whole: map[*watch]struct{}{}}
 }
 
@@ -118,11 +120,15 @@
 	return w.scopes[s.digest] == s
 }
 
-// begin has a call woken by changes of a scope, some destinations, or the whole list, until end.
+// begin has a call woken by changes of a scope, some destinations, or the whole list, until end; nil where too many single destinations are watched.
 func (w *watches) begin(s *scope, destinations ownership.Set, whole bool) *watch {
 	each := &watch{wake: make(chan struct{}, 1), scope: s, destinations: destinations, whole: whole}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.destinations+destinations.Len() > w.maxDestinations {
+		return nil
+	}
+	w.destinations += destinations.Len()
 	w.held++
 	if s != nil {
 		s.watches[each] = struct{}{}
@@ -145,6 +151,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.held--
+	w.destinations -= each.destinations.Len()
 	if each.scope != nil {
 		delete(each.scope.watches, each)
 	}
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -332,6 +332,29 @@
 	}
 }
 
+// TestWatchedDestinationsAreBounded: a watch of more single destinations than there is room for is refused, and one that ends makes room.
+func TestWatchedDestinationsAreBounded(t *testing.T) {
+	d := newFakeDiscovery(t, 7, endpoint("a", 1))
+	s := startServer(t, testOptions(t, d.address()))
+	s.awaitIndex(7)
+	s.watches.mu.Lock()
+	s.watches.maxDestinations = 3
+	s.watches.mu.Unlock()
+	held := s.getAside("/v1/servers?destinations=%s&from=7&hold_ms=60000", ownership.NewSet(1, 2))
+	s.awaitWatchers(1)
+	if got := s.get("/v1/servers?destinations=%s&from=7&hold_ms=60000", ownership.NewSet(3, 4)); got.status != 503 || !strings.Contains(got.text, "are watched here") {
+		t.Errorf("status %d: %s", got.status, got.text)
+	}
+	d.change(draining(endpoint("a", 1)))
+	if got := <-held; got.names() != "a~" {
+		t.Errorf("%s", got.text)
+	}
+	s.awaitWatchers(0)
+	if got := s.get("/v1/servers?destinations=%s&from=8&hold_ms=1", ownership.NewSet(3, 4)); got.status != 200 {
+		t.Errorf("once there is room: status %d", got.status)
+	}
+}
+
 // TestLargePart: a part that is sent piece by piece has the same entries as one that is built in memory.
 func TestLargePart(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoints(3000)...)
