--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -35,6 +35,10 @@
 		host.Main(os.Stdin, os.Stdout)
 		os.Exit(0)
 	}
+	if options := os.Getenv("SCALEROUTE_TEST_CONTROL"); options != "" {
+		controlMain(options)
+		os.Exit(0)
+	}
 	if os.Getenv("SCALEROUTE_TEST_MAIN") != "" {
 		if stop := os.Getenv("SCALEROUTE_TEST_STEP"); stop != "" {
 			takeover.Reached = func(step string) {
@@ -96,6 +100,7 @@
 	env       []string
 	listener  *os.File    // the clients' socket, where the platform holds it
 	listing   string      // in place of one target
+	noKnown   bool        // the configuration has no list
 	told      []string    // what changed, by versions from 2 on
 	more      chan bool   // closed with the next of them
 	heard     int         // the newest version from which somebody has asked on
@@ -198,8 +203,11 @@
 }
 
 func (w *world) list() []byte {
-	if w.listing != "" {
-		return fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[%s]}`, w.listing)
+	w.mu.Lock()
+	listing := w.listing
+	w.mu.Unlock()
+	if listing != "" {
+		return fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[%s]}`, listing)
 	}
 	return fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":%q,"zone":"a","type":"std","group":7,"status":"SERVING","weight":50}]}`,
 		w.target.Listener.Addr())
@@ -282,9 +290,9 @@
 }
 
 // start runs the program and returns once it answers PING.
-func (w *world) start() *process {
+func (w *world) start(env ...string) *process {
 	w.t.Helper()
-	p := w.launch()
+	p := w.launch(env...)
 	p.await()
 	return p
 }
@@ -292,7 +300,10 @@
 // launch runs the program.
 func (w *world) launch(env ...string) *process {
 	w.t.Helper()
-	config := filepath.Join(w.t.TempDir(), "config.json")
+	config, known := filepath.Join(w.t.TempDir(), "config.json"), w.list()
+	if w.noKnown {
+		known = []byte(`{"index":0,"snapshot":true,"endpoints":[]}`)
+	}
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%v},"known":%s,
 		"settings":{"Azs":["a"],"Kinds":["std"],"Siblings":1,"Weights":"nominal","Discovery":"automatic","Tenants":[],
@@ -301,7 +312,7 @@
 		"Invariants":{"Cold":100.0,"DrainGrace":1000.0,"Fall":3000.0,"StartCapacity":0.9,"TipMultiple":2.0},
 		"Classes":[{"Name":"harmless","Effect":"pure","OnTime":60000.0,"Deadline":300000.0,"Worth":1.0,"LateShare":0.4},
 		{"Name":"unsafe","Effect":"side_effect","OnTime":60000.0,"Deadline":300000.0,"Worth":3.0,"LateShare":0.4}]}}`,
-		w.discovery.Listener.Addr(), w.diskMB, w.list())
+		w.discovery.Listener.Addr(), w.diskMB, known)
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -330,7 +341,8 @@
 			if _, rest, ok := strings.Cut(lines.Text(), "msg=\"operators' door\" address="); ok {
 				p.door = rest
 			}
-			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving name=n0 address="); ok {
+			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving "); ok {
+				_, rest, _ = strings.Cut(rest, "address=")
 				p.address, _, _ = strings.Cut(rest, " ")
 				select {
 				case p.serving <- true:
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"time"
 
 	"scaleroute/internal/agent"
+	"scaleroute/internal/control/api"
 	"scaleroute/internal/ownership"
 	"scaleroute/internal/partial"
 )
@@ -129,8 +131,6 @@
 	return fmt.Sprintf("%s: status %d: %s", e.Server, e.Status, e.Text)
 }
 
-const unknownScope = "unknown scope"
-
 // call is one HTTP call.
 type call struct {
 	kind   Kind
@@ -225,7 +225,7 @@
 	whole := w.From == partial.NoIndex
 	a, _, err := c.list(ctx, next, whole)
 	var status *StatusError
-	if errors.As(err, &status) && status.Status == http.StatusNotFound && strings.Contains(status.Text, unknownScope) {
+	if errors.As(err, &status) && status.Status == http.StatusNotFound && strings.Contains(status.Text, api.UnknownScope) {
 		if err := c.register(ctx, server, scope); err != nil {
 			return a, err
 		}
@@ -253,9 +253,13 @@
 }
 
 func (c *Client) register(ctx context.Context, server string, scope ownership.Set) error {
-	text := scope.String()
-	_, err := c.do(ctx, call{kind: ScopeCall, method: http.MethodPut, server: server, path: "/v1/scopes/" + ownership.Digest(c.config.Layout.Partitions, text),
-		body: fmt.Sprintf(`{"partitions":%d,"set":%q}`, c.config.Layout.Partitions, text), limit: registerTime}, nil)
+	set := scope.String()
+	body, err := json.Marshal(api.Scope{Partitions: c.config.Layout.Partitions, Set: set})
+	if err != nil {
+		return err
+	}
+	path := "/v1/scopes/" + ownership.Digest(c.config.Layout.Partitions, set)
+	_, err = c.do(ctx, call{kind: ScopeCall, method: http.MethodPut, server: server, path: path, body: string(body), limit: registerTime}, nil)
 	return err
 }
 
@@ -293,19 +297,20 @@
 }
 
 // Members renews this member's lease, and waits so long for changes of the members.
-func (c *Client) Members(ctx context.Context, epoch Epoch, index int64, hold time.Duration) (MembersAnswer, error) {
+func (c *Client) Members(ctx context.Context, epoch string, index int64, hold time.Duration) (api.Members, error) {
 	server := c.Server()
 	query := url.Values{"name": {c.config.Name}, "zone": {c.config.Zone}}
 	limit := registerTime
 	if epoch != "" {
-		query.Set("epoch", string(epoch))
+		query.Set("epoch", epoch)
 		query.Set("from", strconv.FormatInt(index, 10))
 		query.Set("hold_ms", strconv.FormatInt(hold.Milliseconds(), 10))
 		limit = hold + holdMargin
 	}
-	var a MembersAnswer
-	_, err := c.do(ctx, call{kind: MembersCall, method: http.MethodGet, server: server, path: "/v1/members?" + query.Encode(), limit: limit}, func(body io.Reader) error {
-		return a.read(io.LimitReader(body, maxAnswer))
+	var a api.Members
+	_, err := c.do(ctx, call{kind: MembersCall, method: http.MethodGet, server: server, path: "/v1/members?" + query.Encode(), limit: limit}, func(body io.Reader) (err error) {
+		a, err = readMembers(io.LimitReader(body, maxAnswer))
+		return err
 	})
 	if err != nil && ctx.Err() == nil {
 		c.leave(server)
--- a/internal/control/client/client_test.go
+++ b/internal/control/client/client_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"scaleroute/internal/agent"
+	"scaleroute/internal/control/api"
 	"scaleroute/internal/ownership"
 	"scaleroute/internal/partial"
 )
@@ -167,9 +168,9 @@
 
 // TestMembership: who is missing at another server stays for a lease; who is at the same one does not.
 func TestMembership(t *testing.T) {
-	serving := func(names ...string) (list []Member) {
+	serving := func(names ...string) (list []api.Member) {
 		for _, n := range names {
-			list = append(list, Member{Name: n, Status: "SERVING"})
+			list = append(list, api.Member{Name: n, Status: api.Serving})
 		}
 		return list
 	}
@@ -177,15 +178,15 @@
 	for _, step := range []struct {
 		what    string
 		now     time.Duration
-		a       MembersAnswer
+		a       api.Members
 		changed bool
 		want    string
 	}{
-		{"the first answer", 0, MembersAnswer{Epoch: "A", Index: 1, Snapshot: true, LeaseMS: 1000, Members: serving("a", "b", "c")}, true, "a b c"},
-		{"changes", 1, MembersAnswer{Epoch: "A", Index: 2, LeaseMS: 1000, Members: []Member{{Name: "c", Status: "DELETED"}, {Name: "d"}}}, true, "a b d"},
-		{"nothing new", 2, MembersAnswer{Epoch: "A", Index: 2, LeaseMS: 1000}, false, "a b d"},
-		{"another server that knows fewer", 3, MembersAnswer{Epoch: "B", Index: 1, Snapshot: true, LeaseMS: 1000, Members: serving("a", "e")}, true, "a b d e"},
-		{"it learns", 4, MembersAnswer{Epoch: "B", Index: 2, LeaseMS: 1000, Members: serving("b")}, false, "a b d e"},
+		{"the first answer", 0, api.Members{Epoch: "A", Index: 1, Snapshot: true, LeaseMS: 1000, Members: serving("a", "b", "c")}, true, "a b c"},
+		{"changes", 1, api.Members{Epoch: "A", Index: 2, LeaseMS: 1000, Members: []api.Member{{Name: "c", Status: "DELETED"}, {Name: "d"}}}, true, "a b d"},
+		{"nothing new", 2, api.Members{Epoch: "A", Index: 2, LeaseMS: 1000}, false, "a b d"},
+		{"another server that knows fewer", 3, api.Members{Epoch: "B", Index: 1, Snapshot: true, LeaseMS: 1000, Members: serving("a", "e")}, true, "a b d e"},
+		{"it learns", 4, api.Members{Epoch: "B", Index: 2, LeaseMS: 1000, Members: serving("b")}, false, "a b d e"},
 	} {
 		if changed := m.Apply(step.now, step.a); changed != step.changed || strings.Join(m.Names(), " ") != step.want {
 			t.Fatalf("%s: changed %v, %v", step.what, changed, m.Names())
@@ -194,7 +195,7 @@
 	if m.Expire(time.Second+2) || !m.Expire(time.Second+3) || strings.Join(m.Names(), " ") != "a b e" {
 		t.Fatal(m.Names())
 	}
-	if !m.Apply(time.Minute, MembersAnswer{Epoch: "B", Index: 3, Snapshot: true, LeaseMS: 1000, Members: serving("a")}) || strings.Join(m.Names(), " ") != "a" {
+	if !m.Apply(time.Minute, api.Members{Epoch: "B", Index: 3, Snapshot: true, LeaseMS: 1000, Members: serving("a")}) || strings.Join(m.Names(), " ") != "a" {
 		t.Fatal(m.Names())
 	}
 }
@@ -202,13 +203,12 @@
 // TestMembersRead: an answer that can't be right is refused.
 func TestMembersRead(t *testing.T) {
 	for _, text := range []string{``, `{}`, `{"epoch":"x"}`, `{"lease_ms":5}`, `[1]`} {
-		var a MembersAnswer
-		if a.read(strings.NewReader(text)) == nil {
+		if _, err := readMembers(strings.NewReader(text)); err == nil {
 			t.Errorf("%s is taken", text)
 		}
 	}
-	var a MembersAnswer
-	if err := a.read(strings.NewReader(`{"epoch":17,"index":3,"snapshot":true,"lease_ms":5,"members":[{"name":"a"}]}`)); err != nil || a.Epoch != "17" || len(a.Members) != 1 {
+	a, err := readMembers(strings.NewReader(`{"epoch":"17","index":3,"snapshot":true,"lease_ms":5,"members":[{"name":"a"}]}`))
+	if err != nil || a.Epoch != "17" || len(a.Members) != 1 {
 		t.Errorf("%+v %v", a, err)
 	}
 }
--- a/internal/control/client/fake_test.go
+++ b/internal/control/client/fake_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"scaleroute/internal/agent"
+	"scaleroute/internal/control/api"
 	"scaleroute/internal/ownership"
 	"scaleroute/internal/partial"
 )
@@ -236,9 +237,9 @@
 		if !last && q.Get("epoch") == epoch && from == f.version {
 			return false
 		}
-		a := MembersAnswer{Epoch: Epoch(epoch), Index: f.version, Snapshot: true, LeaseMS: 60_000}
+		a := api.Members{Epoch: epoch, Index: f.version, Snapshot: true, LeaseMS: 60_000}
 		for name := range f.members {
-			a.Members = append(a.Members, Member{Name: name, Zone: "a", Status: "SERVING"})
+			a.Members = append(a.Members, api.Member{Name: name, Zone: "a", Status: api.Serving})
 		}
 		answerJSON(w, r, a)
 		return true
--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"scaleroute/internal/agent"
+	"scaleroute/internal/control/api"
 	"scaleroute/internal/ownership"
 	"scaleroute/internal/partial"
 )
@@ -200,7 +201,7 @@
 // maxMembersHold is how long a watch of the members is held: the lease is renewed so often at least.
 const maxMembersHold = 10 * time.Second
 
-func (f *Follower) applyMembers(a MembersAnswer) {
+func (f *Follower) applyMembers(a api.Members) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.membership.Apply(f.now(), a) {
--- a/internal/control/client/members.go
+++ b/internal/control/client/members.go
@@ -7,48 +7,22 @@
 	"io"
 	"maps"
 	"slices"
-	"strings"
 	"time"
-)
-
-// Epoch says whose index of the members an index is: it is another one at each control server, and after each of its starts.
-type Epoch string
 
-// UnmarshalJSON takes a text or a number.
-func (e *Epoch) UnmarshalJSON(text []byte) error {
-	*e = Epoch(strings.Trim(string(text), `"`))
-	return nil
-}
-
-// Member is one of the fleet.
-type Member struct {
-	Name   string `json:"name"`
-	Zone   string `json:"zone"`
-	Status string `json:"status"`
-}
-
-const memberDeleted = "DELETED"
-
-// MembersAnswer is what a control server answers about members.
-type MembersAnswer struct {
-	Epoch    Epoch    `json:"epoch"`
-	Index    int64    `json:"index"`
-	Snapshot bool     `json:"snapshot"`
-	LeaseMS  int64    `json:"lease_ms"`
-	Members  []Member `json:"members"`
-}
+	"scaleroute/internal/control/api"
+)
 
-func (a *MembersAnswer) read(from io.Reader) error {
-	if err := json.NewDecoder(from).Decode(a); err != nil {
-		return err
+func readMembers(from io.Reader) (a api.Members, err error) {
+	if err := json.NewDecoder(from).Decode(&a); err != nil {
+		return a, err
 	}
 	switch {
-	case a.Epoch == "" || a.Epoch == "null":
-		return errors.New("members: the answer has no epoch")
+	case a.Epoch == "":
+		return a, errors.New("members: the answer has no epoch")
 	case a.LeaseMS <= 0:
-		return fmt.Errorf("members: a lease of %d ms", a.LeaseMS)
+		return a, fmt.Errorf("members: a lease of %d ms", a.LeaseMS)
 	}
-	return nil
+	return a, nil
 }
 
 // Membership is who the members are, by what control servers have answered. It does no I/O and reads no clock.
@@ -56,14 +30,14 @@
 // A server that has just started may know few of them. So who is missing in the answer of another server, or of one that started anew, stays a member for one
 // lease more: parts do not move because this forwarder has changed its server.
 type Membership struct {
-	Epoch   Epoch
+	Epoch   string // whose the index is
 	Index   int64
 	Lease   time.Duration
 	members map[string]time.Duration // until when one counts that the present server has not named; 0: it has
 }
 
 // Apply takes an answer, and tells whether the members are others now.
-func (m *Membership) Apply(now time.Duration, a MembersAnswer) (changed bool) {
+func (m *Membership) Apply(now time.Duration, a api.Members) (changed bool) {
 	if m.members == nil {
 		m.members = map[string]time.Duration{}
 	}
@@ -72,7 +46,7 @@
 	m.Epoch, m.Index = a.Epoch, a.Index
 	named := map[string]bool{}
 	for _, member := range a.Members {
-		if member.Status == memberDeleted {
+		if member.Status == api.Deleted {
 			if _, known := m.members[member.Name]; known {
 				delete(m.members, member.Name)
 				changed = true
--- a/internal/partial/lookups.go
+++ b/internal/partial/lookups.go
@@ -26,8 +26,8 @@
 
 // Costs of a look-up on the wire, both ways, headers included, until it is known what it came to.
 const (
-	lookupBase = 330 // bytes of one look-up
-	lookupEach = 190 // bytes of one destination in it
+	lookupBase = 190 // bytes of one look-up
+	lookupEach = 140 // bytes of one destination in it
 )
 
 const (
