--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -91,7 +91,7 @@
 
 // world is discovery, the platform and one target.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	discovery *httptest.Server
 	target    *httptest.Server
 	state     string
@@ -114,7 +114,7 @@
 	answer  func(w http.ResponseWriter, id string)
 }
 
-func newWorld(t *testing.T, answer func(http.ResponseWriter, string)) *world {
+func newWorld(t testing.TB, answer func(http.ResponseWriter, string)) *world {
 	w := &world{t: t, state: t.TempDir(), diskMB: 3, calls: map[string]int{}, answer: answer,
 		notices: make(chan string, 100), called: make(chan string, 100), more: make(chan bool)}
 	over := make(chan bool)
@@ -259,7 +259,7 @@
 
 // process is one run of the program.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	cmd     *exec.Cmd
 	once    sync.Once
 	address string
@@ -392,7 +392,7 @@
 }
 
 type client struct {
-	t    *testing.T
+	t    testing.TB
 	conn net.Conn
 	r    *bufio.Reader
 }
--- a/cmd/scaleroute/partial_test.go
+++ b/cmd/scaleroute/partial_test.go
@@ -74,7 +74,7 @@
 }
 
 // newPartWorld starts so many control servers, which know so many destinations inside the part of n0 and outside, and four members.
-func newPartWorld(t *testing.T, servers, destinations int) *partWorld {
+func newPartWorld(t testing.TB, servers, destinations int) *partWorld {
 	w := &partWorld{set: operator.DefaultControl(), release: make(chan bool),
 		options: control.Options{Layout: partLayout, Lease: 10 * time.Minute, Settle: time.Millisecond, PublishEvery: 10 * time.Millisecond}}
 	w.world = newWorld(t, func(_ http.ResponseWriter, id string) {
