--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"scaleroute/internal/agent"
@@ -28,9 +29,11 @@
 	listMu sync.RWMutex // held by upstream for one entry at a time
 	list   *catalog.Catalog
 
-	keepMu     sync.Mutex    // what the folder gets
-	savedIndex int64         // of the snapshot in the folder that this process has written; -1: none
-	saveDue    chan struct{} // of one place: a snapshot is due at once
+	keepMu          sync.Mutex    // what the folder gets
+	savedIndex      int64         // of the snapshot in the folder that this process has written; -1: none
+	snapshotMissing bool          // the changes that are kept come after a snapshot that is not
+	keptIndex       atomic.Int64  // that a restart would begin with; -1: none
+	saveDue         chan struct{} // of one place: a snapshot is due at once
 
 	memberMu      sync.Mutex
 	members       *members
@@ -39,6 +42,7 @@
 	restored      bool          // members are known from before this process
 	peersHeard    map[string]bool
 	membersToSave bool
+	keptLeases    atomic.Int64 // that a restart would begin with
 
 	building   chan struct{} // a place for each answer that is being built
 	wholeLists chan struct{} // a place for each whole list that is being sent
@@ -64,12 +68,13 @@
 		published: make(chan struct{}), peersHeard: map[string]bool{}, building: make(chan struct{}, 2*runtime.GOMAXPROCS(0)),
 		wholeLists: make(chan struct{}, maxWholeLists), stopping: make(chan struct{}), savedIndex: -1, saveDue: make(chan struct{}, 1)}
 	s.list = folder.loadList(options.Layout, options.Limits)
+	s.keptIndex.Store(s.list.Index())
 	s.restoreMembers()
 	return s, nil
 }
 
 // shutdownTime is how long answers that are under way may take after the context has ended.
-const shutdownTime = 3 * time.Second
+const shutdownTime = 2 * time.Second
 
 // Run serves until the context ends, and then ends in order: held watches are answered, and the list is kept.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
