Follow the present part while entries of new partitions can't be had

A forwarder whose new partitions no server can send yet stopped its watch until one could: a drain of its own part would have waited. Now the watch goes on, and new destinations are looked up meanwhile. A hot restart from a process that watched the whole list starts from that list, without a call.

--- a/cmd/scaleroute/partial.go
+++ b/cmd/scaleroute/partial.go
@@ -67,6 +67,11 @@
 		known, _ := follower.Begin()
 		return &known
 	}
+	if from != nil && from.list != nil { // that process watched the whole list: no client waits for control servers
+		follower.Start(from.list)
+		known, _ := follower.Begin()
+		return &known
+	}
 	follower.Start(configured)
 	p.recovered = recoveredDestinations(j)
 	ctx, cancel := context.WithTimeout(context.Background(), firstPartWait)
--- a/internal/control/client/arrivals.go
+++ b/internal/control/client/arrivals.go
@@ -106,7 +106,7 @@
 		return f.delivered
 	}
 	done = make(chan struct{})
-	if !f.begun {
+	if !f.begun && !f.stopped {
 		f.early = append(f.early, u.Changed...)
 	}
 	if empty || !f.begun {
@@ -152,7 +152,7 @@
 	f.deliverAll()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.begun = false
+	f.begun, f.stopped = false, true
 	close(f.ended)
 }
 
--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -39,6 +39,7 @@
 	mu         sync.Mutex
 	begun      bool             // updates are delivered
 	early      []agent.Endpoint // changed before that
+	stopped    bool             // nothing is delivered any more
 	state      *partial.State
 	membership Membership
 	changed    bool          // the members are others than those of owned
@@ -222,11 +223,10 @@
 	}
 	again := backoff{client: f.Client}
 	for ctx.Err() == nil {
-		err := f.followMembers(ctx)
-		if err == nil {
-			err = f.watchOnce(ctx, f.WatchHold)
+		if err := f.followMembers(ctx); err != nil && ctx.Err() == nil { // the present part is followed all the same
+			slog.Warn("the entries of new partitions can't be had yet: their destinations are looked up", "err", err)
 		}
-		if err != nil {
+		if err := f.watchOnce(ctx, f.WatchHold); err != nil {
 			again.wait(ctx, "list", err)
 			continue
 		}
--- a/internal/control/client/follower_test.go
+++ b/internal/control/client/follower_test.go
@@ -213,6 +213,38 @@
 	}
 }
 
+// TestGainedFails: while the entries of new partitions can't be had, the part that is known is followed, and new destinations are looked up.
+func TestGainedFails(t *testing.T) {
+	l := newList()
+	before, after := []string{"n0", "n1", "n2", "n3", "n4", "n5"}, []string{"n0", "n1", "n2", "n3", "n4"}
+	l.setMembers(before...)
+	was, is := testLayout.Owned("n0", before), testLayout.Owned("n0", after)
+	gained, _ := destinationsOf(is.Minus(was), 1)
+	kept, _ := destinationsOf(was, 1)
+	l.fill(gained[0], kept[0])
+	s := newFake(t, l)
+	f, e := following(t, partial.DefaultLimits(), s)
+	s.spoils(func(w http.ResponseWriter, r *http.Request) bool {
+		q := r.URL.Query()
+		return q.Has("scope") && !q.Has("from") && cutOff(w, r)
+	})
+	l.setMembers(after...)
+	for s.count("GET /v1/servers") < 8 || f.Status().Members != len(after) {
+		time.Sleep(time.Millisecond)
+	}
+	l.set(kept[0], name(kept[0]), agent.Draining)
+	e.await(t, "a drain of the part", func() bool { return e.status(name(kept[0])) == agent.Draining })
+	if d := f.Arrive(gained[0], soon()); d.Verdict != partial.Pass || e.status(name(gained[0])) != agent.Serving {
+		t.Errorf("%+v; %v", d, e.view)
+	}
+	s.spoils(nil)
+	for limit := soon(); f.Status().Partitions != is.Len(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%+v", f.Status())
+		}
+	}
+}
+
 // TestResume: the next process goes on from what was saved, without a call, and follows from there.
 func TestResume(t *testing.T) {
 	l := newList()
