--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -42,6 +42,7 @@
 	Residual  float64 // the largest distance of a run from the curve, as a share of the curve there
 
 	seedLines         []line
+	straight          line    // that a power was taken for
 	smallest, largest float64 // sizes
 	sizes             int
 }
@@ -94,6 +95,9 @@
 	return math.Pow((y-f.Intercept)/f.Slope, 1/f.Exponent)
 }
 
+// LineAt is the line that a power was taken for, at a size.
+func (f *Fit) LineAt(x float64) float64 { return max(0, f.straight.intercept+f.straight.slope*x) }
+
 // Covers tells whether the size was measured, rather than beyond those that were.
 func (f *Fit) Covers(x float64) bool { return x >= f.smallest && x <= f.largest }
 
@@ -150,18 +154,19 @@
 
 // checkExponent takes the power that lies nearest to the points for the line, where its exponent is not near 1 and it is nearer by far.
 func (f *Fit) checkExponent(points []Point) {
-	line := *f
-	best, nearest := line, line.squares(points)
+	linear := *f
+	best, nearest := linear, linear.squares(points)
 	for exponent := lowestExponent; exponent <= highestExponent; exponent += exponentStep {
-		power := line
+		power := linear
 		power.Shape, power.Exponent = Power, exponent
 		power.Intercept, power.Slope = regression(points, exponent)
 		if squares := power.squares(points); squares < nearest {
 			best, nearest = power, squares
 		}
 	}
-	if math.Abs(best.Exponent-1) > exponentTolerance && nearest < muchNearer*line.squares(points) {
+	if math.Abs(best.Exponent-1) > exponentTolerance && nearest < muchNearer*linear.squares(points) {
 		*f = best
+		f.straight = line{linear.Intercept, linear.Slope}
 		f.seedLines = nil // their slopes are of lines
 	}
 }
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -55,6 +55,9 @@
 		t.Fatalf("shape %s, want a power: a square is no line", f.Shape)
 	}
 	near(t, "exponent", f.Exponent, 2, 0.1)
+	if line := f.LineAt(6800); line <= 0 || line >= f.At(6800) {
+		t.Errorf("a line comes to %g at 6,800, and the square to %g", line, f.At(6800))
+	}
 	near(t, "size and back", f.At(f.SizeAt(1e6)), 1e6, 1e-6)
 }
 
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -169,7 +169,7 @@
 	}
 	text += fmt.Sprintf(", %s", r.Fit.Shape)
 	if r.Fit.Shape == Power {
-		text += fmt.Sprintf(" %.2f: not linear", r.Fit.Exponent)
+		text += fmt.Sprintf(" %.2f: not linear, a line comes to %s", r.Fit.Exponent, amount(r.Fit.LineAt(r.Size), r.Resource))
 	}
 	return text + fmt.Sprintf(", residual %s", percent(r.Fit.Residual))
 }
