Measure the list by an agent whose answers are written beforehand

The stand-in agent renders a list of 200,000 entries at each call, which takes seconds beside a load over 100, and a forwarder that has waited 2 s asks again: a trial there had not read its list after 90 s. That agent's slowness was a part of what list and every-entry measured.

--- a/internal/capacity/measure/forwarder.go
+++ b/internal/capacity/measure/forwarder.go
@@ -28,6 +28,7 @@
 // forwarder is a real one in a world of its own, with its agent behind a relay that counts bytes.
 type forwarder struct {
 	world   *standin.World
+	agent   *listAgent
 	list    *fleet.Edge
 	process *fleet.Process
 	dir     string
@@ -60,7 +61,10 @@
 	if f.world, err = standin.New(standin.Shape{Destinations: destinations, Endpoints: 1, Hosts: hosts}); err != nil {
 		return f, err
 	}
-	if f.list, err = fleet.NewEdge("127.0.0.1:0", f.world.Discovery.Address(), seed); err != nil {
+	if f.agent, err = newListAgent(f.world); err != nil {
+		return f, err
+	}
+	if f.list, err = fleet.NewEdge("127.0.0.1:0", f.agent.address(), seed); err != nil {
 		return f, err
 	}
 	config := standin.Config{Discovery: f.list.Address(), Slots: 64, Sockets: configSockets, MemoryMB: configMemory, DiskMB: configDisk, Left: messageLife, Seed: seed}
@@ -87,10 +91,12 @@
 func (f *forwarder) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
+	if _, err := f.agent.await(ctx); err != nil {
+		return err
+	}
 	look := time.NewTicker(settleLook)
 	defer look.Stop()
-	quiet, used := 0, f.process.CPU()
-	for quiet < settleQuiet || f.world.Discovery.Asked() != f.world.Discovery.Index() {
+	for quiet, used := 0, f.process.CPU(); quiet < settleQuiet; {
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("waiting for it to be idle: %w", ctx.Err())
@@ -126,6 +132,9 @@
 	if f.list != nil {
 		f.list.Close()
 	}
+	if f.agent != nil {
+		errs = append(errs, f.agent.close())
+	}
 	if f.world != nil {
 		f.world.Close()
 	}
--- a/internal/capacity/measure/list.go
+++ b/internal/capacity/measure/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -52,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := wholeList(ctx, f.world)
+	answer, err := wholeList(ctx, f.agent)
 	if err != nil {
 		return err
 	}
@@ -123,7 +122,13 @@
 	for i := 0; time.Since(began) < window; i++ {
 		next := began.Add(window)
 		if rate > 0 {
-			f.world.Discovery.Set([]string{standin.Draining, standin.Serving}[i%2], f.world.Endpoints[random.IntN(changeDestinations)])
+			at := random.IntN(changeDestinations)
+			if _, err := f.agent.change(f.world.Endpoints[at:at+1], []string{standin.Draining, standin.Serving}[i%2]); err != nil {
+				return err
+			}
+			if _, err := f.agent.await(ctx); err != nil {
+				return err
+			}
 			next = began.Add(time.Duration(i+1) * time.Second / time.Duration(rate))
 		}
 		select {
@@ -187,24 +192,17 @@
 func (f *forwarder) change(ctx context.Context, endpoints []*standin.Endpoint) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
-	began := time.Now()
-	f.world.Discovery.Set(standin.Serving, endpoints...)
-	look := time.NewTicker(time.Millisecond)
-	defer look.Stop()
-	for f.world.Discovery.Asked() != f.world.Discovery.Index() {
-		select {
-		case <-ctx.Done():
-			return 0, fmt.Errorf("the change was not asked after: %w", ctx.Err())
-		case <-look.C:
-		}
+	told, err := f.agent.change(endpoints, standin.Serving)
+	if err != nil {
+		return 0, err
 	}
-	calls := f.world.Discovery.Calls()
-	return calls[len(calls)-1].Sub(began), nil
+	since, err := f.agent.await(ctx)
+	return since.Sub(told), err
 }
 
 // wholeList asks the agent for all that there is, and counts the bytes of its answer with its headers.
-func wholeList(ctx context.Context, world *standin.World) (bytes float64, err error) {
-	edge, err := fleet.NewEdge("127.0.0.1:0", world.Discovery.Address(), 1)
+func wholeList(ctx context.Context, agent *listAgent) (bytes float64, err error) {
+	edge, err := fleet.NewEdge("127.0.0.1:0", agent.address(), 1)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -20,7 +20,6 @@
 
 	mu      sync.Mutex
 	index   int64
-	asked   int64 // from there, by the last call
 	entries map[string]*entry
 	lag     time.Duration
 	down    bool
@@ -59,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{log: log, ln: ln, over: make(chan struct{}), asked: -1, entries: map[string]*entry{}, changed: make(chan struct{})}
+	d := &Discovery{log: log, ln: ln, over: make(chan struct{}), entries: map[string]*entry{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/servers", d.servers)
 	mux.HandleFunc("POST /v2/finals", d.finals)
@@ -104,13 +103,6 @@
 	return slices.Clone(d.calls)
 }
 
-// Asked is the version from which the list was asked for last: the caller has told all up to it. -1: the whole list was asked for.
-func (d *Discovery) Asked() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.asked
-}
-
 // Lag has changes from now on told so much later.
 func (d *Discovery) Lag(lag time.Duration) {
 	d.mu.Lock()
@@ -184,7 +176,7 @@
 		from, hold = n, time.Duration(ms)*time.Millisecond
 	}
 	d.mu.Lock()
-	d.calls, d.asked = append(d.calls, time.Now()), from
+	d.calls = append(d.calls, time.Now())
 	d.mu.Unlock()
 	end := time.NewTimer(hold)
 	defer end.Stop()
