--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -24,6 +24,7 @@
 	Folder    string // for what the processes write; it must exist
 	Repeats   int    // of each size
 	Sizes     []int  // in place of the measurement's own
+	Small     bool   // moments and small lists, in place of the measurement's own: a test's
 	Progress  func(text string)
 }
 
@@ -44,12 +45,15 @@
 
 var measurements = map[string]measurement{
 	"list":         listMeasurement,
+	"idle":         idleMeasurement,
 	"changes":      changesMeasurement,
 	"every-entry":  everyEntryMeasurement,
 	"queue":        queueMeasurement,
 	"members":      membersMeasurement,
 	"member-bound": memberBoundMeasurement,
 	"decide":       decideMeasurement,
+	"ownership":    ownershipMeasurement,
+	"catalog":      catalogMeasurement,
 }
 
 // Names are what can be measured, with a line about each.
@@ -97,6 +101,16 @@
 	return list, nil
 }
 
+// window is how long something is counted, or waited for before.
+func (l *Lab) window(own time.Duration) time.Duration {
+	if l.Small {
+		return min(own, smallWindow)
+	}
+	return own
+}
+
+const smallWindow = 300 * time.Millisecond
+
 func command(name string, l *Lab) string {
 	text := fmt.Sprintf("scaleroute-lab capacity measure %s --repeats %d", name, max(1, l.Repeats))
 	for _, size := range l.Sizes {
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -27,10 +27,10 @@
 	ConfigurationChangesPerDay float64 `hcl:"configuration_changes_per_day"`
 	ChangeInForceSeconds       float64 `hcl:"change_in_force_seconds"`
 
-	Allowed     Allowance `hcl:"allowed,block"`
-	Failures    Failures  `hcl:"failures,block"`
-	PartialList Ownership `hcl:"partial_list,block"`
-	Limits      Limits    `hcl:"limits,block"`
+	Allowed   Allowance `hcl:"allowed,block"`
+	Failures  Failures  `hcl:"failures,block"`
+	Ownership Ownership `hcl:"partial_list,block"`
+	Limits    Limits    `hcl:"limits,block"`
 }
 
 // Allowance is what control may cost.
@@ -44,6 +44,8 @@
 	ControlServerCores      float64 `hcl:"control_server_cores"`
 	ControlServerBytes      float64 `hcl:"control_server_bytes"`
 	ForwarderMachineBytes   float64 `hcl:"forwarder_machine_bytes"` // for messages that are queued
+	LargestPartOfMean       float64 `hcl:"largest_part_of_mean"`
+	MovedOfOwnPart          float64 `hcl:"moved_of_own_part"` // when one forwarder leaves
 }
 
 // Failures are those that the plan reckons with.
@@ -90,47 +92,59 @@
 	return plan, checkPlan(path, file.Body.(*hclsyntax.Body), plan)
 }
 
-// checkPlan holds each figure against its range. All are numbers above 0 but for those of zeroAllowed.
-func checkPlan(path string, body *hclsyntax.Body, plan *Plan) error {
-	var wrong []string
-	report := func(place hcl.Range, name, problem string) {
-		wrong = append(wrong, fmt.Sprintf("%s:%d: %s: %s", path, place.Start.Line, name, problem))
+// checker collects what is wrong with a plan, with the place of each figure.
+type checker struct {
+	path  string
+	body  *hclsyntax.Body
+	wrong []string
+}
+
+func (c *checker) report(attribute *hclsyntax.Attribute, remedy string) {
+	c.wrong = append(c.wrong, fmt.Sprintf("%s:%d: %s: %s", c.path, attribute.SrcRange.Start.Line, attribute.Name, remedy))
+}
+
+// attribute finds a figure; block is empty for those outside of blocks.
+func (c *checker) attribute(block, name string) *hclsyntax.Attribute {
+	for _, one := range c.body.Blocks {
+		if one.Type == block {
+			return one.Body.Attributes[name]
+		}
 	}
-	checkAttributes := func(attributes hclsyntax.Attributes) {
-		for name, attribute := range attributes {
-			value, _ := attribute.Expr.Value(nil)
-			number, _ := value.AsBigFloat().Float64()
-			if number < 0 || number == 0 && !zeroAllowed[name] || math.IsInf(number, 0) {
-				report(attribute.SrcRange, name, fmt.Sprintf("%v: write a number above 0, in the unit that the name says", number))
-			}
+	return c.body.Attributes[name]
+}
+
+// positive holds figures against 0. All are numbers above it but for those of zeroAllowed.
+func (c *checker) positive(attributes hclsyntax.Attributes) {
+	for name, attribute := range attributes {
+		value, _ := attribute.Expr.Value(nil)
+		number, _ := value.AsBigFloat().Float64()
+		if number < 0 || number == 0 && !zeroAllowed[name] || math.IsInf(number, 0) {
+			c.report(attribute, fmt.Sprintf("%v: write a number above 0, in the unit that the name says", number))
 		}
 	}
-	checkAttributes(body.Attributes)
+}
+
+// checkPlan holds each figure against its range.
+func checkPlan(path string, body *hclsyntax.Body, plan *Plan) error {
+	c := &checker{path: path, body: body}
+	c.positive(body.Attributes)
 	for _, block := range body.Blocks {
-		checkAttributes(block.Body.Attributes)
-	}
-	place := func(block, name string) hcl.Range {
-		for _, one := range body.Blocks {
-			if one.Type == block && one.Body.Attributes[name] != nil {
-				return one.Body.Attributes[name].SrcRange
-			}
-		}
-		return body.Attributes[name].SrcRange
+		c.positive(block.Body.Attributes)
 	}
 	if plan.DestinationsDownPercent > 100 {
-		report(place("", "destinations_down_percent"), "destinations_down_percent", "a share, from 0 to 100")
+		c.report(c.attribute("", "destinations_down_percent"), "a share, from 0 to 100")
 	}
 	if plan.Allowed.ControlServersAlive > plan.Allowed.ControlServers {
-		report(place("allowed", "control_servers_alive"), "control_servers_alive", "no more than control_servers can be alive: lower it")
+		c.report(c.attribute("allowed", "control_servers_alive"), "no more than control_servers can be alive: lower it")
 	}
 	if plan.Zones < plan.Regions {
-		report(place("", "zones"), "zones", "each region has at least one: raise it, or lower regions")
+		c.report(c.attribute("", "zones"), "each region has at least one: raise it, or lower regions")
 	}
-	if n := plan.PartialList.Partitions; n != math.Trunc(n) || n < 1 || int64(n)&(int64(n)-1) != 0 {
-		report(place("partial_list", "partitions"), "partitions", "a power of two, as ownership asks for")
+	if n := plan.Ownership.Partitions; n != math.Trunc(n) || n < 1 || int64(n)&(int64(n)-1) != 0 {
+		c.report(c.attribute("partial_list", "partitions"), "a power of two, as ownership asks for")
 	}
-	if len(wrong) > 0 {
-		return fmt.Errorf("%s", strings.Join(sorted(wrong), "\n"))
+	if len(c.wrong) > 0 {
+		return fmt.Errorf("%s", strings.Join(sorted(c.wrong), "\n"))
 	}
 	return nil
 }
@@ -142,7 +156,7 @@
 
 // PartDestinations is how many destinations a forwarder owns, in the mean.
 func (p *Plan) PartDestinations() float64 {
-	return p.Destinations * min(1, p.PartialList.Replicas/p.Forwarders)
+	return p.Destinations * min(1, p.Ownership.Replicas/p.Forwarders)
 }
 
 // ForwardersInZone is how many fail with a zone.
