--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -131,7 +131,7 @@
 	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
 }
 
-// variedBy tells which size a sweep varies: that of the destinations, unless it is that of the forwarders alone.
+// variedBy tells which size a sweep varies: the number of forwarders, with the destinations in proportion where both grow, or that of the destinations.
 func variedBy(sweep string, rows []Row) (label string, sizeOf func(*Row) int64, varied bool) {
 	forwarders, destinations := map[int64]bool{}, map[int64]bool{}
 	for i := range rows {
@@ -139,10 +139,10 @@
 			forwarders[rows[i].Forwarders], destinations[rows[i].Destinations] = true, true
 		}
 	}
-	if len(destinations) > 1 {
-		return "destinations", func(r *Row) int64 { return r.Destinations }, true
+	if len(forwarders) > 1 || len(destinations) < 2 {
+		return "forwarders", func(r *Row) int64 { return r.Forwarders }, len(forwarders) > 1
 	}
-	return "forwarders", func(r *Row) int64 { return r.Forwarders }, len(forwarders) > 1
+	return "destinations", func(r *Row) int64 { return r.Destinations }, true
 }
 
 // Print writes the results as tables in Markdown: the median over the seeds, and how far from it the seeds are.
--- a/internal/scale/series.go
+++ b/internal/scale/series.go
@@ -143,11 +143,11 @@
 	for _, sweep := range sweepsOf(rows) {
 		for i := range quantities {
 			for _, kind := range quantities[i].kinds {
-				list = append(list, seriesOf(&quantities[i], sweep, kind, rows, p))
+				list = append(list, seriesOf(&quantities[i], sweep, kind, results, p))
 			}
 		}
 		for i := range outcomes {
-			list = append(list, outcomeSeries(&outcomes[i], sweep, results, rows, p))
+			list = append(list, outcomeSeries(&outcomes[i], sweep, results, p))
 		}
 	}
 	kept := list[:0]
@@ -164,78 +164,84 @@
 }
 
 // newSeries is a series without points.
-func newSeries(sweep, kind, name string, resource capacity.Resource, rows []Row, p *Provenance) *capacity.Series {
+func newSeries(sweep string, kind Kind, name string, resource capacity.Resource, results []*Result, p *Provenance) *capacity.Series {
 	s := &capacity.Series{Name: fmt.Sprintf("scale-%s-%s-%s", sweep, kind, name), Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: resource,
-		Unit: capacity.UnitOf(resource), Process: "simulated", Held: map[capacity.Variable]float64{}, Command: p.Command, Commit: p.Commit, Machine: p.Machine, Date: p.Date}
-	label, _, _ := variedBy(sweep, rows)
-	for i := range rows {
-		r := &rows[i]
-		if r.Sweep != sweep {
-			continue
-		}
-		if r.Mechanism == PartialList {
-			s.Mechanism = capacity.PartialList
-		}
-		if label == "destinations" {
-			s.Variable, s.Held[capacity.Forwarders] = capacity.Destinations, float64(r.Forwarders)
-		} else {
-			s.Variable, s.Held[capacity.Destinations] = capacity.Forwarders, float64(r.Destinations)
+		Unit: capacity.UnitOf(resource), Process: "simulated", Command: p.Command, Commit: p.Commit, Machine: p.Machine, Date: p.Date}
+	if kind != Simulated {
+		s.Process = "real"
+	}
+	if kind == ControlServer {
+		s.Role = capacity.ControlServer
+	}
+	var cells []Cell
+	for _, r := range results {
+		if r.Cell.Sweep == sweep {
+			cells = append(cells, r.Cell)
 		}
 	}
-	if forwardersVary(sweep, rows) && label == "destinations" {
-		delete(s.Held, capacity.Forwarders) // both grow together
+	if p.ControlServers > 0 {
+		s.Mechanism = capacity.PartialList
+	} else {
+		s.Name = fmt.Sprintf("scale-whole-%s-%s-%s", sweep, kind, name)
 	}
+	s.Variable, s.Held = held(cells, p)
 	return s
 }
 
-// forwardersVary tells whether a sweep has several numbers of forwarders.
-func forwardersVary(sweep string, rows []Row) bool {
-	sizes := map[int64]bool{}
-	for i := range rows {
-		if rows[i].Sweep == sweep {
-			sizes[rows[i].Forwarders] = true
-		}
+// held tells which size the cells of a sweep vary, and which are the same in all of them.
+func held(cells []Cell, p *Provenance) (variable capacity.Variable, sizes map[capacity.Variable]float64) {
+	first, last := cells[0], cells[len(cells)-1]
+	sizes = map[capacity.Variable]float64{}
+	switch {
+	case first.Forwarders == last.Forwarders:
+		variable, sizes[capacity.Forwarders] = capacity.Destinations, float64(first.Forwarders)
+	case first.Destinations == last.Destinations:
+		variable, sizes[capacity.Destinations] = capacity.Forwarders, float64(first.Destinations)
+	default: // both grow
+		variable, sizes[capacity.PartDestinations] = capacity.Forwarders, float64(first.Destinations*p.Replicas)/float64(first.Members)
+	}
+	if p.ControlServers > 0 && first.Members > 2*first.Forwarders { // most hold a lease and nothing else
+		sizes[capacity.Members] = float64(first.Members)
 	}
-	return len(sizes) > 1
+	return variable, sizes
 }
 
-func seriesOf(q *quantity, sweep string, kind Kind, rows []Row, p *Provenance) *capacity.Series {
-	s := newSeries(sweep, string(kind), q.name, q.resource, rows, p)
+func seriesOf(q *quantity, sweep string, kind Kind, results []*Result, p *Provenance) *capacity.Series {
+	s := newSeries(sweep, kind, q.name, q.resource, results, p)
 	s.Event = q.event
-	if kind != Simulated {
-		s.Process = "real"
-	}
-	if kind == ControlServer {
-		s.Role = capacity.ControlServer
-	}
 	if q.changing {
 		s.Held[capacity.ChangesPerSecond] = p.ChangeRate
 	}
 	s.Note = note(q.note, p)
-	_, sizeOf, _ := variedBy(sweep, rows)
-	for i := range rows {
-		if r := &rows[i]; r.Sweep == sweep && r.Kind == kind {
-			s.Points = append(s.Points, capacity.Point{X: float64(sizeOf(r)), Y: max(0, q.of(r)), Seed: uint64(r.Seed)})
+	for _, result := range results {
+		for i := range result.Rows {
+			if r := &result.Rows[i]; r.Sweep == sweep && r.Kind == kind {
+				s.Points = append(s.Points, capacity.Point{X: sizeOf(s.Variable, result.Cell), Y: max(0, q.of(r)), Seed: uint64(r.Seed)})
+			}
 		}
 	}
 	return s
 }
 
-func outcomeSeries(o *outcome, sweep string, results []*Result, rows []Row, p *Provenance) *capacity.Series {
-	s := newSeries(sweep, string(Simulated), o.name, o.resource, rows, p)
+func outcomeSeries(o *outcome, sweep string, results []*Result, p *Provenance) *capacity.Series {
+	s := newSeries(sweep, Simulated, o.name, o.resource, results, p)
 	s.Event, s.Statistic, s.Hop, s.Note = o.event, o.statistic, o.hop, note(o.note, p)
 	for _, r := range results {
 		if y := o.of(r); r.Cell.Sweep == sweep && y > 0 {
-			size := r.Cell.Forwarders
-			if s.Variable == capacity.Destinations {
-				size = r.Cell.Destinations
-			}
-			s.Points = append(s.Points, capacity.Point{X: float64(size), Y: y, Seed: r.Cell.Seed})
+			s.Points = append(s.Points, capacity.Point{X: sizeOf(s.Variable, r.Cell), Y: y, Seed: r.Cell.Seed})
 		}
 	}
 	return s
 }
 
+// sizeOf is what a cell has of the size that is varied.
+func sizeOf(variable capacity.Variable, c Cell) float64 {
+	if variable == capacity.Destinations {
+		return float64(c.Destinations)
+	}
+	return float64(c.Forwarders)
+}
+
 // note says under which conditions a series was measured.
 func note(own string, p *Provenance) string {
 	text := strings.TrimSpace(fmt.Sprintf("%s Load of the machine before and after: %s and %s.", own, p.LoadBefore, p.LoadAfter))
