--- a/internal/decide/circuit.go
+++ b/internal/decide/circuit.go
@@ -41,13 +41,7 @@
 	if o.Result == Cancelled {
 		return
 	}
-	if o.Allowance.Told {
-		f.observeAllowance(r, o)
-		r.allowanceSpentUntil = 0
-		if o.Allowance.Rate > 0 && o.Allowance.Left < allowanceNearlySpent {
-			r.allowanceSpentUntil = f.now + rateWindow
-		}
-	}
+	f.observeAllowance(r, o)
 	r.outcomes++
 	unclear := oneIf(!good && o.Result != Full && o.Result != ConnectFailed)
 	r.unclearShare.record(f.now, recentWindow, 0.2, unclear)
--- a/internal/decide/pacing.go
+++ b/internal/decide/pacing.go
@@ -86,6 +86,13 @@
 // observeAllowance follows a reported limit and estimates the demand of all senders from what is left. All
 // get the same reports, so they agree; a falling limit applies at once, as demand stays.
 func (f *Forwarder) observeAllowance(r *route, o Outcome) {
+	if !o.Allowance.Told {
+		return
+	}
+	r.allowanceSpentUntil = 0
+	if o.Allowance.Rate > 0 && o.Allowance.Left < allowanceNearlySpent {
+		r.allowanceSpentUntil = f.now + rateWindow
+	}
 	limit, since := o.Allowance.Rate, min(f.now-r.allowanceAt, rateWindow).Seconds()
 	if limit <= 0 {
 		r.serverLimit, r.totalDemand = 0, 0
