Name the weight of one call in the share of unclear outcomes

The last bare figure in the circuit breaker's outcomes has a name. No behaviour changed; `go test ./internal/decide` passes, the oracle included.

--- a/internal/decide/circuit.go
+++ b/internal/decide/circuit.go
@@ -4,6 +4,7 @@
 
 const (
 	lossWeight           = 1.0 / 8 // weight of one call in loss and failure shares
+	unclearWeight        = 0.2     // weight of one call in the share of unclear outcomes
 	rejectionsPerFailure = 2.0     // so many weigh as much as one failure
 	probeShare           = 0.5     // of what a cold route may get: probes of all senders together
 	minProbeInterval     = 300 * time.Millisecond
@@ -44,7 +45,7 @@
 	f.observeAllowance(r, o)
 	r.outcomes++
 	unclear := oneIf(!good && o.Result != Full && o.Result != ConnectFailed)
-	r.unclearShare.record(f.now, recentWindow, 0.2, unclear)
+	r.unclearShare.record(f.now, recentWindow, unclearWeight, unclear)
 	if o.Result != TimedOut { // a timeout is mostly the route's failure, not the endpoint's
 		c.endpoint.failureShare.record(f.now, forgetAfter, lossWeight, unclear)
 	}
