--- a/cmd/scaleroute-control/scale_test.go
+++ b/cmd/scaleroute-control/scale_test.go
@@ -279,12 +279,36 @@
 	})
 }
 
+// memberCalls has all forwarders join, and then one leave while the others watch.
 func (m *measurement) memberCalls() {
-	m.row("renewal, all members in it", scaleWatches, func() {
+	name := func(i int) string { return fmt.Sprintf("name=forwarder-%04d&zone=zone-%02d", i, i%13) }
+	m.row("first call of a member", scaleWatches, func() {
 		for i := range scaleWatches {
-			m.get(fmt.Sprintf("/v1/members?name=forwarder-%04d&zone=zone-%02d", i, i%13))
+			m.get("/v1/members?" + name(i))
 		}
 	})
+	m.process.await("all are members", func(f control.Figures) bool { return f.Members == scaleWatches })
+	var last api.Members
+	m.row("snapshot of 2,000 members", scaleParts, func() {
+		for range scaleParts {
+			if err := json.Unmarshal(m.get("/v1/members?"+name(0)), &last); err != nil {
+				m.t.Fatal(err)
+			}
+		}
+	})
+	before := m.process.figures().Requests
+	var watching sync.WaitGroup
+	for i := range scaleWatches - 1 {
+		watching.Go(func() {
+			m.get(fmt.Sprintf("/v1/members?%s&epoch=%s&from=%d&hold_ms=9000", name(i), last.Epoch, last.Index))
+		})
+	}
+	m.process.await("all watch", func(f control.Figures) bool { return f.Requests >= before+scaleWatches-1 })
+	m.row("one member leaves, for each", scaleWatches-1, func() {
+		request, _ := http.NewRequest(http.MethodGet, "http://"+m.process.address+"/v1/members?leave=1&"+name(scaleWatches-1), nil)
+		m.send(request, http.StatusNoContent)
+		watching.Wait()
+	})
 }
 
 func (m *measurement) wholeList() {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -129,13 +129,15 @@
 	return true
 }
 
-// since is what has changed since an index, or all that there are where that is not known.
-func (v *memberView) since(index int64, sameEpoch bool) (list []api.Member, snapshot bool) {
-	if !sameEpoch || index < v.oldest || index > v.index {
-		return v.everybody(), true
-	}
+// covers reports whether the changes since an index are known.
+func (v *memberView) covers(index int64) bool {
+	return index >= v.oldest && index >= 0 && index <= v.index
+}
+
+// changedSince is what has changed since an index that is covered.
+func (v *memberView) changedSince(index int64) []api.Member {
 	begin, _ := slices.BinarySearchFunc(v.log, index+1, func(c memberChange, index int64) int { return cmp.Compare(c.index, index) })
-	list = []api.Member{}
+	list := []api.Member{}
 	seen := map[string]bool{}
 	for _, change := range v.log[begin:] {
 		if !seen[change.name] {
@@ -143,7 +145,7 @@
 			list = append(list, v.member(change.name))
 		}
 	}
-	return list, false
+	return list
 }
 
 func (v *memberView) everybody() []api.Member {
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -98,8 +98,11 @@
 				v.oldest, v.log = v.index, nil
 			}
 			if rapid.Bool().Draw(t, "asks") {
-				list, snapshot := v.since(client.index, client.index >= 0)
-				client.take(&api.Members{Index: v.index, Snapshot: snapshot, Members: list})
+				answer := &api.Members{Index: v.index, Snapshot: !v.covers(client.index)}
+				if answer.Members = v.everybody(); !answer.Snapshot {
+					answer.Members = v.changedSince(client.index)
+				}
+				client.take(answer)
 				if !maps.Equal(client.zones, zones) {
 					t.Fatalf("has %v, want %v", client.zones, zones)
 				}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -61,12 +61,54 @@
 	if err != nil {
 		return err
 	}
-	body, err := json.Marshal(answer)
+	s.writeEncoded(w, r, answer.plain, answer.compressed)
+	return nil
+}
+
+// memberAnswer is an answer as it is sent. Thousands get the same one when members change, or when a server has restarted.
+type memberAnswer struct {
+	plain, compressed []byte
+	isNews            bool // it has members, or is a snapshot
+}
+
+// memberAnswerKey is what an answer depends on, as long as nothing is published.
+type memberAnswerKey struct {
+	isPeer bool
+	from   int64 // -1: a snapshot
+}
+
+// maxMemberAnswers bounds the answers that are kept until the next publication.
+const maxMemberAnswers = 64
+
+// encodeMembers is the answer to a query, built once for all who ask the same. The lock is held.
+func (s *Server) encodeMembers(q *memberQuery) (*memberAnswer, error) {
+	view := &s.members.all
+	if q.peer != "" {
+		view = &s.members.held
+	}
+	key := memberAnswerKey{isPeer: q.peer != "", from: -1}
+	if q.epoch == s.epoch && view.covers(q.from) {
+		key.from = q.from
+	}
+	if known := s.memberAnswers[key]; known != nil {
+		return known, nil
+	}
+	body := &api.Members{Epoch: s.epoch, Index: view.index, Snapshot: key.from < 0, LeaseMS: s.options.Lease.Milliseconds()}
+	if body.Snapshot {
+		body.Members = view.everybody()
+	} else {
+		body.Members = view.changedSince(key.from)
+	}
+	text, err := json.Marshal(body)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.writeJSON(w, r, body)
-	return nil
+	answer := &memberAnswer{plain: text, compressed: compress(text), isNews: body.Snapshot || len(body.Members) > 0}
+	if len(s.memberAnswers) >= maxMemberAnswers {
+		clear(s.memberAnswers)
+	}
+	s.memberAnswers[key] = answer
+	return answer, nil
 }
 
 func (s *Server) renewLease(q *memberQuery) error {
@@ -86,13 +128,13 @@
 }
 
 // awaitMembers waits for a change of the members, or for the end of the time.
-func (s *Server) awaitMembers(ctx context.Context, q *memberQuery) (*api.Members, error) {
+func (s *Server) awaitMembers(ctx context.Context, q *memberQuery) (*memberAnswer, error) {
 	timeout := time.NewTimer(q.hold)
 	defer timeout.Stop()
 	for isOver := q.hold <= 0; ; {
-		answer, published := s.membersSince(q)
-		if isOver || answer.Snapshot || len(answer.Members) > 0 {
-			return answer, nil
+		answer, published, err := s.membersSince(q)
+		if err != nil || isOver || answer.isNews {
+			return answer, err
 		}
 		select {
 		case <-published:
@@ -107,16 +149,11 @@
 }
 
 // membersSince is an answer as of now, and what is closed when there is another one.
-func (s *Server) membersSince(q *memberQuery) (*api.Members, <-chan struct{}) {
+func (s *Server) membersSince(q *memberQuery) (*memberAnswer, <-chan struct{}, error) {
 	s.memberMu.Lock()
 	defer s.memberMu.Unlock()
-	view := &s.members.all
-	if q.peer != "" {
-		view = &s.members.held
-	}
-	answer := &api.Members{Epoch: s.epoch, Index: view.index, LeaseMS: s.options.Lease.Milliseconds()}
-	answer.Members, answer.Snapshot = view.since(q.from, q.epoch == s.epoch && q.from >= 0)
-	return answer, s.published
+	answer, err := s.encodeMembers(q)
+	return answer, s.published, err
 }
 
 // publishMembers makes public what has changed, from time to time: many changes at once are one answer for each who waits.
@@ -140,6 +177,7 @@
 	changed := s.members.publish(now)
 	isSettled := s.settled || s.hasSettled(now)
 	if changed {
+		clear(s.memberAnswers)
 		s.membersToSave = true
 		if isSettled {
 			slog.Info("the members have changed", "members", len(s.members.all.zones), "before", before, "leases_here", len(s.members.held.zones), "index", s.members.all.index)
--- a/internal/control/respond.go
+++ b/internal/control/respond.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"compress/gzip"
 	"errors"
 	"fmt"
@@ -61,19 +62,47 @@
 
 // writeJSON sends an answer that is in memory.
 func (s *Server) writeJSON(w http.ResponseWriter, r *http.Request, body []byte) {
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header["Date"] = nil // nobody reads it, and it is a tenth of a small answer
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
 	if len(body) < minCompressed || !acceptsGzip(r) {
-		header.Set("Content-Length", strconv.Itoa(len(body)))
-		w.Write(body)
+		s.writeEncoded(w, r, body, nil)
 		return
 	}
-	header.Set("Content-Encoding", "gzip")
+	beginJSON(w)
+	w.Header().Set("Content-Encoding", "gzip")
 	compressor := compressors.Get().(*gzip.Writer)
 	defer compressors.Put(compressor)
 	compressor.Reset(w)
 	compressor.Write(body)
 	compressor.Close()
 }
+
+// writeEncoded sends an answer of which there may be a compressed form.
+func (s *Server) writeEncoded(w http.ResponseWriter, r *http.Request, plain, compressed []byte) {
+	beginJSON(w)
+	body := plain
+	if compressed != nil && acceptsGzip(r) {
+		body = compressed
+		w.Header().Set("Content-Encoding", "gzip")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Write(body)
+}
+
+func beginJSON(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header()["Date"] = nil // nobody reads it, and it is a tenth of a small answer
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+}
+
+// compress is the compressed form of an answer that is sent many times; nil where it is too short.
+func compress(text []byte) []byte {
+	if len(text) < minCompressed {
+		return nil
+	}
+	var to bytes.Buffer
+	compressor := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(&to)
+	compressor.Write(text)
+	compressor.Close()
+	return to.Bytes()
+}
