--- a/cmd/scaleroute/partial_bench_test.go
+++ b/cmd/scaleroute/partial_bench_test.go
@@ -116,3 +116,55 @@
 	}
 	return 0
 }
+
+// BenchmarkLookupBytes measures what a look-up costs on the wire, headers included, by the number of destinations that it asks for.
+func BenchmarkLookupBytes(b *testing.B) {
+	w := newPartWorld(b, 1, 64)
+	c := controlclient.New(controlclient.Config{Servers: w.set.Servers, Layout: partLayout, Name: "n0"})
+	defer c.Close()
+	for _, n := range []int{1, 4, 8, 32} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				_, spent, err := c.Lookup(b.Context(), w.outside[:n], 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(spent), "bytes")
+				b.ReportMetric(float64(spent)/float64(n), "bytes/destination")
+			}
+		})
+	}
+}
+
+// BenchmarkPartMoves measures the bytes by which a forwarder follows a part that changes, against those by which it got all of it.
+func BenchmarkPartMoves(b *testing.B) {
+	const destinations, members, leave = 20_000, 60, 4
+	for b.Loop() {
+		w := newPartWorld(b, 0, 1)
+		entries := make([]string, destinations)
+		for d := range entries {
+			entries[d] = w.entry(fmt.Sprint("s", d), d, "SERVING")
+		}
+		w.mu.Lock()
+		w.listing = strings.Join(entries, ",")
+		w.mu.Unlock()
+		w.addServer(b, members)
+		p := w.start()
+		bytes := func(s controlclient.Status) float64 {
+			return float64(s.Traffic["watch"].Sent + s.Traffic["watch"].Received + s.Traffic["scope"].Sent + s.Traffic["scope"].Received)
+		}
+		first := p.statusWhen("no part", func(s controlclient.Status) bool { return s.Complete })
+		before := first
+		for i := range leave {
+			w.servers[0].leave(fmt.Sprint("n", members-1-i))
+			before = p.statusWhen("the part does not move", func(s controlclient.Status) bool {
+				return s.Members == members-1-i && s.Partitions != before.Partitions
+			})
+		}
+		b.ReportMetric(bytes(first), "bytes-whole")
+		b.ReportMetric((bytes(before)-bytes(first))/leave, "bytes-a-leaver")
+		b.ReportMetric(float64(first.Part.Destinations), "destinations")
+		b.ReportMetric(float64(before.Part.Destinations-first.Part.Destinations)/leave, "destinations-gained")
+		p.kill()
+	}
+}
