Look up a destination that is only expected, before a new message for it passes

A start with recovered messages and no control server noted their destinations as known: a new message for one of them would have been rejected as for an unknown destination. It waits for its own look-up now. Drains over a restart without control servers are tested with real processes.

--- a/cmd/scaleroute/partial_test.go
+++ b/cmd/scaleroute/partial_test.go
@@ -528,6 +528,36 @@
 	}
 }
 
+// TestPartDrainOutlastsRestart: endpoints inside and outside the part are told to drain by control servers. All of these die, and the process is killed. The next one has the
+// list of its configuration, in which they serve, and calls neither; it calls the others.
+func TestPartDrainOutlastsRestart(t *testing.T) {
+	t.Parallel()
+	w := newPartWorld(t, 1, 3)
+	w.noKnown = false
+	p := w.start()
+	p.statusWhen("no part", hasPart)
+	w.deliver(p.client(), "fetched", w.outside[0])
+	drains := []int{w.inside[0], w.outside[0]}
+	w.tell(false, w.entry(fmt.Sprint("s", drains[0]), drains[0], "DRAINING"), w.entry(fmt.Sprint("s", drains[1]), drains[1], "DRAINING"))
+	p.statusWhen("the drain is not received", func(s controlclient.Status) bool { return s.Part.Index == 2 })
+	c := p.client()
+	if got := c.hand("drained0", "harmless", drains[0]); got != "+OK" { // the engine has received it
+		t.Fatalf("%q", got)
+	}
+	w.servers[0].kill()
+	p.kill()
+	p = w.start()
+	c = p.client()
+	if got := c.hand("drained1", "harmless", drains[1]); got != "+OK" {
+		t.Fatalf("%q", got)
+	}
+	w.deliver(c, "inside", w.inside[1])
+	w.deliver(c, "outside", w.outside[1])
+	if w.count("drained0")+w.count("drained1") != 0 {
+		t.Error("an endpoint that drains is called after a restart")
+	}
+}
+
 // TestNoDestination: a part that has no destination is one like any other.
 func TestNoDestination(t *testing.T) {
 	t.Parallel()
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -83,7 +83,7 @@
 			}
 			return &countingConn{Conn: conn, traffic: &k.traffic}, nil
 		},
-		MaxConnsPerHost: maxConnections, IdleConnTimeout: idleTime, MaxResponseHeaderBytes: maxOther}}
+		MaxConnsPerHost: maxConnections, MaxIdleConns: maxConnections, MaxIdleConnsPerHost: maxConnections, IdleConnTimeout: idleTime, MaxResponseHeaderBytes: maxOther}}
 	return k
 }
 
--- a/internal/partial/model_test.go
+++ b/internal/partial/model_test.go
@@ -97,6 +97,15 @@
 		view: map[string]agent.Endpoint{}, visited: visited}
 }
 
+// expect has a State know of messages that were accepted before it was made.
+func (m *model) expect() {
+	for range rapid.IntRange(0, 2).Draw(m.t, "recovered") {
+		d := rapid.IntRange(0, modelDestinations-1).Draw(m.t, "recovered for")
+		m.state.Expect(d)
+		m.messages = append(m.messages, d)
+	}
+}
+
 // take does with an update what an engine would.
 func (m *model) take(u Update) {
 	for _, e := range u.Evicted {
@@ -218,6 +227,9 @@
 	d := rapid.IntRange(0, modelDestinations-1).Draw(m.t, "for")
 	switch m.state.Arrive(m.now, d).Verdict {
 	case Pass:
+		if _, received := m.applied[d]; !received && !m.state.missing.has(m.now, d) && !(m.part[d] && m.state.Complete()) {
+			m.t.Fatalf("a message for %d passes, of which nothing was received", d)
+		}
 		m.messages = append(m.messages, d)
 	case Wait:
 		m.messages = append(m.messages, d)
@@ -336,6 +348,7 @@
 	visited := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t, visited)
+		m.expect()
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0, 1:
--- a/internal/partial/partial.go
+++ b/internal/partial/partial.go
@@ -158,9 +158,10 @@
 	return list
 }
 
-// Known tells whether the endpoints of a destination are known, or that it has none.
-func (s *State) Known(destination int) bool {
-	return s.complete && s.owns(destination) || s.destinations[destination] != nil
+// Known tells whether the endpoints of a destination are known, or that it has none. One that is only expected is not.
+func (s *State) Known(number int) bool {
+	d := s.destinations[number]
+	return s.complete && s.owns(number) || d != nil && d.index != NoIndex
 }
 
 // Complete tells whether all of the part has been received.
--- a/internal/partial/partial_test.go
+++ b/internal/partial/partial_test.go
@@ -141,3 +141,26 @@
 		t.Fatalf("changes of a lower index: %v", err)
 	}
 }
+
+// TestExpected: a destination of recovered messages is asked for with the next watch, and until then a message for it waits for its own look-up, or is rejected.
+func TestExpected(t *testing.T) {
+	s := New(DefaultLimits())
+	s.Expect(7)
+	if d := s.Arrive(0, 7); d.Verdict != Wait {
+		t.Fatalf("%+v", d)
+	}
+	batch, _ := s.NextLookup(0)
+	s.FailLookup(0, batch, 500)
+	if d := s.Resume(0, 7); d.Verdict != Reject {
+		t.Fatalf("%+v", d)
+	}
+	s.Release(7)
+	w := s.NextWatch()
+	if !slices.Equal(w.Destinations, []int{7}) {
+		t.Fatalf("%+v", w)
+	}
+	u, err := s.ApplyWatch(w, Answer{Index: 3, Snapshot: true, Endpoints: []agent.Endpoint{entry(7, "a", agent.Serving)}})
+	if err != nil || len(u.Changed) != 1 || s.Arrive(0, 7).Verdict != Pass {
+		t.Fatalf("%+v %v", u, err)
+	}
+}
