--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -33,6 +33,7 @@
 	Cost    float64
 	Highest float64 // by the steepest seed
 	Allowed float64 // 0: the plan says nothing
+	scaled  bool    // the cost is at the plan's rate of changes, and the series at a higher one
 	EndsAt  float64 // size at which the allowance is used up; infinite: never; 0 without an allowance
 }
 
@@ -91,6 +92,7 @@
 		}
 		m.Rows = append(m.Rows, row)
 	}
+	m.scaleChanges()
 	return m, nil
 }
 
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -167,6 +167,9 @@
 	if r.Resource == Kept {
 		return text
 	}
+	if r.scaled {
+		text += ", at the plan's rate of changes"
+	}
 	text += fmt.Sprintf(", %s", r.Fit.Shape)
 	if r.Fit.Shape == Power {
 		text += fmt.Sprintf(" %.2f: not linear, a line comes to %s", r.Fit.Exponent, amount(r.Fit.LineAt(r.Size), r.Resource))
