--- a/cmd/scaleroute-lab/capacitymeasure.go
+++ b/cmd/scaleroute-lab/capacitymeasure.go
@@ -19,7 +19,7 @@
 type capacityMeasure struct {
 	Name      string `arg:"" optional:"" help:"What to measure; none: say what there is."`
 	Measured  string `default:"experiments/capacity/measured" type:"path" help:"The folder for series; those of the same names are replaced."`
-	Program   string `help:"The daemon, with scaleroute-gossip and scaleroutectl beside it; built from the module of the current folder if empty."`
+	Program   string `help:"The daemon, with scaleroute-gossip, scaleroutectl and scaleroute-control beside it; built from the module of the current folder if empty."`
 	Commit    string `help:"The commit that the program was built from; that of the current folder if empty."`
 	Operators string `default:"experiments/fleet/operators.json" type:"path" help:"The resolved operators' file of a fleet that gossips."`
 	Repeats   int    `default:"3" help:"How often each size is measured, from 1 to 10."`
@@ -83,15 +83,15 @@
 	return lab, nil
 }
 
-// buildForMeasuring makes the daemon, what speaks for it, and the operators' tool.
+// buildForMeasuring makes the daemon, what speaks for it, the operators' tool and the control server.
 func buildForMeasuring(ctx context.Context, to string) (string, error) {
 	program, err := build(ctx, to, "")
 	if err != nil {
 		return "", err
 	}
-	text, err := exec.CommandContext(ctx, "go", "build", "-o", to, "scaleroute/cmd/scaleroutectl").CombinedOutput()
+	text, err := exec.CommandContext(ctx, "go", "build", "-o", to, "scaleroute/cmd/scaleroutectl", "scaleroute/cmd/scaleroute-control").CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("building the operators' tool: %w\n%s", err, text)
+		return "", fmt.Errorf("building the operators' tool and the control server: %w\n%s", err, text)
 	}
 	return program, nil
 }
--- a/internal/capacity/measure/agent.go
+++ b/internal/capacity/measure/agent.go
@@ -31,9 +31,14 @@
 
 // newListAgent makes one that knows the endpoints of a world as serving.
 func newListAgent(world *standin.World) (*listAgent, error) {
+	return newListAgentOf(entriesOf(world.Endpoints, standin.Serving))
+}
+
+// newListAgentOf makes one that knows some entries.
+func newListAgentOf(entries []agent.Endpoint) (*listAgent, error) {
 	a := &listAgent{index: 1, asked: -1, changed: make(chan struct{})}
 	var err error
-	if a.whole, err = a.render(true, world.Endpoints, standin.Serving); err != nil {
+	if a.whole, err = json.Marshal(agent.List{Index: a.index, Snapshot: true, Endpoints: entries}); err != nil {
 		return nil, err
 	}
 	if a.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -51,12 +56,13 @@
 
 func (a *listAgent) close() error { return a.server.Close() }
 
-func (a *listAgent) render(snapshot bool, endpoints []*standin.Endpoint, status string) ([]byte, error) {
-	list := agent.List{Index: a.index, Snapshot: snapshot, Endpoints: make([]agent.Endpoint, len(endpoints))}
+// entriesOf are endpoints as entries of a list.
+func entriesOf(endpoints []*standin.Endpoint, status string) []agent.Endpoint {
+	entries := make([]agent.Endpoint, len(endpoints))
 	for i, e := range endpoints {
-		list.Endpoints[i] = agent.Endpoint{Name: e.Name, Address: e.Address, Zone: "a", Type: "std", Group: e.Group, Status: status}
+		entries[i] = agent.Endpoint{Name: e.Name, Address: e.Address, Zone: "a", Type: "std", Group: e.Group, Status: status}
 	}
-	return json.Marshal(list)
+	return entries
 }
 
 // change tells of endpoints anew, and since when.
@@ -64,7 +70,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.index++
-	a.changes, err = a.render(false, endpoints, status)
+	a.changes, err = json.Marshal(agent.List{Index: a.index, Endpoints: entriesOf(endpoints, status)})
 	told = time.Now()
 	close(a.changed)
 	a.changed = make(chan struct{})
--- a/internal/capacity/measure/forwarder.go
+++ b/internal/capacity/measure/forwarder.go
@@ -94,18 +94,23 @@
 	if _, err := f.agent.await(ctx); err != nil {
 		return err
 	}
+	return awaitIdle(ctx, f.process)
+}
+
+// awaitIdle waits until a process does not use the processor any more.
+func awaitIdle(ctx context.Context, process *fleet.Process) error {
 	look := time.NewTicker(settleLook)
 	defer look.Stop()
-	for quiet, used := 0, f.process.CPU(); quiet < settleQuiet; {
+	for quiet, used := 0, process.CPU(); quiet < settleQuiet; {
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("waiting for it to be idle: %w", ctx.Err())
-		case <-f.process.Ended():
-			return fmt.Errorf("the program ended; its log ends:\n%s", f.process.Tail())
+		case <-process.Ended():
+			return fmt.Errorf("the program ended; its log ends:\n%s", process.Tail())
 		case <-look.C:
 		}
 		quiet++
-		if now := f.process.CPU(); now > used {
+		if now := process.CPU(); now > used {
 			quiet, used = 0, now
 		}
 	}
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -54,6 +54,7 @@
 	"decide":       decideMeasurement,
 	"ownership":    ownershipMeasurement,
 	"catalog":      catalogMeasurement,
+	"control":      controlMeasurement,
 }
 
 // Names are what can be measured, with a line about each.
