--- a/cmd/scaleroute-lab/scale.go
+++ b/cmd/scaleroute-lab/scale.go
@@ -20,6 +20,7 @@
 // scaleCommands are those of the scale run.
 type scaleCommands struct {
 	Run    scaleRun    `cmd:"" help:"Measure what control costs at the sizes that a scenario names (docs/scale-run.md)."`
+	Table  scaleTable  `cmd:"" help:"Print the results of runs as tables."`
 	Series scaleSeries `cmd:"" help:"Have the results of a run as series of the capacity model."`
 	Host   scaleHost   `cmd:"" hidden:"" help:"A process of simulated nodes, asked over its standard input."`
 }
@@ -34,6 +35,25 @@
 	Quiet   bool     `help:"Show no progress."`
 }
 
+// scaleTable prints the results of runs.
+type scaleTable struct {
+	Results []string `arg:"" type:"existingdir" help:"The folders that runs have written."`
+}
+
+// Run prints them together.
+func (c *scaleTable) Run(out io.Writer) error {
+	var all []*scale.Result
+	for _, dir := range c.Results {
+		results, err := scale.ReadResults(dir)
+		if err != nil {
+			return err
+		}
+		all = append(all, results...)
+	}
+	scale.Print(out, all)
+	return nil
+}
+
 // scaleSeries turns results into series.
 type scaleSeries struct {
 	Results  string `arg:"" type:"existingdir" help:"The folder that a run has written."`
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -145,91 +146,117 @@
 	return "destinations", func(r *Row) int64 { return r.Destinations }, true
 }
 
-// Print writes the results as tables in Markdown: the median over the seeds, and how far from it the seeds are.
+// Print writes the results as two tables in Markdown, of what each forwarder and control server costs, and of times and parts: the median over the seeds, with the lowest and the highest.
 func Print(w io.Writer, results []*Result) {
-	var rows []Row
-	for _, r := range results {
-		rows = append(rows, r.Rows...)
+	fmt.Fprint(w, "| list | sweep | forwarders | members | destinations | part | of | seeds |")
+	for _, c := range costs {
+		fmt.Fprintf(w, " %s (%s) |", c.title, c.unit)
 	}
-	for _, sweep := range sweepsOf(rows) {
-		fmt.Fprintf(w, "\n### %s\n\n| forwarders | destinations | kind | seeds |", sweep)
-		for _, c := range costs {
-			fmt.Fprintf(w, " %s (%s) |", c.title, c.unit)
-		}
-		fmt.Fprint(w, "\n| ---: | ---: | --- | ---: |")
-		for range costs {
-			fmt.Fprint(w, " ---: |")
-		}
-		fmt.Fprintln(w)
-		for _, group := range groupsOf(sweep, rows) {
-			first := &group[0]
-			fmt.Fprintf(w, "| %d | %d | %s | %d |", first.Forwarders, first.Destinations, first.Kind, len(group))
-			for _, c := range costs {
-				fmt.Fprintf(w, " %s |", spreadText(group, c.of))
-			}
-			fmt.Fprintln(w)
+	fmt.Fprint(w, "\n| --- | --- | ---: | ---: | ---: | ---: | --- | ---: |")
+	for range costs {
+		fmt.Fprint(w, " ---: |")
+	}
+	fmt.Fprintln(w)
+	for _, group := range groupsOf(results) {
+		for _, kind := range []Kind{Simulated, Real, ControlServer} {
+			printCosts(w, group, kind)
 		}
-		printTimes(w, sweep, results)
+	}
+	fmt.Fprint(w, "\n| list | sweep | forwarders | members | destinations | seeds | ready, all at once: worst (ms) | a real one: worst (ms) | a change in force: median (ms) | 99.9% (ms) | worst (ms) | with a control server dead: median (ms) | 99.9% (ms) | worst (ms) | largest part over mean | moved over part |\n")
+	fmt.Fprintln(w, "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	for _, group := range groupsOf(results) {
+		printTimes(w, group)
 	}
 }
 
-// groupsOf are the rows of a sweep that differ by their seed alone, together.
-func groupsOf(sweep string, rows []Row) (groups [][]Row) {
-	type key struct {
-		kind                     Kind
-		forwarders, destinations int64
-	}
-	at := map[key]int{}
-	for _, r := range rows {
-		if r.Sweep != sweep {
-			continue
+// printCosts writes the row of one kind for the cells of a group.
+func printCosts(w io.Writer, group []*Result, kind Kind) {
+	var rows []Row
+	var parts []float64
+	for _, r := range group {
+		parts = append(parts, r.PartsMean)
+		for _, row := range r.Rows {
+			if row.Kind == kind {
+				rows = append(rows, row)
+			}
 		}
-		k := key{r.Kind, r.Forwarders, r.Destinations}
-		if _, seen := at[k]; !seen {
-			at[k] = len(groups)
-			groups = append(groups, nil)
+	}
+	if len(rows) == 0 {
+		return
+	}
+	c := group[0].Cell
+	fmt.Fprintf(w, "| %s | %s | %d | %d | %d | %s | %s | %d |", rows[0].Mechanism, c.Sweep, c.Forwarders, max(c.Members, c.Forwarders), c.Destinations, spreadText(parts), kind, len(rows))
+	for _, cost := range costs {
+		var values []float64
+		for i := range rows {
+			values = append(values, cost.of(&rows[i]))
 		}
-		groups[at[k]] = append(groups[at[k]], r)
+		fmt.Fprintf(w, " %s |", spreadText(values))
 	}
-	return groups
+	fmt.Fprintln(w)
 }
 
-// spreadText is the median of a cost, with the lowest and the highest where there are several.
-func spreadText(group []Row, of func(*Row) float64) string {
-	var values []float64
-	for i := range group {
-		values = append(values, of(&group[i]))
-	}
-	slices.Sort(values)
-	if len(values) == 1 {
-		return fmt.Sprintf("%.3g", values[0])
+// printTimes writes the row of times and parts for the cells of a group.
+func printTimes(w io.Writer, group []*Result) {
+	c := group[0].Cell
+	fmt.Fprintf(w, "| %s | %s | %d | %d | %d | %d |", group[0].Rows[0].Mechanism, c.Sweep, c.Forwarders, max(c.Members, c.Forwarders), c.Destinations, len(group))
+	for _, of := range []func(*Result) float64{
+		func(r *Result) float64 { return r.Ready.Max },
+		func(r *Result) float64 { return r.RealReady.Max },
+		func(r *Result) float64 { return r.InForce.Median },
+		func(r *Result) float64 { return r.InForce.P999 },
+		func(r *Result) float64 { return r.InForce.Max },
+		func(r *Result) float64 { return r.InForceImpaired.Median },
+		func(r *Result) float64 { return r.InForceImpaired.P999 },
+		func(r *Result) float64 { return r.InForceImpaired.Max },
+		func(r *Result) float64 { return r.PartsMaxOver },
+		func(r *Result) float64 { return r.Moved },
+	} {
+		var values []float64
+		for _, r := range group {
+			values = append(values, of(r))
+		}
+		fmt.Fprintf(w, " %s |", spreadText(values))
 	}
-	return fmt.Sprintf("%.3g (%.3g to %.3g)", values[len(values)/2], values[0], values[len(values)-1])
+	fmt.Fprintln(w)
 }
 
-// printTimes writes the times of the cells of a sweep.
-func printTimes(w io.Writer, sweep string, results []*Result) {
-	fmt.Fprint(w, "\n| forwarders | destinations | seed | ready, all at once: median, worst (ms) | a real one: worst (ms) | change in force: median, 99.9%, worst (ms) | the same, one control server dead | part: mean, max over mean | moved over part |\n")
-	fmt.Fprintln(w, "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+// groupsOf are the results of cells that differ by their seed alone, together.
+func groupsOf(results []*Result) (groups [][]*Result) {
+	at := map[Cell]int{}
 	for _, r := range results {
-		if r.Cell.Sweep != sweep {
-			continue
+		c := r.Cell
+		c.Seed = 0
+		if _, seen := at[c]; !seen {
+			at[c] = len(groups)
+			groups = append(groups, nil)
 		}
-		fmt.Fprintf(w, "| %d | %d | %d | %.0f, %.0f | %s | %s | %s | %s | %s |\n", r.Cell.Forwarders, r.Cell.Destinations, r.Cell.Seed, r.Ready.Median, r.Ready.Max,
-			orNone(r.RealReady.Max, fmt.Sprintf("%.0f", r.RealReady.Max)), r.InForce.text(), r.InForceImpaired.text(), orNone(r.PartsMean, fmt.Sprintf("%.0f, %.2f", r.PartsMean, r.PartsMaxOver)), orNone(r.Moved, fmt.Sprintf("%.2f", r.Moved)))
+		groups[at[c]] = append(groups[at[c]], r)
 	}
+	slices.SortStableFunc(groups, func(a, b []*Result) int {
+		x, y := a[0].Cell, b[0].Cell
+		return cmp.Or(cmp.Compare(x.Sweep, y.Sweep), cmp.Compare(x.Forwarders, y.Forwarders), cmp.Compare(x.Destinations, y.Destinations))
+	})
+	return groups
 }
 
-func (t Times) text() string {
-	if t.Count == 0 {
-		return "not measured"
+// spreadText is the median of a cost, with the lowest and the highest where there are several; a cost of 0 was not measured.
+func spreadText(values []float64) string {
+	slices.Sort(values)
+	median, lowest, highest := values[len(values)/2], values[0], values[len(values)-1]
+	if highest == 0 {
+		return "-"
+	}
+	if len(values) == 1 {
+		return numberText(median)
 	}
-	return fmt.Sprintf("%.0f, %.0f, %.0f", t.Median, t.P999, t.Max)
+	return fmt.Sprintf("%s (%s to %s)", numberText(median), numberText(lowest), numberText(highest))
 }
 
-func orNone(value float64, text string) string {
-	if value == 0 {
-		return "not measured"
+// numberText has three digits, or all of a whole number.
+func numberText(value float64) string {
+	if value >= 100 {
+		return fmt.Sprintf("%.0f", value)
 	}
-	return text
+	return fmt.Sprintf("%.3g", value)
 }
