--- a/cmd/scaleroute-lab/scale.go
+++ b/cmd/scaleroute-lab/scale.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 
 	"github.com/schollz/progressbar/v3"
 
@@ -18,17 +20,38 @@
 // scaleCommands are those of the scale run.
 type scaleCommands struct {
 	Run    scaleRun    `cmd:"" help:"Measure what control costs at the sizes that a scenario names (docs/scale-run.md)."`
+	Table  scaleTable  `cmd:"" help:"Print the results of runs as tables."`
 	Series scaleSeries `cmd:"" help:"Have the results of a run as series of the capacity model."`
 	Host   scaleHost   `cmd:"" hidden:"" help:"A process of simulated nodes, asked over its standard input."`
 }
 
 // scaleRun measures the cells of a scenario.
 type scaleRun struct {
-	File    string `arg:"" type:"existingfile" help:"The scenario (docs/scale-run.md)."`
-	Program string `help:"The daemon, with scaleroute-control beside it; built from the module of the current folder if empty."`
-	Commit  string `help:"The commit that the programs were built from; that of the current folder if empty."`
-	Out     string `required:"" type:"path" help:"A folder for results, tables (Parquet, Markdown), charts and log."`
-	Quiet   bool   `help:"Show no progress."`
+	File    string   `arg:"" type:"existingfile" help:"The scenario (docs/scale-run.md)."`
+	Program string   `help:"The daemon, with scaleroute-control beside it; built from the module of the current folder if empty."`
+	Seeds   []uint64 `help:"Seeds in place of the scenario's."`
+	Commit  string   `help:"The commit that the programs were built from; that of the current folder if empty."`
+	Out     string   `required:"" type:"path" help:"A folder for results, tables (Parquet, Markdown), charts and log. Cells whose results it has are not measured again."`
+	Quiet   bool     `help:"Show no progress."`
+}
+
+// scaleTable prints the results of runs.
+type scaleTable struct {
+	Results []string `arg:"" type:"existingdir" help:"The folders that runs have written."`
+}
+
+// Run prints them together.
+func (c *scaleTable) Run(out io.Writer) error {
+	var all []*scale.Result
+	for _, dir := range c.Results {
+		results, err := scale.ReadResults(dir)
+		if err != nil {
+			return err
+		}
+		all = append(all, results...)
+	}
+	scale.Print(out, all)
+	return nil
 }
 
 // scaleSeries turns results into series.
@@ -75,6 +98,9 @@
 	if err != nil {
 		return err
 	}
+	if len(c.Seeds) > 0 {
+		s.Seeds = c.Seeds
+	}
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return err
 	}
@@ -87,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(c.Out, "run.log"))
+	log, err := os.OpenFile(filepath.Join(c.Out, "run.log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
@@ -126,6 +152,12 @@
 
 // measure measures cells, and keeps the results after each.
 func (c *scaleRun) measure(ctx context.Context, rig *scale.Rig, cells []scale.Cell) (results []*scale.Result, err error) {
+	if results, err = scale.ReadResults(c.Out); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	cells = slices.DeleteFunc(cells, func(cell scale.Cell) bool {
+		return slices.ContainsFunc(results, func(r *scale.Result) bool { return r.Cell == cell })
+	})
 	bar := progressbar.NewOptions(len(cells), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("measuring"), progressbar.OptionSetPredictTime(true),
 		progressbar.OptionClearOnFinish(), progressbar.OptionSetVisibility(!c.Quiet))
 	defer bar.Finish()
