--- a/cmd/scaleroute-control/main.go
+++ b/cmd/scaleroute-control/main.go
@@ -29,8 +29,8 @@
 	Partitions  int           `default:"2097152" help:"Partitions of the destinations: a power of two, the same for the whole fleet."`
 	Replicas    int           `default:"3" help:"Owners of each partition, the same for the whole fleet."`
 	Lease       time.Duration `default:"30s" help:"A forwarder that has not called for so long is no member any more."`
-	Settle      time.Duration `default:"3s" help:"How long members are gathered after a first start before they are told to anyone."`
-	Publish     time.Duration `default:"1s" help:"Changes of the members within this time are told together."`
+	Settle      time.Duration `default:"3s" help:"How long members are gathered after a first start before they are published."`
+	Publish     time.Duration `default:"1s" help:"Changes of the members within this time are published together."`
 	Save        time.Duration `default:"5m" help:"Time between two snapshots of the list in the state folder."`
 	MaxRequests int           `default:"16384" help:"Requests at the same time, held ones included; more get 503."`
 	Gc          int           `default:"25" help:"Share of the memory in use that may be garbage, in per cent (as GOGC)."`
@@ -55,7 +55,7 @@
 	return statusFailed, errors.As(err, &serving)
 }
 
-// Run serves until the process is told to end.
+// Run serves until the process gets SIGTERM.
 func (f *flags) Run() error {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(f.LogLevel)); err != nil {
--- a/cmd/scaleroute-control/main_test.go
+++ b/cmd/scaleroute-control/main_test.go
@@ -196,7 +196,7 @@
 	return layout.Digest(set)
 }
 
-// members calls as a forwarder and is whom it sees.
+// members calls as a forwarder and returns the names it sees.
 func (p *process) members(name string) string {
 	status, text, err := p.get("/v1/members?name=" + name)
 	if err != nil || status != http.StatusOK {
@@ -351,7 +351,7 @@
 	d.silent.Store(true)
 	for i, p := range servers {
 		p.start()
-		p.awaitKept(map[bool]int64{true: 2, false: 1}[i == 2]) // two of them missed a change, and say 503 to whoever has it
+		p.awaitKept(map[bool]int64{true: 2, false: 1}[i == 2]) // two of them missed a change, and answer 503 to a client that has it
 	}
 	awaitMembers(t, servers)
 	if status, _, _ := servers[0].get("/v1/servers?from=2"); status != http.StatusServiceUnavailable {
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -39,7 +39,7 @@
 	failureLogPause = 30 * time.Second // between two lines about failures in a row
 )
 
-// errStreamSilent tells that nothing has come for too long.
+// errStreamSilent is the cause of a call that is cancelled as nothing has come for too long.
 var errStreamSilent = errors.New("nothing has come for too long")
 
 // Stream is Watch for lists of any size: it goes on from an index, or from nothing where that is -1. Entries are handed on as they are read, so that
@@ -179,7 +179,7 @@
 
 func (r *listReader) readEndpoints(from *json.Decoder) error {
 	open, err := from.Token()
-	if err != nil || open == nil { // null: none are told
+	if err != nil || open == nil { // null: no entries
 		return err
 	}
 	if open != json.Delim('[') {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -177,7 +177,7 @@
 	if before == e {
 		return nil
 	}
-	if before.Group != e.Group { // whoever has only the former destination must hear that it left
+	if before.Group != e.Group { // a scope with only the former destination must see it leave
 		c.record(slot)
 	}
 	if err := c.entries.replace(slot, e); err != nil {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -225,7 +225,7 @@
 	}
 }
 
-// TestSince: who is ahead is told so, who is behind the log needs a snapshot, and an index that went back is no reason to refuse.
+// TestSince: a client that is ahead gets ErrBehind, one that is older than the log needs a snapshot, and an index that went back is no reason to refuse.
 func TestSince(t *testing.T) {
 	c, scope := New(testLayout, Limits{Entries: 100, Changes: 2}), &Scope{Whole: true}
 	ask := func(index int64) error { return c.Since(scope, index, func(agent.Endpoint) {}) }
--- a/internal/control/changesfile.go
+++ b/internal/control/changesfile.go
@@ -80,7 +80,7 @@
 	return true, nil
 }
 
-// endChanges keeps no more changes until the next snapshot: one can't be told as a delta.
+// endChanges keeps no more changes until the next snapshot: one can't be written as a delta.
 func (f *folder) endChanges() {
 	if f.changes != nil && f.changes.err == nil {
 		f.changes.err = errors.New("a change can't be kept as a delta")
--- a/internal/control/keep.go
+++ b/internal/control/keep.go
@@ -15,7 +15,7 @@
 	"scaleroute/internal/catalog"
 )
 
-// noteChange keeps what a list has changed, or has a snapshot written where that can't be told as a delta.
+// noteChange keeps what a list has changed, or has a snapshot written where that can't be written as a delta.
 func (s *Server) noteChange(before int64, touched catalog.Touched) {
 	s.keepMu.Lock()
 	defer s.keepMu.Unlock()
--- a/internal/control/listfile.go
+++ b/internal/control/listfile.go
@@ -20,7 +20,7 @@
 	maxFileText = 4 << 10 // bytes of a text
 )
 
-// errCutOff tells that a file ends too early.
+// errCutOff reports a file that ends too early.
 var errCutOff = errors.New("it is cut off")
 
 func readList(from *bufio.Reader, into *catalog.Catalog) error {
--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// errTooManyEntries tells that an answer is not built in memory, but sent piece by piece.
+// errTooManyEntries reports that an answer is not built in memory, but sent piece by piece.
 var errTooManyEntries = errors.New("too many entries to hold them")
 
 // holdList returns when something in the scope has changed since q.from, when the time is over, or when there is no use in waiting.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -14,8 +14,8 @@
 	lease time.Duration
 	own   map[string]ownLease
 	peers map[string]*peerLeases // by the peer's address
-	all   memberView             // what forwarders are told: the members of this server and its peers
-	held  memberView             // what peers are told: those whose lease is held here
+	all   memberView             // sent to forwarders: the members of this server and its peers
+	held  memberView             // sent to peers: those whose lease is held here
 }
 
 type ownLease struct {
@@ -45,8 +45,8 @@
 // leave ends a lease at once.
 func (m *members) leave(name string) { delete(m.own, name) }
 
-// hearPeer takes over a peer's answer.
-func (m *members) hearPeer(address string, answer *api.Members, now time.Time) {
+// applyPeerAnswer takes over a peer's answer.
+func (m *members) applyPeerAnswer(address string, answer *api.Members, now time.Time) {
 	peer := m.peers[address]
 	if peer == nil || answer.Snapshot {
 		peer = &peerLeases{zones: map[string]string{}}
@@ -62,7 +62,7 @@
 	}
 }
 
-// publish drops what has expired, and makes what is left what is told. A peer that is silent keeps its members for one lease.
+// publish drops what has expired, and updates both views. A peer that is silent keeps its members for one lease.
 func (m *members) publish(now time.Time) (changed bool) {
 	held := map[string]string{}
 	for name, lease := range m.own {
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -54,7 +54,7 @@
 	check(0, "", "")
 	m.renew("a", "z1", at(0))
 	m.renew("b", "z1", at(0))
-	m.hearPeer("peer", &api.Members{Snapshot: true, Members: []api.Member{{Name: "c", Status: api.Serving}, {Name: "a", Zone: "old", Status: api.Serving}}}, at(1))
+	m.applyPeerAnswer("peer", &api.Members{Snapshot: true, Members: []api.Member{{Name: "c", Status: api.Serving}, {Name: "a", Zone: "old", Status: api.Serving}}}, at(1))
 	check(1, "a b c", "a b")
 	if m.all.zones["a"] != "z1" {
 		t.Error("a peer knows the zone better than the server that holds the lease")
@@ -62,14 +62,14 @@
 	m.renew("b", "z2", at(20))
 	check(29, "a b c", "a b")
 	check(30, "a b c", "b") // the peer still holds a lease of it
-	m.hearPeer("peer", &api.Members{Members: []api.Member{{Name: "a", Status: api.Deleted}}}, at(31))
+	m.applyPeerAnswer("peer", &api.Members{Members: []api.Member{{Name: "a", Status: api.Deleted}}}, at(31))
 	check(31, "b c", "b")
 	m.leave("b")
 	check(32, "c", "")
 	check(61, "c", "")
 	check(62, "", "")
-	m.hearPeer("peer", &api.Members{Snapshot: true, Members: []api.Member{{Name: "d", Status: api.Serving}}}, at(70))
-	m.hearPeer("peer", &api.Members{Snapshot: true, Members: []api.Member{{Name: "e", Status: api.Serving}}}, at(71))
+	m.applyPeerAnswer("peer", &api.Members{Snapshot: true, Members: []api.Member{{Name: "d", Status: api.Serving}}}, at(70))
+	m.applyPeerAnswer("peer", &api.Members{Snapshot: true, Members: []api.Member{{Name: "e", Status: api.Serving}}}, at(71))
 	check(71, "e", "")
 }
 
@@ -92,7 +92,7 @@
 			zones := rapid.MapOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), rapid.SampledFrom([]string{"z1", "z2"}), 0, 5).Draw(t, "zones")
 			before := v.index
 			if changed := v.replace(zones); changed != (v.index > before) {
-				t.Fatal("the index does not tell the change")
+				t.Fatal("the index does not change with it")
 			}
 			if rapid.Bool().Draw(t, "forgets") {
 				v.oldest, v.log = v.index, nil
@@ -138,7 +138,7 @@
 	}
 }
 
-// TestMembersOfPeers: two servers tell the members of both; one that leaves is gone at both, and one server's end takes nobody out for a lease.
+// TestMembersOfPeers: two servers publish the members of both; one that leaves is gone at both, and one server's end takes nobody out for a lease.
 func TestMembersOfPeers(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
 	listeners := make([]net.Listener, 2)
@@ -176,7 +176,7 @@
 	}
 }
 
-// TestRestartKeepsMembers: a server that restarts tells the members it had, under another epoch, before anyone has called again.
+// TestRestartKeepsMembers: a server that restarts publishes the members it had, under another epoch, before anyone has called again.
 func TestRestartKeepsMembers(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
 	options := testOptions(t, d.address())
@@ -199,7 +199,7 @@
 	}
 }
 
-// TestGathering: on a first start nobody is told of members before all had the time to call; their calls count meanwhile.
+// TestGathering: on a first start members are not published before all had the time to call; their calls count meanwhile.
 func TestGathering(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
 	options := testOptions(t, d.address())
@@ -217,7 +217,7 @@
 	}
 }
 
-// TestManyGoneAtOnce: 523 of 700 forwarders leave within one publication and come back within another; who watches is told so in a few answers, and the log in a few lines.
+// TestManyGoneAtOnce: 523 of 700 forwarders leave within one publication and come back within another; a watcher gets few answers, and the log few lines.
 func TestManyGoneAtOnce(t *testing.T) {
 	logs := captureLogs(t)
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -192,7 +192,7 @@
 
 // hasSettled reports whether the members that are known are all that there are, as far as can be known.
 func (s *Server) hasSettled(now time.Time) bool {
-	return s.restored && len(s.peersHeard) == len(s.options.Peers) || now.Sub(s.started) >= s.options.Settle
+	return s.restored && len(s.peersAnswered) == len(s.options.Peers) || now.Sub(s.started) >= s.options.Settle
 }
 
 // Waits between two calls to a peer that fail.
@@ -226,8 +226,8 @@
 		isSilent, pause = false, 0
 		epoch, index = answer.Epoch, answer.Index
 		s.memberMu.Lock()
-		s.members.hearPeer(address, answer, time.Now())
-		s.peersHeard[address] = true
+		s.members.applyPeerAnswer(address, answer, time.Now())
+		s.peersAnswered[address] = true
 		s.memberMu.Unlock()
 	}
 }
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -23,8 +23,8 @@
 	Peers    []string // host:port of the other control servers
 
 	Lease         time.Duration // of a member
-	Settle        time.Duration // how long members are gathered before the first are told, where none are known from before
-	PublishEvery  time.Duration // changes of the members are told together
+	Settle        time.Duration // how long members are gathered before they are published, where none are known from before
+	PublishEvery  time.Duration // between two publications of the members
 	SaveEvery     time.Duration // the list is written, if it has changed
 	MaxHold       time.Duration // a watch is held
 	MaxRequests   int           // at the same time, held ones included
--- a/internal/control/scopes.go
+++ b/internal/control/scopes.go
@@ -87,7 +87,7 @@
 	return uint32(len(w.byNumber) - 1)
 }
 
-// forget drops a scope. Calls that wait in it are woken, and told that it is unknown.
+// forget drops a scope. Calls that wait in it are woken, and answered that it is unknown.
 func (w *watches) forget(s *scope) {
 	for p := range s.partitions.All() {
 		w.partitions.remove(p, s.number)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -38,9 +38,9 @@
 	memberMu      sync.Mutex
 	members       *members
 	published     chan struct{} // closed when members change, and replaced
-	settled       bool          // members may be told
+	settled       bool          // members may be published
 	restored      bool          // members are known from before this process
-	peersHeard    map[string]bool
+	peersAnswered map[string]bool
 	memberAnswers map[memberAnswerKey]*memberAnswer // since the last publication
 	membersToSave bool
 	keptLeases    atomic.Int64 // that a restart would begin with
@@ -66,7 +66,7 @@
 	}
 	s := &Server{options: options, folder: folder, started: time.Now(), epoch: fmt.Sprintf("%016x", rand.Uint64()),
 		watches: newWatches(options.Layout, options.MaxScopes, options.MaxSetNumbers), members: newMembers(options.Lease),
-		published: make(chan struct{}), peersHeard: map[string]bool{}, memberAnswers: map[memberAnswerKey]*memberAnswer{}, building: make(chan struct{}, 2*runtime.GOMAXPROCS(0)),
+		published: make(chan struct{}), peersAnswered: map[string]bool{}, memberAnswers: map[memberAnswerKey]*memberAnswer{}, building: make(chan struct{}, 2*runtime.GOMAXPROCS(0)),
 		wholeLists: make(chan struct{}, maxWholeLists), stopping: make(chan struct{}), savedIndex: -1, saveDue: make(chan struct{}, 1)}
 	s.list = folder.loadList(options.Layout, options.Limits)
 	s.keptIndex.Store(s.list.Index())
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -182,7 +182,7 @@
 		}
 	}
 	if total != len(list) {
-		t.Errorf("%d entries are told, of %d", total, len(list))
+		t.Errorf("%d entries are sent, of %d", total, len(list))
 	}
 }
 
@@ -278,7 +278,7 @@
 	}
 }
 
-// TestOverload: requests over the bound are answered with 503, held ones count, and figures are told all the same.
+// TestOverload: requests over the bound are answered with 503, held ones count, and figures are served all the same.
 func TestOverload(t *testing.T) {
 	logs := captureLogs(t)
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
@@ -310,7 +310,7 @@
 	}
 }
 
-// TestScopesAreBounded: the scope that was not used for longest leaves, and whoever waits in it is told that it is unknown.
+// TestScopesAreBounded: the scope that was not used for longest leaves, and a watch held in it is answered with 404.
 func TestScopesAreBounded(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
 	options := testOptions(t, d.address())
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -10,7 +10,7 @@
 // maxRefusedLines bounds the log lines about entries of one list.
 const maxRefusedLines = 10
 
-// upstreamSink puts what discovery says into the catalog, and wakes whom it concerns.
+// upstreamSink puts what discovery says into the catalog, and wakes the watches that it touches.
 type upstreamSink struct {
 	server   *Server
 	began    time.Time
