--- a/experiments/capacity/plan.hcl
+++ b/experiments/capacity/plan.hcl
@@ -45,5 +45,6 @@
 # Bounds of the program; a test holds them against the code.
 limits {
   list_answer_bytes = 67108864
-  members           = 4096
+  members           = 4096  # that gossip
+  control_members   = 65536 # with leases
 }
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -20,10 +20,11 @@
 	Power  Shape = "power" // cost = intercept + slope * size^exponent
 )
 
-// A curve counts as linear while the exponent that fits best is within exponentTolerance of 1, or leaves more than muchNearer of the line's squared distances.
+// A curve counts as linear while the exponent that fits best is within exponentTolerance of 1, leaves more than muchNearer of the line's squared distances, or the line is nearEnough.
 const (
 	exponentTolerance = 0.15
 	muchNearer        = 0.5
+	nearEnough        = 0.01 // of a line: no other curve is looked for
 	lowestExponent    = 0.1
 	highestExponent   = 3.0
 	exponentStep      = 0.01
@@ -65,7 +66,7 @@
 			f.Shape, f.Intercept, f.Slope = Flat, regressionMean(points), 0
 		}
 	}
-	if f.Shape == Linear && f.sizes >= 3 {
+	if f.Shape == Linear && f.sizes >= 3 && f.largestResidual(points) > nearEnough {
 		f.checkExponent(points)
 	}
 	f.Residual = f.largestResidual(points)
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -87,3 +87,14 @@
 		t.Error("a curve through no points")
 	}
 }
+
+// TestFitNearEnough: a curve that bends by less than a hundredth counts as a line.
+func TestFitNearEnough(t *testing.T) {
+	f, err := FitSeries(pointsOn(func(x float64) float64 { return 330 + math.Pow(x, 0.3)/40 }, 0, 200_000, 600_000, 2_200_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Shape != Linear {
+		t.Errorf("shape %s, exponent %g: want a line", f.Shape, f.Exponent)
+	}
+}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -71,6 +71,7 @@
 type Limits struct {
 	ListAnswerBytes float64 `hcl:"list_answer_bytes"`
 	Members         float64 `hcl:"members"`
+	ControlMembers  float64 `hcl:"control_members"`
 }
 
 const secondsPerDay = 24 * 60 * 60
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -74,16 +74,24 @@
 // carrier says what carries a cost in place of a mechanism that breaks, and with which share of the allowance.
 func (m *Model) carrier(r *Row) string {
 	next, planned := successor[r.Mechanism]
-	if !planned {
+	switch {
+	case !planned:
 		return "none yet"
+	case r.Resource == Kept:
+		return fmt.Sprintf("%s: %s members, the bound of a control server", next, count(m.Plan.Limits.ControlMembers))
 	}
 	best := worst(m.Find(func(o *Row) bool {
-		return o.Mechanism == next && (o.Role == r.Role || r.Role == GossipProcess && o.Role == Forwarder) && o.Resource == r.Resource && o.Event == r.Event && o.Allowed > 0
+		process := o.Series != nil && o.Series.Process != "model"
+		return process && o.Mechanism == next && (o.Role == r.Role || r.Role != ControlServer && o.Role == Forwarder) && o.Resource == r.Resource && o.Event == r.Event
 	}))
 	if best == nil {
 		return fmt.Sprintf("%s: %s", next, NotMeasured)
 	}
-	return fmt.Sprintf("%s: %s, %s of it, %s", next, best.cost(), percent(best.Used()), best.Standing)
+	text := fmt.Sprintf("%s: %s, %s", next, best.cost(), best.Standing)
+	if best.Allowed > 0 {
+		text += fmt.Sprintf(", %s of what is allowed", percent(best.Used()))
+	}
+	return text
 }
 
 // what names a cost.
