Measure a real forwarder with a part of the list in a fleet of the plan's size

The partial list's rows of a forwarder are the other half of the table: one real forwarder at one real control server, where 6,799 other members hold a lease alone, so that its part is as large as it would be.

--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -55,6 +55,7 @@
 	"ownership":    ownershipMeasurement,
 	"catalog":      catalogMeasurement,
 	"control":      controlMeasurement,
+	"part":         partMeasurement,
 }
 
 // Names are what can be measured, with a line about each.
--- a/internal/capacity/missing.go
+++ b/internal/capacity/missing.go
@@ -81,8 +81,8 @@
 	if r == nil {
 		return g
 	}
-	most := p.Allowed.ForwarderBytesPerSecond / r.Cost
+	most := p.Ownership.LookupBytesPerSecond / r.Cost
 	g.factor, g.from = perSecond/most, r.from()
-	g.reached = fmt.Sprintf("%s look-ups a second of %s, which is %s of the events", significant(most), byteCount(r.Cost), percent(most/p.EventsPerForwarder()))
+	g.reached = fmt.Sprintf("%s look-ups a second of %s in %s/s, which is %s of the events", significant(most), byteCount(r.Cost), byteCount(p.Ownership.LookupBytesPerSecond), percent(most/p.EventsPerForwarder()))
 	return g
 }
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -62,9 +62,10 @@
 
 // Ownership is how the mechanism of the partial list would be set (docs/ownership.md).
 type Ownership struct {
-	Partitions          float64 `hcl:"partitions"`
-	Replicas            float64 `hcl:"replicas"`
-	FetchedDestinations float64 `hcl:"fetched_destinations"` // on demand, kept at most
+	Partitions           float64 `hcl:"partitions"`
+	Replicas             float64 `hcl:"replicas"`
+	FetchedDestinations  float64 `hcl:"fetched_destinations"`    // on demand, kept at most
+	LookupBytesPerSecond float64 `hcl:"lookup_bytes_per_second"` // of the allowed ones
 }
 
 // Limits are bounds of the program, kept here for the arithmetic; a test holds them against the code.
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -42,7 +42,7 @@
 	}
 	for _, c := range []struct{ old, new, want string }{
 		{"forwarders                    = 6800", "forwarders = -1", "plan.hcl:2: forwarders: -1: write a number above 0"},
-		{"partitions           = 2097152", "partitions = 65535", ": partitions: a power of two"},
+		{"partitions              = 2097152", "partitions = 65535", ": partitions: a power of two"},
 		{"control_servers_alive      = 3", "control_servers_alive = 6", ": control_servers_alive: no more than control_servers"},
 		{"destinations_down_percent     = 1.5", "destinations_down_percent = 150", "plan.hcl:5: destinations_down_percent: a share"},
 		{"zones                         = 13", "zones = 2", "plan.hcl:8: zones: each region"},
