--- a/cmd/scaleroute-control/main.go
+++ b/cmd/scaleroute-control/main.go
@@ -15,8 +15,7 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"scaleroute/internal/commandline"
 	"scaleroute/internal/control"
 	"scaleroute/internal/ownership"
 )
@@ -30,53 +29,44 @@
 	Partitions  int           `default:"2097152" help:"Partitions of the destinations: a power of two, the same for the whole fleet."`
 	Replicas    int           `default:"3" help:"Owners of each partition, the same for the whole fleet."`
 	Lease       time.Duration `default:"30s" help:"A forwarder that has not called for so long is no member any more."`
-	Settle      time.Duration `default:"3s" help:"How long members are gathered after a first start before they are told to anyone."`
-	Publish     time.Duration `default:"1s" help:"Changes of the members within this time are told together."`
+	Settle      time.Duration `default:"3s" help:"How long members are gathered after a first start before they are published."`
+	Publish     time.Duration `default:"1s" help:"Changes of the members within this time are published together."`
 	Save        time.Duration `default:"5m" help:"Time between two snapshots of the list in the state folder."`
 	MaxRequests int           `default:"16384" help:"Requests at the same time, held ones included; more get 503."`
 	Gc          int           `default:"25" help:"Share of the memory in use that may be garbage, in per cent (as GOGC)."`
 	LogLevel    string        `default:"info" enum:"debug,info,warn,error" help:"Lines of less weight are not written."`
 }
 
-// Statuses of the process.
-const (
-	statusFailed = 1
-	statusUsage  = 2
-)
+// statusFailed is the exit status of a server that could not serve; a wrong command line has commandline.StatusNotDone.
+const statusFailed = 1
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// exit is what kong ends the program with, after --help.
-type exit int
-
 func run(args []string, out, errs io.Writer) (status int) {
-	defer func() {
-		switch e := recover().(type) {
-		case nil:
-		case exit:
-			status = int(e)
-		default:
-			panic(e)
-		}
-	}()
-	var f flags
-	parser, err := kong.New(&f, kong.Name("scaleroute-control"), kong.Description("A control server of scaleroute."), kong.Writers(out, errs),
-		kong.Exit(func(code int) { panic(exit(code)) }))
-	if err == nil {
-		_, err = parser.Parse(args)
-	}
-	if err != nil {
-		fmt.Fprintln(errs, "scaleroute-control:", err)
-		return statusUsage
-	}
+	tool := commandline.Tool{Name: "scaleroute-control", Description: "A control server of scaleroute.", Out: out, Errs: errs, StatusOf: statusOf}
+	return tool.Run(&flags{}, args)
+}
+
+// errServing marks errors that came after the command line was read.
+type errServing struct{ error }
+
+func statusOf(err error) (status int, isFinding bool) {
+	var serving errServing
+	return statusFailed, errors.As(err, &serving)
+}
+
+// Run serves until the process gets SIGTERM.
+func (f *flags) Run() error {
 	var level slog.Level
-	level.UnmarshalText([]byte(f.LogLevel)) // kong has checked it
-	slog.SetDefault(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
-	if err := serve(&f); err != nil {
+	if err := level.UnmarshalText([]byte(f.LogLevel)); err != nil {
+		return err
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	if err := serve(f); err != nil {
 		slog.Error("control server has ended", "err", err)
-		return statusFailed
+		return errServing{err}
 	}
-	return 0
+	return nil
 }
 
 func serve(f *flags) error {
--- a/cmd/scaleroute-control/scale_test.go
+++ b/cmd/scaleroute-control/scale_test.go
@@ -39,6 +39,7 @@
 type planDiscovery struct {
 	*httptest.Server
 	index  atomic.Int64
+	all    atomic.Int64 // the index that has changed every entry
 	silent atomic.Bool
 }
 
@@ -65,9 +66,9 @@
 			separator, i, i>>16, i>>8&255, i&255, i%13, i, weight)
 		separator = ","
 	}
-	if err != nil {
+	if all := d.all.Load(); err != nil || from < all {
 		for i := range planEntries {
-			entry(i, 1.5)
+			entry(i, 1.5+float64(all))
 		}
 	} else {
 		for i := from + 1; i <= index; i++ {
@@ -139,6 +140,7 @@
 	m.partSnapshots()
 	m.calmWatches()
 	m.changes()
+	m.everyEntry()
 	m.memberCalls()
 	m.wholeList()
 	m.restart()
@@ -151,7 +153,6 @@
 	discovery *planDiscovery
 	client    *http.Client
 	scopes    []string
-	part      ownership.Set
 }
 
 // row measures what a step has used, and divides it by how often it did something.
@@ -249,29 +250,65 @@
 // changes has single entries change while all watch: what is left after the cost of the same watches without changes is that of the changes.
 func (m *measurement) changes() {
 	var watching sync.WaitGroup
-	watching.Go(func() { m.watchAll(1, 55_000) })
+	watching.Go(func() { m.watchAll(1, 20_000) })
 	m.process.await("all watch", func(f control.Figures) bool { return f.Watchers == scaleWatches })
 	m.row("change of an entry", scaleChanges, func() {
 		for range scaleChanges {
-			index := m.discovery.index.Add(1)
-			for m.process.figures().Index != index {
-				time.Sleep(2 * time.Millisecond)
-			}
+			m.discovery.index.Add(1)
+			time.Sleep(10 * time.Millisecond)
 		}
+		m.process.await("the last change", func(f control.Figures) bool { return f.Index == m.discovery.index.Load() })
 	})
 	m.t.Logf("%d watches were woken by %d changes", m.process.figures().WakeUps, scaleChanges)
 	watching.Wait()
 }
 
+// everyEntry has all entries change while all watch, and ends when the last of them has its part.
+func (m *measurement) everyEntry() {
+	var watching sync.WaitGroup
+	watching.Go(func() { m.watchAll(1, 60_000) })
+	m.process.await("all watch", func(f control.Figures) bool { return f.Watchers == scaleWatches })
+	m.row("change of every entry", scaleWatches, func() {
+		next := m.discovery.index.Load() + 1
+		m.discovery.all.Store(next)
+		m.discovery.index.Store(next)
+		watching.Wait()
+	})
+	m.row("its snapshot", planEntries, func() {
+		m.process.await("it is kept", func(f control.Figures) bool { return f.KeptIndex == m.discovery.index.Load() })
+	})
+}
+
+// memberCalls has all forwarders join, and then one leave while the others watch.
 func (m *measurement) memberCalls() {
-	var answers atomic.Int64
-	join := func(count int) {
-		for i := range count {
-			m.get(fmt.Sprintf("/v1/members?name=forwarder-%04d&zone=zone-%02d", i, i%13))
-			answers.Add(1)
+	name := func(i int) string { return fmt.Sprintf("name=forwarder-%04d&zone=zone-%02d", i, i%13) }
+	m.row("first call of a member", scaleWatches, func() {
+		for i := range scaleWatches {
+			m.get("/v1/members?" + name(i))
 		}
+	})
+	m.process.await("all are members", func(f control.Figures) bool { return f.Members == scaleWatches })
+	var last api.Members
+	m.row("snapshot of 2,000 members", scaleParts, func() {
+		for range scaleParts {
+			if err := json.Unmarshal(m.get("/v1/members?"+name(0)), &last); err != nil {
+				m.t.Fatal(err)
+			}
+		}
+	})
+	before := m.process.figures().Requests
+	var watching sync.WaitGroup
+	for i := range scaleWatches - 1 {
+		watching.Go(func() {
+			m.get(fmt.Sprintf("/v1/members?%s&epoch=%s&from=%d&hold_ms=9000", name(i), last.Epoch, last.Index))
+		})
 	}
-	m.row("renewal with all 2,000 members", scaleWatches, func() { join(scaleWatches) })
+	m.process.await("all watch", func(f control.Figures) bool { return f.Requests >= before+scaleWatches-1 })
+	m.row("one member leaves, for each", scaleWatches-1, func() {
+		request, _ := http.NewRequest(http.MethodGet, "http://"+m.process.address+"/v1/members?leave=1&"+name(scaleWatches-1), nil)
+		m.send(request, http.StatusNoContent)
+		watching.Wait()
+	})
 }
 
 func (m *measurement) wholeList() {
--- a/internal/capacity/measure/forwarder.go
+++ b/internal/capacity/measure/forwarder.go
@@ -28,6 +28,7 @@
 // forwarder is a real one in a world of its own, with its agent behind a relay that counts bytes.
 type forwarder struct {
 	world   *standin.World
+	agent   *listAgent
 	list    *fleet.Edge
 	process *fleet.Process
 	dir     string
@@ -60,46 +61,61 @@
 	if f.world, err = standin.New(standin.Shape{Destinations: destinations, Endpoints: 1, Hosts: hosts}); err != nil {
 		return f, err
 	}
-	if f.list, err = fleet.NewEdge("127.0.0.1:0", f.world.Discovery.Address(), seed); err != nil {
+	if f.agent, err = newListAgent(f.world); err != nil {
 		return f, err
 	}
-	config := standin.Config{Discovery: f.list.Address(), Slots: 64, Sockets: configSockets, MemoryMB: configMemory, DiskMB: configDisk, Left: messageLife, Seed: seed}
+	if f.list, err = fleet.NewEdge("127.0.0.1:0", f.agent.address(), seed); err != nil {
+		return f, err
+	}
+	return f, f.start(l, f.list.Address(), adminAPI, seed)
+}
+
+// start starts the process in its folder, with an address of discovery, and waits until it serves.
+func (f *forwarder) start(l *Lab, discovery, adminAPI string, seed uint64, arguments ...string) (err error) {
+	config := standin.Config{Discovery: discovery, Slots: 64, Sockets: configSockets, MemoryMB: configMemory, DiskMB: configDisk, Left: messageLife, Seed: seed}
 	file := filepath.Join(f.dir, "config.json")
 	if err = os.WriteFile(file, config.Write(f.world), 0o600); err != nil {
-		return f, err
+		return err
 	}
 	state := filepath.Join(f.dir, "state")
 	if err = os.Mkdir(state, 0o700); err != nil {
-		return f, err
+		return err
 	}
 	env := append(os.Environ(), "NODE_CONFIG="+file, "NODE_STATE="+state, "NODE_OPS="+adminAPI, "TMPDIR="+f.dir)
-	if f.process, err = fleet.Launch([]string{l.Program}, env, nil, nil); err != nil {
-		return f, err
+	if f.process, err = fleet.Launch(append([]string{l.Program}, arguments...), env, nil, nil); err != nil {
+		return err
 	}
 	if err = f.process.Ready(); err != nil {
-		return f, err
+		return err
 	}
 	f.world.Clients.At(f.process.Address())
-	return f, nil
+	return nil
 }
 
 // settle waits until the forwarder has all that its agent knows in force, and does not use the processor any more.
 func (f *forwarder) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
+	if _, err := f.agent.await(ctx); err != nil {
+		return err
+	}
+	return awaitIdle(ctx, f.process)
+}
+
+// awaitIdle waits until a process does not use the processor any more.
+func awaitIdle(ctx context.Context, process *fleet.Process) error {
 	look := time.NewTicker(settleLook)
 	defer look.Stop()
-	quiet, used := 0, f.process.CPU()
-	for quiet < settleQuiet || f.world.Discovery.Asked() != f.world.Discovery.Index() {
+	for quiet, used := 0, process.CPU(); quiet < settleQuiet; {
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("waiting for it to be idle: %w", ctx.Err())
-		case <-f.process.Ended():
-			return fmt.Errorf("the program ended; its log ends:\n%s", f.process.Tail())
+		case <-process.Ended():
+			return fmt.Errorf("the program ended; its log ends:\n%s", process.Tail())
 		case <-look.C:
 		}
 		quiet++
-		if now := f.process.CPU(); now > used {
+		if now := process.CPU(); now > used {
 			quiet, used = 0, now
 		}
 	}
@@ -126,6 +142,9 @@
 	if f.list != nil {
 		f.list.Close()
 	}
+	if f.agent != nil {
+		errs = append(errs, f.agent.close())
+	}
 	if f.world != nil {
 		f.world.Close()
 	}
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -54,6 +54,8 @@
 	"decide":       decideMeasurement,
 	"ownership":    ownershipMeasurement,
 	"catalog":      catalogMeasurement,
+	"control":      controlMeasurement,
+	"part":         partMeasurement,
 }
 
 // Names are what can be measured, with a line about each.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -38,9 +38,10 @@
 	memberMu      sync.Mutex
 	members       *members
 	published     chan struct{} // closed when members change, and replaced
-	settled       bool          // members may be told
+	settled       bool          // members may be published
 	restored      bool          // members are known from before this process
-	peersHeard    map[string]bool
+	peersAnswered map[string]bool
+	memberAnswers map[memberAnswerKey]*memberAnswer // since the last publication
 	membersToSave bool
 	keptLeases    atomic.Int64 // that a restart would begin with
 
@@ -65,7 +66,7 @@
 	}
 	s := &Server{options: options, folder: folder, started: time.Now(), epoch: fmt.Sprintf("%016x", rand.Uint64()),
 		watches: newWatches(options.Layout, options.MaxScopes, options.MaxSetNumbers), members: newMembers(options.Lease),
-		published: make(chan struct{}), peersHeard: map[string]bool{}, building: make(chan struct{}, 2*runtime.GOMAXPROCS(0)),
+		published: make(chan struct{}), peersAnswered: map[string]bool{}, memberAnswers: map[memberAnswerKey]*memberAnswer{}, building: make(chan struct{}, 2*runtime.GOMAXPROCS(0)),
 		wholeLists: make(chan struct{}, maxWholeLists), stopping: make(chan struct{}), savedIndex: -1, saveDue: make(chan struct{}, 1)}
 	s.list = folder.loadList(options.Layout, options.Limits)
 	s.keptIndex.Store(s.list.Index())
@@ -123,6 +124,7 @@
 func (s *Server) handle(serve func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.figures.requests.Add(1)
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.MaxHold + writeTime)) // of answers that set no other
 		if n := s.figures.underWay.Add(1); n > int64(s.options.MaxRequests) {
 			s.overload.warn("more requests than are served at the same time: some are answered with 503", "max_requests", s.options.MaxRequests)
 			s.writeProblem(w, unavailable(time.Second, "more than %d requests at the same time", s.options.MaxRequests))
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -182,7 +182,7 @@
 		}
 	}
 	if total != len(list) {
-		t.Errorf("%d entries are told, of %d", total, len(list))
+		t.Errorf("%d entries are sent, of %d", total, len(list))
 	}
 }
 
@@ -278,7 +278,7 @@
 	}
 }
 
-// TestOverload: requests over the bound are answered with 503, held ones count, and figures are told all the same.
+// TestOverload: requests over the bound are answered with 503, held ones count, and figures are served all the same.
 func TestOverload(t *testing.T) {
 	logs := captureLogs(t)
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
@@ -310,7 +310,7 @@
 	}
 }
 
-// TestScopesAreBounded: the scope that was not used for longest leaves, and whoever waits in it is told that it is unknown.
+// TestScopesAreBounded: the scope that was not used for longest leaves, and a watch held in it is answered with 404.
 func TestScopesAreBounded(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoint("a", 1))
 	options := testOptions(t, d.address())
@@ -332,6 +332,54 @@
 	}
 }
 
+// TestWatchedDestinationsAreBounded: a watch of more single destinations than there is room for is refused, and one that ends makes room.
+func TestWatchedDestinationsAreBounded(t *testing.T) {
+	d := newFakeDiscovery(t, 7, endpoint("a", 1))
+	s := startServer(t, testOptions(t, d.address()))
+	s.awaitIndex(7)
+	s.watches.mu.Lock()
+	s.watches.maxDestinations = 3
+	s.watches.mu.Unlock()
+	held := s.getAside("/v1/servers?destinations=%s&from=7&hold_ms=60000", ownership.NewSet(1, 2))
+	s.awaitWatchers(1)
+	if got := s.get("/v1/servers?destinations=%s&from=7&hold_ms=60000", ownership.NewSet(3, 4)); got.status != 503 || !strings.Contains(got.text, "are watched here") {
+		t.Errorf("status %d: %s", got.status, got.text)
+	}
+	d.change(draining(endpoint("a", 1)))
+	if got := <-held; got.names() != "a~" {
+		t.Errorf("%s", got.text)
+	}
+	s.awaitWatchers(0)
+	if got := s.get("/v1/servers?destinations=%s&from=8&hold_ms=1", ownership.NewSet(3, 4)); got.status != 200 {
+		t.Errorf("once there is room: status %d", got.status)
+	}
+}
+
+// TestLargePart: a part that is sent piece by piece has the same entries as one that is built in memory.
+func TestLargePart(t *testing.T) {
+	d := newFakeDiscovery(t, 7, endpoints(3000)...)
+	options := testOptions(t, d.address())
+	small := startServer(t, options)
+	options.Folder, options.MaxBuilt = t.TempDir(), 10
+	large := startServer(t, options)
+	var half []uint32
+	for p := range uint32(32) {
+		half = append(half, 2*p)
+	}
+	extra := ownership.NewSet(1, 2, 3, 4, 5, 6, 7, 8, 9, 10).String()
+	var answers []*reply
+	for _, s := range []*testServer{small, large} {
+		s.awaitIndex(7)
+		answers = append(answers, s.get("/v1/servers?scope=%s&destinations=%s", s.register(half...), extra))
+	}
+	if answers[0].names() != answers[1].names() || len(answers[1].list.Endpoints) < 1000 || !answers[1].list.Snapshot || answers[1].list.Index != 7 {
+		t.Errorf("%d entries in memory, %d in pieces", len(answers[0].list.Endpoints), len(answers[1].list.Endpoints))
+	}
+	if a, b := small.snapshotFigures().WholeLists, large.snapshotFigures().WholeLists; a != 0 || b != 1 {
+		t.Errorf("%d and %d are sent piece by piece", a, b)
+	}
+}
+
 // TestCompression: an answer over a kilobyte is compressed where the caller accepts that, a smaller one is not.
 func TestCompression(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoints(200)...)
