Make the process tests of partial lists independent of the machine's speed

Three of them could fail on a busy machine: a look-up that had no answer in 100 ms, a part that was not adopted yet though its members were known, and a drain sent before the watch asked for what had just been fetched. They wait for these states now, and count failed look-ups, which GET /control has as failed_lookups; what they assert stays. followMembers is split into short functions.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -49,6 +49,8 @@
 	Name    string // this member's
 	Zone    string
 	Seed    uint64 // of the order of the servers and of the back-off
+	// LookupTime is how long one server may take for a look-up; 0: lookupTime.
+	LookupTime time.Duration
 	// Dial makes connections; nil: by TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -69,6 +71,9 @@
 func New(c Config) *Client {
 	k := &Client{config: c, random: rand.New(rand.NewPCG(c.Seed, 0)), servers: slices.Clone(c.Servers)}
 	k.random.Shuffle(len(k.servers), func(i, j int) { k.servers[i], k.servers[j] = k.servers[j], k.servers[i] })
+	if c.LookupTime == 0 {
+		k.config.LookupTime = lookupTime
+	}
 	dial := c.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -263,7 +268,7 @@
 	return err
 }
 
-// lookupTime is how long one server may take for a look-up, and lookupServers how many are asked.
+// lookupTime is how long one server may take for a look-up, as a rule, and lookupServers how many are asked.
 const (
 	lookupTime    = 100 * time.Millisecond
 	lookupServers = 3
@@ -276,7 +281,7 @@
 	servers := c.fromCurrent()
 	for _, server := range servers[:min(len(servers), lookupServers)] {
 		var bytes int64
-		a, bytes, err = c.list(ctx, call{kind: LookupCall, method: http.MethodGet, server: server, path: path, limit: lookupTime}, true)
+		a, bytes, err = c.list(ctx, call{kind: LookupCall, method: http.MethodGet, server: server, path: path, limit: c.config.LookupTime}, true)
 		spent += bytes
 		if err == nil && a.Index < newest {
 			err = &BehindError{server, a.Index, newest}
--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -155,19 +155,21 @@
 
 // Status is how a Follower stands.
 type Status struct {
-	Server     string           `json:"server"`
-	Members    int              `json:"members"`
-	Partitions int              `json:"partitions"`
-	Complete   bool             `json:"complete"`
-	Part       partial.Counts   `json:"part"`
-	Traffic    map[string]Usage `json:"traffic"`
+	Server     string         `json:"server"`
+	Members    int            `json:"members"`
+	Partitions int            `json:"partitions"`
+	Complete   bool           `json:"complete"`
+	Part       partial.Counts `json:"part"`
+	// FailedLookups had no answer that counts: their messages were refused with a retry-after.
+	FailedLookups int64            `json:"failed_lookups"`
+	Traffic       map[string]Usage `json:"traffic"`
 }
 
 // Status tells how it stands.
 func (f *Follower) Status() Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Status{Server: f.Client.Server(), Members: len(f.membership.Names()), Partitions: f.owned.Len(), Complete: f.state.Complete(), Part: f.state.Counts(),
+	return Status{Server: f.Client.Server(), Members: len(f.membership.Names()), Partitions: f.owned.Len(), Complete: f.state.Complete(), Part: f.state.Counts(), FailedLookups: f.failedLookups,
 		Traffic: f.Client.Traffic()}
 }
 
@@ -237,40 +239,58 @@
 // followMembers goes on with the part that the present members leave to this one. The entries of few new partitions are asked for on their own, and the rest is kept;
 // where half of the part is new, the next watch asks for all of it.
 func (f *Follower) followMembers(ctx context.Context) error {
-	f.mu.Lock()
-	expired := f.membership.Expire(f.now())
-	if !f.changed && !expired {
-		f.mu.Unlock()
+	names, owned, needed, complete := f.changedMembers()
+	if names == nil {
 		return nil
 	}
-	f.changed = false
-	names, owned, needed, complete := f.membership.Names(), f.owned, f.state.Newest(), f.state.Complete()
-	f.mu.Unlock()
-
 	next := f.bounded(f.layout.Owned(f.Client.config.Name, names), len(names))
 	gained := next.Minus(owned)
 	var answer *partial.Answer
 	if complete && gained.Len() > 0 && 2*gained.Len() < next.Len() {
 		a, err := f.Client.Snapshot(ctx, gained, needed)
 		if err != nil {
-			f.mu.Lock()
-			f.changed = true
-			f.mu.Unlock()
-			return err
+			return f.tryAgain(err)
 		}
 		answer = &a
 	}
+	if err := f.applyPart(next, gained, answer); err != nil {
+		return f.tryAgain(err)
+	}
+	slog.Info("the part of the list has changed", "members", len(names), "partitions", next.Len(), "gained", gained.Len(), "lost", owned.Minus(next).Len(), "index", needed)
+	return nil
+}
+
+// changedMembers are the members, if they are others than those of the present part; else nil. With them, what the present part is, which index an answer must have
+// at least, and whether the present part is complete.
+func (f *Follower) changedMembers() (names []string, owned ownership.Set, needed int64, complete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if expired := f.membership.Expire(f.now()); !f.changed && !expired {
+		return nil, owned, 0, false
+	}
+	f.changed = false
+	return f.membership.Names(), f.owned, f.state.Newest(), f.state.Complete()
+}
+
+// tryAgain has the next followMembers work the part out again.
+func (f *Follower) tryAgain(err error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changed = true
+	return err
+}
+
+// applyPart goes on with another part; answer has the entries of what is gained, or the next watch is to ask for everything.
+func (f *Follower) applyPart(next, gained ownership.Set, answer *partial.Answer) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u, err := f.state.ApplyScope(f.owns(next), f.owns(gained), answer)
 	if err != nil {
-		f.changed = true
 		return err
 	}
 	if gained.Len() > 0 && answer == nil {
 		f.state.Reset()
 	}
-	slog.Info("the part of the list has changed", "members", len(names), "partitions", next.Len(), "gained", gained.Len(), "lost", owned.Minus(next).Len(), "index", u.Index)
 	f.owned = next
 	f.enqueue(u)
 	return nil
