--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -14,8 +14,8 @@
 	lease time.Duration
 	own   map[string]ownLease
 	peers map[string]*peerLeases // by the peer's address
-	all   memberView             // what forwarders are told: the members of this server and its peers
-	held  memberView             // what peers are told: those whose lease is held here
+	all   memberView             // sent to forwarders: the members of this server and its peers
+	held  memberView             // sent to peers: those whose lease is held here
 }
 
 type ownLease struct {
@@ -45,8 +45,8 @@
 // leave ends a lease at once.
 func (m *members) leave(name string) { delete(m.own, name) }
 
-// hearPeer takes over a peer's answer.
-func (m *members) hearPeer(address string, answer *api.Members, now time.Time) {
+// applyPeerAnswer takes over a peer's answer.
+func (m *members) applyPeerAnswer(address string, answer *api.Members, now time.Time) {
 	peer := m.peers[address]
 	if peer == nil || answer.Snapshot {
 		peer = &peerLeases{zones: map[string]string{}}
@@ -62,7 +62,7 @@
 	}
 }
 
-// publish drops what has expired, and makes what is left what is told. A peer that is silent keeps its members for one lease.
+// publish drops what has expired, and updates both views. A peer that is silent keeps its members for one lease.
 func (m *members) publish(now time.Time) (changed bool) {
 	held := map[string]string{}
 	for name, lease := range m.own {
@@ -129,13 +129,15 @@
 	return true
 }
 
-// since is what has changed since an index, or all that there are where that is not known.
-func (v *memberView) since(index int64, sameEpoch bool) (list []api.Member, snapshot bool) {
-	if !sameEpoch || index < v.oldest || index > v.index {
-		return v.everybody(), true
-	}
+// covers reports whether the changes since an index are known.
+func (v *memberView) covers(index int64) bool {
+	return index >= v.oldest && index >= 0 && index <= v.index
+}
+
+// changedSince is what has changed since an index that is covered.
+func (v *memberView) changedSince(index int64) []api.Member {
 	begin, _ := slices.BinarySearchFunc(v.log, index+1, func(c memberChange, index int64) int { return cmp.Compare(c.index, index) })
-	list = []api.Member{}
+	list := []api.Member{}
 	seen := map[string]bool{}
 	for _, change := range v.log[begin:] {
 		if !seen[change.name] {
@@ -143,7 +145,7 @@
 			list = append(list, v.member(change.name))
 		}
 	}
-	return list, false
+	return list
 }
 
 func (v *memberView) everybody() []api.Member {
