--- a/internal/scale/fleet_test.go
+++ b/internal/scale/fleet_test.go
@@ -38,6 +38,12 @@
 
 func TestMain(m *testing.M) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil))) // a hundred nodes warn of each fault
+	if len(os.Args) == 2 && os.Args[1] == hostCommand {
+		if Host(os.Stdin, os.Stdout) != nil {
+			os.Exit(1)
+		}
+		return
+	}
 	os.Exit(m.Run())
 }
 
