--- a/internal/scale/rig.go
+++ b/internal/scale/rig.go
@@ -210,32 +210,48 @@
 		return err
 	}
 	b.note("leases are held")
-	took, err := b.askAll(func(h *simulatedHost) ([]time.Duration, error) {
-		file := filepath.Join(b.dir, fmt.Sprintf("host-%d.json", h.first))
-		if err := writeConfig(file, "simulated", b.directory.Address(), b.members(), b.cell.Seed); err != nil {
-			return nil, err
-		}
-		s := b.rig.Scenario
-		start := &Start{First: h.first, Count: h.count, Mechanism: s.Mechanism, Addresses: addressesOf(h.edges), Config: file, Seed: b.cell.Seed,
-			Partial: Partial{Replicas: s.Replicas, Partitions: b.cell.Partitions, Cached: s.Cached, LookupBytes: s.LookupBytes, Fleet: b.members()}}
-		if s.KeepWithdrawn && b.cell.Forwarders == 1 {
-			start.Folder = b.dir
-		}
-		if _, err := h.ask(&Request{Operation: StartNodes, Start: start}); err != nil {
-			return nil, err
-		}
-		a, err := h.ask(&Request{Operation: AwaitReady, Within: readyWithin})
-		if err != nil {
-			return nil, err
-		}
-		return a.Took, nil
-	})
+	took, err := b.askAll(b.startNodes)
 	if err != nil {
 		return err
 	}
 	b.result.Ready = timesOf(took)
 	b.note("nodes are ready")
-	took = nil
+	if err := b.startReals(); err != nil {
+		return err
+	}
+	b.note("real forwarders are ready")
+	if err := b.awaitMembers(); err != nil {
+		return err
+	}
+	b.note("all know all members")
+	return b.settle(ctx)
+}
+
+// startNodes starts the nodes of a host, and returns how long each took until its first list was in force.
+func (b *bench) startNodes(h *simulatedHost) ([]time.Duration, error) {
+	file := filepath.Join(b.dir, fmt.Sprintf("host-%d.json", h.first))
+	if err := writeConfig(file, "simulated", b.directory.Address(), b.members(), b.cell.Seed); err != nil {
+		return nil, err
+	}
+	s := b.rig.Scenario
+	start := &Start{First: h.first, Count: h.count, Mechanism: s.Mechanism, Addresses: addressesOf(h.edges), Config: file, Seed: b.cell.Seed,
+		Partial: Partial{Replicas: s.Replicas, Partitions: b.cell.Partitions, Cached: s.Cached, LookupBytes: s.LookupBytes, Fleet: b.members()}}
+	if s.KeepWithdrawn && b.cell.Forwarders == 1 {
+		start.Folder = b.dir
+	}
+	if _, err := h.ask(&Request{Operation: StartNodes, Start: start}); err != nil {
+		return nil, err
+	}
+	a, err := h.ask(&Request{Operation: AwaitReady, Within: readyWithin})
+	if err != nil {
+		return nil, err
+	}
+	return a.Took, nil
+}
+
+// startReals starts the real forwarders, one after the other.
+func (b *bench) startReals() error {
+	var took []time.Duration
 	for i := range b.rig.Scenario.Real {
 		began := time.Now()
 		if err := b.startReal(i); err != nil {
@@ -245,12 +261,7 @@
 	}
 	slices.Sort(took)
 	b.result.RealReady = timesOf(took)
-	b.note("real forwarders are ready")
-	if err := b.awaitMembers(); err != nil {
-		return err
-	}
-	b.note("all know all members")
-	return b.settle(ctx)
+	return nil
 }
 
 // members are all members of the fleet.
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -54,12 +54,11 @@
 	Cached         int       `hcl:"cached,optional"`                   // destinations fetched on demand that a forwarder keeps
 	LookupBytes    int       `hcl:"lookup_bytes,optional"`             // a second, for look-ups of a forwarder
 	KeepWithdrawn  bool      `hcl:"keep_withdrawn,optional"`           // where there is one node it keeps which endpoints were withdrawn in a file, as a forwarder does
-	KillControl    bool      `hcl:"kill_control,optional"`             // one control server is killed before the last change
+	KillControl    bool      `hcl:"kill_control,optional"`             // the machine of one control server falls silent, and a change is timed from that moment on
 	LeaveForwarder bool      `hcl:"leave_forwarder,optional"`          // one forwarder leaves at the end, and what moves is counted
 	Sweeps         []Sweep   `hcl:"sweep,block"`
 
 	Window time.Duration
-	file   string
 }
 
 // Sweep is one series of cells: each number of forwarders with each number of destinations.
@@ -145,7 +144,7 @@
 	if diagnostics.HasErrors() {
 		return nil, diagnostics
 	}
-	s := &Scenario{ControlServers: 3, Replicas: 3, PerNode: 256, Cached: 256, LookupBytes: 1500, file: path}
+	s := &Scenario{ControlServers: 3, Replicas: 3, PerNode: 256, Cached: 256, LookupBytes: 1500}
 	if diagnostics := gohcl.DecodeBody(file.Body, nil, s); diagnostics.HasErrors() {
 		return nil, diagnostics
 	}
