--- a/cmd/scaleroute-lab/scale.go
+++ b/cmd/scaleroute-lab/scale.go
@@ -124,12 +124,24 @@
 			return err
 		}
 	}
-	provenance := scale.Begin(s, "scaleroute-lab scale run "+c.File, c.Commit)
+	provenance := scale.Begin(s, "scaleroute-lab scale run "+fromHere(c.File), c.Commit)
 	results, err := c.measure(ctx, rig, s.Cells())
 	scale.Print(out, results)
 	return errors.Join(err, c.printTo(results), provenance.Write(c.Out))
 }
 
+// fromHere names a file as seen from the current folder, where it is in it.
+func fromHere(file string) string {
+	here, err := os.Getwd()
+	if err != nil {
+		return file
+	}
+	if relative, err := filepath.Rel(here, file); err == nil && filepath.IsLocal(relative) {
+		return relative
+	}
+	return file
+}
+
 // rig has the programs ready.
 func (c *scaleRun) rig(ctx context.Context, s *scale.Scenario, dir string) (*scale.Rig, error) {
 	own, err := os.Executable()
--- a/internal/scale/series.go
+++ b/internal/scale/series.go
@@ -92,13 +92,12 @@
 	kinds    []Kind
 	of       func(*Row) float64
 	changing bool // under the scenario's rate of changes
-	crowded  bool // holds where the forwarders of a sweep share one machine's processors, too
 	note     string
 }
 
 var quantities = []quantity{
 	{name: "heap", resource: capacity.State, kinds: []Kind{Simulated}, of: func(r *Row) float64 { return r.HeapBytes }, note: "Live heap and stacks of a node, above those of an empty process."},
-	{name: "peak", crowded: true, resource: capacity.State, kinds: []Kind{Simulated, Real, ControlServer}, of: func(r *Row) float64 { return r.PeakBytes }, note: "Peak resident set; of simulated nodes above that of an empty process."},
+	{name: "peak", resource: capacity.State, kinds: []Kind{Simulated, Real, ControlServer}, of: func(r *Row) float64 { return r.PeakBytes }, note: "Peak resident set; of simulated nodes above that of an empty process."},
 	{name: "messages", resource: capacity.Messages, kinds: []Kind{Simulated, Real}, of: func(r *Row) float64 { return r.CalmBytesPerS }, note: "Nothing changes."},
 	{name: "processor", resource: capacity.Processor, kinds: []Kind{Simulated, Real, ControlServer}, of: func(r *Row) float64 { return r.CalmCPUPercent / 100 }, note: "Nothing changes."},
 	{name: "messages-changing", resource: capacity.Messages, kinds: []Kind{Simulated, Real}, of: func(r *Row) float64 { return r.BusyBytesPerS }, changing: true},
@@ -116,7 +115,6 @@
 	hop       string
 	of        func(*Result) float64
 	note      string
-	crowded   bool // of sweeps that vary the forwarders, and only of them
 }
 
 const (
@@ -125,18 +123,16 @@
 )
 
 var outcomes = []outcome{
-	{"real-ready", capacity.Delay, capacity.Start, "worst", "start of a real forwarder to its serving", func(r *Result) float64 { return r.RealReady.Max / 1000 }, "Beside all others, which run.", false},
-	{"change-median", capacity.Delay, capacity.OneChange, "median", hopWhole, func(r *Result) float64 { return r.InForce.Median / 1000 }, "", false},
-	{"change-p99.9", capacity.Delay, capacity.OneChange, "p99.9", hopWhole, func(r *Result) float64 { return r.InForce.P999 / 1000 }, "", false},
-	{"change-worst", capacity.Delay, capacity.OneChange, "worst", hopWhole, func(r *Result) float64 { return r.InForce.Max / 1000 }, "", false},
-	{"change-impaired-p99.9", capacity.Delay, capacity.OneChange, "p99.9", hopImpaired, func(r *Result) float64 { return r.InForceImpaired.P999 / 1000 }, "", false},
-	{"change-impaired-worst", capacity.Delay, capacity.OneChange, "worst", hopImpaired, func(r *Result) float64 { return r.InForceImpaired.Max / 1000 }, "", false},
-	{"evenness", capacity.Evenness, capacity.Calm, "worst", "", func(r *Result) float64 { return r.PartsMaxOver }, "Destinations of the largest part over the mean.", true},
-	{"moved", capacity.Moved, capacity.Calm, "", "", func(r *Result) float64 { return r.Moved }, "Partitions that others gained when one node left, over those that it owned.", true},
+	{"real-ready", capacity.Delay, capacity.Start, "worst", "start of a real forwarder to its serving", func(r *Result) float64 { return r.RealReady.Max / 1000 }, "Beside all others, which run."},
+	{"change-median", capacity.Delay, capacity.OneChange, "median", hopWhole, func(r *Result) float64 { return r.InForce.Median / 1000 }, ""},
+	{"change-p99.9", capacity.Delay, capacity.OneChange, "p99.9", hopWhole, func(r *Result) float64 { return r.InForce.P999 / 1000 }, ""},
+	{"change-worst", capacity.Delay, capacity.OneChange, "worst", hopWhole, func(r *Result) float64 { return r.InForce.Max / 1000 }, ""},
+	{"change-impaired-p99.9", capacity.Delay, capacity.OneChange, "p99.9", hopImpaired, func(r *Result) float64 { return r.InForceImpaired.P999 / 1000 }, ""},
+	{"change-impaired-worst", capacity.Delay, capacity.OneChange, "worst", hopImpaired, func(r *Result) float64 { return r.InForceImpaired.Max / 1000 }, ""},
 }
 
 // Series are the results of a run in the form of the capacity model. Of a sweep that varies the forwarders, which share the processors of one machine, those are left out that
-// this would make larger: times, processor time and bytes of starts, and whatever simulated nodes cost.
+// this would make larger, or that a fleet of the plan's size shows better: times, and what forwarders cost.
 func Series(results []*Result, p *Provenance) (list []*capacity.Series, err error) {
 	var rows []Row
 	for _, r := range results {
@@ -146,14 +142,14 @@
 		crowded := forwardersVary(sweep, rows)
 		for i := range quantities {
 			for _, kind := range quantities[i].kinds {
-				if crowded && kind != ControlServer && (kind == Simulated || !quantities[i].crowded) {
+				if crowded && kind != ControlServer {
 					continue
 				}
 				list = append(list, seriesOf(&quantities[i], sweep, kind, results, p))
 			}
 		}
 		for i := range outcomes {
-			if crowded != outcomes[i].crowded {
+			if crowded {
 				continue
 			}
 			list = append(list, outcomeSeries(&outcomes[i], sweep, results, p))
--- a/internal/scale/series_test.go
+++ b/internal/scale/series_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"strings"
 	"testing"
 
 	"scaleroute/internal/capacity"
@@ -9,9 +10,11 @@
 // cellsOf are results of one kind at some sizes.
 func cellsOf(mechanism Mechanism, sizes ...Cell) (results []*Result) {
 	for _, c := range sizes {
-		row := Row{Mechanism: mechanism, Sweep: c.Sweep, Kind: Real, Forwarders: int64(c.Forwarders), Destinations: int64(c.Destinations), Seed: int64(c.Seed),
+		real := Row{Mechanism: mechanism, Sweep: c.Sweep, Kind: Real, Forwarders: int64(c.Forwarders), Destinations: int64(c.Destinations), Seed: int64(c.Seed),
 			Count: int64(c.Forwarders), HeapBytes: 1e6, CalmCPUPercent: 50}
-		results = append(results, &Result{Cell: c, Rows: []Row{row}, PartsMaxOver: 1.1})
+		control := real
+		control.Kind = ControlServer
+		results = append(results, &Result{Cell: c, Rows: []Row{real, control}, PartsMaxOver: 1.1})
 	}
 	return results
 }
@@ -41,19 +44,20 @@
 		for _, s := range list {
 			found[s.Name] = s
 		}
-		prefix := "scale-s-real-"
+		prefix := "scale-s-control-"
 		if c.from == whole {
-			prefix = "scale-whole-s-real-"
+			prefix = "scale-whole-s-control-"
 		}
 		peak := found[prefix+"peak"]
 		if peak == nil || peak.Variable != c.variable || peak.Held[c.held] != c.size || len(peak.Points) != 2 {
 			t.Errorf("%s: %+v", c.name, peak)
 		}
-		switch s := found[prefix+"processor"]; {
-		case c.variable == capacity.Forwarders && s != nil: // they share one machine's
-			t.Errorf("%s: processor time is a series: %+v", c.name, s)
-		case c.variable == capacity.Destinations && (s == nil || s.Points[0].Y != 0.5):
-			t.Errorf("%s: half a core is %+v", c.name, s)
+		real := found[strings.Replace(prefix, "control", "real", 1)+"processor"]
+		switch {
+		case c.variable == capacity.Forwarders && real != nil: // they share one machine
+			t.Errorf("%s: processor time is a series: %+v", c.name, real)
+		case c.variable == capacity.Destinations && (real == nil || real.Points[0].Y != 0.5):
+			t.Errorf("%s: half a core is %+v", c.name, real)
 		}
 		if s := found[prefix+"moved"]; s != nil {
 			t.Errorf("%s: what was not measured is a series: %+v", c.name, s)
