--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -210,10 +210,10 @@
 	return rows
 }
 
-// worst is the row that uses most of its allowance among those that were measured; nil: there is none.
+// worst is the row that uses most of its allowance among those that were measured, and of those that use the same the one with the highest cost; nil: there is none.
 func worst(rows []*Row) (most *Row) {
 	for _, r := range rows {
-		if r.Standing != NotMeasured && (most == nil || r.Used() > most.Used()) {
+		if r.Standing != NotMeasured && (most == nil || r.Used() > most.Used() || r.Used() == most.Used() && r.Cost > most.Cost) {
 			most = r
 		}
 	}
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -128,7 +128,12 @@
 	realState := seriesOf(PartialList, Forwarder, State, PartDestinations, Calm, 20e6, 2000, 300, 900)
 	simulatedState := seriesOf(PartialList, Forwarder, State, PartDestinations, Calm, 0, 1900, 300, 900)
 	simulatedBytes.Process, simulatedState.Process = "simulated", "simulated"
-	text := simulated(modelOf(t, realBytes, simulatedBytes, realState, simulatedState))
+	busy := seriesOf(PartialList, Forwarder, Messages, PartDestinations, Calm, 0, 900, 300, 900)
+	busy.Name, busy.Held = "busy", map[Variable]float64{ChangesPerSecond: 5}
+	text := simulated(modelOf(t, realBytes, simulatedBytes, realState, simulatedState, busy))
+	if strings.Contains(text, "busy") {
+		t.Errorf("a calm run is compared with one under changes:\n%s", text)
+	}
 	if !strings.Contains(text, "| 300 part destinations | 30 KB/s | 32.4 KB/s | +8.0% |") || strings.Contains(text, "2,700") {
 		t.Errorf("want the size that both ran, and its difference:\n%s", text)
 	}
@@ -196,3 +201,14 @@
 		t.Errorf("%g allowed: without a calm run nothing is known of the plan's rate", alone.Allowed)
 	}
 }
+
+// TestWorstOfEqualUse: where nothing is allowed or said, the dearer one counts.
+func TestWorstOfEqualUse(t *testing.T) {
+	cheap := seriesOf(PartialList, Forwarder, Transfer, Destinations, Start, 17_600, 0, 200_000, 2_200_000)
+	dear := seriesOf(PartialList, Forwarder, Transfer, Destinations, Start, 37_700, 0, 200_000, 2_200_000)
+	dear.Name = "dear"
+	m := modelOf(t, cheap, dear)
+	if r := worst(m.Find(func(r *Row) bool { return r.Event == Start && r.Resource == Transfer })); r == nil || r.Series != dear {
+		t.Errorf("%+v: want the dearer one", r)
+	}
+}
--- a/internal/capacity/simulated.go
+++ b/internal/capacity/simulated.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+)
 
 // simulated holds what simulated processes cost against real ones, at sizes that both ran. Of memory it is the growth from the smallest of these to the largest: simulated ones are many
 // in a process, and what is not theirs is taken off.
@@ -9,7 +12,7 @@
 	found := 0
 	for _, s := range m.Series {
 		for _, real := range m.Series {
-			if s.Process != "simulated" || real.Process != "" && real.Process != "real" || !sameCost(s, real) {
+			if s.Process != "simulated" || real.Process != "" && real.Process != "real" || !sameCost(s, real) || !maps.Equal(s.Held, real.Held) {
 				continue
 			}
 			pairs := commonSizes(s, real)
