--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -175,7 +175,7 @@
 		return p.Allowed.ForwarderReadySeconds
 	case s.Resource == Delay && (s.Event == OneChange || s.Event == EveryEntry):
 		return p.ChangeInForceSeconds
-	case s.Resource == Transfer && s.Event == Start && s.Mechanism == WholeList:
+	case s.Resource == Transfer && s.Event == Start && s.Role == Agent: // of one answer
 		return p.Limits.ListAnswerBytes
 	case s.Mechanism == Queue && s.Resource == State:
 		return p.Allowed.ForwarderMachineBytes
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -194,6 +194,9 @@
 	busy.Name, busy.Held = "busy", map[Variable]float64{ChangesPerSecond: 98.4}
 	r := rowOf(t, modelOf(t, calm, busy), busy)
 	near(t, "at the plan's rate", r.Cost, 210, 0.01)
+	if ends := r.ends(); ends != "" {
+		t.Errorf("it ends at %q, which is not worked out of two runs", ends)
+	}
 	if r.Breaks() || !strings.Contains(r.from(), "at the plan's rate of changes") {
 		t.Errorf("breaks %v, from %q: it was measured at another rate than the plan's", r.Breaks(), r.from())
 	}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -146,7 +146,7 @@
 
 func (r *Row) ends() string {
 	switch {
-	case r.EndsAt == 0 && (r.Allowed == 0 || r.Standing == NotMeasured):
+	case r.scaled || r.EndsAt == 0 && (r.Allowed == 0 || r.Standing == NotMeasured):
 		return ""
 	case math.IsInf(r.EndsAt, 1):
 		return "never"
