--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -175,7 +175,7 @@
 		return p.Allowed.ForwarderReadySeconds
 	case s.Resource == Delay && (s.Event == OneChange || s.Event == EveryEntry):
 		return p.ChangeInForceSeconds
-	case s.Resource == Transfer && s.Event == Start && s.Mechanism == WholeList:
+	case s.Resource == Transfer && s.Event == Start && s.Role == Agent: // of one answer
 		return p.Limits.ListAnswerBytes
 	case s.Mechanism == Queue && s.Resource == State:
 		return p.Allowed.ForwarderMachineBytes
@@ -210,10 +210,10 @@
 	return rows
 }
 
-// worst is the row that uses most of its allowance among those that were measured; nil: there is none.
+// worst is the row that uses most of its allowance among those that were measured, and of those that use the same the one with the highest cost; nil: there is none.
 func worst(rows []*Row) (most *Row) {
 	for _, r := range rows {
-		if r.Standing != NotMeasured && (most == nil || r.Used() > most.Used()) {
+		if r.Standing != NotMeasured && (most == nil || r.Used() > most.Used() || r.Used() == most.Used() && r.Cost > most.Cost) {
 			most = r
 		}
 	}
