Look whether an endpoint drains after the fence was asked, not before

Cause: httpcall looked whether the endpoint drains, and then asked Begin. A process that is stopped in Begin and goes on may have asked discovery again, have the newer list in force and its fence open before that goroutine runs on: the look was of before the sleep, and the check passes. Change: the endpoint is looked at after Begin, as the mail side does; fence.Check looks again whether it is closed once the lease was read, since a lease that ran out is renewed after the fence is closed. Test: TestDrainedWhileBeginIsAsked fails without the change (served 1 times). go test -race of back, fence and engine passed.

--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -143,12 +143,13 @@
 		}
 		return o
 	}
-	if t.drained.Load() { // while it was being connected: nothing has been written
+	mayBegin := ctx.Err() == nil && (a.Begin == nil || a.Begin()) // as late as can be
+	switch {
+	case t.drained.Load(): // while it was being connected, or while Begin was asked: a process that was stopped there may know a newer list by now
 		t.pool.close(c)
 		o.Result = decide.NotSent
 		return o
-	}
-	if ctx.Err() != nil || a.Begin != nil && !a.Begin() { // as late as can be: the next thing is the first byte
+	case !mayBegin:
 		t.pool.giveBack(c, c.since) // nothing was written to it: it is as good as it was
 		o.Result = decide.NotSent
 		return o
--- a/internal/back/httpcall/handover_test.go
+++ b/internal/back/httpcall/handover_test.go
@@ -132,3 +132,25 @@
 		t.Errorf("put back: %+v", o)
 	}
 }
+
+// TestDrainedWhileBeginIsAsked: a process may be stopped while it is asked whether a call may begin, and know a newer list once it goes on. A call to an endpoint that drains by that
+// list is not made, whatever Begin says.
+func TestDrainedWhileBeginIsAsked(t *testing.T) {
+	var served atomic.Int32
+	address, _ := rawTarget(t, func(*http.Request, string) string {
+		served.Add(1)
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	})
+	b := testTargets()
+	e := engine.Endpoint{Target: decide.Target{ID: "t"}, Address: address}
+	b.List(engine.List{Scope: decide.Whole, Endpoints: []engine.Endpoint{e}})
+	drain := func() bool {
+		e.State = decide.Draining
+		b.List(engine.List{Scope: decide.Changes, Endpoints: []engine.Endpoint{e}})
+		return true
+	}
+	o := b.Endpoint("t").Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute, Begin: drain})
+	if o.Result != decide.NotSent || served.Load() != 0 {
+		t.Errorf("%+v, served %d times", o, served.Load())
+	}
+}
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	if f.gap() <= f.lease {
-		return true
+		return !f.closed.Load() // looked at again: whoever has just renewed a lease that had run out closed the fence first
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
