Have the control server's tests wait until its members are published

Seen: TestRestartKeepsMembers and TestMembersOfPeers failed once each by a 503 (members are still being gathered): a server publishes at its first look, 5 ms after its start, and the tests called at once.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -140,7 +140,7 @@
 var testLayout = ownership.Layout{Partitions: 64, Replicas: 2}
 
 func testOptions(t *testing.T, upstream string) Options {
-	return Options{Name: "control-1", Upstream: upstream, Folder: t.TempDir(), Layout: testLayout, Settle: time.Nanosecond, PublishEvery: 5 * time.Millisecond, SaveEvery: time.Hour}
+	return Options{Name: "control-1", Upstream: upstream, Folder: t.TempDir(), Layout: testLayout, Settle: settleAtOnce, PublishEvery: 5 * time.Millisecond, SaveEvery: time.Hour}
 }
 
 func startServer(t *testing.T, options Options) *testServer {
@@ -175,9 +175,15 @@
 			t.Error(err)
 		}
 	})
+	if options.Settle == settleAtOnce { // members are published from the first look on, which is a moment away
+		s.await("settled", func(f Figures) bool { return f.Settled })
+	}
 	return s
 }
 
+// settleAtOnce has a server publish its members as soon as it looks at them.
+const settleAtOnce = time.Nanosecond
+
 // reply is what a call was answered with.
 type reply struct {
 	status int
