--- a/cmd/scaleroute-lab/lab_test.go
+++ b/cmd/scaleroute-lab/lab_test.go
@@ -20,7 +20,7 @@
 func played(t *testing.T, o *options) *report {
 	t.Helper()
 	if _, err := exec.LookPath("go"); err != nil {
-		t.Skip("the lab builds the program: ", err)
+		t.Fatal("the lab builds the program: ", err)
 	}
 	r, err := run(context.Background(), o)
 	if err != nil {
--- a/internal/capacity/measure/measure_test.go
+++ b/internal/capacity/measure/measure_test.go
@@ -15,7 +15,7 @@
 func smallLab(t *testing.T, sizes ...int) *Lab {
 	t.Helper()
 	if _, err := exec.LookPath("go"); err != nil {
-		t.Skip("the lab builds the program: ", err)
+		t.Fatal("the lab builds the program: ", err)
 	}
 	dir := t.TempDir()
 	text, err := exec.Command("go", "build", "-o", dir, "scaleroute/cmd/scaleroute", "scaleroute/cmd/scaleroute-gossip", "scaleroute/cmd/scaleroutectl", "scaleroute/cmd/scaleroute-control").CombinedOutput()
--- a/internal/scale/fleet_test.go
+++ b/internal/scale/fleet_test.go
@@ -90,7 +90,7 @@
 func buildPrograms(t *testing.T, dir string) {
 	t.Helper()
 	if _, err := exec.LookPath("go"); err != nil {
-		t.Skip("the programs are built by go: ", err)
+		t.Fatal("the programs are built by go: ", err)
 	}
 	if text, err := exec.CommandContext(t.Context(), "go", "build", "-o", dir, "scaleroute/cmd/scaleroute", "scaleroute/cmd/scaleroute-control").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, text)
