Count a held call as a watcher only once it has looked and waits

A call counted as a watcher before its first look at the list, so a change in between answered it without waking it, and the test's count of wake-ups was short. Now it counts from when it waits; what changes later wakes it.

--- a/internal/control/figures.go
+++ b/internal/control/figures.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// figures are counted from the start of the process on.
+// figures are counted from the start of the process on; watchers, underWay and connections are how many there are now.
 type figures struct {
 	requests, underWay, refused, refusedEntries,
-	snapshots, deltas, wholeLists, wakeUps,
+	snapshots, deltas, wholeLists, wakeUps, watchers,
 	connections, bytesSent, bytesReceived atomic.Int64
 }
 
@@ -23,7 +23,7 @@
 	KeptIndex      int64   `json:"kept_index"` // that a restart would begin with
 	Entries        int     `json:"entries"`
 	Scopes         int     `json:"scopes"`
-	Watchers       int     `json:"watchers"` // held calls for lists
+	Watchers       int     `json:"watchers"` // calls for lists that have looked and wait for a change
 	Members        int     `json:"members"`
 	LeasesHere     int     `json:"leases_here"`
 	KeptLeases     int64   `json:"kept_leases"` // that a restart would begin with
@@ -46,7 +46,7 @@
 		Refused: s.figures.refused.Load(), RefusedEntries: s.figures.refusedEntries.Load(), Snapshots: s.figures.snapshots.Load(), Deltas: s.figures.deltas.Load(),
 		WholeLists: s.figures.wholeLists.Load(), WakeUps: s.figures.wakeUps.Load(), Connections: s.figures.connections.Load(),
 		BytesSent: s.figures.bytesSent.Load(), BytesReceived: s.figures.bytesReceived.Load()}
-	f.Scopes, f.Watchers = s.watches.counts()
+	f.Scopes, f.Watchers = s.watches.countScopes(), int(s.figures.watchers.Load())
 	s.listMu.RLock()
 	f.Index, f.Entries = s.list.Index(), s.list.Len()
 	s.listMu.RUnlock()
--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -153,7 +153,7 @@
 	defer s.watches.end(each)
 	timeout := time.NewTimer(q.hold)
 	defer timeout.Stop()
-	for {
+	for isWaiting := false; ; {
 		if q.scope != nil && !s.watches.isKnown(q.scope) {
 			return errUnknownScope
 		}
@@ -163,6 +163,11 @@
 		if changed || err != nil {
 			return nil
 		}
+		if !isWaiting { // whatever changes from now on wakes it
+			isWaiting = true
+			s.figures.watchers.Add(1)
+			defer s.figures.watchers.Add(-1)
+		}
 		select {
 		case <-each.wake:
 			s.figures.wakeUps.Add(1)
--- a/internal/control/scopes.go
+++ b/internal/control/scopes.go
@@ -25,7 +25,6 @@
 	freeNumbers   []uint32
 	byDestination map[uint32]map[*watch]struct{}
 	whole         map[*watch]struct{}
-	held          int
 	destinations  int // single ones, in all calls that wait
 }
 
@@ -129,7 +128,6 @@
 		return nil
 	}
 	w.destinations += destinations.Len()
-	w.held++
 	if s != nil {
 		s.watches[each] = struct{}{}
 	}
@@ -150,7 +148,6 @@
 func (w *watches) end(each *watch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.held--
 	w.destinations -= each.destinations.Len()
 	if each.scope != nil {
 		delete(each.scope.watches, each)
@@ -210,11 +207,11 @@
 	}
 }
 
-// counts are the registered scopes and the calls that wait.
-func (w *watches) counts() (scopes, held int) {
+// countScopes is how many scopes are registered.
+func (w *watches) countScopes() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.scopes), w.held
+	return len(w.scopes)
 }
 
 // partitionIndex is which scopes have a partition: chains in one slice, without pointers, as there are some owners for each of millions.
