Space probes by what came up to the last one, and the second one behind the first

Cause, counted by half second in virtual time with 300 senders asked for 1.2 of a cold destination: first probes came at 60 a second where 24 were meant. nextProbeAt divided the queue as it is now by the outage as it was at the last probe, and the second probe of each followed at once. Change: messages that came since the last probe do not count, and the second probe follows after a tenth of the interval. TestReturn passes.

--- a/internal/decide/circuit.go
+++ b/internal/decide/circuit.go
@@ -12,6 +12,7 @@
 	unspacedSenders      = 4.0 // so many may each probe at maxProbeInterval; more space their probes out
 	maxOutageEvidence    = 3   // failures in a row that always open a circuit
 	probesToClose        = 2   // successful ones that close a circuit
+	secondProbe          = 0.1 // of the interval between probes: from a successful one to the next
 )
 
 // recordOutcome updates the state of a call's route and endpoint from its outcome.
@@ -104,16 +105,14 @@
 	r.consecutiveFailures = 0
 	c.endpoint.consecutiveFailures, c.endpoint.avoidUntil = 0, 0
 	r.lastSuccessAt, r.lastSuccessSentAt = f.now, max(r.lastSuccessSentAt, c.sentAt)
-	if !r.circuitOpen {
-		r.outageEvidence = 0
-	}
 	f.observeLatency(c, took)
 	if !r.circuitOpen {
+		r.outageEvidence = 0
 		return
 	}
 	if c.isProbe {
 		r.successfulProbes++
-		r.lastProbeAt, r.probeJitter = f.now, 0
+		r.lastProbeAt, r.probeJitter = f.now, secondProbe
 	}
 	if !r.needsSlowStart || r.successfulProbes >= probesToClose {
 		f.closeCircuit(r)
@@ -175,7 +174,8 @@
 	capacity := max(probeShare*f.settings.TipMultiple*f.settings.StartCapacity, minCapacityShare)
 	earliest := max(r.lastProbeAt, r.retryAfter)
 	outage := earliest - r.failingSince
-	own := float64(outage) / (capacity * max(1, float64(r.dest.queued), f.equalShare(r)*outage.Seconds()))
+	came := float64(r.dest.queued) - r.probeJitter/capacity // less those since the last probe
+	own := float64(outage) / (capacity * max(1, came, f.equalShare(r)*outage.Seconds()))
 	longest := float64(maxProbeInterval) * float64(f.settings.Forwarders) / unspacedSenders
 	interval := max(float64(r.probeInterval), min(own, longest))
 	return earliest + time.Duration(r.probeJitter*interval)
