--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // A list of millions of endpoints is not held beside what is made of it: it is handed on entry by entry.
@@ -100,7 +102,7 @@
 			return fmt.Errorf("status %d", status)
 		}
 		in := &io.LimitedReader{R: &progressReader{from: body, progress: func() { silence.Reset(limits.Silence) }}, N: limits.Bytes}
-		err := r.read(json.NewDecoder(in))
+		err := r.read(jsontext.NewDecoder(in, streamOptions))
 		if err != nil && in.N <= 0 {
 			return fmt.Errorf("more than %d MiB", limits.Bytes>>20)
 		}
@@ -143,47 +145,45 @@
 	malformed error
 }
 
-func (r *listReader) read(from *json.Decoder) error {
-	if err := expectDelim(from, '{'); err != nil {
+func (r *listReader) read(from *jsontext.Decoder) error {
+	if err := expectKind(from, jsontext.KindBeginObject); err != nil {
 		return err
 	}
-	for from.More() {
-		key, err := from.Token()
+	for from.PeekKind() == jsontext.KindString {
+		key, err := from.ReadToken()
 		if err != nil {
 			return err
 		}
-		if err := r.readField(from, key); err != nil {
+		if err := r.readField(from, key.String()); err != nil {
 			return err
 		}
 	}
-	if err := expectDelim(from, '}'); err != nil {
+	if err := expectKind(from, jsontext.KindEndObject); err != nil {
 		return err
 	}
 	return r.finish()
 }
 
-func (r *listReader) readField(from *json.Decoder, key json.Token) error {
+func (r *listReader) readField(from *jsontext.Decoder, key string) error {
 	switch key {
 	case "index":
 		r.hasIndex = true
-		return from.Decode(&r.index)
+		return json.UnmarshalDecode(from, &r.index)
 	case "snapshot":
 		r.hasSnapshot = true
-		return from.Decode(&r.snapshot)
+		return json.UnmarshalDecode(from, &r.snapshot)
 	case "endpoints":
 		return r.readEndpoints(from)
 	}
-	var ignored json.RawMessage
-	return from.Decode(&ignored)
+	return from.SkipValue()
 }
 
-func (r *listReader) readEndpoints(from *json.Decoder) error {
-	open, err := from.Token()
-	if err != nil || open == nil { // null: no entries
-		return err
+func (r *listReader) readEndpoints(from *jsontext.Decoder) error {
+	if from.PeekKind() == jsontext.KindNull { // no entries
+		return from.SkipValue()
 	}
-	if open != json.Delim('[') {
-		return fmt.Errorf("endpoints: %v in place of a list", open)
+	if err := expectKind(from, jsontext.KindBeginArray); err != nil {
+		return fmt.Errorf("endpoints: %w", err)
 	}
 	r.hasEndpoints = true
 	if r.hasIndex && (r.whole || r.hasSnapshot) {
@@ -191,18 +191,10 @@
 			return err
 		}
 	}
-	for from.More() {
-		var e Endpoint
-		var wrongType *json.UnmarshalTypeError
-		err := from.Decode(&e)
-		if err != nil && !errors.As(err, &wrongType) {
-			return err
-		}
-		if err := r.put(e, err); err != nil {
-			return err
-		}
+	if err := readEntries(from, r.put); err != nil {
+		return err
 	}
-	return expectDelim(from, ']')
+	return expectKind(from, jsontext.KindEndArray)
 }
 
 func (r *listReader) begin() error {
@@ -248,12 +240,12 @@
 	return nil
 }
 
-func expectDelim(from *json.Decoder, want json.Delim) error {
-	got, err := from.Token()
+func expectKind(from *jsontext.Decoder, want jsontext.Kind) error {
+	token, err := from.ReadToken()
 	if err != nil {
 		return err
 	}
-	if got != want {
+	if got := token.Kind(); got != want {
 		return fmt.Errorf("%v in place of %v", got, want)
 	}
 	return nil
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -11,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // recordingSink notes what it is handed.
@@ -122,7 +123,7 @@
 	for b.Loop() {
 		sink := &discardSink{}
 		r := &listReader{whole: true, accept: func(int64, bool) error { return nil }, sink: sink}
-		if err := r.read(json.NewDecoder(strings.NewReader(text.String()))); err != nil || sink.entries != entries {
+		if err := r.read(jsontext.NewDecoder(strings.NewReader(text.String()), streamOptions)); err != nil || sink.entries != entries {
 			b.Fatal(err, sink.entries)
 		}
 	}
