--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -36,7 +36,9 @@
 	b.ends = append(b.ends, len(b.text))
 }
 
-func (b *entryBatch) isFull() bool { return len(b.ends) == maxBatchEntries || len(b.text) >= maxBatchBytes }
+func (b *entryBatch) isFull() bool {
+	return len(b.ends) == maxBatchEntries || len(b.text) >= maxBatchBytes
+}
 
 func (b *entryBatch) reset() {
 	if cap(b.text) > 2*maxBatchBytes { // a very long entry is not kept room for
--- a/internal/agent/entries_test.go
+++ b/internal/agent/entries_test.go
@@ -52,7 +52,7 @@
 			e.malformed = json.Unmarshal([]byte(text), &e.endpoint)
 			want = append(want, e)
 		}
-		got, err := readAll(`{"index":4,"snapshot":true,"endpoints":[`+strings.Join(texts, ",")+`]}`)
+		got, err := readAll(`{"index":4,"snapshot":true,"endpoints":[` + strings.Join(texts, ",") + `]}`)
 		if err != nil || len(got) != len(want) {
 			t.Fatalf("%d entries are handed on, of %d: %v", len(got), len(want), err)
 		}
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -47,7 +47,9 @@
 
 // BenchmarkPart serves the snapshot of a part of some 970 entries.
 func BenchmarkPart(b *testing.B) {
-	s := &Server{list: fullCatalog(b, 500_000), building: make(chan struct{}, 1)}
+	options := Options{Layout: benchLayout, Limits: catalog.DefaultLimits}
+	options.setDefaults()
+	s := &Server{options: options, list: fullCatalog(b, 500_000), building: make(chan struct{}, 1)}
 	random := rand.New(rand.NewPCG(1, 2))
 	numbers := make([]uint32, 970*4)
 	for i := range numbers {
--- a/internal/control/respond.go
+++ b/internal/control/respond.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"errors"
 	"fmt"
+	"github.com/klauspost/compress/gzip"
 	"io"
 	"net/http"
 	"strconv"
--- a/internal/control/stream.go
+++ b/internal/control/stream.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"compress/gzip"
+	"github.com/klauspost/compress/gzip"
 	"io"
 	"net/http"
 	"time"
