Count the endpoints out of rotation by what has changed, not by a walk 20 times a second

Need: with the admin API on, the figures walked every endpoint 20 times a second: first of what breaks in docs/CAPACITY.md, 12.8 cores at 2.2 million destinations, and a fifth of what a forwarder with a partial list may use. Change: each destination's share is counted again when something happens there or while some of its endpoints are out; kept from the first reading on, so free where the admin API is off.

--- a/internal/decide/destination.go
+++ b/internal/decide/destination.go
@@ -29,6 +29,7 @@
 	expiresAt  time.Duration // it may be removed from then on
 
 	blockedBy suspicion // which quota blocks it
+	rotation  rotationShare
 
 	readyIndex, parkedIndex, blockedIndex, expiryIndex int
 }
@@ -102,6 +103,7 @@
 // invalidate notes a change at a destination: its pace is computed anew, and it is reconsidered before this
 // Step is over.
 func (f *Forwarder) invalidate(d *destination) {
+	f.rotation.note(d)
 	for _, r := range d.routes {
 		f.closeIntervals(r)
 		f.updatePace(r, f.now)
--- a/internal/decide/forwarder.go
+++ b/internal/decide/forwarder.go
@@ -56,6 +56,7 @@
 	wakeAt      time.Duration
 	subscribed  bool
 	subscribeAt time.Duration
+	rotation    rotation
 }
 
 type tenant struct {
--- a/internal/decide/policy_test.go
+++ b/internal/decide/policy_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-func newForwarder(t *testing.T, targets ...Target) *Forwarder {
+func newForwarder(t testing.TB, targets ...Target) *Forwarder {
 	t.Helper()
 	f, err := New(testSettings())
 	if err != nil {
--- a/internal/decide/view.go
+++ b/internal/decide/view.go
@@ -24,21 +24,6 @@
 	return views
 }
 
-// Rotation returns how many endpoints are listed, and how many of those are not called now: disabled, within
-// a retry-after time, or failing.
-func (f *Forwarder) Rotation() (listed, out int) {
-	for _, ep := range f.endpoints {
-		if ep.state == Gone {
-			continue
-		}
-		listed++
-		if r := ep.route; ep.state != Active || r.circuitOpen || f.now < r.retryAfter || f.now < ep.avoidUntil {
-			out++
-		}
-	}
-	return listed, out
-}
-
 // TargetView is the state of an endpoint as operators see it.
 type TargetView struct {
 	Target
