--- a/internal/capacity/measure/watchers.go
+++ b/internal/capacity/measure/watchers.go
@@ -28,6 +28,7 @@
 	index   atomic.Int64 // of the list that it has received
 	members atomic.Int64 // index of the members
 	failed  atomic.Int64 // calls
+	epoch   string       // of the members; followMembers alone reads and writes it
 }
 
 // watchers are the forwarders that one control server serves.
@@ -106,14 +107,13 @@
 }
 
 func (one *watcher) followMembers(ctx context.Context) {
-	epoch := ""
 	for ctx.Err() == nil {
-		answer, err := one.client.Members(ctx, epoch, one.members.Load(), membersHold)
+		answer, err := one.client.Members(ctx, one.epoch, one.members.Load(), membersHold)
 		if err != nil {
 			one.rest(ctx)
 			continue
 		}
-		epoch = answer.Epoch
+		one.epoch = answer.Epoch
 		one.members.Store(answer.Index)
 	}
 }
