--- a/internal/scale/fleet_test.go
+++ b/internal/scale/fleet_test.go
@@ -31,11 +31,18 @@
 	testDestinations = 60
 	testEndpoints    = 2 // of each destination
 	answerTime       = 20 * time.Millisecond
+	downTime         = 500 * time.Millisecond // of one destination after the other
 	patience         = 100 * time.Second
 )
 
 var testLayout = ownership.Layout{Partitions: 1 << 11, Replicas: 3}
 
+// wellScript is so slow that a busy machine is not taken for an endpoint that is silent. downScript takes no new connection, and fails on open ones.
+var (
+	wellScript = standin.Script{Latency: answerTime, Jitter: answerTime}
+	downScript = standin.Script{Latency: answerTime, Refusing: true, Errors: 1}
+)
+
 func TestMain(m *testing.M) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil))) // a hundred nodes warn of each fault
 	if len(os.Args) == 2 && os.Args[1] == hostCommand {
@@ -110,8 +117,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.rig.Close)
-	for _, e := range f.rig.World.Endpoints { // so slow that a busy machine is not taken for an endpoint that is silent
-		e.Set(standin.Script{Latency: answerTime, Jitter: answerTime})
+	for _, e := range f.rig.World.Endpoints {
+		e.Set(wellScript)
 	}
 	if f.upstream, err = f.rig.World.Join(); err != nil {
 		t.Fatal(err)
@@ -339,13 +346,20 @@
 	return names
 }
 
-// TestScaledFleet: a hundred simulated nodes, four real forwarders and two control servers, with one fault after the other. Changes are in force again after each of them,
-// and by the endpoints' own record the real forwarders break no rule.
+// TestScaledFleet: a hundred simulated nodes, four real forwarders and two control servers, with one fault after the other, while one of the sixty destinations, ever
+// another, is down. Changes are in force again after each fault, and by the endpoints' own record the real forwarders break no rule.
 func TestScaledFleet(t *testing.T) {
 	f := newScaledFleet(t)
 	over := make(chan struct{})
 	wait := f.rig.Load(20, 4, 100, over)
-	stop := sync.OnceFunc(func() { close(over); wait() })
+	down := f.haveOneDown(over)
+	stop := sync.OnceFunc(func() {
+		close(over)
+		wait()
+		if down() < 2 {
+			t.Error("no two destinations were down")
+		}
+	})
 	defer stop()
 	for _, fault := range []struct {
 		name string
@@ -372,6 +386,34 @@
 	}
 }
 
+// haveOneDown has one destination after the other be down until over; wait returns how many have been.
+func (f *scaledFleet) haveOneDown(over <-chan struct{}) (wait func() int) {
+	count := make(chan int, 1)
+	go func() {
+		next := time.NewTicker(downTime)
+		defer next.Stop()
+		for destination := 0; ; destination++ {
+			endpoints := f.rig.World.Of(destination % testDestinations)
+			setAll(endpoints, downScript)
+			select {
+			case <-next.C:
+			case <-over:
+				setAll(endpoints, wellScript)
+				count <- destination + 1
+				return
+			}
+			setAll(endpoints, wellScript)
+		}
+	}()
+	return func() int { return <-count }
+}
+
+func setAll(endpoints []*standin.Endpoint, script standin.Script) {
+	for _, e := range endpoints {
+		e.Set(script)
+	}
+}
+
 // killInAnswer kills a control server while it sends what has changed, piece by piece.
 func (f *scaledFleet) killInAnswer() {
 	slow := fleet.Fault{Piece: 32, Delay: 20 * time.Millisecond}
