Work out a part anew only where a change of the members can touch it

Change: ownership.Tracker. A join looks at the own partitions alone; after a leave only those are ranked again in which who left had outranked this member; over 2% gone at once are worked out anew.

--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -31,10 +31,11 @@
 	FollowerConfig
 	layout ownership.Layout
 	began  time.Time
-	wake   chan struct{} // a look-up may be started
-	ready  chan struct{} // an update may be delivered
-	ended  chan struct{} // closed once Run has ended
-	parted chan struct{} // closed once there is a part, by the members or by what was saved
+	wake   chan struct{}      // a look-up may be started
+	ready  chan struct{}      // an update may be delivered
+	ended  chan struct{}      // closed once Run has ended
+	parted chan struct{}      // closed once there is a part, by the members or by what was saved
+	parts  *ownership.Tracker // used by followMembers alone, which never runs twice at the same time
 
 	mu         sync.Mutex
 	begun      bool             // updates are delivered
@@ -66,7 +67,7 @@
 		c.WatchHold = Hold
 	}
 	return &Follower{FollowerConfig: c, layout: c.Client.config.Layout, began: time.Now(), wake: make(chan struct{}, 1), ready: make(chan struct{}, 1), parted: make(chan struct{}), ended: make(chan struct{}),
-		state: partial.New(c.Limits), waiters: map[int]chan struct{}{}}
+		state: partial.New(c.Limits), waiters: map[int]chan struct{}{}, parts: ownership.NewTracker(c.Client.config.Layout, c.Client.config.Name)}
 }
 
 // now is the State's time.
@@ -243,7 +244,7 @@
 	if names == nil {
 		return nil
 	}
-	next := f.bounded(f.layout.Owned(f.Client.config.Name, names), len(names))
+	next := f.bounded(f.parts.Update(names), len(names))
 	gained := next.Minus(owned)
 	var answer *partial.Answer
 	if complete && gained.Len() > 0 && 2*gained.Len() < next.Len() {
