--- a/internal/capacity/measure/ownership.go
+++ b/internal/capacity/measure/ownership.go
@@ -44,7 +44,7 @@
 		partEvenness: {Mechanism: capacity.PartialList, Role: capacity.Forwarder, Resource: capacity.Evenness, Variable: capacity.Forwarders, Process: "model", Held: held(planListed), Note: ownershipNote + " In destinations."},
 		partMoved: {Mechanism: capacity.PartialList, Role: capacity.Forwarder, Resource: capacity.Moved, Variable: capacity.Forwarders, Event: capacity.Machine, Process: "model", Held: held(planListed),
 			Note: ownershipNote + " In destinations, of the partitions that the leaver owned; that no others move is a test of that package."},
-		partWork:  {Mechanism: capacity.PartialList, Role: capacity.Forwarder, Resource: capacity.Work, Variable: capacity.Forwarders, Event: capacity.Machine, Process: "model", Note: ownershipNote + " At each change of the members."},
+		partWork:  {Mechanism: capacity.PartialList, Role: capacity.Forwarder, Resource: capacity.Work, Variable: capacity.Forwarders, Event: capacity.Machine, Process: "model", Note: ownershipNote + " As one member leaves; one that joins costs less."},
 		partScope: {Mechanism: capacity.PartialList, Role: capacity.Forwarder, Resource: capacity.Transfer, Variable: capacity.Forwarders, Event: capacity.Machine, Process: "model", Note: ownershipNote + " The text of one scope, which a member whose part changes registers; without headers."},
 	},
 	run: measureOwnership,
@@ -83,10 +83,12 @@
 	x := float64(forwarders)
 	into.add(partEvenness, x, float64(largest)*x/float64(listed*layout.Replicas), seed)
 	into.add(partMoved, x, float64(moved)/float64(parts[leaver]), seed)
+	into.add(partScope, x, float64(len(before.Owned(leaver).String())), seed)
+	tracker := ownership.NewTracker(layout, names[1])
+	tracker.Update(names)
 	cpu := ownCPU()
-	owned := before.Owned(leaver)
+	tracker.Update(names[1:])
 	into.add(partWork, x, (ownCPU() - cpu).Seconds(), seed)
-	into.add(partScope, x, float64(len(owned.String())), seed)
 	return nil
 }
 
