Let a process that slept begin calls only once the control servers' answer is in force

Seen: a new test of a forwarder with fence and block control together, stopped, told of a drain and woken: 4 of 40 runs called the endpoint that drains. Cause: Follower.watchOnce told who looks as soon as an answer was applied to its own state; the update reached the loop later than the word that calls may begin. Now that word follows the delivery. TestWokenAsksControlServers: 0 of 40 after. TestLookWaitsForDelivery forces the order, and fails without the change.

--- a/cmd/scaleroute/partial_test.go
+++ b/cmd/scaleroute/partial_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	controlclient "scaleroute/internal/control/client"
 	"scaleroute/internal/operations"
+	"scaleroute/internal/operator"
 )
 
 // TestPartAndOutside: the part is known, destinations outside are looked up, one that does not exist is rejected, and what the part has not is not held.
@@ -206,6 +209,39 @@
 	}
 }
 
+// TestWokenAsksControlServers: with a fence, a process that was stopped for longer than its lease asks the control servers before it makes a call. An endpoint of its part
+// that began to drain meanwhile gets nothing, though a message for it was there when the process woke; others are called.
+func TestWokenAsksControlServers(t *testing.T) {
+	t.Parallel()
+	const lease = 300 * time.Millisecond
+	w := newPartWorld(t, 1, 5)
+	w.fleet = &operator.Fleet{Ledger: 1 << 20, Fence: operator.Duration(lease), Unheard: operator.Duration(patience)}
+	w.operators()
+	p := w.start()
+	p.statusWhen("no part", hasPart)
+	for round, drains := range w.inside[:3] {
+		c, other := p.client(), p.client()
+		w.deliver(c, fmt.Sprint("before", round), drains)
+		p.cmd.Process.Signal(syscall.SIGSTOP)
+		w.tell(false, w.entry(fmt.Sprint("s", drains), drains, "DRAINING"))
+		w.hear()
+		answers := make(chan string, 2)
+		go func() { answers <- c.hand(fmt.Sprint("drained", round), "harmless", drains) }()
+		go func() { answers <- other.hand(fmt.Sprint("served", round), "harmless", w.inside[4]) }()
+		time.Sleep(2 * lease)
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		for range 2 {
+			if got := <-answers; got != "+OK" {
+				t.Errorf("round %d: %q", round, got)
+			}
+		}
+		w.made(fmt.Sprint("served", round))
+		if n := w.count(fmt.Sprint("drained", round)); n != 0 {
+			t.Errorf("round %d: an endpoint that drains was called %d times", round, n)
+		}
+	}
+}
+
 // TestFetchedBound: with as many messages out as destinations may be fetched, another one is refused with a retry-after; it is taken once there is room, and each that was taken is delivered once.
 func TestFetchedBound(t *testing.T) {
 	t.Parallel()
--- a/cmd/scaleroute/partialworld_test.go
+++ b/cmd/scaleroute/partialworld_test.go
@@ -57,6 +57,7 @@
 type partWorld struct {
 	*world
 	set     operator.Control
+	fleet   *operator.Fleet // nil: none
 	options control.Options
 	servers []*controlProcess
 	inside  []int // destinations of n0's part
@@ -127,7 +128,7 @@
 // operators writes the operators' file.
 func (w *partWorld) operators() {
 	c := operator.Default()
-	c.Control = &w.set
+	c.Control, c.Fleet = &w.set, w.fleet
 	text, err := json.Marshal(c)
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -347,17 +347,17 @@
 	}
 	done := f.enqueue(u)
 	f.mu.Unlock()
-	for _, a := range asked {
-		close(a)
-	}
 	select {
 	case <-done:
+		for _, a := range asked {
+			close(a)
+		}
 	case <-ctx.Done():
 	}
 	return nil
 }
 
-// Look has the list asked for what there is now, and returns once the answer to a call that began after that has been applied.
+// Look has the list asked for what there is now, and returns once the answer to a call that began after that has been applied and delivered.
 func (f *Follower) Look(ctx context.Context) error {
 	done := make(chan struct{})
 	f.mu.Lock()
--- a/internal/control/client/follower_test.go
+++ b/internal/control/client/follower_test.go
@@ -318,3 +318,46 @@
 		t.Errorf("%+v", spent)
 	}
 }
+
+// TestLookWaitsForDelivery: whoever asks for what there is now hears that it is so only once what had changed is delivered: a process that slept begins to make calls then.
+func TestLookWaitsForDelivery(t *testing.T) {
+	l := newList()
+	l.setMembers("n0", "n1", "n2", "n3")
+	inside, _ := destinationsOf(testLayout.Owned("n0", []string{"n0", "n1", "n2", "n3"}), 1)
+	l.fill(inside...)
+	s := newFake(t, l)
+	drain := sync.OnceFunc(func() { l.set(inside[0], name(inside[0]), agent.Draining) })
+	s.spoils(func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Query().Get("hold_ms") == "0" { // the call that Look has made: the one before is over
+			drain()
+		}
+		return false
+	})
+	e, entered, release := newEngine(), make(chan struct{}, 1), make(chan struct{})
+	f := NewFollower(FollowerConfig{Client: newTestClient(t, s), Limits: partial.DefaultLimits(), WatchHold: time.Minute, Deliver: func(u partial.Update) {
+		if len(u.Changed) > 0 {
+			signal(entered)
+			<-release
+		}
+		e.deliver(u)
+	}})
+	if err := f.First(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	f.Begin()
+	run(t, f)
+	letGo := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(letGo) // before the Follower is ended
+	looked := make(chan error, 1)
+	go func() { looked <- f.Look(t.Context()) }()
+	<-entered
+	select {
+	case err := <-looked:
+		t.Fatalf("Look has returned before the delivery: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	letGo()
+	if err := <-looked; err != nil || e.status(name(inside[0])) != agent.Draining {
+		t.Errorf("%v, and it is %q", err, e.status(name(inside[0])))
+	}
+}
