--- a/cmd/scaleroute-lab/scale.go
+++ b/cmd/scaleroute-lab/scale.go
@@ -160,7 +160,7 @@
 }
 
 // scalePrograms are what a run starts.
-var scalePrograms = []string{"scaleroute/cmd/scaleroute"}
+var scalePrograms = []string{"scaleroute/cmd/scaleroute", "scaleroute/cmd/scaleroute-control"}
 
 // measure measures cells, and keeps the results after each.
 func (c *scaleRun) measure(ctx context.Context, rig *scale.Rig, cells []scale.Cell) (results []*scale.Result, err error) {
--- a/experiments/scale/partial.hcl
+++ b/experiments/scale/partial.hcl
@@ -9,6 +9,6 @@
 leave_forwarder    = true
 
 sweep "partial-forwarders" {
-  forwarders                 = [10, 30, 100, 300]
+  forwarders                 = [10, 30, 100, 300, 1000]
   destinations_per_forwarder = [300]
 }
