--- a/internal/capacity/measure/list.go
+++ b/internal/capacity/measure/list.go
@@ -66,7 +66,7 @@
 	about: "what a forwarder that has nothing to do uses of the processor by the destinations that it knows, with its admin API on",
 	sizes: []int{2_000, 6_000, 20_000, 60_000},
 	series: map[string]capacity.Series{
-		idleProcessor: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Processor, Variable: capacity.Destinations, Note: "No messages, no changes, NODE_OPS set: the loop walks all endpoints 20 times a second for the figures of the admin API; 10 s each, from 10 s after it served."},
+		idleProcessor: {Mechanism: capacity.WholeList, Role: capacity.Forwarder, Resource: capacity.Processor, Variable: capacity.Destinations, Note: "No messages, no changes, NODE_OPS set: the loop reads the figures of the admin API 20 times a second; 10 s each, from 10 s after it served."},
 	},
 	run: measureIdle,
 }
