Use the control client's own calls in the served measurement

Need, on a second reading: members were asked and leases ended by calls written again beside client.Members and client.Leave, and a parameter was always true. 24 lines less; what is measured is the same calls.

--- a/internal/capacity/measure/part.go
+++ b/internal/capacity/measure/part.go
@@ -189,7 +189,7 @@
 	}
 }
 
-// callMembers renews a lease, or ends it.
+// callMembers renews a lease.
 func callMembers(ctx context.Context, server, name string) (status int, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server+"/v1/members?name="+name+"&zone=a", nil)
 	if err != nil {
@@ -201,9 +201,7 @@
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	switch response.StatusCode {
-	case http.StatusOK, http.StatusNoContent, http.StatusServiceUnavailable:
-	default:
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable {
 		return 0, fmt.Errorf("renewing a lease: status %d", response.StatusCode)
 	}
 	return response.StatusCode, err
--- a/internal/capacity/measure/served.go
+++ b/internal/capacity/measure/served.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
 	"scaleroute/internal/agent"
 	"scaleroute/internal/capacity"
-	"scaleroute/internal/control/api"
 	"scaleroute/internal/ownership"
 )
 
@@ -105,7 +102,7 @@
 	if err := r.watchers.fetch(ctx); err != nil {
 		return err
 	}
-	r.watchers.follow(ctx, true)
+	r.watchers.follow(ctx)
 	defer func() { r.watchers.halt() }()
 	for _, part := range []func(context.Context) error{r.calm, r.oneChange, r.everyEntry, r.regionCut, r.zone} {
 		if err := part(ctx); err != nil {
@@ -229,7 +226,7 @@
 		}
 	}
 	bytes, began := r.watchers.bytes(), time.Now()
-	r.watchers.follow(ctx, true)
+	r.watchers.follow(ctx)
 	took, err := r.watchers.await(ctx, "what was missed in a cut", began, hasIndex(index))
 	if err != nil {
 		return err
@@ -243,20 +240,20 @@
 func (r *servedRun) zone(ctx context.Context) error {
 	gone := r.others[:min(len(r.others), zoneForwarders*r.lab.members()/planForwarders)]
 	cpu, left := r.server.process.CPU(), time.Now()
-	if err := leaveAll(ctx, r.server.address, gone); err != nil {
+	zone := newWatchers(r.server.address, r.layout, gone, r.partitions(), r.seed+1)
+	if err := zone.leave(ctx); err != nil {
 		return err
 	}
 	if _, err := r.awaitMembers(ctx, time.Now(), r.lab.members()-len(gone)); err != nil {
 		return err
 	}
 	began := time.Now()
-	returned := newWatchers(r.server.address, r.layout, gone, r.partitions(), r.seed+1)
 	var fetchErr error
 	var fetching sync.WaitGroup
-	fetching.Go(func() { fetchErr = returned.fetch(ctx) })
+	fetching.Go(func() { fetchErr = zone.fetch(ctx) })
 	err := takeLeases(ctx, r.server.address, gone)
 	fetching.Wait()
-	for _, one := range returned.list {
+	for _, one := range zone.list {
 		one.client.Close()
 	}
 	if err != nil || fetchErr != nil {
@@ -276,7 +273,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	for {
-		told, err := tellMembers(ctx, r.server.address, r.watchersName())
+		told, err := r.watchers.list[0].client.Members(ctx, "", 0, 0) // all of them
 		if err != nil {
 			return 0, err
 		}
@@ -289,28 +286,11 @@
 	}
 }
 
-// watchersName is the name of a member that has a lease anyway.
-func (r *servedRun) watchersName() string { return fmt.Sprintf("forwarder-%d-%04d", r.seed, 0) }
-
-// tellMembers asks for all members, by the name of one of them.
-func tellMembers(ctx context.Context, server, name string) (told api.Members, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server+"/v1/members?name="+name+"&zone=a", nil)
-	if err != nil {
-		return told, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return told, err
-	}
-	defer response.Body.Close()
-	return told, json.NewDecoder(response.Body).Decode(&told)
-}
-
-// leaveAll ends the leases of members.
-func leaveAll(ctx context.Context, server string, names []string) error {
-	for _, name := range names {
-		if _, err := callMembers(ctx, server, name+"&leave=1"); err != nil {
-			return err
+// leave ends the leases of all.
+func (w *watchers) leave(ctx context.Context) error {
+	for _, one := range w.list {
+		if err := one.client.Leave(ctx); err != nil {
+			return fmt.Errorf("ending a lease: %w", err)
 		}
 	}
 	return nil
--- a/internal/capacity/measure/watchers.go
+++ b/internal/capacity/measure/watchers.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	listHold      = 3 * time.Second  // as a forwarder holds them
-	membersHold   = 10 * time.Second //
+	listHold      = 3 * time.Second  // a forwarder's, of its part
+	membersHold   = 10 * time.Second // a forwarder's, of the members
 	watchersAside = 64               // that begin at the same time
 	afterFailure  = 100 * time.Millisecond
 )
@@ -75,14 +75,12 @@
 	return nil
 }
 
-// follow has each watch its part, and the members as well where that is asked for, until halt.
-func (w *watchers) follow(ctx context.Context, withMembers bool) {
+// follow has each watch its part and the members, until halt.
+func (w *watchers) follow(ctx context.Context) {
 	ctx, w.stop = context.WithCancel(ctx)
 	for _, one := range w.list {
 		w.done.Go(func() { one.followList(ctx) })
-		if withMembers {
-			w.done.Go(func() { one.followMembers(ctx) })
-		}
+		w.done.Go(func() { one.followMembers(ctx) })
 	}
 }
 
