--- a/internal/ci/verdict.go
+++ b/internal/ci/verdict.go
@@ -156,7 +156,7 @@
 func (v *Verdict) Print(out io.Writer) {
 	fmt.Fprintln(out)
 	for _, entry := range v.KnownRed {
-		fmt.Fprintf(out, "known red, passed over: %s: %s (issue %d)\n", entry.Test, entry.Cause, entry.Issue)
+		fmt.Fprintf(out, "known red, passed over: %s: %s; seen by: %s (issue %d)\n", entry.Test, entry.Seen, entry.Command, entry.Issue)
 	}
 	for _, fault := range v.Faults {
 		fmt.Fprintln(out, "FAIL:", fault)
