--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -20,9 +20,11 @@
 	"testing"
 	"time"
 
+	"scaleroute/internal/faults"
 	"scaleroute/internal/fence"
 	"scaleroute/internal/gossip"
 	"scaleroute/internal/gossip/host"
+	"scaleroute/internal/journal"
 	"scaleroute/internal/ledger"
 	"scaleroute/internal/straggler"
 	"scaleroute/internal/takeover"
@@ -79,6 +81,10 @@
 		if text := os.Getenv("SCALEROUTE_TEST_FORMAT"); text != "" { // of another build's news
 			straggler.Speaks, _ = strconv.Atoi(text)
 		}
+		if path := os.Getenv("SCALEROUTE_TEST_FAULTS"); path != "" {
+			plan := faults.NewPlan(path, 1)
+			folderFS = func(dir string) journal.FS { return faults.NewDisk(journal.Folder(dir), plan) }
+		}
 		if text := os.Getenv("SCALEROUTE_TEST_CLOCK"); text != "" { // the machine's clock is wrong by that
 			wrong, _ := time.ParseDuration(text)
 			ledger.Clock = func() time.Time { return time.Now().Add(wrong) }
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -146,8 +146,11 @@
 	}
 }
 
+// folderFS is the file system of the folder that lasts; fault tests replace it.
+var folderFS = journal.Folder
+
 func (f *forwarder) openJournal() (*journal.Journal, error) {
-	return journal.Open(f.c.State, journal.Options{Limit: int64(f.c.Limits.DiskMB*1e6) - f.fleet.disk(), Memory: int64(f.c.Limits.MemoryMB) << 20 * heldShare / 100,
+	return journal.Open(f.c.State, journal.Options{FS: folderFS(f.c.State), Limit: int64(f.c.Limits.DiskMB*1e6) - f.fleet.disk(), Memory: int64(f.c.Limits.MemoryMB) << 20 * heldShare / 100,
 		Durability: operator.Durabilities[f.operators.now.Journal.Durability], Extras: f.operators.file != ""})
 }
 
--- a/internal/journal/lifecycle.go
+++ b/internal/journal/lifecycle.go
@@ -9,13 +9,16 @@
 )
 
 // Open replays the journal in a folder, or begins one, and locks the folder. A journal in the legacy format is
-// upgraded. The options name no file system.
+// upgraded. The options name a file system only where its operations are to be made to fail.
 func Open(dir string, o Options) (*Journal, error) {
 	lock, err := lockFolder(dir)
 	if err != nil {
 		return nil, err
 	}
-	o.FS, o.Limit = osFS{dir: dir}, o.Limit-diskMargin
+	if o.FS == nil {
+		o.FS = osFS{dir: dir}
+	}
+	o.Limit -= diskMargin
 	j, err := OpenWith(o)
 	if err != nil {
 		lock.Close()
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -51,6 +52,9 @@
 	ResetLast  float64 // share reset after it
 
 	ColdFor time.Duration
+
+	Repeats      float64       // share of calls whose answer is written a second time on the same connection
+	RepeatWithin time.Duration // so long behind the first at most, evenly drawn
 }
 
 // Set changes how the endpoint behaves, from the next call on.
@@ -264,8 +268,22 @@
 	// A call ends, and a wait begins, when its answer is written. It is noted before that, so that
 	// nobody can act on the answer earlier than on the record.
 	log.ended(c, status, ran, wait)
-	_, err := conn.Write(head)
-	return err == nil
+	if _, err := conn.Write(head); err != nil {
+		return false
+	}
+	if s.Repeats > 0 && drawn(c.ID, "repeats") < s.Repeats {
+		repeat := func() { conn.Write(head) } // to a connection that may be closed by then
+		time.AfterFunc(time.Duration(drawn(c.ID, "repeat within")*float64(s.RepeatWithin)), repeat)
+	}
+	return true
+}
+
+// drawn is a number from 0 to 1 that a message's id and a purpose fix.
+func drawn(id, purpose string) float64 {
+	hash := fnv.New64a()
+	io.WriteString(hash, purpose)
+	io.WriteString(hash, id)
+	return rand.New(rand.NewPCG(hash.Sum64(), 0)).Float64()
 }
 
 const mostBody = 1 << 20
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -364,6 +364,24 @@
 	return handed, len(at), most, all
 }
 
+// DeadThoughRun lists the messages that were reported dead though a call of theirs had been answered 200 before.
+func (l *Log) DeadThoughRun() (ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ran := map[string]time.Time{}
+	for _, c := range l.calls {
+		if c.Ran == Yes {
+			ran[c.ID] = c.Ended
+		}
+	}
+	for _, n := range l.notices {
+		if at, isRun := ran[n.ID]; isRun && n.Result == "dead" && at.Before(n.At) {
+			ids = append(ids, n.ID)
+		}
+	}
+	return ids
+}
+
 // Each shows every call to an endpoint, in the order in which they came.
 func (l *Log) Each(show func(*Call)) {
 	l.mu.Lock()
