Let a connection rest 20 ms after an answer, so that a second copy of it ends no later call

Callers saw messages lost, repeated and out twice at once where endpoints write an answer a second time up to 12 ms behind the first. Cause: HTTP/1.1 does not say which request an answer belongs to; a kept connection made its next call at once, and the copy was taken for that call's answer (pool.take, conn.answer).

An idle connection is used again only after 20 ms, when a copy that came is seen before the request is written. An address that sent more than it was asked for has its connections rest 200 ms for 10 minutes, and the log says so.

--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -47,12 +47,14 @@
 	drained atomic.Bool // nothing new goes there, also what was decided before
 }
 
-// New makes a Back without targeb.
+// New makes a Back without targets.
 func New(c Config) *Back {
 	return &Back{byName: map[string]*target{}, pool: &pool{
 		most:     c.Connections,
 		idleTime: idleTime(c.ConnIdle),
 		connect:  c.ConnectLimit,
+		rest:     repeatWindow,
+		longRest: longRepeatWindow,
 		hosts:    map[string]*host{},
 	}}
 }
@@ -215,12 +217,14 @@
 	default:
 		o.Result = decide.Reset
 	}
-	// More than the answer is no harm, but would be taken for the next one.
 	if stop() && err == nil && !resp.Close && c.r.Buffered() == 0 {
 		t.pool.put(c)
-	} else {
-		t.pool.close(c)
+		return
+	}
+	if err == nil && c.r.Buffered() > 0 { // it would be taken for the next answer
+		t.pool.distrust(c, "with the answer")
 	}
+	t.pool.close(c)
 }
 
 // answered fills in what an answer says.
--- a/internal/back/httpcall/call_test.go
+++ b/internal/back/httpcall/call_test.go
@@ -21,7 +21,15 @@
 	"scaleroute/internal/message"
 )
 
+// testTargets is a Back whose connections can be used again at once.
 func testTargets() *Back {
+	b := restingTargets()
+	b.pool.rest, b.pool.longRest = 0, 0
+	return b
+}
+
+// restingTargets is a Back as the program has it.
+func restingTargets() *Back {
 	return New(Config{Connections: 600, ConnIdle: time.Minute, ConnectLimit: time.Minute})
 }
 
--- a/internal/back/httpcall/handover.go
+++ b/internal/back/httpcall/handover.go
@@ -46,10 +46,12 @@
 		}
 		p.mu.Unlock()
 		c := newConn(i.Conn, h)
-		p.put(c)
-		p.mu.Lock()
-		c.since = i.Since
-		p.mu.Unlock()
+		since := i.Since
+		if now := time.Now(); since.After(now) { // the wall clock was set back meanwhile
+			since = now
+		}
+		c.answered = time.Now() // it may have been answered just before
+		p.giveBack(c, since)
 	}
 }
 
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -22,6 +23,12 @@
 const (
 	maxAnswer  = 64 << 10 // an answer that goes on longer is not read on
 	keepRecord = 4 << 10
+
+	// A connection makes no further call until so long after its last answer: HTTP/1.1 does not say which request an answer
+	// belongs to, so a second copy of that answer that comes behind the next request would be taken for the next answer.
+	repeatWindow     = 20 * time.Millisecond
+	longRepeatWindow = 200 * time.Millisecond // at an address that has sent more than it was asked for
+	distrustFor      = 10 * time.Minute       // since it last did
 )
 
 // pool keeps the connections to all addresses. net/http's Transport is not used
@@ -33,6 +40,8 @@
 	most     int           // connections, idle ones counted
 	idleTime time.Duration // one idle for so long is closed
 	connect  time.Duration // one not made by then has failed
+	rest     time.Duration // one makes no further call until so long after its last answer
+	longRest time.Duration // the same at an address that is distrusted
 
 	mu       sync.Mutex
 	open     int
@@ -44,11 +53,13 @@
 
 // host is one address. Several targets may be at one.
 type host struct {
-	address string
-	targets int     // at it; none are kept when there is none
-	idle    []*conn // longest idle first
+	address       string
+	targets       int       // at it; none are kept when there is none
+	idle          []*conn   // longest idle first
+	distrustUntil time.Time // it has sent more than it was asked for; by the pool's lock
 }
 
+
 // conn is a connection to an address. A call has it for itself.
 type conn struct {
 	net.Conn
@@ -60,8 +71,10 @@
 	told    toldWait    // by the answer to this call, so far
 	off     atomic.Bool // the call's context has ended it; such a connection makes no further call here
 	replay  []byte      // what another process read of it, to be read again
-	since   time.Time
-	spare   [1]byte
+	since   time.Time // it is idle
+	// answered is when the answer to its last call was read; zero: it has made none here.
+	answered time.Time
+	spare    [1]byte
 
 	prev, next *conn // while idle
 }
@@ -119,12 +132,12 @@
 	}
 }
 
-// get returns a connection: the one used last, if it is still good, or a new
+// get returns a connection: of those that have rested the one used last, if it is still good, or a new
 // one. When there are too many, the one idle longest is closed, wherever it goes.
 func (p *pool) get(ctx context.Context, h *host, left time.Duration) (*conn, error) {
 	for c := p.take(h); c != nil; c = p.take(h) {
 		// The timer that closes what is idle for too long may be late: the target's is not.
-		if time.Since(c.since) < p.idleTime && c.quiet() {
+		if time.Since(c.since) < p.idleTime && p.isQuiet(c) {
 			return c, nil
 		}
 		p.close(c)
@@ -171,17 +184,44 @@
 	c.host.idle = slices.Delete(list, i, i+1)
 }
 
-// take takes the idle connection to an address that was used last out of the pool.
+// take takes out of the pool the idle connection to an address that was used last, of those that have rested; nil if there is none.
 func (p *pool) take(h *host) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(h.idle)
-	if n == 0 {
-		return nil
+	now := time.Now()
+	rest := p.rest
+	if now.Before(h.distrustUntil) {
+		rest = p.longRest
+	}
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if c := h.idle[i]; now.Sub(c.answered) >= rest {
+			p.unidle(c)
+			return c
+		}
+	}
+	return nil
+}
+
+// isQuiet reports whether a connection is as its last answer left it: neither ended nor with bytes that would be taken for the next
+// answer. The latter are held against its address.
+func (p *pool) isQuiet(c *conn) bool {
+	state := c.look()
+	if state == connSpoke {
+		p.distrust(c, "on an idle connection")
+	}
+	return state == connQuiet
+}
+
+// distrust notes that more came on a connection than it was asked for.
+func (p *pool) distrust(c *conn, when string) {
+	now := time.Now()
+	p.mu.Lock()
+	known := now.Before(c.host.distrustUntil)
+	c.host.distrustUntil = now.Add(distrustFor)
+	p.mu.Unlock()
+	if !known {
+		slog.Warn("an endpoint sends more than one answer to a call: its connections rest longer between calls", "target", c.host.address, "came", when, "rest", p.longRest, "for", distrustFor)
 	}
-	c := h.idle[n-1]
-	p.unidle(c)
-	return c
 }
 
 // put keeps a connection for the next call.
@@ -189,7 +229,8 @@
 	if c.record = c.record[:0]; cap(c.record) > keepRecord {
 		c.record = nil
 	}
-	p.giveBack(c, time.Now())
+	c.answered = time.Now()
+	p.giveBack(c, c.answered)
 }
 
 // giveBack keeps a connection on which nothing has been written since a time.
@@ -367,15 +408,30 @@
 	}
 }
 
-// quiet tells whether nothing has come on an idle connection: neither its end
-// nor bytes that would be taken for the next answer.
-func (c *conn) quiet() bool {
+// connState is what an idle connection shows.
+type connState int
+
+const (
+	connQuiet connState = iota
+	connEnded
+	connSpoke // bytes have come
+)
+
+// look shows what has come on an idle connection. It does not wait.
+func (c *conn) look() connState {
 	if c.raw == nil {
-		return false
+		return connEnded
 	}
+	var count int
 	var readErr error
-	err := c.raw.Control(func(fd uintptr) { _, readErr = syscall.Read(int(fd), c.spare[:]) }) // it does not wait
-	return err == nil && readErr == syscall.EAGAIN
+	err := c.raw.Control(func(fd uintptr) { count, readErr = syscall.Read(int(fd), c.spare[:]) })
+	switch {
+	case err == nil && readErr == syscall.EAGAIN:
+		return connQuiet
+	case err == nil && readErr == nil && count > 0:
+		return connSpoke
+	}
+	return connEnded
 }
 
 // says200 tells whether the first line of an answer, behind any 1xx, says 200.
