--- a/cmd/scaleroute/incident42_test.go
+++ b/cmd/scaleroute/incident42_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -110,10 +111,13 @@
 	}
 	t.Logf("%d of %d accepted during the fault", len(accepted), faultMessages)
 	heal()
-	limit := time.Now().Add(patience)
+	limit := time.Now().Add(patience / 2) // the clients' connections last longer
 	for i := range faultMessages {
 		for n := 0; !hand(fmt.Sprintf("after-%d-%d", i, n), classes[rng.IntN(2)]); n++ {
 			if time.Now().After(limit) {
+				for len(p.log) > 0 {
+					t.Log(<-p.log)
+				}
 				t.Fatalf("%d of %d messages accepted after the fault", i, faultMessages)
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -164,3 +168,42 @@
 		t.Fatal(err)
 	}
 }
+
+// TestKilledAfterFolderReplaced guards against messages that are kept in a folder which no restart finds.
+func TestKilledAfterFolderReplaced(t *testing.T) {
+	release := make(chan bool)
+	w := newWorld(t, func(http.ResponseWriter, string) { <-release })
+	p := w.start()
+	c := p.client()
+	const held = 40
+	for i := range held {
+		c.enqueue(fmt.Sprint("before-", i), "harmless", 200000)
+	}
+	if err := os.RemoveAll(w.state); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(w.state, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	p.awaitLog("the journal has all that is held")
+	for i := range held {
+		c.enqueue(fmt.Sprint("after-", i), "unsafe", 200000)
+	}
+	p.kill()
+	close(release)
+	w.start()
+	for i := range held {
+		for _, id := range []string{fmt.Sprint("before-", i), fmt.Sprint("after-", i)} {
+			eventually(t, id+" has its end", func() bool { return w.count(id) > 0 || w.isNoticed(id) })
+		}
+	}
+}
+
+// isNoticed reports whether a final answer of a message has come.
+func (w *world) isNoticed(id string) bool {
+	for len(w.notices) > 0 {
+		ref, _, _ := strings.Cut(<-w.notices, " ")
+		w.noticed = append(w.noticed, ref)
+	}
+	return slices.Contains(w.noticed, id)
+}
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -149,7 +149,28 @@
 // folderFS is the file system of the folder that lasts; fault tests replace it.
 var folderFS = journal.Folder
 
+// diskPause is how long a start waits before it tries a disk again that has refused.
+const diskPause = 100 * time.Millisecond
+
+// openJournal opens the journal, as soon as its disk lets it. It returns errStopping if the process is to end before.
 func (f *forwarder) openJournal() (*journal.Journal, error) {
+	for refusals := 0; ; refusals++ {
+		j, err := f.tryJournal()
+		if err == nil || !journal.Failing(err) {
+			return j, err
+		}
+		if refusals == 0 {
+			slog.Error("the journal can't be opened: nothing is served until its disk lets it", "folder", f.c.State, "err", err)
+		}
+		select {
+		case <-f.stop:
+			return nil, fmt.Errorf("%w: %w", errStopping, err)
+		case <-time.After(diskPause):
+		}
+	}
+}
+
+func (f *forwarder) tryJournal() (*journal.Journal, error) {
 	return journal.Open(f.c.State, journal.Options{FS: folderFS(f.c.State), Limit: int64(f.c.Limits.DiskMB*1e6) - f.fleet.disk(), Memory: int64(f.c.Limits.MemoryMB) << 20 * heldShare / 100,
 		Durability: operator.Durabilities[f.operators.now.Journal.Durability], Extras: f.operators.file != ""})
 }
@@ -305,7 +326,7 @@
 	}
 	f.fleet.serve(watching, &lists, l)
 	asks := f.listenForNext(ctx, &all)
-	f.control.Serve(operations.Part{Clients: clients, Members: f.operators.sources, Figures: l.Figures})
+	f.control.Serve(operations.Part{Clients: clients, Members: f.operators.sources, Figures: l.Figures, JournalFailing: l.JournalFailing})
 	slog.Info("serving", "name", f.c.Name, "address", ln.Addr(), "discovery", f.c.Discovery)
 	takeover.Reached("new: serving")
 
@@ -316,6 +337,11 @@
 		case <-f.stop:
 			return nil, nil, f.end(l, clients, failed)
 		case next := <-asks:
+			if since := l.JournalFailing(); !since.IsZero() {
+				slog.Warn("no other process takes over while the journal can't be kept: it may ask again", "since", since)
+				next.Close()
+				continue
+			}
 			if err := next.Coming(); err != nil {
 				slog.Warn("a process that asked to take over is gone", "err", err)
 				next.Close()
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -59,7 +59,6 @@
 	distrustUntil time.Time // it has sent more than it was asked for; by the pool's lock
 }
 
-
 // conn is a connection to an address. A call has it for itself.
 type conn struct {
 	net.Conn
@@ -71,7 +70,7 @@
 	told    toldWait    // by the answer to this call, so far
 	off     atomic.Bool // the call's context has ended it; such a connection makes no further call here
 	replay  []byte      // what another process read of it, to be read again
-	since   time.Time // it is idle
+	since   time.Time   // it is idle
 	// answered is when the answer to its last call was read; zero: it has made none here.
 	answered time.Time
 	spare    [1]byte
--- a/internal/engine/acting.go
+++ b/internal/engine/acting.go
@@ -175,15 +175,7 @@
 	}
 	slog.Info("calls begin again", "why", c.cause)
 	a.change(version.Change{Cause: c.cause})
-	for _, e := range l.entries {
-		if e.acked && !e.ended && len(e.pending) > 0 {
-			pending := e.pending
-			e.pending = nil
-			for _, s := range pending {
-				l.send(ctx, s)
-			}
-		}
-	}
+	l.sendAllPending(ctx)
 }
 
 // Change has something take effect between two Steps, as a change of the vector, with a list if there is one, and waits until it has, for so long at most.
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -60,7 +60,7 @@
 		slog.Error("a send for a message that is not held", "id", s.Message)
 		return
 	}
-	if !e.acked || l.acting.closed() { // what is fenced waits, too
+	if !e.acked || l.acting.closed() || l.journal.Failure() != nil && !l.mayRepeat(e) { // what is fenced, or can't be recorded, waits, too
 		e.pending = append(e.pending, s)
 		return
 	}
@@ -95,7 +95,12 @@
 	if l.limits != nil {
 		try.Connect = l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.Took()).Connect
 	}
-	l.effects = append(l.effects, func() {
+	undo := func(ctx context.Context) {
+		o := decide.Outcome{Message: s.Message, Attempt: n, Target: s.Target, Result: decide.NotSent}
+		told.rest(&o)
+		l.receive(ctx, callEnded{outcome: o, slot: slot, told: told})
+	}
+	show := func() {
 		if l.journal.Durability() == journal.Group { // it has waited for a sync
 			try.Timeout = max(time.Millisecond, try.Timeout-time.Since(decided))
 		}
@@ -111,7 +116,22 @@
 			}
 			keep.over(&o)
 		}()
-	})
+	}
+	l.effects = append(l.effects, effect{kind: effectSend, entry: e, show: show, undo: undo})
+}
+
+// sendAllPending goes on with the attempts that waited for more than their client.
+func (l *Engine) sendAllPending(ctx context.Context) {
+	for _, e := range l.entries {
+		if !e.acked || e.ended || len(e.pending) == 0 {
+			continue
+		}
+		pending := e.pending
+		e.pending = nil
+		for _, s := range pending {
+			l.send(ctx, s)
+		}
+	}
 }
 
 // keeper tells the loop how a call ended, or that it is handed over.
@@ -147,7 +167,7 @@
 	}
 	for _, o := range e.calls {
 		if o.attempt == c.Attempt {
-			l.effects = append(l.effects, func() { o.cancel(nil) })
+			l.add(effectFree, nil, func() { o.cancel(nil) })
 		}
 	}
 	if n := c.Attempt - e.saved.Attempts; n >= 0 && n < len(e.pending) { // their numbers go on in order: all or none
--- a/internal/engine/completion.go
+++ b/internal/engine/completion.go
@@ -29,7 +29,7 @@
 		e.answer = nil
 		l.journal.Release(e.saved.Size())
 		l.leave(e)
-		l.effects = append(l.effects, func() { answer <- reply{Answer: text} })
+		l.add(effectFree, nil, func() { answer <- reply{Answer: text} })
 		return
 	}
 	e.saved.End, e.saved.Wait = how, wait
@@ -60,5 +60,5 @@
 		to = l.finals[""]
 	}
 	f := Final{ID: e.saved.ID, Failed: e.saved.End == 'd', Wait: e.saved.Wait}
-	l.effects = append(l.effects, func() { to.Final(f) })
+	l.add(effectNotice, e, func() { to.Final(f) })
 }
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -15,6 +15,7 @@
 type entry struct {
 	saved   *journal.Saved
 	answer  chan<- reply  // its client waits for an answer; nil after that
+	revoked chan<- reply  // the same while it is accepted and not on disk
 	acked   bool          // the client has its +OK
 	pending []decide.Send // decided before that, in order
 	sendBy  time.Time     // when the first byte of the attempt decided last is written at the latest; zero: whenever
--- a/internal/engine/handover.go
+++ b/internal/engine/handover.go
@@ -144,7 +144,7 @@
 
 // left hands over, as the last thing that the loop does.
 func (l *Engine) left() error {
-	if err := l.settle(); err != nil {
+	if err := l.settle(context.Background()); err != nil {
 		return err
 	}
 	for _, e := range l.entries {
@@ -214,7 +214,7 @@
 	e.calls = append(e.calls, out{attempt, cancel, true, slot})
 	told.began()
 	a := Attempt{ID: e.saved.ID, Class: e.saved.Class, Destination: e.saved.Extras.Asked(e.saved.Dest), Number: attempt}
-	l.effects = append(l.effects, func() {
+	l.add(effectFree, nil, func() {
 		go func() {
 			keep := keeper{l: l, told: told, carried: carried{message: a.ID, endpoint: endpoint, attempt: attempt, slot: slot}, wrote: true}
 			a.Keep = keep.keep
--- a/internal/engine/intake.go
+++ b/internal/engine/intake.go
@@ -48,7 +48,7 @@
 
 func rejected(why string) Answer { return Answer{Kind: Rejected, Why: why} }
 
-func (l *Engine) arrive(a arrival) error {
+func (l *Engine) arrive(a arrival) {
 	m := a.msg
 	turnAway := func(answer Answer) {
 		l.countAway(m.Class, answer.Kind)
@@ -58,17 +58,17 @@
 	switch e := l.entries[m.ID]; {
 	case e != nil && e.acked: // handed in twice: it is held already
 		turnAway(Answer{Kind: Taken})
-		return nil
+		return
 	case e != nil: // whether that one is taken on is still open, and not for this client to say
 		turnAway(rejected("handed in twice at once"))
-		return nil
+		return
 	// What can't be delivered is not refused: that asks the client to come again.
 	case !known:
 		turnAway(rejected("unknown class"))
-		return nil
+		return
 	case !l.dests[m.Destination]:
 		turnAway(rejected("unknown destination"))
-		return nil
+		return
 	}
 	left, limits := min(m.Left, class.Deadline), Limits{}
 	if l.limits != nil {
@@ -81,27 +81,27 @@
 		Deadline: m.Read.Add(left - intakeSlack)}
 	if limits.Held > 0 && !l.caps.Admits(intake.Cap{Rule: limits.Rule, Destination: m.Destination}, limits.Held) {
 		turnAway(refused(diskWait))
-		return nil
+		return
 	}
 	if !l.shares.Admits(m.Destination, s.Cost(), l.journal.Full(), len(l.dests)) {
 		turnAway(refused(diskWait))
-		return nil
+		return
 	}
 	room, err := l.journal.Reserve(s.Size())
 	if err != nil {
-		return err
+		turnAway(refused(diskWait))
+		return
 	}
 	if !room {
 		turnAway(refused(diskWait))
 		l.events = append(l.events, decide.Crowded{})
-		return nil
+		return
 	}
 	e := &entry{answer: a.answer, saved: s}
 	l.keep(e)
 	l.arrived = append(l.arrived, e)
 	l.events = append(l.events, decide.Message{ID: m.ID, Class: m.Class, Destination: m.Destination,
 		Left: time.Until(s.Deadline), Again: m.Again, Repeat: m.Repeat, Among: among(m.Extras), Route: m.Extras.Took()})
-	return nil
 }
 
 // among is what the module is told of a message's endpoints.
@@ -121,10 +121,7 @@
 	e.acked = true
 	switch {
 	case !a.ok: // the client will hand it in again: nothing is owed
-		l.unsendPending(e)
-		l.endedAs(e, func(t *Tally) { t.Withdrawn++ })
-		l.events = append(l.events, decide.Withdrawn{Message: e.saved.ID})
-		l.forget(e)
+		l.withdraw(e)
 	case e.saved.End != 0:
 		l.notify(e)
 	default:
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"scaleroute/internal/decide"
@@ -95,29 +96,32 @@
 	inbox   chan any
 	done    chan struct{}
 
-	classes   map[string]decide.Class
-	waits     waits
-	dests     map[int]bool // those that discovery has ever named: one exists while its targets are away
-	entries   map[string]*entry
-	events    []decide.Event
-	arrived   []*entry // in this round
-	shares    intake.Shares
-	caps      intake.Caps
-	limits    func(class string, destination int, route string) Limits
-	ended     func(Ending)
-	holds     func(destination int, begins bool)
-	steps     func(time.Duration, []decide.Event, []decide.Action)
-	effects   []func() // after the journal has been written
-	waiting   []batch  // until it has been synced, where that is promised
-	syncing   bool
-	syncEvery time.Duration
-	counts    counts
-	acting    acting
-	wake      *time.Timer
-	finishing bool
-	leaving   *leaving // it hands over
-	empty     bool
-	idle      chan struct{} // closed when finishing with nothing left
+	classes map[string]decide.Class
+	waits   waits
+	dests   map[int]bool // those that discovery has ever named: one exists while its targets are away
+	entries map[string]*entry
+	events  []decide.Event
+	arrived []*entry // in this round
+	shares  intake.Shares
+	caps    intake.Caps
+	limits  func(class string, destination int, route string) Limits
+	ended   func(Ending)
+	holds   func(destination int, begins bool)
+	steps   func(time.Duration, []decide.Event, []decide.Action)
+	effects []effect // after the journal has been written
+	waiting []batch  // until it has been synced, where that is promised
+	failing failing
+	// failingSince is failing.since, for other goroutines; nil for zero.
+	failingSince atomic.Pointer[time.Time]
+	syncing      bool
+	syncEvery    time.Duration
+	counts       counts
+	acting       acting
+	wake         *time.Timer
+	finishing    bool
+	leaving      *leaving // it hands over
+	empty        bool
+	idle         chan struct{} // closed when finishing with nothing left
 }
 
 // New makes an Engine. The error names the setting that is impossible.
@@ -129,7 +133,7 @@
 	l := &Engine{module: m, journal: c.Journal, back: c.Back, resumer: c.Resumer, finals: c.Finals, clock: time.Now(), syncEvery: c.SyncEvery, limits: c.Limits, ended: c.Ended, holds: c.Holding, steps: c.Steps,
 		inbox: make(chan any, mailbox), done: make(chan struct{}), idle: make(chan struct{}),
 		classes: map[string]decide.Class{}, dests: map[int]bool{},
-		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour)}
+		entries: map[string]*entry{}, wake: time.NewTimer(time.Hour), failing: newFailing()}
 	for _, class := range c.Settings.Classes {
 		l.classes[class.Name] = class
 	}
@@ -207,7 +211,7 @@
 }
 
 // Run carries events to the module until ctx ends. An error means that the
-// journal can't be kept: then nothing more may be taken on.
+// journal could not be kept to the end: what it lacks counts as sent at the next start.
 func (l *Engine) Run(ctx context.Context) error {
 	defer close(l.done)
 	var sync <-chan time.Time
@@ -229,9 +233,7 @@
 		l.events = slices.Insert(l.events, 0, decide.Event(decide.ShutOut{On: true}))
 	}
 	for {
-		if err := l.round(ctx); err != nil {
-			return err
-		}
+		l.round(ctx)
 		l.publish(time.Now(), false)
 		if len(l.events) > 0 {
 			continue // what could not be carried out is told at once
@@ -246,7 +248,7 @@
 		select {
 		case <-ctx.Done():
 			l.rest()
-			return l.settle()
+			return l.settle(ctx)
 		case <-sync:
 			l.sync()
 		case <-figures: // what time alone has changed, too
@@ -254,17 +256,15 @@
 			continue
 		case <-beat:
 			l.lookAwake()
+		case <-l.failing.timer.C:
+			l.lookAfterJournal(ctx)
 		case v := <-l.inbox:
-			if err := l.receive(ctx, v); err != nil {
-				return err
-			}
+			l.receive(ctx, v)
 		case <-l.wake.C:
 			l.events = append(l.events, decide.Woken{})
 		}
 		for n := 1; n < drainMost && len(l.inbox) > 0; n++ {
-			if err := l.receive(ctx, <-l.inbox); err != nil {
-				return err
-			}
+			l.receive(ctx, <-l.inbox)
 		}
 	}
 }
@@ -283,10 +283,10 @@
 	}
 }
 
-func (l *Engine) receive(ctx context.Context, v any) error {
+func (l *Engine) receive(ctx context.Context, v any) {
 	switch v := v.(type) {
 	case arrival:
-		return l.arrive(v)
+		l.arrive(v)
 	case ackWritten:
 		l.acked(ctx, v)
 	case callEnded:
@@ -325,11 +325,10 @@
 		l.carried(v)
 	case syncEnded:
 		l.syncing = false
-		return l.synced(v.written, v.err)
+		l.synced(ctx, v.written, v.err)
 	case decide.Stopping:
 		l.events = append(l.events, v)
 	}
-	return nil
 }
 
 func (l *Engine) list(v List) {
@@ -357,7 +356,7 @@
 
 // round makes one Step and does what it decides, in this order: the journal
 // is written before anything that it records can be seen outside.
-func (l *Engine) round(ctx context.Context) error {
+func (l *Engine) round(ctx context.Context) {
 	events := l.events
 	l.events = nil
 	now := time.Since(l.clock)
@@ -372,30 +371,28 @@
 		if e.answer == nil {
 			continue // turned away in this Step
 		}
-		if err := l.journal.Accepted(e.saved); err != nil {
-			return err
-		}
+		l.journal.Accepted(e.saved) // an error is Flush's, too
 		answer := e.answer
-		e.answer = nil
+		e.answer, e.revoked = nil, answer
 		l.taken(e)
-		l.effects = append(l.effects, func() { answer <- reply{Answer{Kind: Taken}, e} })
+		l.add(effectAccept, e, func() {
+			e.revoked = nil
+			answer <- reply{Answer{Kind: Taken}, e}
+		})
 	}
 	clear(l.arrived)
 	l.arrived = l.arrived[:0]
 	if err := l.journal.Flush(); err != nil {
-		return err
+		l.journalFailed(ctx, err)
+		return
 	}
 	if l.journal.Durability() == journal.Group && len(l.effects) > 0 {
 		l.waiting = append(l.waiting, batch{l.journal.Written(), l.effects})
 		l.effects = nil
-		return l.synced(0, nil)
-	}
-	for _, do := range l.effects {
-		do()
+		l.synced(ctx, 0, nil)
+		return
 	}
-	clear(l.effects)
-	l.effects = l.effects[:0]
-	return nil
+	l.showEffects()
 }
 
 func (l *Engine) act(ctx context.Context, a decide.Action) {
@@ -416,7 +413,7 @@
 		l.callOff(a)
 	case decide.CloseIdle:
 		if c := l.back.Endpoint(a.Target); c != nil {
-			l.effects = append(l.effects, c.CloseIdle)
+			l.add(effectFree, nil, c.CloseIdle)
 		}
 	case decide.Wake:
 		l.wake.Reset(a.After)
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -28,7 +28,7 @@
 	if j.err == nil {
 		s.unlink()
 		j.activeSegment().link(s, int64(size+maxIndexEntry))
-		j.pendingPositions = append(j.pendingPositions, pendingPosition{s, position{j.activeSegment(), at, size}})
+		j.pendingPositions = append(j.pendingPositions, pendingPosition{saved: s, position: position{j.activeSegment(), at, size}})
 	}
 	return j.err
 }
@@ -132,6 +132,7 @@
 	if err := j.writeBuffer(); err != nil {
 		return err
 	}
+	j.sealed = true
 	if err := j.syncNow(); err != nil {
 		return err
 	}
@@ -143,19 +144,31 @@
 
 // Flush writes the buffer, and compacts a part of the oldest segment if room is short.
 func (j *Journal) Flush() error {
-	if j.err != nil || len(j.buffer) == 0 {
-		return j.err
+	if j.err == nil && len(j.buffer) > 0 {
+		j.err = j.flush()
 	}
+	if j.err != nil {
+		j.abandonBuffer()
+		j.reported = true
+	}
+	return j.err
+}
+
+func (j *Journal) flush() error {
 	n := int64(len(j.buffer))
-	if j.err = j.writeBuffer(); j.err != nil {
-		return j.err
+	if err := j.writeBuffer(); err != nil {
+		return err
+	}
+	if err := j.checkFolderIfDue(); err != nil {
+		return err
 	}
-	if len(j.spares) < 2 && len(j.segments) > 1 {
-		if _, j.err = j.compact(max(compactionSlice, compactionFactor*n)); j.err == nil {
-			j.err = j.writeBuffer()
+	if len(j.segments) > 1 && (len(j.spares) < 2 || j.Rebuilding()) {
+		if _, err := j.compact(max(compactionSlice, compactionFactor*n)); err != nil {
+			return err
 		}
+		return j.writeBuffer()
 	}
-	return j.err
+	return nil
 }
 
 // writeBuffer writes the buffer to the active segment.
@@ -171,7 +184,7 @@
 	j.writeOffset += int64(n)
 	j.writtenBytes += int64(n)
 	j.syncNeeded = j.writtenBytes
-	j.recordPositions()
+	j.noteWritten()
 	if j.buffer = j.buffer[:0]; cap(j.buffer) > 1<<20 {
 		j.buffer = nil
 	}
--- a/internal/journal/body.go
+++ b/internal/journal/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 
 	"scaleroute/internal/message"
 )
@@ -57,22 +58,64 @@
 	size    int
 }
 
+// pendingPosition is where a state will be found once it is as durable as the journal promises.
 type pendingPosition struct {
 	saved    *Saved
 	position position
+	written  int64 // how much had been written in all with it; 0 while it is in the buffer
 }
 
-// recordPositions notes where the states just written are, and releases bodies that do not fit into memory.
-func (j *Journal) recordPositions() {
-	if len(j.pendingPositions) == 0 {
+// noteWritten notes that the buffer was written. Where syncs are promised its states count from the next one on: a sync that fails may
+// drop what was written, and must not take the only copy of a body with it.
+func (j *Journal) noteWritten() {
+	for i := range j.pendingPositions {
+		j.pendingPositions[i].saved.isWritten = true
+		j.pendingPositions[i].written = j.writtenBytes
+	}
+	if j.durability == Process {
+		j.recordPositions(j.pendingPositions)
+	} else {
+		j.unsyncedPositions = append(j.unsyncedPositions, j.pendingPositions...)
+	}
+	clear(j.pendingPositions)
+	j.pendingPositions = j.pendingPositions[:0]
+}
+
+// noteSynced notes that what had been written so far is synced.
+func (j *Journal) noteSynced(written int64) {
+	j.syncedBytes = written
+	count := 0
+	for count < len(j.unsyncedPositions) && j.unsyncedPositions[count].written <= written {
+		count++
+	}
+	j.recordPositions(j.unsyncedPositions[:count])
+	j.unsyncedPositions = slices.Delete(j.unsyncedPositions, 0, count)
+}
+
+// dropPositions counts states that may not be on disk as where they were before.
+func dropPositions(list []pendingPosition) {
+	for _, pending := range list {
+		s := pending.saved
+		if from := s.position.segment; s.segment != nil && from != nil && from != s.segment {
+			size := s.stateSize
+			s.unlink()
+			from.link(s, size)
+		}
+	}
+	clear(list)
+}
+
+// recordPositions notes where states are, and releases bodies that do not fit into memory.
+func (j *Journal) recordPositions(list []pendingPosition) {
+	if len(list) == 0 {
 		return
 	}
 	j.positionsMu.Lock()
-	for _, u := range j.pendingPositions {
+	for _, u := range list {
 		u.saved.position = u.position
 	}
 	j.positionsMu.Unlock()
-	for _, u := range j.pendingPositions {
+	for _, u := range list {
 		if u.saved.segment == nil {
 			continue // closed meanwhile
 		}
@@ -84,8 +127,6 @@
 			u.saved.Body, u.saved.storedLength = (*stored)(u.saved), body.Len()
 		}
 	}
-	clear(j.pendingPositions)
-	j.pendingPositions = j.pendingPositions[:0]
 }
 
 // stored is the body of a message that is read back from its segment. It may be loaded by any goroutine.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -66,8 +66,8 @@
 	writeOffset           int64  // of what is written in the active segment
 	buffer                []byte // to be written at writeOffset
 	unindexed             []recordID
-	unindexedBytes        int // of records since the last index
-	err                   error
+	unindexedBytes        int   // of records since the last index
+	err                   error // why no records are kept now
 	live                  map[string]*Saved
 	nextNumber            uint64 // message number
 	reservedBytes         int64  // for open messages and those in acceptance
@@ -84,9 +84,18 @@
 	memory           bodyMemory
 	positionsMu      sync.RWMutex      // guards the positions of bodies, which other goroutines read
 	pendingPositions []pendingPosition // of states in the buffer
-	sealed           bool              // the active segment is complete
-	indexCount       uint64            // in the active segment
-	lock             *os.File
+	// unsyncedPositions are those of states that were written and not synced, where syncs are promised.
+	unsyncedPositions []pendingPosition
+	sealed            bool   // the active segment is complete
+	indexCount        uint64 // in the active segment
+	lock              *os.File
+
+	reported      bool      // Flush has returned err
+	survived      bool      // a record of the buffer that was abandoned last may be on disk
+	rebuildBefore uint64    // segments with a lower sequence number are to be written anew
+	orphans       []string  // files to be removed before a segment is begun
+	dir           string    // of the lock; empty without one
+	folderChecked time.Time // whether it is still the same
 
 	damage         []Damage
 	writtenBytes   int64 // bytes in all
--- a/internal/journal/lifecycle.go
+++ b/internal/journal/lifecycle.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // Open replays the journal in a folder, or begins one, and locks the folder. A journal in the legacy format is
@@ -24,13 +25,15 @@
 		lock.Close()
 		return nil, err
 	}
-	j.lock = lock
+	j.lock, j.dir, j.folderChecked = lock, dir, time.Now()
 	return j, nil
 }
 
+const lockName = "lock"
+
 // lockFolder keeps two forwarders from one folder. The lock ends with the process.
 func lockFolder(dir string) (*os.File, error) {
-	f, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -59,8 +62,12 @@
 		return j, nil
 	}
 	if err := j.startAppending(o.Extras); err != nil {
-		j.Close()
-		return nil, err
+		if j.flags&upgrading != 0 || !Failing(err) {
+			j.Close()
+			return nil, err
+		}
+		j.err = err // what is held is known: it goes on as after a failure later
+		j.abandonBuffer()
 	}
 	return j, nil
 }
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -29,6 +29,24 @@
 	openDamage int               // the damage that the next index will tell of, as an index into the list plus one
 	nextIndex  uint64            // number of the next index
 	text       []byte            // of the segment
+	// endsUnsealed tells that the segment was left after a failure: it ends at its first unreadable record.
+	endsUnsealed bool
+}
+
+// followsFailure reports whether a segment says that the one before it was left after a failure.
+func (r *replayer) followsFailure(s *segment) bool {
+	f, err := r.journal.fs.Open(s.name, false)
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	text := make([]byte, segmentHeaderBytes)
+	if n, _ := f.ReadAt(text, 0); n < len(text) {
+		return false
+	}
+	next := segment{name: s.name, seq: s.seq, nonce: s.nonce}
+	damaged, err := next.readHeader(text)
+	return err == nil && !damaged && next.flags&afterFailure != 0
 }
 
 // replay reads all segments. What a kill cut off at the end of the last one is ignored; damage anywhere else
@@ -53,6 +71,7 @@
 			r.openDamage = len(j.damage)
 			r.markAllHit()
 		}
+		r.endsUnsealed = i+1 < len(j.segments) && r.followsFailure(j.segments[i+1])
 		if err := r.replaySegment(s, i == len(j.segments)-1); err != nil {
 			return err
 		}
@@ -189,8 +208,8 @@
 		k, payload, _, ok := readRecord(text[offset:], s.nonce, offset, false)
 		if !ok {
 			next := findRecord(text, s.nonce, offset+1)
-			k, payload, ok = r.repairRecord(s, text, offset, next < 0 && last)
-			if !ok && last && r.isEnd(s, text, offset, next) {
+			k, payload, ok = r.repairRecord(s, text, offset, next < 0 && (last || r.endsUnsealed))
+			if !ok && (r.endsUnsealed || last && r.isEnd(s, text, offset, next)) {
 				return offset, false
 			}
 			if !ok {
@@ -324,7 +343,7 @@
 	if err != nil {
 		return err
 	}
-	m.number, m.recordCount, m.journal, m.position = id.number, id.count+1, j, at
+	m.number, m.recordCount, m.journal, m.position, m.isWritten = id.number, id.count+1, j, at, true
 	j.memory.keepOrRelease(m, body, false)
 	if s := r.byNumber[id.number]; s != nil {
 		r.remove(s)
--- a/internal/journal/saved.go
+++ b/internal/journal/saved.go
@@ -30,7 +30,8 @@
 	next        *Saved
 
 	journal       *Journal // for its body alone, once that is on disk
-	position      position // of its state, as written; under positionsMu
+	position      position // of its newest state that is as durable as was promised; under positionsMu
+	isWritten     bool     // a state of it was written
 	residentBytes int      // bytes of its body that count as in memory
 	storedLength  int      // of its body if that is on disk alone
 }
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -12,7 +12,8 @@
 //
 //	0   "SRJL"
 //	4   version (2 bytes, little-endian), now 5; 4 has no routes, 3 has no extras, 2 had no synced offsets, the legacy file was 1
-//	6   flags (2): 1 during the upgrade of a legacy journal; 2 if synced offsets are recorded (sync.go)
+//	6   flags (2): 1 during the upgrade of a legacy journal; 2 if synced offsets are recorded (sync.go);
+//	    4 if the segment before it was left after a failure (failure.go)
 //	8   sequence number (8)
 //	16  nonce (4)
 //	20  the first message number that was not given yet (8)
@@ -23,6 +24,7 @@
 	plainVersion       = 3 // where no message has extras
 	upgrading          = 1
 	grouped            = 2
+	afterFailure       = 4 // the segment before it ends at its first unreadable record, without a seal
 
 	segmentEnd = ".seg"
 	spareEnd   = ".spare"
@@ -37,6 +39,7 @@
 	version     uint16
 	file        File
 	size        int64 // of the file
+	detached    bool  // its file is in a folder that was replaced
 
 	liveCount int // messages whose state is here
 	liveBytes int64
--- a/internal/journal/sync.go
+++ b/internal/journal/sync.go
@@ -61,7 +61,7 @@
 		return j.err
 	}
 	at := j.writeOffset - (j.writtenBytes - written)
-	j.syncedBytes = written
+	j.noteSynced(written)
 	if j.durability == Group && at > j.syncedOffset && j.bytesLeft() > recordHeaderBytes+binary.MaxVarintLen64 { // else that segment has ended
 		if j.err = j.writeBuffer(); j.err != nil { // what Step has added
 			return j.err
@@ -105,7 +105,7 @@
 	if err := sync(); err != nil {
 		return fmt.Errorf("journal: syncing: %w", err)
 	}
-	j.syncedBytes = written
+	j.noteSynced(written)
 	return nil
 }
 
--- a/internal/operations/control.go
+++ b/internal/operations/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"time"
 
 	"scaleroute/internal/engine"
 )
@@ -26,6 +28,8 @@
 	Clients Clients
 	Members Members
 	Figures func() *engine.Figures
+	// JournalFailing returns since when the journal keeps no records; zero if it does. nil: it always does.
+	JournalFailing func() time.Time
 }
 
 // Control answers operators. It is there before there is anything to serve, and after.
@@ -92,6 +96,8 @@
 		return c.shut
 	case c.failed:
 		return errAway
+	case c.part.JournalFailing != nil && !c.part.JournalFailing().IsZero():
+		return fmt.Errorf("the journal can't be kept since %s: see the log, and its disk", c.part.JournalFailing().Format(time.TimeOnly))
 	}
 	return nil
 }
