Count deadlines by the time since boot, so that setting the wall clock moves none

A hand-over tells the uptime beside its time, and the next process corrects by the step. The form on disk is unchanged.

--- a/cmd/scaleroute/bundle.go
+++ b/cmd/scaleroute/bundle.go
@@ -11,6 +11,7 @@
 	control "scaleroute/internal/control/client"
 	"scaleroute/internal/engine"
 	"scaleroute/internal/front/resp2"
+	"scaleroute/internal/steadyclock"
 	"scaleroute/internal/takeover"
 )
 
@@ -45,6 +46,7 @@
 		At     time.Time     `json:"at"`
 		Dests  []int         `json:"destinations"`
 		Over   int           `json:"take_over,omitempty"`
+		Uptime time.Duration `json:"uptime_ns,omitempty"` // the machine's at the time At; 0: it is not known
 	}
 	frontParcel struct {
 		Drained bool      `json:"drained"`
@@ -79,7 +81,7 @@
 			list = append(list, p)
 		}
 	}
-	add(kindEngine, engineParcel{b.engine.Module, b.engine.Clock, b.engine.At, b.engine.Destinations, b.takeOver}, takeover.Parcel{})
+	add(kindEngine, engineParcel{b.engine.Module, b.engine.Clock, b.engine.At, b.engine.Destinations, b.takeOver, uptimeAt(b.engine.At)}, takeover.Parcel{})
 	if b.list != nil && err == nil {
 		add(kindList, b.list, takeover.Parcel{})
 	}
@@ -107,10 +109,20 @@
 	return list, err
 }
 
+// uptimeAt is how long ago the machine was booted at a time shortly before now; 0 if the machine does not say.
+func uptimeAt(at time.Time) time.Duration {
+	uptime, ok := steadyclock.Uptime()
+	if !ok {
+		return 0
+	}
+	return uptime - time.Since(at)
+}
+
 // unpack reads what was sent. What has a connection must have one.
 func unpack(list []takeover.Parcel) (*bundle, error) {
 	b := &bundle{}
 	whole := false
+	var step time.Duration // of the wall clock since that process wrote its times
 	for i, p := range list {
 		var err error
 		read := func(v any) bool {
@@ -126,6 +138,8 @@
 			var v engineParcel
 			if whole = read(&v); whole {
 				b.takeOver = v.Over
+				step = steadyclock.Step(v.At, v.Uptime)
+				v.At = v.At.Add(step)
 				b.engine.Module, b.engine.Clock, b.engine.At, b.engine.Destinations = v.Module, v.Clock, v.At, v.Dests
 			}
 		case kindList:
@@ -137,12 +151,12 @@
 		case kindFront:
 			var v frontParcel
 			read(&v)
-			b.drained, b.stopped = v.Drained, v.Stopped
+			b.drained, b.stopped = v.Drained, v.Stopped.Add(step)
 		case kindCall:
 			var v callParcel
 			read(&v)
 			b.engine.Calls = append(b.engine.Calls, engine.Call{Message: v.Message, Attempt: v.Attempt, Endpoint: v.Endpoint, Under: v.Under,
-				Pending: &engine.Pending{Address: v.Address, Conn: p.Conn, Read: v.Read, Began: v.Began, End: v.End}})
+				Pending: &engine.Pending{Address: v.Address, Conn: p.Conn, Read: v.Read, Began: v.Began.Add(step), End: v.End.Add(step)}})
 		case kindClient:
 			var v clientParcel
 			read(&v)
@@ -150,7 +164,7 @@
 		case kindIdle:
 			var v idleParcel
 			read(&v)
-			b.idle = append(b.idle, httpcall.Idle{Address: v.Address, Conn: p.Conn, Since: v.Since})
+			b.idle = append(b.idle, httpcall.Idle{Address: v.Address, Conn: p.Conn, Since: v.Since.Add(step)})
 		default:
 			err = fmt.Errorf("a kind that this program does not know")
 		}
--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -26,6 +26,7 @@
 	"scaleroute/internal/gossip/host"
 	"scaleroute/internal/journal"
 	"scaleroute/internal/ledger"
+	"scaleroute/internal/steadyclock"
 	"scaleroute/internal/straggler"
 	"scaleroute/internal/takeover"
 )
@@ -83,6 +84,7 @@
 		}
 		if path := os.Getenv("SCALEROUTE_TEST_FAULTS"); path != "" {
 			plan := faults.NewPlan(path, 1)
+			steadyclock.Wall = func() time.Time { return time.Now().Add(plan.ClockStep()) }
 			folderFS = func(dir string) journal.FS { return faults.NewDisk(journal.Folder(dir), plan) }
 		}
 		if text := os.Getenv("SCALEROUTE_TEST_CLOCK"); text != "" { // the machine's clock is wrong by that
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -24,7 +24,7 @@
 		j.markBodyLost(s, err)
 		body = nil
 	}
-	at, size := j.appendMessageRecord(kindState, s, encodeState(s, body))
+	at, size := j.appendMessageRecord(kindState, s, encodeState(s, body, j.clock))
 	if j.err == nil {
 		s.unlink()
 		j.activeSegment().link(s, int64(size+maxIndexEntry))
--- a/internal/journal/body.go
+++ b/internal/journal/body.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"scaleroute/internal/message"
+	"scaleroute/internal/steadyclock"
 )
 
 const (
@@ -171,7 +172,7 @@
 	if !ok || number != n {
 		return nil, fail(errors.New("another message stands there"))
 	}
-	_, body, err := decodeState(rest)
+	_, body, err := decodeState(rest, steadyclock.Clock{})
 	if err != nil {
 		return nil, fail(err)
 	}
--- a/internal/journal/failure.go
+++ b/internal/journal/failure.go
@@ -216,6 +216,9 @@
 	}
 	j.spares, j.orphans = slices.DeleteFunc(j.spares, isGone), slices.DeleteFunc(j.orphans, isGone)
 	j.damagedBytes = 0
+	if err := j.clock.Save(filepath.Join(j.dir, clockName)); err != nil {
+		slog.Warn("a wall clock that is set while no forwarder runs moves deadlines", "err", err)
+	}
 	slog.Warn("the journal goes on in another folder: what it holds is written anew there", "folder", j.dir, "messages", len(j.live))
 	return nil
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"scaleroute/internal/steadyclock"
 )
 
 const (
@@ -45,6 +47,8 @@
 	Memory   int64 // bytes that open messages may take in memory; 0 for no limit
 	ReadOnly bool  // only replay: nothing is written, and nothing can be
 
+	Clock steadyclock.Clock // of deadlines; the zero Clock for one that starts from the wall clock
+
 	Durability Durability
 	Extras     bool // messages may have extras; older programs can't read such a folder
 }
@@ -90,10 +94,11 @@
 	indexCount        uint64 // in the active segment
 	lock              *os.File
 
-	reported      bool      // Flush has returned err
-	survived      bool      // a record of the buffer that was abandoned last may be on disk
-	rebuildBefore uint64    // segments with a lower sequence number are to be written anew
-	orphans       []string  // files to be removed before a segment is begun
+	reported      bool     // Flush has returned err
+	survived      bool     // a record of the buffer that was abandoned last may be on disk
+	rebuildBefore uint64   // segments with a lower sequence number are to be written anew
+	orphans       []string // files to be removed before a segment is begun
+	clock         steadyclock.Clock
 	dir           string    // of the lock; empty without one
 	folderChecked time.Time // whether it is still the same
 
--- a/internal/journal/legacy.go
+++ b/internal/journal/legacy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"scaleroute/internal/message"
+	"scaleroute/internal/steadyclock"
 )
 
 // The legacy journal was one file. It is read and upgraded at the first start; nothing writes it any
@@ -73,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	for _, s := range readLegacy(text) {
+	for _, s := range readLegacy(text, j.clock) {
 		j.reservedBytes += cost(s.Size())
 		j.largestState = max(j.largestState, stateBytes(s.Size()))
 		if err := j.Accepted(s); err != nil {
@@ -124,7 +125,7 @@
 		return nil
 	}
 	text, err := j.readLegacyFile()
-	for _, s := range readLegacy(text) {
+	for _, s := range readLegacy(text, j.clock) {
 		j.live[s.ID] = s
 	}
 	return err
@@ -149,8 +150,8 @@
 }
 
 // readLegacy replays the legacy file, up to the first invalid record: a kill cut that off.
-func readLegacy(text []byte) []*Saved {
-	r := legacyReader{live: map[string]*Saved{}}
+func readLegacy(text []byte, clock steadyclock.Clock) []*Saved {
+	r := legacyReader{clock: clock, live: map[string]*Saved{}}
 	for {
 		payload, ok := nextLegacyRecord(text)
 		if !ok || !r.applyRecord(payload) {
@@ -169,6 +170,7 @@
 type legacyReader struct {
 	live       map[string]*Saved
 	nextNumber uint64
+	clock      steadyclock.Clock
 }
 
 // nextLegacyRecord returns the payload at the start of text, if it is complete.
@@ -197,7 +199,7 @@
 		}
 		c := 13 + int(rest[12])
 		r.nextNumber++
-		r.live[id] = &Saved{number: r.nextNumber, ID: id, Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(rest))),
+		r.live[id] = &Saved{number: r.nextNumber, ID: id, Deadline: r.clock.Time(int64(binary.LittleEndian.Uint64(rest))),
 			Dest:  int(int32(binary.LittleEndian.Uint32(rest[8:]))),
 			Class: string(rest[13:c]), Body: message.Bytes(slices.Clone(rest[c:]))}
 		return true
--- a/internal/journal/lifecycle.go
+++ b/internal/journal/lifecycle.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"scaleroute/internal/steadyclock"
 )
 
 // Open replays the journal in a folder, or begins one, and locks the folder. A journal in the legacy format is
@@ -20,6 +23,9 @@
 		o.FS = osFS{dir: dir}
 	}
 	o.Limit -= diskMargin
+	if o.Clock, err = steadyclock.Open(filepath.Join(dir, clockName)); err != nil {
+		slog.Warn("a wall clock that is set while no forwarder runs moves deadlines", "err", err)
+	}
 	j, err := OpenWith(o)
 	if err != nil {
 		lock.Close()
@@ -29,7 +35,10 @@
 	return j, nil
 }
 
-const lockName = "lock"
+const (
+	lockName  = "lock"
+	clockName = "clock"
+)
 
 // lockFolder keeps two forwarders from one folder. The lock ends with the process.
 func lockFolder(dir string) (*os.File, error) {
@@ -47,6 +56,9 @@
 // OpenWith replays the journal of a file system, or begins one.
 func OpenWith(o Options) (*Journal, error) {
 	j := &Journal{fs: o.FS, live: map[string]*Saved{}, nextNumber: 1, durability: o.Durability, version: plainVersion, memory: bodyMemory{limit: o.Memory}}
+	if j.clock = o.Clock; j.clock == (steadyclock.Clock{}) {
+		j.clock = steadyclock.New()
+	}
 	if o.Limit >= minLimit {
 		j.limit = o.Limit
 		j.segmentSize = min(max(o.Limit/minSegments, minSegmentSize), maxSegmentSize, o.Limit/5) / 512 * 512
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -339,7 +339,7 @@
 // applyState applies a record of a message's state.
 func (r *replayer) applyState(at position, id recordID, payload []byte) error {
 	j := r.journal
-	m, body, err := decodeState(payload)
+	m, body, err := decodeState(payload, j.clock)
 	if err != nil {
 		return err
 	}
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"scaleroute/internal/message"
+	"scaleroute/internal/steadyclock"
 )
 
 // The payload of a state, behind number and count. Its length depends on nothing that changes, so that a
 // segment's states always fit where compaction moves them:
 //
-//	deadline (Unix ms, 8 bytes), destination (4), attempts (1), flags (1), end (1), wait (ms, 4),
+//	deadline (ms by the steady clock, which began as Unix time; 8 bytes), destination (4), attempts (1), flags (1), end (1), wait (ms, 4),
 //	lengths of id, class and origin (1 each), id, class, origin, body
 const (
 	flagOpen = 1 << iota
@@ -21,9 +22,9 @@
 	flagRoute  // behind those the length of a route's name (1), the name, and the destination asked for (4)
 )
 
-func encodeState(s *Saved, body []byte) []byte {
+func encodeState(s *Saved, body []byte, clock steadyclock.Clock) []byte {
 	p := make([]byte, 0, 24+s.Size())
-	p = binary.LittleEndian.AppendUint64(p, uint64(s.Deadline.UnixMilli()))
+	p = binary.LittleEndian.AppendUint64(p, uint64(clock.Millis(s.Deadline)))
 	p = binary.LittleEndian.AppendUint32(p, uint32(int32(s.Dest)))
 	p = append(p, byte(min(s.Attempts, 255)), flagByte(s.Open)*flagOpen|flagByte(s.MayHaveRun)*flagMayHaveRun|flagByte(s.isBodyLost())*flagLost|flagByte(s.Extras != nil)*flagExtras|flagByte(s.Extras.Took() != "")*flagRoute, s.End)
 	p = binary.LittleEndian.AppendUint32(p, uint32(min(s.Wait.Milliseconds(), 1<<32-1)))
@@ -107,11 +108,11 @@
 var errShort = errors.New("a record that is too short")
 
 // decodeState returns a message, and its body, which is a part of p.
-func decodeState(p []byte) (*Saved, []byte, error) {
+func decodeState(p []byte, clock steadyclock.Clock) (*Saved, []byte, error) {
 	if len(p) < 22 {
 		return nil, nil, errShort
 	}
-	s := &Saved{Deadline: time.UnixMilli(int64(binary.LittleEndian.Uint64(p))),
+	s := &Saved{Deadline: clock.Time(int64(binary.LittleEndian.Uint64(p))),
 		Dest: int(int32(binary.LittleEndian.Uint32(p[8:]))), Attempts: int(p[12]),
 		Open: p[13]&flagOpen != 0, MayHaveRun: p[13]&flagMayHaveRun != 0, End: p[14],
 		Wait: time.Duration(binary.LittleEndian.Uint32(p[15:])) * time.Millisecond}
