Add a soak of real processes under seeded faults, judged from the endpoints' records

One finding of its own: silence of discovery was played on the relay, which counted changes as told that had not arrived; it is played at the agent now.

--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -71,6 +71,7 @@
 		Run   fleetRun   `cmd:"" help:"Run a fleet of real processes with faults on the edges between them, as a scenario says."`
 		Count fleetCount `cmd:"" help:"Count over the logs (*.log) of forwarders that ran with -log-steps."`
 	} `cmd:"" help:"Many forwarders."`
+	Soak     soakRun          `cmd:"" help:"Run real forwarders under faults that seeds draw, and judge the rules from the endpoints' records."`
 	Scale    scaleCommands    `cmd:"" help:"What control costs as fleet and destinations grow."`
 	Capacity capacityCommands `cmd:"" help:"What the operators' plan costs, by figures measured at smaller sizes."`
 }
--- a/cmd/scaleroute/incident42_test.go
+++ b/cmd/scaleroute/incident42_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"scaleroute/internal/fleet"
+	"scaleroute/internal/soak"
 	"scaleroute/internal/standin"
 )
 
@@ -153,7 +154,7 @@
 
 func newFaultFile(t *testing.T, w *world) *faultFile {
 	f := &faultFile{filepath.Join(t.TempDir(), "faults")}
-	w.env = append(w.env, "SCALEROUTE_TEST_FAULTS="+f.path)
+	w.env = append(w.env, soak.FaultsVariable+"="+f.path)
 	return f
 }
 
--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -26,6 +26,7 @@
 	"scaleroute/internal/gossip/host"
 	"scaleroute/internal/journal"
 	"scaleroute/internal/ledger"
+	"scaleroute/internal/soak"
 	"scaleroute/internal/steadyclock"
 	"scaleroute/internal/straggler"
 	"scaleroute/internal/takeover"
@@ -82,9 +83,11 @@
 		if text := os.Getenv("SCALEROUTE_TEST_FORMAT"); text != "" { // of another build's news
 			straggler.Speaks, _ = strconv.Atoi(text)
 		}
-		if path := os.Getenv("SCALEROUTE_TEST_FAULTS"); path != "" {
+		if path := os.Getenv(soak.FaultsVariable); path != "" {
 			plan := faults.NewPlan(path, 1)
 			steadyclock.Wall = func() time.Time { return time.Now().Add(plan.ClockStep()) }
+			listenClients = func(address string) (net.Listener, error) { return faults.Listen(address, plan) }
+			dialControl = plan.DialControl
 			folderFS = func(dir string) journal.FS { return faults.NewDisk(journal.Folder(dir), plan) }
 		}
 		if text := os.Getenv("SCALEROUTE_TEST_CLOCK"); text != "" { // the machine's clock is wrong by that
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"scaleroute/internal/agent"
@@ -146,8 +147,12 @@
 	}
 }
 
-// folderFS is the file system of the folder that lasts; fault tests replace it.
-var folderFS = journal.Folder
+// The edges to the system at which faults are injected: tests and builds with the tag faults replace them.
+var (
+	folderFS      = journal.Folder // the folder that lasts
+	listenClients = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	dialControl   func(network, address string, c syscall.RawConn) error // before each connect; nil: nothing is done
+)
 
 // diskPause is how long a start waits before it tries a disk again that has refused.
 const diskPause = 100 * time.Millisecond
@@ -178,7 +183,7 @@
 // back makes the calls; http is the part of it for HTTP.
 func (f *forwarder) back() (back engine.Back, http *httpcall.Back) {
 	set := &f.settings
-	http = httpcall.New(httpcall.Config{Connections: f.c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit})
+	http = httpcall.New(httpcall.Config{Connections: f.c.Limits.Endpoints(), ConnIdle: set.ConnIdle, ConnectLimit: set.ConnectLimit, DialControl: dialControl})
 	back = http
 	if f.operators.mail {
 		name := f.c.Name
@@ -276,7 +281,7 @@
 	}
 	ln := f.inherited
 	if ln == nil {
-		if ln, err = net.Listen("tcp", f.c.Listen); err != nil {
+		if ln, err = listenClients(f.c.Listen); err != nil {
 			return nil, nil, fmt.Errorf("listening for clients: %w", err)
 		}
 	}
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -38,6 +38,8 @@
 	Connections  int           // at once, idle ones counted
 	ConnIdle     time.Duration // a target closes a connection idle for so long
 	ConnectLimit time.Duration // a connection not made by then has failed
+	// DialControl is called before each connect, and may have it fail; nil: nothing is done.
+	DialControl func(network, address string, c syscall.RawConn) error
 }
 
 // target is one address of a target.
@@ -53,6 +55,7 @@
 		most:     c.Connections,
 		idleTime: idleTime(c.ConnIdle),
 		connect:  c.ConnectLimit,
+		control:  c.DialControl,
 		rest:     repeatWindow,
 		longRest: longRepeatWindow,
 		hosts:    map[string]*host{},
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -40,6 +40,7 @@
 	most     int           // connections, idle ones counted
 	idleTime time.Duration // one idle for so long is closed
 	connect  time.Duration // one not made by then has failed
+	control  func(network, address string, c syscall.RawConn) error
 	rest     time.Duration // one makes no further call until so long after its last answer
 	longRest time.Duration // the same at an address that is distrusted
 
@@ -152,7 +153,7 @@
 	if extra != nil {
 		p.close(extra)
 	}
-	dialer := net.Dialer{Timeout: p.connectTime(left)}
+	dialer := net.Dialer{Timeout: p.connectTime(left), Control: p.control}
 	raw, err := dialer.DialContext(ctx, "tcp", h.address)
 	if err != nil {
 		p.mu.Lock()
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,127 @@
+// Package soak runs several real forwarders under faults that a seed draws, and judges the rules from the records of the endpoints,
+// clients and notices alone: system calls that fail for a while, a wall clock that is set, folders that are replaced, endpoints that
+// answer twice, signals in series, edges that cut, delay and reset.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"scaleroute/internal/faults"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	Disk      Kind = "disk"      // operations of a folder fail for a while
+	Folder    Kind = "folder"    // a folder is replaced by an empty one under its process
+	Kill      Kind = "kill"      // SIGKILL and a start
+	Term      Kind = "term"      // SIGTERM, SIGKILL 3.7 s later, and a start
+	Clock     Kind = "clock"     // SIGKILL, and the wall clock is set before the start
+	Repeats   Kind = "repeats"   // endpoints answer some calls twice
+	Sick      Kind = "sick"      // endpoints of a destination fail, or are silent, for a while
+	Resets    Kind = "resets"    // connections to endpoints are reset at some pieces
+	Pieces    Kind = "pieces"    // bytes to and from endpoints come in small pieces
+	Discovery Kind = "discovery" // the agent is silent
+	Drain     Kind = "drain"     // an endpoint drains, goes and comes back
+	Pause     Kind = "pause"     // a process is stopped for 0.15 s
+	Accept    Kind = "accept"    // accept fails
+	Connect   Kind = "connect"   // connect fails
+)
+
+// Kinds lists all kinds of faults.
+func Kinds() []Kind {
+	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect}
+}
+
+// Fault is one fault of a run.
+type Fault struct {
+	Kind  Kind
+	At    time.Duration
+	Lasts time.Duration
+	Node  int    // of those that are about a forwarder
+	Place int    // the endpoint or destination of those that are about one
+	How   string // what fails, as a file of faults says it; for Clock the step
+}
+
+// String describes the fault.
+func (f Fault) String() string {
+	return fmt.Sprintf("%5.2f s %-9s for %4.2f s, node %d, place %d %s", f.At.Seconds(), f.Kind, f.Lasts.Seconds(), f.Node+1, f.Place, f.How)
+}
+
+// Shape is the size of a run.
+type Shape struct {
+	Forwarders   int
+	Destinations int
+	Endpoints    int           // of each destination
+	Length       time.Duration // while faults begin
+	Left         time.Duration // time of a message
+	Rate         float64       // messages a second, at each forwarder
+	Kinds        []Kind        // those that are drawn
+}
+
+// DefaultShape is a run of some 20 s.
+func DefaultShape() Shape {
+	return Shape{Forwarders: 3, Destinations: 4, Endpoints: 2, Length: 8 * time.Second, Left: 6 * time.Second, Rate: 40, Kinds: Kinds()}
+}
+
+const (
+	kindsOfRun  = 5 // at most
+	perKind     = 3 // faults at most
+	maxLast     = 2 * time.Second
+	maxSilence  = 8 * time.Second // of discovery
+	startMargin = 500 * time.Millisecond
+)
+
+// Draw draws the faults of a run. Faults of one process that end it do not overlap.
+func Draw(s Shape, seed uint64) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 0x50a4))
+	kinds := slices.Clone(s.Kinds)
+	rng.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	kinds = kinds[:min(len(kinds), 1+rng.IntN(kindsOfRun))]
+	var list []Fault
+	for _, kind := range kinds {
+		for range 1 + rng.IntN(perKind) {
+			f := Fault{Kind: kind, Node: rng.IntN(s.Forwarders), Place: rng.IntN(s.Destinations * s.Endpoints),
+				At:    startMargin + time.Duration(rng.Int64N(int64(s.Length-startMargin))),
+				Lasts: maxLast/10 + time.Duration(rng.Int64N(int64(maxLast)))}
+			f.How = draw(kind, rng)
+			if kind == Discovery {
+				f.Lasts = time.Duration(rng.Int64N(int64(maxSilence)))
+			}
+			list = append(list, f)
+		}
+	}
+	slices.SortFunc(list, func(a, b Fault) int { return int(a.At - b.At) })
+	return list
+}
+
+// draw draws what fails.
+func draw(kind Kind, rng *rand.Rand) string {
+	pick := func(list ...string) string { return list[rng.IntN(len(list))] }
+	switch kind {
+	case Disk:
+		var words []string
+		for _, operation := range faults.DiskOperations {
+			if rng.IntN(2) == 0 {
+				words = append(words, operation+"="+pick("ENOSPC", "EIO", faults.Short)+pick("", "", "@0.3"))
+			}
+		}
+		if len(words) == 0 {
+			words = []string{"write=EIO"}
+		}
+		return "disk " + strings.Join(words, " ")
+	case Clock:
+		return pick("-1h", "-3s", "-500ms", "3s", "1h")
+	case Accept:
+		return "accept " + pick("ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "EPROTO") + pick("", "@0.5")
+	case Connect:
+		return "connect " + pick("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "ETIMEDOUT", "EHOSTUNREACH") + pick("", "@0.5")
+	}
+	return ""
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -364,6 +364,41 @@
 	return handed, len(at), most, all
 }
 
+// History tells what passed of a message, by lines in order, with times since an instant.
+func (l *Log) History(id string, since time.Time) (lines []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	note := func(at time.Time, format string, values ...any) {
+		if !at.IsZero() {
+			lines = append(lines, fmt.Sprintf("%9.3f s  ", at.Sub(since).Seconds())+fmt.Sprintf(format, values...))
+		}
+	}
+	for _, h := range l.handed {
+		if h.ID == id {
+			note(h.Sent, "handed in for destination %d, may not be repeated: %v, until %.3f s", h.Destination, h.Unsafe, h.Deadline.Sub(since).Seconds())
+			note(h.Answered, "answered %d", h.Answer)
+		}
+	}
+	for _, c := range l.calls {
+		if c.ID == id {
+			note(c.First, "call to %s begins", c.Endpoint.Name)
+			note(c.Last, "call to %s is whole", c.Endpoint.Name)
+			note(c.Ended, "call to %s ended with status %d", c.Endpoint.Name, c.Status)
+		}
+	}
+	for _, n := range l.notices {
+		if n.ID == id {
+			note(n.At, "notice: %s", n.Result)
+		}
+	}
+	for _, r := range l.starts {
+		note(r.Ended, "its forwarder is told to end or killed")
+		note(r.Ready, "its forwarder is ready again")
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 // DeadThoughRun lists the messages that were reported dead though a call of theirs had been answered 200 before.
 func (l *Log) DeadThoughRun() (ids []string) {
 	l.mu.Lock()
