Close the connection of each notice's call, so that a repeated 204 takes no later notice

The same mistake as in the calls to endpoints: a notice's POST went out on a kept connection, and a second copy of the 204 before counted as its answer, so that a notice which was refused was forgotten and its message had no end. TestRepeatedAnswerTakesNoNotice saw the second notice count as taken after a refused call before, and after the third call now. Watches keep their connections: a copy of a list that was told already changes nothing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -162,6 +162,7 @@
 	if err != nil {
 		return err
 	}
+	req.Close = method == http.MethodPost // a second copy of its answer must not count as the next notice's
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return err
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -95,6 +95,9 @@
 				f.Lasts = time.Duration(rng.Int64N(int64(maxSilence)))
 			}
 			list = append(list, f)
+			if kind == Disk && slices.Contains(s.Kinds, Kill) && rng.IntN(2) == 0 { // the next process finds what could be recorded
+				list = append(list, Fault{Kind: Kill, Node: f.Node, At: f.At + time.Duration(rng.Int64N(int64(f.Lasts)))})
+			}
 		}
 	}
 	slices.SortFunc(list, func(a, b Fault) int { return int(a.At - b.At) })
