--- a/cmd/scaleroute/incident42_test.go
+++ b/cmd/scaleroute/incident42_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -208,3 +209,68 @@
 	}
 	return slices.Contains(w.noticed, id)
 }
+
+// TestNoticeWaitsForItsRecord guards against a final answer that a restart does not know of, whose message it would send again.
+func TestNoticeWaitsForItsRecord(t *testing.T) {
+	release := make(chan bool)
+	w := newWorld(t, func(rw http.ResponseWriter, id string) {
+		if id == "held" {
+			<-release
+		}
+		rw.WriteHeader(http.StatusInternalServerError) // it may have run
+	})
+	faults := newFaultFile(t, w)
+	p := w.start()
+	c := p.client()
+	c.enqueue("held", "unsafe", 200000)
+	w.await(w.called, "held")
+	faults.set(t, "disk write=EIO")
+	for i := range 3 { // the loop knows of it
+		if got := c.say("ENQUEUE", "0", fmt.Sprint("r", i), "c=unsafe,d=200000,dest=7", "x"); !strings.HasPrefix(got, "-BUSY ") {
+			t.Fatal(got)
+		}
+	}
+	close(release)
+	p.awaitLogWhile("the journal still can't be kept", func(i int) {
+		c.say("ENQUEUE", "0", fmt.Sprint("s", i), "c=unsafe,d=200000,dest=7", "x")
+	})
+	if len(w.notices) > 0 {
+		t.Errorf("notice %q without a record", <-w.notices)
+	}
+	faults.set(t, "")
+	w.await(w.notices, "held dead")
+}
+
+// TestStartsWhileDiskRefuses guards against a process that does not start, or loses what it recovered, because its disk refuses at the start.
+func TestStartsWhileDiskRefuses(t *testing.T) {
+	for _, fault := range []string{"write=EIO", "allocate=ENOSPC", "open=EIO,rename=EIO", "write=short,allocate=EIO,rename=EIO,remove=EIO,open=EIO"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			var accepts atomic.Bool
+			w := newWorld(t, rejectingTarget(&accepts))
+			faults := newFaultFile(t, w)
+			p := w.start()
+			c := p.client()
+			c.enqueue("told", "harmless", 200000)
+			w.await(w.called, "told")
+			c.enqueue("recovered", "unsafe", 200000)
+			p.kill()
+			accepts.Store(true)
+			faults.set(t, "disk "+fault)
+			p = w.start()
+			c = p.client()
+			got := c.say("ENQUEUE", "0", "new", "c=unsafe,d=200000,dest=7", "x")
+			if got != "+OK" && !strings.HasPrefix(got, "-BUSY ") {
+				t.Fatal(got)
+			}
+			faults.set(t, "")
+			w.await(w.called, "recovered")
+			for i := 0; c.say("ENQUEUE", "0", fmt.Sprint("after", i), "c=unsafe,d=200000,dest=7", "x") != "+OK"; i++ {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if len(w.notices) > 0 {
+				t.Errorf("notice %q", <-w.notices)
+			}
+		})
+	}
+}
