Show that a restart calls a target that was told gone, after many replacements

The file of withdrawn targets keeps the latest 1,536 bytes of all names, though only those of the configuration's list are ever used.

Nothing is fixed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,7 +30,8 @@
 }
 
 var cases = map[string]func(*world) (verdict, error){
-	"same-id":         sameID,
+	"same-id":   sameID,
+	"withdrawn": withdrawn,
 }
 
 func main() {
