Show that a call to a removed target begins after the grace of drains

A connection comes up 1 s late, its target is told gone (DELETED) meanwhile, and the forwarder is held up for 0.14 s. The check right before the first byte looks at a flag that is set for DRAINING alone.

Nothing is fixed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,8 +30,9 @@
 }
 
 var cases = map[string]func(*world) (verdict, error){
-	"same-id":   sameID,
-	"withdrawn": withdrawn,
+	"same-id":         sameID,
+	"withdrawn":       withdrawn,
+	"late-connection": lateConnection,
 }
 
 func main() {
