Wait 200 ms after an answer before the next call on its connection

Cause: a duplicate of an answer that is under way while the next request is, is read as the answer to that request. HTTP/1.1 doesn't say which request an answer belongs to; the one thing that tells them apart is that a duplicate comes right behind its answer. Fix: 200 ms for every address. An address that was seen to send duplicates has 2 s (was 200 ms). Connections of another process count from the handover. Where no further connection may be opened and all idle ones are within the delay, the one whose answer is longest ago is reused after 20 ms, but not at such an address; before, that regime had 20 ms everywhere. The idle connections of an address are searched by halves, since there are more of them.

--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -52,13 +52,14 @@
 // New makes a Back without endpoints.
 func New(c Config) *Back {
 	return &Back{endpoints: map[string]*endpoint{}, pool: &pool{
-		maxConns:          c.MaxConnections,
-		idleTimeout:       idleTimeoutFor(c.EndpointIdleTimeout),
-		connectTimeout:    c.ConnectTimeout,
-		dialControl:       c.DialControl,
-		reuseDelay:        reuseDelay,
-		suspectReuseDelay: suspectReuseDelay,
-		hosts:             map[string]*host{},
+		maxConns:            c.MaxConnections,
+		idleTimeout:         idleTimeoutFor(c.EndpointIdleTimeout),
+		connectTimeout:      c.ConnectTimeout,
+		dialControl:         c.DialControl,
+		reuseDelay:          reuseDelay,
+		suspectReuseDelay:   suspectReuseDelay,
+		exhaustedReuseDelay: exhaustedReuseDelay,
+		hosts:               map[string]*host{},
 	}}
 }
 
--- a/internal/back/httpcall/duplicate_test.go
+++ b/internal/back/httpcall/duplicate_test.go
@@ -102,3 +102,137 @@
 		time.Sleep(reuseDelay)
 	}
 }
+
+// crossingEndpoint writes the duplicate of its last response in front of its response to the next call on the connection, if that call
+// comes within a limit: a duplicate that was under way while the request was.
+type crossingEndpoint struct {
+	address   string
+	responses map[string]string // by message
+	limit     time.Duration
+}
+
+func startCrossingEndpoint(t *testing.T, limit time.Duration, responses map[string]string) crossingEndpoint {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	e := crossingEndpoint{ln.Addr().String(), responses, limit}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+func (e crossingEndpoint) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	var last string
+	var respondedAt time.Time
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		if last != "" && time.Since(respondedAt) < e.limit {
+			io.WriteString(conn, last)
+			time.Sleep(5 * time.Millisecond) // the client reads it alone
+		}
+		last = e.responses[request.Header.Get("Req-Id")]
+		io.WriteString(conn, last)
+		respondedAt = time.Now()
+	}
+}
+
+// TestDuplicateResponseCrossesNextRequest guards against a duplicate of a response that is under way while the next request is, and would
+// be read as the response to it: a message that its endpoint rejected counted as delivered, and one that ran was sent again.
+func TestDuplicateResponseCrossesNextRequest(t *testing.T) {
+	const (
+		limit         = 400 * time.Millisecond
+		waitResponse  = "HTTP/1.1 429 Wait\r\nX-RateLimit-Wait-Ms: 1\r\nContent-Length: 0\r\n\r\n"
+		errorResponse = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+		first, second = "first", "second"
+	)
+	for name, c := range map[string]struct {
+		first, second string
+		want          decide.Result
+	}{
+		"delivered, then overloaded": {okResponse, overloadedResponse, decide.Overloaded},
+		"overloaded, then delivered": {overloadedResponse, okResponse, decide.Succeeded},
+		"told to wait, then failed":  {waitResponse, errorResponse, decide.Errored},
+		"failed, then delivered":     {errorResponse, okResponse, decide.Succeeded},
+	} {
+		for _, pause := range []time.Duration{0, 21 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 180 * time.Millisecond} {
+			t.Run(name+" after "+pause.String(), func(t *testing.T) {
+				t.Parallel()
+				endpoint := startCrossingEndpoint(t, limit, map[string]string{first: c.first, second: c.second})
+				b := New(Config{MaxConnections: 10, EndpointIdleTimeout: time.Minute})
+				ep := b.newEndpoint(endpoint.address)
+				ep.Call(t.Context(), engine.Attempt{ID: first, Body: message.Bytes("x"), Timeout: time.Minute})
+				time.Sleep(pause)
+				if o := ep.Call(t.Context(), engine.Attempt{ID: second, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != c.want {
+					t.Errorf("the second call: %v, want %v", o.Result, c.want)
+				}
+			})
+		}
+	}
+}
+
+// TestDuplicateResponseAfterHandover guards against a connection that another process has handed over right after a response, and on which
+// the duplicate of that response would be read as the response to the first call of this process.
+func TestDuplicateResponseAfterHandover(t *testing.T) {
+	endpoint := startCrossingEndpoint(t, 190*time.Millisecond, map[string]string{"first": okResponse, "second": overloadedResponse})
+	list := engine.List{Scope: decide.Snapshot, Endpoints: []engine.Endpoint{{Target: decide.Target{ID: "t"}, Address: endpoint.address}}}
+	previous, next := newDefaultBack(), newDefaultBack()
+	previous.UpdateEndpoints(list)
+	next.UpdateEndpoints(list)
+	call := func(b *Back, id string) decide.Result {
+		return b.Endpoint("t").Call(t.Context(), engine.Attempt{ID: id, Body: message.Bytes("x"), Timeout: time.Minute}).Result
+	}
+	if got := call(previous, "first"); got != decide.Succeeded {
+		t.Fatal(got)
+	}
+	idle := previous.ReleaseIdle()
+	if len(idle) != 1 {
+		t.Fatalf("%d idle connections", len(idle))
+	}
+	next.AdoptIdle(idle)
+	time.Sleep(50 * time.Millisecond)
+	if got := call(next, "second"); got != decide.Overloaded {
+		t.Errorf("the second call: %v, want %v", got, decide.Overloaded)
+	}
+}
+
+// TestExhaustedPoolReusesConnections guards against a connection for each call where the limit of connections is reached, and against the
+// reuse within the delay at an address that has sent duplicates.
+func TestExhaustedPoolReusesConnections(t *testing.T) {
+	address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
+	b := New(Config{MaxConnections: 1, EndpointIdleTimeout: time.Minute})
+	b.pool.reuseDelay, b.pool.exhaustedReuseDelay = time.Hour, 0
+	ep := b.newEndpoint(address)
+	call := func() {
+		t.Helper()
+		if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
+			t.Fatal(o.Result)
+		}
+	}
+	call()
+	call()
+	if got := conns.Load(); got != 1 {
+		t.Errorf("%d connections for two calls, want 1", got)
+	}
+	b.pool.markSuspect(b.pool.idle.first, "in this test")
+	b.pool.suspectReuseDelay = time.Hour
+	call()
+	if got := conns.Load(); got != 2 || b.pool.openConns != 1 {
+		t.Errorf("%d connections, %d of them open, want 2 and 1", got, b.pool.openConns)
+	}
+}
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,9 +27,12 @@
 
 	// A connection is not used again until this long after its last response. HTTP/1.1 does not say which request a response
 	// belongs to, so a duplicate of that response that arrives after the next request would be read as the next response.
-	reuseDelay        = 20 * time.Millisecond
-	suspectReuseDelay = 200 * time.Millisecond // at an address that has sent unexpected data
-	suspectDuration   = 10 * time.Minute       // how long an address stays suspect after unexpected data
+	// The delay covers how long behind its response an endpoint writes a duplicate, and how much longer the network takes to deliver it.
+	reuseDelay        = 200 * time.Millisecond
+	suspectReuseDelay = 2 * time.Second  // at an address that has sent unexpected data
+	suspectDuration   = 10 * time.Minute // how long an address stays suspect after unexpected data
+	// exhaustedReuseDelay replaces reuseDelay while no further connection may be opened and every idle one is within its reuse delay.
+	exhaustedReuseDelay = 20 * time.Millisecond
 )
 
 // pool keeps the connections to all addresses. It does not use net/http's Transport, which may reuse a connection before it checks
@@ -41,6 +45,8 @@
 	dialControl       func(network, address string, c syscall.RawConn) error
 	reuseDelay        time.Duration // least time between a connection's last response and its next call
 	suspectReuseDelay time.Duration // the same at a suspect address
+	// exhaustedReuseDelay is the same while the pool is exhausted.
+	exhaustedReuseDelay time.Duration
 
 	mu         sync.Mutex
 	openConns  int
@@ -54,7 +60,7 @@
 type host struct {
 	address      string
 	endpoints    int       // at this address; with none, no idle connections are kept
-	idle         []*conn   // longest idle first
+	idle         []*conn   // by the time of their last response, earliest first
 	suspectUntil time.Time // the address has sent unexpected data; guarded by the pool's lock
 }
 
@@ -141,15 +147,7 @@
 		}
 		p.close(c)
 	}
-	p.mu.Lock()
-	p.openConns++
-	var displaced *conn
-	if p.openConns > p.maxConns && p.idle.first != nil {
-		displaced = p.idle.first
-		p.removeIdle(displaced)
-	}
-	p.mu.Unlock()
-	if displaced != nil {
+	if displaced := p.reserveConn(); displaced != nil {
 		p.close(displaced)
 	}
 	dialer := net.Dialer{Timeout: p.dialTimeout(timeLeft), Control: p.dialControl}
@@ -171,36 +169,63 @@
 	return max(timeLeft, time.Millisecond)
 }
 
-// removeIdle removes a connection from the idle lists. The caller holds the pool's lock.
-func (p *pool) removeIdle(c *conn) {
+// reserveConn counts a connection that is about to be opened. Beyond the limit it removes and returns the one that has been idle longest,
+// whatever its address, which the caller closes.
+func (p *pool) reserveConn() (displaced *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openConns++
+	if p.openConns > p.maxConns && p.idle.first != nil {
+		return p.removeIdle(p.idle.first)
+	}
+	return nil
+}
+
+// removeIdle removes a connection from the idle lists and returns it. The caller holds the pool's lock.
+func (p *pool) removeIdle(c *conn) *conn {
 	p.idle.remove(c)
-	list := c.host.idle
-	i := 0 // mostly the one idle longest; otherwise the search starts at the most recently used
-	if list[0] != c {
-		for i = len(list) - 1; list[i] != c; i-- {
+	h := c.host
+	i := 0 // mostly the one whose last response is longest ago
+	if h.idle[0] != c {
+		for i = h.countIdle(c.lastResponse) - 1; h.idle[i] != c; i-- {
 		}
 	}
-	c.host.idle = slices.Delete(list, i, i+1)
+	h.idle = slices.Delete(h.idle, i, i+1)
+	return c
+}
+
+// countIdle returns how many idle connections had their last response at the given time or before: the first ones of the list. The caller
+// holds the pool's lock.
+func (h *host) countIdle(until time.Time) int {
+	return sort.Search(len(h.idle), func(i int) bool { return h.idle[i].lastResponse.After(until) })
 }
 
-// takeIdle removes and returns the most recently used idle connection to an address whose reuse delay is over, or nil.
+// takeIdle removes and returns an idle connection to an address whose reuse delay is over, or nil: the most recently used, so that those
+// that are not needed expire. While the pool is exhausted, it is the one whose last response is longest ago.
 func (p *pool) takeIdle(h *host) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	suspect := now.Before(h.suspectUntil)
 	delay := p.reuseDelay
-	if now.Before(h.suspectUntil) {
+	if suspect {
 		delay = p.suspectReuseDelay
 	}
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		if c := h.idle[i]; now.Sub(c.lastResponse) >= delay {
-			p.removeIdle(c)
-			return c
-		}
+	if n := h.countIdle(now.Add(-delay)); n > 0 {
+		return p.removeIdle(h.idle[n-1])
+	}
+	if !suspect && p.isExhausted(now) && h.countIdle(now.Add(-p.exhaustedReuseDelay)) > 0 {
+		return p.removeIdle(h.idle[0])
 	}
 	return nil
 }
 
+// isExhausted reports whether no further connection may be opened and every idle connection is within its reuse delay. The caller holds
+// the pool's lock.
+func (p *pool) isExhausted(now time.Time) bool {
+	return p.openConns >= p.maxConns && p.idle.first != nil && now.Sub(p.idle.first.lastResponse) < p.reuseDelay
+}
+
 // isReusable reports whether an idle connection is still open and has received nothing since its last response. Bytes received since
 // would be read as the next response; they mark its address as suspect.
 func (p *pool) isReusable(c *conn) bool {
@@ -242,7 +267,7 @@
 	}
 	c.idleSince = since
 	p.idle.push(c)
-	c.host.idle = append(c.host.idle, c)
+	c.host.idle = slices.Insert(c.host.idle, c.host.countIdle(c.lastResponse), c)
 	if p.timer == nil {
 		p.timer = time.AfterFunc(p.idleTimeout, p.closeExpired)
 	}
