Remember the ids of completed messages that must not run again

Cause: Engine.admit knew the ids of open messages alone, and closeMessage forgot an id with its message, delivered or failed. A message under such an id is answered +OK if the former one was delivered, and with an error if it failed. Without room for one more, messages of such classes are refused with a wait. One whose id was recorded as delivered and whose end was not is closed at the next start; it was reported as failed.

--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -175,7 +175,8 @@
 }
 
 func (f *forwarder) openJournalOnce() (*journal.Journal, error) {
-	return journal.Open(f.config.StateDir, journal.Options{FS: folderFS(f.config.StateDir), DiskLimit: int64(f.config.Limits.DiskMB*1e6) - f.fleet.ledgerSize(), MemoryLimit: int64(f.config.Limits.MemoryMB) << 20 * queueMemoryPercent / 100,
+	disk, memory := int64(f.config.Limits.DiskMB*1e6)-f.fleet.ledgerSize(), int64(f.config.Limits.MemoryMB)<<20
+	return journal.Open(f.config.StateDir, journal.Options{FS: folderFS(f.config.StateDir), DiskLimit: disk, MemoryLimit: memory * queueMemoryPercent / 100, CompletedIDBytes: journal.CompletedIDBytes(disk, memory),
 		Durability: operator.Durabilities[f.operators.current.Journal.Durability], AllowExtras: f.operators.file != ""})
 }
 
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -42,12 +42,14 @@
 		for _, c := range e.calls { // a hedged request is no longer needed
 			c.cancel(nil)
 		}
+		outcome := journal.Undelivered
 		if o.Result == decide.Succeeded {
+			outcome = journal.Delivered
 			l.reportOutcome(e, "delivered")
 			l.countOutcome(e, func(t *ClassStats) { t.Delivered++ })
 		}
 		l.countOutcome(e, func(t *ClassStats) { t.Withdrawn++ })
-		l.closeMessage(e)
+		l.closeMessage(e, outcome)
 	} else {
 		l.journal.RecordOutcome(o.Message, !neverRan(o.Result))
 	}
@@ -61,7 +63,7 @@
 		slog.Error("an attempt was decided for an unknown message", "id", s.Message)
 		return
 	}
-	if !e.acked || l.accounting.fenceClosed() || l.journal.Failure() != nil && !l.mayRepeat(e) { // also waits while the fence is closed or the attempt can't be recorded
+	if !e.acked || l.accounting.fenceClosed() || l.journal.Failure() != nil && !l.mayRepeat(e.saved.Class) { // also waits while the fence is closed or the attempt can't be recorded
 		e.pending = append(e.pending, s)
 		return
 	}
--- a/internal/engine/completion.go
+++ b/internal/engine/completion.go
@@ -1,12 +1,16 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"scaleroute/internal/journal"
+)
 
 // acknowledge closes messages whose completion notices have arrived.
 func (l *Engine) acknowledge(h acknowledged) {
 	for _, id := range h.ids {
 		if e := l.entries[id]; e != nil {
-			l.closeMessage(e)
+			l.closeMessage(e, journal.Undelivered)
 		}
 	}
 }
--- a/internal/engine/effects.go
+++ b/internal/engine/effects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"scaleroute/internal/decide"
+	"scaleroute/internal/journal"
 )
 
 // effectKind is what must be on disk before an effect becomes visible outside.
@@ -49,7 +50,7 @@
 		case effectAccept:
 			l.revokeAcceptance(effect.entry)
 		case effectSend:
-			if l.mayRepeat(effect.entry) {
+			if l.mayRepeat(effect.entry.saved.Class) {
 				effect.run()
 			} else {
 				effect.undo(ctx)
@@ -66,9 +67,10 @@
 	}
 }
 
-// mayRepeat reports whether an attempt is harmless even if a restart does not know of it.
-func (l *Engine) mayRepeat(e *entry) bool {
-	return l.classes[e.saved.Class].Effect == decide.Idempotent
+// mayRepeat reports whether messages of a class may run any number of times.
+func (l *Engine) mayRepeat(class string) bool {
+	c, known := l.classes[class]
+	return known && c.Effect == decide.Idempotent
 }
 
 // revokeAcceptance answers a message that could not be recorded: it is refused, so that its client may submit it again, unless a restart might
@@ -89,5 +91,5 @@
 	l.dropPending(e)
 	l.countOutcome(e, func(t *ClassStats) { t.Withdrawn++ })
 	l.events = append(l.events, decide.Withdrawn{Message: e.saved.ID})
-	l.closeMessage(e)
+	l.closeMessage(e, journal.Undelivered)
 }
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -47,6 +47,9 @@
 // enqueue adds a message and counts it against its destination's share and limit.
 func (l *Engine) enqueue(e *entry) {
 	l.entries[e.saved.ID] = e
+	if !l.mayRepeat(e.saved.Class) {
+		l.notRepeatable++
+	}
 	e.cost = e.saved.Cost()
 	l.fairShare.Add(e.saved.Dest, e.cost)
 	l.notifyQueueChange(e.saved.Dest, true)
@@ -62,6 +65,9 @@
 // dequeue removes a message and releases what enqueue counted.
 func (l *Engine) dequeue(e *entry) {
 	delete(l.entries, e.saved.ID)
+	if !l.mayRepeat(e.saved.Class) {
+		l.notRepeatable--
+	}
 	l.fairShare.Add(e.saved.Dest, -e.cost)
 	l.notifyQueueChange(e.saved.Dest, false)
 	if e.cap.Rule != "" {
@@ -69,8 +75,12 @@
 	}
 }
 
-// closeMessage closes a message that needs no further call or notice.
-func (l *Engine) closeMessage(e *entry) {
-	l.journal.RecordClosed(e.saved.ID)
+// closeMessage closes a message that needs no further call or notice. The ID of one that may have run and must not run again is remembered.
+func (l *Engine) closeMessage(e *entry, outcome journal.CompletedOutcome) {
+	if e.saved.PossiblyRan() && !l.mayRepeat(e.saved.Class) {
+		l.journal.RecordCompleted(e.saved.ID, outcome)
+	} else {
+		l.journal.RecordClosed(e.saved.ID)
+	}
 	l.dequeue(e)
 }
--- a/internal/engine/intake.go
+++ b/internal/engine/intake.go
@@ -54,15 +54,12 @@
 		l.countTurnedAway(m.Class, answer.Kind)
 		a.answer <- reply{Answer: answer}
 	}
-	class, known := l.classes[m.Class]
-	switch e := l.entries[m.ID]; {
-	case e != nil && e.acked: // duplicate submission: the message is already queued
-		turnAway(Answer{Kind: Accepted})
-		return
-	case e != nil: // the first submission is not confirmed yet, and this client can't confirm it
-		turnAway(rejected("handed in twice at once"))
+	if answer, isDuplicate := l.answerDuplicate(m.ID); isDuplicate {
+		turnAway(answer)
 		return
-	// A message that can't be delivered is rejected and not refused: a refusal asks the client to try again.
+	}
+	class, known := l.classes[m.Class]
+	switch { // a message that can't be delivered is rejected and not refused: a refusal asks the client to try again
 	case !known:
 		turnAway(rejected("unknown class"))
 		return
@@ -87,7 +84,7 @@
 		turnAway(refused(storageRetryAfter))
 		return
 	}
-	reserved, err := l.journal.Reserve(s.Size())
+	reserved, err := l.reserve(s)
 	if err != nil {
 		turnAway(refused(storageRetryAfter))
 		return
@@ -104,6 +101,31 @@
 		TimeLeft: time.Until(s.Deadline), FromFailedForwarder: m.Resubmitted, ClientRetry: m.Repeat, Filter: among(m.Extras), Route: m.Extras.RouteName()})
 }
 
+// answerDuplicate returns the answer to a message with the ID of one that is queued, or that is completed and must not run again.
+func (l *Engine) answerDuplicate(id string) (answer Answer, isDuplicate bool) {
+	if e := l.entries[id]; e != nil {
+		if e.acked {
+			return Answer{Kind: Accepted}, true
+		}
+		return rejected("handed in twice at once"), true // the first submission is not confirmed yet, and this client can't confirm it
+	}
+	switch l.journal.Completed(id) {
+	case journal.Delivered:
+		return Answer{Kind: Accepted}, true
+	case journal.Undelivered:
+		return rejected("a message with this id has failed and may have run"), true
+	}
+	return Answer{}, false
+}
+
+// reserve reserves space in the journal for a message, and for its ID if that must be remembered once the message is completed.
+func (l *Engine) reserve(s *journal.MessageState) (bool, error) {
+	if !l.mayRepeat(s.Class) && !l.journal.HasRoomForID(l.notRepeatable) {
+		return false, nil
+	}
+	return l.journal.Reserve(s.Size())
+}
+
 // among returns the restriction and order of a message's endpoints for the Forwarder.
 func among(x *message.Extras) *decide.EndpointFilter {
 	if x == nil || len(x.Only)+len(x.Prefer) == 0 {
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -100,6 +100,7 @@
 	routeWaits     routeWaits
 	destinations   map[int]bool // every destination that discovery has ever listed: it stays known while it has no endpoints
 	entries        map[string]*entry
+	notRepeatable  int // entries of classes whose messages must not run twice
 	events         []decide.Event
 	arrived        []*entry // accepted in this Step unless the Forwarder refuses them
 	fairShare      intake.FairShare
@@ -198,6 +199,10 @@
 func (l *Engine) recoverMessages() (list []decide.Message) {
 	now := time.Now()
 	for _, s := range l.journal.Queued() {
+		if l.journal.Completed(s.ID) == journal.Delivered { // the process before was killed between the records of its ID and its end
+			l.journal.RecordClosed(s.ID)
+			continue
+		}
 		e := &entry{saved: s, acked: true}
 		l.enqueue(e)
 		if s.Completion != 0 {
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -174,11 +174,14 @@
 	return nil
 }
 
-// writeBuffer writes the buffer to the active segment.
+// writeBuffer writes the buffer to the active segment, and before that the IDs of the messages that it closes.
 func (j *Journal) writeBuffer() error {
 	if len(j.buffer) == 0 {
 		return nil
 	}
+	if err := j.completed.save(); err != nil {
+		return err
+	}
 	s := j.activeSegment()
 	n, err := s.file.WriteAt(j.buffer, j.writeOffset)
 	if err != nil {
--- a/internal/journal/failure.go
+++ b/internal/journal/failure.go
@@ -78,6 +78,9 @@
 	if err := j.removeOrphans(); err != nil {
 		return err
 	}
+	if err := j.completed.saveAgain(); err != nil {
+		return err
+	}
 	j.err, j.reported, j.allocationFailedUntil = nil, false, time.Time{}
 	if len(j.spares) == 0 && !j.allocateSpare() {
 		if len(j.segments) == 0 {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -50,6 +50,9 @@
 
 	Durability  Durability
 	AllowExtras bool // messages may have extras; older programs can't read such a folder
+
+	// CompletedIDBytes is the part of DiskLimit for the IDs of completed messages; 0 if none are remembered.
+	CompletedIDBytes int64
 }
 
 // IsDiskError reports whether an error comes from the disk, so that no change of settings can fix it.
@@ -97,6 +100,7 @@
 	bufferMayBeOnDisk bool     // a record of the buffer that was discarded last may be on disk
 	rebuildBefore     uint64   // segments with a lower sequence number are to be rewritten
 	orphans           []string // files to remove before a segment is begun
+	completed         completedIDs
 	clock             steadyclock.Clock
 	dir               string    // the folder of the lock; empty without one
 	folderChecked     time.Time // when it was last checked whether the folder is still the same
--- a/internal/journal/lifecycle.go
+++ b/internal/journal/lifecycle.go
@@ -59,7 +59,8 @@
 	if j.clock = o.Clock; j.clock == (steadyclock.Clock{}) {
 		j.clock = steadyclock.New()
 	}
-	if o.DiskLimit >= minDiskLimit {
+	j.completed = completedIDs{fs: o.FS, capacity: int(o.CompletedIDBytes / completedBytes)}
+	if o.DiskLimit -= o.CompletedIDBytes; o.DiskLimit >= minDiskLimit {
 		j.limit = o.DiskLimit
 		j.segmentSize = min(max(o.DiskLimit/minSegments, minSegmentSize), maxSegmentSize, o.DiskLimit/5) / 512 * 512
 	}
@@ -67,6 +68,10 @@
 		j.Close()
 		return nil, err
 	}
+	if err := j.completed.load(j.clock.Millis(time.Now()), o.ReadOnly); err != nil {
+		j.Close()
+		return nil, err
+	}
 	if o.ReadOnly {
 		return j, j.loadLegacy()
 	}
@@ -126,7 +131,7 @@
 
 // Close closes the files. It does not write the buffer.
 func (j *Journal) Close() error {
-	var errs []error
+	errs := []error{j.completed.close()}
 	for _, s := range j.segments {
 		if s.file != nil {
 			errs = append(errs, s.file.Close())
--- a/internal/journal/offline.go
+++ b/internal/journal/offline.go
@@ -23,7 +23,8 @@
 	readMemory   = 3 * maxBodyMemory // for bodies; a journal that is only read accepts no messages, so that the rest does not apply
 )
 
-// Copy writes the open messages of a journal into an empty folder, and returns how many it has written.
+// Copy writes the open messages of a journal, and the IDs of completed ones, into an empty folder, and returns how many messages it has
+// written.
 func Copy(from *Journal, dir string) (n int, err error) {
 	queued := from.Queued()
 	o := Options{}
@@ -32,6 +33,7 @@
 		o.AllowExtras = o.AllowExtras || s.Extras != nil
 	}
 	o.DiskLimit = min(math.MaxInt64/4, max(o.DiskLimit, 64<<20))
+	o.CompletedIDBytes = int64(len(from.completed.slots)) * completedBytes
 	j, err := Open(dir, o)
 	if err != nil {
 		return 0, err
@@ -40,6 +42,9 @@
 	if len(j.live) > 0 {
 		return 0, fmt.Errorf("journal: %s already contains messages", dir)
 	}
+	if err := j.completed.copyFrom(&from.completed); err != nil {
+		return 0, err
+	}
 	for _, s := range queued {
 		if reserved, err := j.Reserve(s.Size()); err != nil || !reserved {
 			return n, fmt.Errorf("journal: no space for message %s (%w)", s.ID, err)
--- a/internal/journal/sync.go
+++ b/internal/journal/sync.go
@@ -32,8 +32,11 @@
 	if j.durability == Process || len(j.segments) == 0 || j.syncedBytes >= j.syncNeeded {
 		return j.syncedBytes, nil
 	}
-	f := j.activeSegment().file
+	f, syncIDs := j.activeSegment().file, j.completed.prepareSync()
 	return j.writtenBytes, func() error {
+		if err := syncIDs(); err != nil {
+			return err
+		}
 		if err := f.Sync(); !errors.Is(err, os.ErrClosed) && !errors.Is(err, fs.ErrClosed) {
 			return err
 		}
