Have the soak hand in ids of delivered messages again

The kind 'replay' has a client send ids of delivered messages of the unsafe class again for a while, in either class, over connections of its own; an endpoint that gets one again breaks 'twice'. TestSoak has seed 3: replays with SIGKILL, SIGTERM and a failing disk.

--- a/cmd/scaleroute/soak_test.go
+++ b/cmd/scaleroute/soak_test.go
@@ -19,6 +19,7 @@
 		{[]soak.Kind{soak.Repeats, soak.Folder, soak.Accept, soak.Connect}, 12},
 		{[]soak.Kind{soak.Clock, soak.Term, soak.Discovery, soak.Pause}, 13},
 		{[]soak.Kind{soak.Sick, soak.Resets, soak.Pieces, soak.Drain, soak.Disk}, 14},
+		{[]soak.Kind{soak.Replay, soak.Kill, soak.Term, soak.Disk}, 3},
 	} {
 		t.Run(string(c.kinds[0]), func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,7 +28,12 @@
 	repeatWithin   = 12 * time.Millisecond
 	resetShare     = 0.02 // of pieces
 	pieceBytes     = 7
-	mostTimelines  = 3
+	replayPause    = 20 * time.Millisecond
+
+	// replayedMessages is how many messages are handed in again in one round.
+	replayedMessages = 40
+
+	mostTimelines = 3
 
 	// FaultsVariable names the file by which a process's system calls fail.
 	FaultsVariable = "SCALEROUTE_FAULTS"
@@ -170,10 +176,25 @@
 		}
 	case Pause:
 		return r.pause(ctx, f.Node)
+	case Replay:
+		r.replay(ctx, f)
 	}
 	return nil
 }
 
+// replay has a client hand in the ids of delivered messages again for a while, the latest first, in either class.
+func (r *run) replay(ctx context.Context, f Fault) {
+	n := r.rig.Nodes[f.Node]
+	for end := time.Now().Add(f.Lasts); time.Now().Before(end) && ctx.Err() == nil; {
+		delivered := n.Log.DeliveredUnsafe()
+		slices.Reverse(delivered)
+		for i, message := range delivered[:min(len(delivered), replayedMessages)] {
+			n.Clients.SendAgain(message, []string{standin.Unsafe, standin.Safe}[i%2])
+		}
+		sleep(ctx, replayPause)
+	}
+}
+
 // script has the endpoints of a destination behave otherwise for a while.
 func (r *run) script(ctx context.Context, f Fault, script standin.Script) {
 	endpoints := r.rig.World.Of(f.Place % r.shape.Destinations)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -32,11 +32,12 @@
 	Pause     Kind = "pause"     // a process is stopped for 0.15 s
 	Accept    Kind = "accept"    // accept fails
 	Connect   Kind = "connect"   // connect fails
+	Replay    Kind = "replay"    // a client hands in ids of delivered messages again
 )
 
 // Kinds lists all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect}
+	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay}
 }
 
 // Fault is one fault of a run.
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// repeatedLeft is how long a message may be delivered that is handed in by SendAgain.
+const repeatedLeft = 2 * time.Second
+
+// SendAgain makes one request under the id of a message that was handed in before, as a client does that doesn't keep to the protocol, over
+// a connection of its own. It returns whether the request was answered.
+func (c *Clients) SendAgain(h *Handed, class string) bool {
+	again := &client{clients: c}
+	defer again.close()
+	answer, _ := again.ask(Job{Class: class, Destination: h.Destination, Unsafe: h.Unsafe}, h, repeatedLeft, 0)
+	return answer != None && answer != Dropped
+}
+
 // ask makes one request. A connection that ends as the request is written gets
 // it once more on a new one: the forwarder may close one between requests.
 func (c *client) ask(j Job, h *Handed, left time.Duration, try int) (Answer, time.Duration) {
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -193,6 +193,22 @@
 	return len(l.starts), longest
 }
 
+// DeliveredUnsafe returns the messages that have been answered 200 and may not run again, in the order in which they were handed in.
+func (l *Log) DeliveredUnsafe() (list []*Handed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delivered := map[string]bool{}
+	for _, c := range l.calls {
+		delivered[c.ID] = delivered[c.ID] || c.Ran == Yes
+	}
+	for _, h := range l.handed {
+		if h.Unsafe && delivered[h.ID] {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 // Open is how many messages were taken on, or are being handed in, and are not over.
 func (l *Log) Open() int {
 	l.mu.Lock()
