--- a/internal/back/httpcall/handover.go
+++ b/internal/back/httpcall/handover.go
@@ -1,10 +1,8 @@
 package httpcall
 
 import (
-	"bufio"
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"scaleroute/internal/decide"
@@ -73,15 +71,6 @@
 	return o
 }
 
-func newConn(raw net.Conn, h *host) *conn {
-	c := &conn{Conn: raw, host: h, idleSince: time.Now()}
-	c.r = bufio.NewReader(c)
-	if s, ok := raw.(syscall.Conn); ok {
-		c.raw, _ = s.SyscallConn()
-	}
-	return c
-}
-
 // detach stops counting a connection that is handed over to another process.
 func (p *pool) detach() {
 	p.mu.Lock()
