--- a/cmd/scaleroute/clock_test.go
+++ b/cmd/scaleroute/clock_test.go
@@ -21,17 +21,24 @@
 	}
 }
 
-// TestClockSetForwardWhileDown: recovered messages must not expire because the wall clock was set forward between two processes.
-func TestClockSetForwardWhileDown(t *testing.T) {
-	var accepts atomic.Bool
-	w := newTestEnv(t, rejectingTarget(&accepts))
-	faults := newFaultFile(t, w)
+// queueBehindRetryAfter starts a process, has its endpoint answer one message with a retry-after, queues a second one behind it, and kills
+// the process. The endpoint is one of rejectingTarget.
+func (w *testEnv) queueBehindRetryAfter(id string, ms int) {
+	w.t.Helper()
 	p := w.start()
 	c := p.connect()
 	c.mustEnqueue("told", "harmless", 200000)
 	w.awaitValue(w.called, "told")
-	c.mustEnqueue("waits", "unsafe", 200000)
+	c.mustEnqueue(id, "unsafe", ms)
 	p.kill()
+}
+
+// TestClockSetForwardWhileDown: recovered messages must not expire because the wall clock was set forward between two processes.
+func TestClockSetForwardWhileDown(t *testing.T) {
+	var accepts atomic.Bool
+	w := newTestEnv(t, rejectingTarget(&accepts))
+	faults := newFaultFile(t, w)
+	w.queueBehindRetryAfter("waits", 200000)
 	accepts.Store(true)
 	faults.set(t, "clock +1h")
 	w.start()
@@ -46,12 +53,7 @@
 	var accepts atomic.Bool
 	w := newTestEnv(t, rejectingTarget(&accepts))
 	faults := newFaultFile(t, w)
-	p := w.start()
-	c := p.connect()
-	c.mustEnqueue("told", "harmless", 200000)
-	w.awaitValue(w.called, "told")
-	c.mustEnqueue("short", "unsafe", 3000)
-	p.kill()
+	w.queueBehindRetryAfter("short", 3000)
 	faults.set(t, "clock -1h")
 	w.start()
 	w.awaitValue(w.notices, "short bounced")
--- a/cmd/scaleroute/incident42_test.go
+++ b/cmd/scaleroute/incident42_test.go
@@ -249,16 +249,10 @@
 			var accepts atomic.Bool
 			w := newTestEnv(t, rejectingTarget(&accepts))
 			faults := newFaultFile(t, w)
-			p := w.start()
-			c := p.connect()
-			c.mustEnqueue("told", "harmless", 200000)
-			w.awaitValue(w.called, "told")
-			c.mustEnqueue("recovered", "unsafe", 200000)
-			p.kill()
+			w.queueBehindRetryAfter("recovered", 200000)
 			accepts.Store(true)
 			faults.set(t, "disk "+fault)
-			p = w.start()
-			c = p.connect()
+			c := w.start().connect()
 			got := c.do("ENQUEUE", "0", "new", "c=unsafe,d=200000,dest=7", "x")
 			if got != "+OK" && !strings.HasPrefix(got, "-BUSY ") {
 				t.Fatal(got)
--- a/internal/journal/completed_test.go
+++ b/internal/journal/completed_test.go
@@ -189,10 +189,7 @@
 				t.Fatalf("failed at operation %d: %s is not remembered", failAt, id)
 			}
 		}
-		again, err := OpenWith(withIDs(fs.afterKill(), 400))
-		if err != nil {
-			t.Fatal(err)
-		}
+		again := mustOpen(t, withIDs(fs.afterKill(), 400))
 		for _, id := range completed {
 			if again.Completed(id) != Delivered && (again.live[id] == nil || !again.live[id].PossiblyRan()) {
 				t.Fatalf("failed at operation %d: %s is forgotten", failAt, id)
@@ -205,10 +202,7 @@
 // others are added: a message is refused instead.
 func TestCompletedIDsAreBounded(t *testing.T) {
 	fs := newMemFS()
-	j, err := OpenWith(withIDs(fs, 50))
-	if err != nil {
-		t.Fatal(err)
-	}
+	j := mustOpen(t, withIDs(fs, 50))
 	far := time.Now().Add(time.Hour)
 	for n := range 50 {
 		if !j.HasRoomForID(49 - n) {
@@ -238,10 +232,7 @@
 // accepted.
 func TestCompletedIDsOnFullDisk(t *testing.T) {
 	fs := newMemFS()
-	j, err := OpenWith(withIDs(fs, 2000))
-	if err != nil {
-		t.Fatal(err)
-	}
+	j := mustOpen(t, withIDs(fs, 2000))
 	far := time.Now().Add(time.Hour)
 	accepted := 0
 	for ; accepted < 1000 && j.HasRoomForID(0); accepted++ {
@@ -255,21 +246,18 @@
 	if accepted < 100 || accepted == 1000 {
 		t.Errorf("%d messages were accepted", accepted)
 	}
-	again, err := OpenWith(withIDs(fs.afterKill(), 2000))
-	if err != nil || again.CompletedIDs() != accepted {
-		t.Errorf("%d IDs after a restart (%v), want %d", again.CompletedIDs(), err, accepted)
+	if again := mustOpen(t, withIDs(fs.afterKill(), 2000)); again.CompletedIDs() != accepted {
+		t.Errorf("%d IDs after a restart, want %d", again.CompletedIDs(), accepted)
 	}
 }
 
 // TestCorruptCompletedIDs guards against a start that fails, or that reads a wrong ID, because some bytes of the file are corrupt or missing.
 func TestCorruptCompletedIDs(t *testing.T) {
+	const ids = 60
 	fs := newMemFS()
-	j, err := OpenWith(withIDs(fs, 100))
-	if err != nil {
-		t.Fatal(err)
-	}
+	j := mustOpen(t, withIDs(fs, 100))
 	far := time.Now().Add(time.Hour)
-	for n := range 60 {
+	for n := range ids {
 		if !j.HasRoomForID(0) {
 			t.Fatal("no room")
 		}
@@ -287,13 +275,10 @@
 		}
 		if rng.IntN(4) == 0 {
 			file.data = file.data[:rng.IntN(len(file.data))]
-			hits = 60
-		}
-		again, err := OpenWith(withIDs(damaged, 100))
-		if err != nil {
-			t.Fatal(err)
+			hits = ids
 		}
-		if got := again.CompletedIDs(); got < 60-hits || got > 60 {
+		again := mustOpen(t, withIDs(damaged, 100))
+		if got := again.CompletedIDs(); got < ids-hits || got > ids {
 			t.Fatalf("%d IDs with %d bytes changed", got, hits)
 		}
 	}
