--- a/cmd/scaleroutectl/journal.go
+++ b/cmd/scaleroutectl/journal.go
@@ -144,7 +144,7 @@
 		group(byAttempts, fmt.Sprint(s.Attempts), s)
 	}
 	if asJSON {
-		return json.NewEncoder(out).Encode(map[string]any{"all": all, "class": byClass, "destination": byDest, "attempts": byAttempts})
+		return json.NewEncoder(out).Encode(map[string]any{"all": all, "class": byClass, "destination": byDest, "attempts": byAttempts, "completed_ids": j.CompletedIDs()})
 	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "\theld\tbytes\tmay have run\tended\toverdue\tleast time left\t")
@@ -168,7 +168,11 @@
 			fmt.Fprintf(t, "%d more\t\t\t\t\t\t\t\n", len(keys)-maxRows)
 		}
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "%d ids of completed messages that must not run again\n", j.CompletedIDs())
+	return err
 }
 
 func dump(j *journal.Journal, out io.Writer) error {
--- a/cmd/scaleroutectl/journal_test.go
+++ b/cmd/scaleroutectl/journal_test.go
@@ -14,16 +14,16 @@
 	"scaleroute/internal/message"
 )
 
-// newTestJournal returns the folder of a journal with 40 messages. The journal is still open, as in a running forwarder.
+// newTestJournal returns the folder of a journal with 40 messages and the id of a completed one. The journal is still open, as in a running forwarder.
 func newTestJournal(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	j, err := journal.Open(dir, journal.Options{DiskLimit: 3e6})
+	j, err := journal.Open(dir, journal.Options{DiskLimit: 3e6, CompletedIDBytes: 2400})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { j.Close() })
-	for i := range 40 {
+	for i := range 41 {
 		s := &journal.MessageState{ID: fmt.Sprintf("id%02d", i), Class: []string{"status-update", "signature-handover"}[i%2], Dest: i % 3,
 			Deadline: time.Now().Add(time.Minute), Body: message.Bytes(strings.Repeat("x", 100))}
 		if reserved, err := j.Reserve(s.Size()); !reserved || err != nil {
@@ -37,6 +37,8 @@
 	j.RecordSending("id03")
 	j.RecordOutcome("id03", true)
 	j.RecordCompletion("id05", 'b', time.Second)
+	j.RecordSending("id40")
+	j.RecordCompleted("id40", journal.Delivered)
 	if err := j.Flush(); err != nil {
 		t.Fatal(err)
 	}
@@ -58,16 +60,17 @@
 		t.Error(got)
 	}
 	var s struct {
-		All   messageCounts            `json:"all"`
-		Class map[string]messageCounts `json:"class"`
+		All          messageCounts            `json:"all"`
+		Class        map[string]messageCounts `json:"class"`
+		CompletedIDs int                      `json:"completed_ids"`
 	}
 	if err := json.Unmarshal([]byte(runTool(t, 0, "journal", "stat", "-json", dir)), &s); err != nil {
 		t.Fatal(err)
 	}
-	if s.All.Queued != 40 || s.All.Bytes != 4000 || s.All.MayHaveRun != 2 || s.All.Completed != 1 || s.Class["status-update"].Queued != 20 {
+	if s.All.Queued != 40 || s.All.Bytes != 4000 || s.All.MayHaveRun != 2 || s.All.Completed != 1 || s.Class["status-update"].Queued != 20 || s.CompletedIDs != 1 {
 		t.Errorf("%+v", s)
 	}
-	if got := runTool(t, 0, "journal", "stat", dir); !strings.Contains(got, "class signature-handover") {
+	if got := runTool(t, 0, "journal", "stat", dir); !strings.Contains(got, "class signature-handover") || !strings.Contains(got, "1 ids of completed messages") {
 		t.Error(got)
 	}
 	lines := strings.Split(strings.TrimSpace(runTool(t, 0, "journal", "dump", dir)), "\n")
