--- a/internal/journal/completed.go
+++ b/internal/journal/completed.go
@@ -354,6 +354,9 @@
 
 // load reads the file. Slots that can't be read count as empty.
 func (c *completedIDs) load(now int64, readOnly bool) error {
+	if c.capacity == 0 && !readOnly {
+		return nil
+	}
 	file, err := c.fs.Open(completedFile, false)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
@@ -403,7 +406,7 @@
 	if invalid > 0 {
 		slog.Warn("some IDs of completed messages can't be read: a message that is submitted again under one of them would be sent again", "file", completedFile, "unreadable", invalid, "read", len(c.bySlot))
 	}
-	if len(beyond) == 0 || c.capacity == 0 {
+	if len(beyond) == 0 {
 		return nil
 	}
 	slices.SortFunc(beyond, func(a, b completedID) int { return int(a.expiry - b.expiry) })
