--- a/internal/back/httpcall/duplicate_test.go
+++ b/internal/back/httpcall/duplicate_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -236,3 +237,36 @@
 		t.Errorf("%d connections, %d of them open, want 2 and 1", got, b.pool.openConns)
 	}
 }
+
+// TestDelayedConnectionsOfAddressAreBounded guards against ever more connections to an address that answers fast and gets many calls.
+func TestDelayedConnectionsOfAddressAreBounded(t *testing.T) {
+	const laterCalls = 10
+	var atOnce sync.WaitGroup // calls that the endpoint answers together, so that each has a connection
+	atOnce.Add(maxDelayedConns)
+	address, conns := startEndpoint(t, func(r *http.Request, _ string) string {
+		if r.Header.Get("Req-Id") == "at once" {
+			atOnce.Done()
+			atOnce.Wait()
+		}
+		return okResponse
+	})
+	b := newDefaultBack()
+	b.pool.reuseDelay, b.pool.exhaustedReuseDelay = time.Hour, 0
+	ep := b.newEndpoint(address)
+	call := func(id string) {
+		if o := ep.Call(t.Context(), engine.Attempt{ID: id, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
+			t.Error(o.Result)
+		}
+	}
+	var calls sync.WaitGroup
+	for range maxDelayedConns {
+		calls.Go(func() { call("at once") })
+	}
+	calls.Wait()
+	for range laterCalls {
+		call("later")
+	}
+	if got := conns.Load(); got != maxDelayedConns {
+		t.Errorf("%d connections, want %d", got, maxDelayedConns)
+	}
+}
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -20,8 +20,10 @@
 	reuseDelay        = 200 * time.Millisecond
 	suspectReuseDelay = 2 * time.Second  // at an address that has sent unexpected data
 	suspectDuration   = 10 * time.Minute // how long an address stays suspect after unexpected data
-	// exhaustedReuseDelay replaces reuseDelay while no further connection may be opened and every idle one is within its reuse delay.
+	// exhaustedReuseDelay replaces reuseDelay where connections within their reuse delay have reached a limit: that of all connections, or
+	// maxDelayedConns of one address.
 	exhaustedReuseDelay = 20 * time.Millisecond
+	maxDelayedConns     = 64
 )
 
 // pool keeps the connections to all addresses. It does not use net/http's Transport, which may reuse a connection before it checks
@@ -34,7 +36,7 @@
 	dialControl       func(network, address string, c syscall.RawConn) error
 	reuseDelay        time.Duration // least time between a connection's last response and its next call
 	suspectReuseDelay time.Duration // the same at a suspect address
-	// exhaustedReuseDelay is the same while the pool is exhausted.
+	// exhaustedReuseDelay is the same where the pool is exhausted.
 	exhaustedReuseDelay time.Duration
 
 	mu         sync.Mutex
@@ -171,7 +173,7 @@
 }
 
 // takeIdle removes and returns an idle connection to an address whose reuse delay is over, or nil: the most recently used, so that those
-// that are not needed expire. While the pool is exhausted, it is the one whose last response is longest ago.
+// that are not needed expire. Where the pool is exhausted, it is the one whose last response is longest ago.
 func (p *pool) takeIdle(h *host) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,15 +186,18 @@
 	if n := h.countIdle(now.Add(-delay)); n > 0 {
 		return p.removeIdle(h.idle[n-1])
 	}
-	if !suspect && p.isExhausted(now) && h.countIdle(now.Add(-p.exhaustedReuseDelay)) > 0 {
+	if !suspect && p.isExhausted(h, now) && h.countIdle(now.Add(-p.exhaustedReuseDelay)) > 0 {
 		return p.removeIdle(h.idle[0])
 	}
 	return nil
 }
 
-// isExhausted reports whether no further connection may be opened and every idle connection is within its reuse delay. The caller holds
-// the pool's lock.
-func (p *pool) isExhausted(now time.Time) bool {
+// isExhausted reports whether connections within their reuse delay have reached the limit of one address, or are all that is idle where no
+// further connection may be opened. The caller holds the pool's lock, and has found no connection to the address whose reuse delay is over.
+func (p *pool) isExhausted(h *host, now time.Time) bool {
+	if len(h.idle) >= maxDelayedConns {
+		return true
+	}
 	return p.openConns >= p.maxConns && p.idle.first != nil && now.Sub(p.idle.first.lastResponse) < p.reuseDelay
 }
 
