Wait for an idle connection where a new one takes longer

A call waits for the idle connection of its address whose delay ends first where that is sooner than new connections there take (smoothed, failures included), and for half of its own time at most. Where connecting takes no time, as on loopback, nothing changes.

--- a/internal/back/httpcall/duplicate_test.go
+++ b/internal/back/httpcall/duplicate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -270,3 +271,53 @@
 		t.Errorf("%d connections, want %d", got, maxDelayedConns)
 	}
 }
+
+// TestWaitsForConnectionInsteadOfSlowConnect guards against a new connection, to an address where these take long, though an idle one may be
+// used sooner; and against a wait where a new one is there at once.
+func TestWaitsForConnectionInsteadOfSlowConnect(t *testing.T) {
+	const delay = 50 * time.Millisecond
+	for _, c := range []struct {
+		connectTime time.Duration
+		wantConns   int32
+	}{{time.Second, 1}, {0, 2}} {
+		address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
+		b := newDefaultBack()
+		b.pool.reuseDelay = delay
+		ep := b.newEndpoint(address)
+		call := func() time.Time {
+			if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
+				t.Error(o.Result)
+			}
+			return time.Now()
+		}
+		first := call()
+		ep.host.connectTime = c.connectTime
+		second := call()
+		if got := conns.Load(); got != c.wantConns {
+			t.Errorf("new connections take %v: %d connections, want %d", c.connectTime, got, c.wantConns)
+		}
+		if c.wantConns == 1 && second.Sub(first) < delay-time.Millisecond {
+			t.Errorf("the connection was used again after %v", second.Sub(first))
+		}
+	}
+}
+
+// TestCancelledWhileWaitingForConnection guards against a connection that is lost, or a call that is made, when the call is cancelled while it
+// waits for a connection to be reusable.
+func TestCancelledWhileWaitingForConnection(t *testing.T) {
+	address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
+	b := newDefaultBack()
+	b.pool.reuseDelay = maxReuseWait
+	ep := b.newEndpoint(address)
+	attempt := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}
+	ep.Call(t.Context(), attempt)
+	ep.host.connectTime = time.Second
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(engine.ErrHandOver)
+	if o := ep.Call(ctx, attempt); o.Result != decide.NotSent {
+		t.Errorf("cancelled for a handover: %v", o.Result)
+	}
+	if got := conns.Load(); got != 1 || len(ep.host.idle) != 1 || b.pool.openConns != 1 {
+		t.Errorf("%d connections, %d idle, %d open", got, len(ep.host.idle), b.pool.openConns)
+	}
+}
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -24,6 +24,9 @@
 	// maxDelayedConns of one address.
 	exhaustedReuseDelay = 20 * time.Millisecond
 	maxDelayedConns     = 64
+
+	maxReuseWait      = reuseDelay // a call waits no longer for a connection to be reusable
+	connectTimeWeight = 4          // a new connection counts for 1/4 of the smoothed time to connect
 )
 
 // pool keeps the connections to all addresses. It does not use net/http's Transport, which may reuse a connection before it checks
@@ -50,9 +53,10 @@
 // host is the state of one address. Several endpoints may share an address.
 type host struct {
 	address      string
-	endpoints    int       // at this address; with none, no idle connections are kept
-	idle         []*conn   // by the time of their last response, earliest first
-	suspectUntil time.Time // the address has sent unexpected data; guarded by the pool's lock
+	endpoints    int           // at this address; with none, no idle connections are kept
+	idle         []*conn       // by the time of their last response, earliest first
+	connectTime  time.Duration // smoothed; failed attempts count as well; guarded by the pool's lock
+	suspectUntil time.Time     // the address has sent unexpected data; guarded by the pool's lock
 }
 
 // idleList links the idle connections to all addresses, longest idle first.
@@ -112,7 +116,14 @@
 // get returns an idle connection that may be reused, the most recently used first, or a new one. Beyond the limit, a new connection
 // displaces the one that has been idle longest, whatever its address.
 func (p *pool) get(ctx context.Context, h *host, timeLeft time.Duration) (*conn, error) {
-	for c := p.takeIdle(h); c != nil; c = p.takeIdle(h) {
+	start := time.Now()
+	for c, wait := p.takeIdle(h, timeLeft/2); c != nil; c, wait = p.takeIdle(h, 0) {
+		if wait > 0 {
+			if err := waitFor(ctx, wait); err != nil {
+				p.addIdle(c, c.idleSince)
+				return nil, err
+			}
+		}
 		// The timer that closes expired connections may run late, while the endpoint has closed its side on time.
 		if time.Since(c.idleSince) < p.idleTimeout && p.isReusable(c) {
 			return c, nil
@@ -122,12 +133,36 @@
 	if displaced := p.reserveConn(); displaced != nil {
 		p.close(displaced)
 	}
+	return p.dial(ctx, h, timeLeft-time.Since(start))
+}
+
+// waitFor waits for some time, or until the context ends, whose error it returns then.
+func waitFor(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// dial opens a connection that reserveConn has counted.
+func (p *pool) dial(ctx context.Context, h *host, timeLeft time.Duration) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.dialTimeout(timeLeft), Control: p.dialControl}
+	start := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", h.address)
+	took := time.Since(start)
+	p.mu.Lock()
 	if err != nil {
-		p.mu.Lock()
 		p.openConns--
-		p.mu.Unlock()
+	}
+	if ctx.Err() == nil {
+		h.connectTime += (took - h.connectTime) / connectTimeWeight
+	}
+	p.mu.Unlock()
+	if err != nil {
 		return nil, err
 	}
 	return newConn(raw, h), nil
@@ -173,10 +208,14 @@
 }
 
 // takeIdle removes and returns an idle connection to an address whose reuse delay is over, or nil: the most recently used, so that those
-// that are not needed expire. Where the pool is exhausted, it is the one whose last response is longest ago.
-func (p *pool) takeIdle(h *host) *conn {
+// that are not needed expire. Where the pool is exhausted, it is the one whose last response is longest ago. Otherwise it may be one that the
+// caller must wait for, where the rest of its reuse delay is no longer than a new connection takes, and than maxWait.
+func (p *pool) takeIdle(h *host, maxWait time.Duration) (c *conn, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(h.idle) == 0 {
+		return nil, 0
+	}
 	now := time.Now()
 	suspect := now.Before(h.suspectUntil)
 	delay := p.reuseDelay
@@ -184,12 +223,16 @@
 		delay = p.suspectReuseDelay
 	}
 	if n := h.countIdle(now.Add(-delay)); n > 0 {
-		return p.removeIdle(h.idle[n-1])
+		return p.removeIdle(h.idle[n-1]), 0
 	}
-	if !suspect && p.isExhausted(h, now) && h.countIdle(now.Add(-p.exhaustedReuseDelay)) > 0 {
-		return p.removeIdle(h.idle[0])
+	longest := h.idle[0]
+	if !suspect && p.isExhausted(h, now) && now.Sub(longest.lastResponse) >= p.exhaustedReuseDelay {
+		return p.removeIdle(longest), 0
 	}
-	return nil
+	if left := delay - now.Sub(longest.lastResponse); left <= min(h.connectTime, maxReuseWait, maxWait) {
+		return p.removeIdle(longest), left
+	}
+	return nil, 0
 }
 
 // isExhausted reports whether connections within their reuse delay have reached the limit of one address, or are all that is idle where no
