Cut the file of completed ids to its limit though its last slots are empty

A start with a lower limit replaced the file only where it had to move an id, so that a file with empty slots beyond the limit kept its size: up to 1/16 of the former limit too much in the folder. Its step that does nothing without room returns in place of rapid's Skip.

--- a/internal/journal/completed.go
+++ b/internal/journal/completed.go
@@ -407,7 +407,7 @@
 	if invalid > 0 {
 		slog.Warn("some IDs of completed messages can't be read: a message that is submitted again under one of them would be sent again", "file", completedFile, "unreadable", invalid, "read", len(c.bySlot))
 	}
-	if len(beyond) == 0 {
+	if len(data)/completedBytes <= c.capacity {
 		return nil
 	}
 	slices.SortFunc(beyond, func(a, b completedID) int { return int(a.expiry - b.expiry) })
--- a/internal/journal/completed_test.go
+++ b/internal/journal/completed_test.go
@@ -49,7 +49,7 @@
 			"add": func(t *rapid.T) {
 				c.expire(now)
 				if len(c.current) == c.capacity {
-					t.Skip("HasRoomForID would have said no")
+					return // HasRoomForID reports that there is no room
 				}
 				number++
 				id := completedID{digestOf(fmt.Sprint(number)), now + rapid.Int64Range(-5, 60).Draw(t, "expiry"), rapid.SampledFrom([]CompletedOutcome{Delivered, Undelivered}).Draw(t, "outcome")}
@@ -59,6 +59,11 @@
 					t.Fatal(err)
 				}
 			},
+			"allocate": func(t *rapid.T) {
+				if err := c.allocate(rapid.IntRange(len(c.slots), c.capacity).Draw(t, "slots")); err != nil {
+					t.Fatal(err)
+				}
+			},
 			"wait": func(t *rapid.T) {
 				now += rapid.Int64Range(0, 30).Draw(t, "ms")
 				maps.DeleteFunc(model, func(_ idDigest, id completedID) bool { return id.expiry <= now })
@@ -83,6 +88,9 @@
 				if len(c.slots) > c.capacity || len(c.bySlot) > c.capacity {
 					t.Fatalf("%d slots, %d IDs, capacity %d", len(c.slots), len(c.bySlot), c.capacity)
 				}
+				if file := files.files[completedFile]; file != nil && len(file.data) > c.capacity*completedBytes {
+					t.Fatalf("the file has %d bytes, %d slots are allowed", len(file.data), c.capacity)
+				}
 				if got := len(c.current) + len(c.expired) + len(c.empty); got != len(c.slots) {
 					t.Fatalf("%d of %d slots are accounted for", got, len(c.slots))
 				}
