--- a/cmd/scaleroute/address_reuse_test.go
+++ b/cmd/scaleroute/address_reuse_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 
+	"scaleroute/internal/operations"
 	"scaleroute/internal/standin"
 )
 
@@ -233,3 +234,58 @@
 		used[peer] = true
 	}
 }
+
+// TestHandedOverConnectionOfFormerOwnerIsNotReused: a connection that was handed over, idle or in a call, is not used for another endpoint at its address.
+func TestHandedOverConnectionOfFormerOwnerIsNotReused(t *testing.T) {
+	for name := range changesOfOwner("", "") {
+		for _, isBefore := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, before the handover %t", name, isBefore), func(t *testing.T) {
+				t.Parallel()
+				u := newUpgradeEnv(t)
+				release := make(chan bool)
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				owner := record(t, ln, func(id string) {
+					if id == "for-former-in-flight" {
+						<-release
+					}
+				})
+				reference := listenAndRecord(t)
+				u.endpoints = entryJSON("former", owner.address, formerDest, "SERVING", formerStart) + "," + entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart)
+				changes := changesOfOwner(owner.address, u.target.Listener.Addr().String())[name]
+				for i := range changes {
+					changes[i].entries = append(changes[i].entries, entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart))
+				}
+				old := u.launch()
+				old.awaitReady()
+				c := old.connect()
+				for _, id := range []string{"for-former-in-flight", "for-former-idle"} {
+					c.mustEnqueue(id, "unsafe", 200000)
+					owner.await(id)
+				}
+				if isBefore {
+					u.reportAll(c, changes)
+				}
+				next := u.launch()
+				next.awaitReady()
+				if !isBefore {
+					u.reportAll(c, changes)
+				}
+				close(release)
+				next.awaitStats("the call in flight is not completed", func(s operations.Stats) bool { return s.Fulfilled["unsafe"] > 0 })
+				reference.awaitReuse(c)
+				if got := c.enqueueTo("for-later", "unsafe", laterDest); got != "+OK" {
+					t.Fatal(got)
+				}
+				owner.await("for-later")
+				for _, id := range []string{"for-former-in-flight", "for-former-idle"} {
+					if owner.peerOf(id) == owner.peerOf("for-later") {
+						t.Errorf("the message of the later endpoint came over the connection of %s", id)
+					}
+				}
+			})
+		}
+	}
+}
--- a/cmd/scaleroute/handover.go
+++ b/cmd/scaleroute/handover.go
@@ -53,10 +53,14 @@
 		Stopped time.Time `json:"stopped"`
 	}
 	callRecord struct {
-		Message   string    `json:"message"`
-		Attempt   int       `json:"attempt"`
-		Endpoint  string    `json:"endpoint"`
-		Address   string    `json:"address"`
+		Message  string `json:"message"`
+		Attempt  int    `json:"attempt"`
+		Endpoint string `json:"endpoint"`
+		Address  string `json:"address"`
+
+		Destination int   `json:"destination"` // of the endpoint, as listed when the connection was opened
+		StartedMS   int64 `json:"since_ms,omitempty"`
+
 		Read      []byte    `json:"read"`
 		Began     time.Time `json:"began"`
 		Deadline  time.Time `json:"end"`
@@ -67,8 +71,11 @@
 		Used   bool   `json:"used"`
 	}
 	idleRecord struct {
-		Address string    `json:"address"`
-		Since   time.Time `json:"since"`
+		Endpoint    string    `json:"endpoint"` // empty from processes that handed over addresses alone
+		Destination int       `json:"destination"`
+		StartedMS   int64     `json:"since_ms,omitempty"`
+		Address     string    `json:"address"`
+		Since       time.Time `json:"since"`
 	}
 )
 
@@ -93,7 +100,8 @@
 	}
 	for _, c := range s.engine.Calls {
 		if err == nil {
-			add(kindCall, callRecord{c.Message, c.Attempt, c.Endpoint, c.Address, c.Read, c.Began, c.Deadline, c.LedgerSeq}, takeover.Record{Conn: c.Conn})
+			add(kindCall, callRecord{Message: c.Message, Attempt: c.Attempt, Endpoint: c.Endpoint, Address: c.InFlightCall.Endpoint.Address, Destination: c.InFlightCall.Endpoint.Destination,
+				StartedMS: c.InFlightCall.Endpoint.StartedMS, Read: c.Read, Began: c.Began, Deadline: c.Deadline, LedgerSeq: c.LedgerSeq}, takeover.Record{Conn: c.Conn})
 		}
 	}
 	for _, c := range s.clients {
@@ -103,7 +111,7 @@
 	}
 	for _, c := range s.idle {
 		if err == nil {
-			add(kindIdle, idleRecord{c.Address, c.Since}, takeover.Record{Conn: c.Conn})
+			add(kindIdle, idleRecord{Endpoint: c.Endpoint.Name, Destination: c.Endpoint.Destination, StartedMS: c.Endpoint.StartedMS, Address: c.Endpoint.Address, Since: c.Since}, takeover.Record{Conn: c.Conn})
 		}
 	}
 	return list, err
@@ -156,7 +164,7 @@
 			var v callRecord
 			read(&v)
 			state.engine.Calls = append(state.engine.Calls, engine.HandoverCall{Message: v.Message, Attempt: v.Attempt, Endpoint: v.Endpoint, LedgerSeq: v.LedgerSeq,
-				InFlightCall: &engine.InFlightCall{Address: v.Address, Conn: record.Conn, Read: v.Read, Began: v.Began.Add(clockStep), Deadline: v.Deadline.Add(clockStep)}})
+				InFlightCall: &engine.InFlightCall{Endpoint: engine.EndpointIdentity{Name: v.Endpoint, Destination: v.Destination, Address: v.Address, StartedMS: v.StartedMS}, Conn: record.Conn, Read: v.Read, Began: v.Began.Add(clockStep), Deadline: v.Deadline.Add(clockStep)}})
 		case kindClient:
 			var v clientRecord
 			read(&v)
@@ -164,7 +172,7 @@
 		case kindIdle:
 			var v idleRecord
 			read(&v)
-			state.idle = append(state.idle, httpcall.IdleConn{Address: v.Address, Conn: record.Conn, Since: v.Since.Add(clockStep)})
+			state.idle = append(state.idle, httpcall.IdleConn{Endpoint: engine.EndpointIdentity{Name: v.Endpoint, Destination: v.Destination, Address: v.Address, StartedMS: v.StartedMS}, Conn: record.Conn, Since: v.Since.Add(clockStep)})
 		default:
 			err = fmt.Errorf("a kind that this program does not know")
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -55,13 +56,26 @@
 
 // Endpoint is one entry of a List.
 type Endpoint struct {
-	Name    string  `json:"name"`
-	Address string  `json:"address"`
-	Zone    string  `json:"zone"`
-	Type    string  `json:"type"`
-	Group   int     `json:"group"`
-	Status  string  `json:"status"`
-	Weight  float64 `json:"weight"`
+	Name    string    `json:"name"`
+	Address string    `json:"address"`
+	Zone    string    `json:"zone"`
+	Type    string    `json:"type"`
+	Group   int       `json:"group"`
+	Status  string    `json:"status"`
+	Weight  float64   `json:"weight"`
+	SinceMS UnixMilli `json:"since_ms,omitempty"` // when its process started; 0: long ago, or unknown
+}
+
+// UnixMilli is a time in milliseconds since 1970. A value that is no number in range is read as 0, so that it does not spoil its list.
+type UnixMilli int64
+
+// UnmarshalJSON reads a number, also one with decimals.
+func (u *UnixMilli) UnmarshalJSON(text []byte) error {
+	*u = 0
+	if n, err := strconv.ParseFloat(string(text), 64); err == nil && n > 0 && n < 1<<53 {
+		*u = UnixMilli(n)
+	}
+	return nil
 }
 
 // ToEngineList converts the list to the engine's form, with the given scope.
@@ -75,7 +89,7 @@
 		case Deleted:
 			state = decide.Gone
 		}
-		list.Endpoints[i] = engine.Endpoint{Address: e.Address, Target: decide.Target{ID: e.Name, Destination: e.Group,
+		list.Endpoints[i] = engine.Endpoint{Address: e.Address, StartedMS: int64(e.SinceMS), Target: decide.Target{ID: e.Name, Destination: e.Group,
 			Kind: e.Type, Zone: e.Zone, State: state, Weight: e.Weight}}
 	}
 	return list
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -11,10 +11,10 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"scaleroute/internal/back/registry"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 )
@@ -27,10 +27,10 @@
 
 var errResponseTooLarge = errors.New("the response is larger than 64 KiB")
 
-// Back knows the addresses of the endpoints and keeps connections to them.
+// Back keeps connections to the listed endpoints and makes calls over them.
 type Back struct {
 	pool      *pool
-	endpoints map[string]*endpoint
+	endpoints *registry.Registry[*endpoint]
 }
 
 // Config holds the limits and time-outs of a Back.
@@ -42,16 +42,9 @@
 	DialControl func(network, address string, c syscall.RawConn) error
 }
 
-// endpoint is an endpoint at one address.
-type endpoint struct {
-	host     *host
-	pool     *pool
-	draining atomic.Bool // no new call is made, not even one that was decided on before
-}
-
 // New makes a Back without endpoints.
 func New(c Config) *Back {
-	return &Back{endpoints: map[string]*endpoint{}, pool: &pool{
+	b := &Back{pool: &pool{
 		maxConns:            c.MaxConnections,
 		idleTimeout:         idleTimeoutFor(c.EndpointIdleTimeout),
 		connectTimeout:      c.ConnectTimeout,
@@ -59,8 +52,10 @@
 		reuseDelay:          reuseDelay,
 		suspectReuseDelay:   suspectReuseDelay,
 		exhaustedReuseDelay: exhaustedReuseDelay,
-		hosts:               map[string]*host{},
 	}}
+	isHTTP := func(address string) bool { return !engine.IsMail(address) }
+	b.endpoints = registry.New(isHTTP, func(i *registry.Incarnation) (*endpoint, error) { return b.newEndpoint(i), nil })
+	return b
 }
 
 // idleTimeoutFor returns how long an idle connection is kept, given the endpoint's own idle time-out. It is always shorter than that,
@@ -72,58 +67,19 @@
 	return max(endpointTimeout-idleMargin, endpointTimeout/2)
 }
 
-// UpdateEndpoints applies an endpoint list or a delta from discovery.
-func (b *Back) UpdateEndpoints(l engine.List) {
-	complete := l.Scope == decide.Snapshot || l.Scope == decide.LastKnown
-	listed := map[string]bool{}
-	for _, e := range l.Endpoints {
-		if complete {
-			listed[e.ID] = true
-		}
-		old := b.endpoints[e.ID]
-		switch {
-		case e.State == decide.Gone:
-			b.remove(e.ID)
-		case old == nil || old.host.address != e.Address:
-			b.remove(e.ID)
-			b.endpoints[e.ID] = b.newEndpoint(e.Address)
-		}
-		if ep := b.endpoints[e.ID]; ep != nil {
-			ep.draining.Store(e.State != decide.Active)
-		}
-	}
-	if !complete {
-		return
-	}
-	for name := range b.endpoints {
-		if !listed[name] {
-			b.remove(name)
-		}
-	}
-}
+// UpdateEndpoints applies an endpoint list or a delta from discovery. Endpoints of other backs are ignored.
+func (b *Back) UpdateEndpoints(l engine.List) { b.endpoints.Update(l) }
 
 // Endpoint returns the endpoint of that name, or nil.
 func (b *Back) Endpoint(name string) engine.Caller {
-	if e := b.endpoints[name]; e != nil {
+	if e, ok := b.endpoints.Named(name); ok {
 		return e
 	}
 	return nil
 }
 
-// remove drops an endpoint. Calls in flight to it continue.
-func (b *Back) remove(name string) {
-	if e := b.endpoints[name]; e != nil {
-		b.pool.releaseHost(e.host)
-		delete(b.endpoints, name)
-	}
-}
-
-func (b *Back) newEndpoint(address string) *endpoint {
-	return &endpoint{host: b.pool.acquireHost(address), pool: b.pool}
-}
-
-// CloseIdle closes the idle connections to the endpoint's address.
-func (e *endpoint) CloseIdle() { e.pool.closeIdle(e.host) }
+// CloseIdle closes the idle connections to the endpoint.
+func (e *endpoint) CloseIdle() { e.pool.closeIdle(e) }
 
 // HandsOver marks the endpoint as an [engine.Portable]: its calls in flight can be continued by another process.
 func (e *endpoint) HandsOver() {}
@@ -142,21 +98,13 @@
 	if a.ConnectTimeout > 0 {
 		connectTimeout = min(connectTimeout, a.ConnectTimeout)
 	}
-	c, err := e.pool.get(ctx, e.host, connectTimeout)
+	c, err := e.pool.get(ctx, e, connectTimeout)
 	if err != nil {
-		o.Result, o.Latency = decide.ConnectFailed, time.Since(start)
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || context.Cause(ctx) == engine.ErrHandOver {
-			o.Result = decide.NotSent // a shortage of file descriptors or a handover here, and no failure of the endpoint
-		}
+		o.Result, o.Latency = e.connectResult(ctx, &a, err), time.Since(start)
 		return o
 	}
-	mayBegin := ctx.Err() == nil && (a.MayBegin == nil || a.MayBegin()) // asked as late as possible
-	switch {
-	case e.draining.Load(): // set while the connection was established or MayBegin ran: a process that was stopped there may have received a newer list since
-		e.pool.close(c)
-		o.Result = decide.NotSent
-		return o
-	case !mayBegin:
+	if refusal := e.MayWrite(ctx, &a, c.endpoint.Incarnation); refusal != registry.NotRefused { // asked as late as possible
+		e.ReportWithheld(&a, refusal)
 		e.pool.addIdle(c, c.idleSince) // nothing has been written to it, so its idle time continues
 		o.Result = decide.NotSent
 		return o
@@ -180,11 +128,26 @@
 	return o
 }
 
+// connectResult returns the result of a call for which there was no connection.
+func (e *endpoint) connectResult(ctx context.Context, a *engine.Attempt, err error) decide.Result {
+	switch {
+	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE): // a shortage of descriptors here, and no failure of the endpoint
+		return decide.NotSent
+	case context.Cause(ctx) == engine.ErrHandOver: // the next process starts the call from scratch
+		return decide.NotSent
+	}
+	if refusal := e.Refusal(); refusal != registry.NotRefused {
+		e.ReportWithheld(a, refusal)
+		return decide.NotSent
+	}
+	return decide.ConnectFailed
+}
+
 // requestHeader returns the request line and header. It does without fmt, which takes more stack than a new goroutine has, above all
 // for a number with decimals: growing the stack accounted for a tenth of the cost of a call.
 func (e *endpoint) requestHeader(a *engine.Attempt, timeout time.Duration, size int) []byte {
 	header := make([]byte, 0, 192+len(a.ID))
-	header = append(append(header, "POST /events HTTP/1.1\r\nHost: "...), e.host.address...)
+	header = append(append(header, "POST /events HTTP/1.1\r\nHost: "...), e.Address...)
 	header = append(append(header, "\r\nUser-Agent: scaleroute\r\nReq-Id: "...), a.ID...)
 	ms := timeout.Round(time.Millisecond).Milliseconds()
 	header = strconv.AppendInt(append(header, "\r\nReq-Deadline: "...), ms/1000, 10)
@@ -204,7 +167,7 @@
 	if err != nil && a.HandOver != nil && context.Cause(ctx) == engine.ErrHandOver && c.timedOut && time.Now().Before(deadline) {
 		c.settleAbort(stopAbort)
 		e.pool.detach()
-		a.HandOver(&engine.InFlightCall{Address: e.host.address, Conn: c.Conn, Read: c.received, Began: start, Deadline: deadline})
+		a.HandOver(&engine.InFlightCall{Endpoint: e.EndpointIdentity, Conn: c.Conn, Read: c.received, Began: start, Deadline: deadline})
 		return
 	}
 	switch {
@@ -214,7 +177,7 @@
 		o.Result, o.NoAnswerNeeded = decide.Succeeded, true
 	case len(c.received) > 0: // the call may have run, whatever the malformed response seems to say
 		o.Result, o.RetryAfter = decide.Errored, c.retryAfter.remaining() // a retry-after that was read still applies
-		slog.Warn("malformed response", "target", e.host.address, "begins", fmt.Sprintf("%.80q", c.received), "err", err)
+		slog.Warn("malformed response", "target", e.Address, "begins", fmt.Sprintf("%.80q", c.received), "err", err)
 	case ctx.Err() != nil:
 		o.Result = decide.Cancelled
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/back/httpcall/call_test.go
+++ b/internal/back/httpcall/call_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"scaleroute/internal/back/registry"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 	"scaleroute/internal/message"
@@ -28,6 +29,11 @@
 	return b
 }
 
+// endpointAt returns an endpoint at an address that no list names.
+func (b *Back) endpointAt(address string) *endpoint {
+	return b.newEndpoint(registry.NewIncarnation(engine.EndpointIdentity{Address: address}))
+}
+
 // newDefaultBack returns a Back with the delays that the program uses.
 func newDefaultBack() *Back {
 	return New(Config{MaxConnections: 600, EndpointIdleTimeout: time.Minute, ConnectTimeout: time.Minute})
@@ -105,7 +111,7 @@
 				}
 				return "HTTP/1.1 " + c.response + "\r\nContent-Length: 2\r\n\r\nok"
 			})
-			ep := newTestBack().newEndpoint(address)
+			ep := newTestBack().endpointAt(address)
 			for range 3 {
 				o := ep.Call(t.Context(), engine.Attempt{ID: "m1", Body: message.Bytes("two\r\nlines"), Timeout: time.Minute})
 				if o.Latency <= 0 {
@@ -147,13 +153,13 @@
 	ln.Close()
 
 	back := newTestBack()
-	if o := back.newEndpoint(refusing).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.ConnectFailed {
+	if o := back.endpointAt(refusing).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.ConnectFailed {
 		t.Errorf("refused: %+v", o)
 	}
-	if o := back.newEndpoint(closes).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Reset || calls.Load() != 1 {
+	if o := back.endpointAt(closes).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Reset || calls.Load() != 1 {
 		t.Errorf("connection closed after the request: %+v, %d calls", o, calls.Load())
 	}
-	if o := back.newEndpoint(silent).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: 50 * time.Millisecond}); o.Result != decide.TimedOut {
+	if o := back.endpointAt(silent).Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: 50 * time.Millisecond}); o.Result != decide.TimedOut {
 		t.Errorf("no response: %+v", o)
 	}
 	<-arrived
@@ -162,7 +168,7 @@
 		<-arrived
 		cancel()
 	}()
-	if o := back.newEndpoint(silent).Call(ctx, engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.Cancelled {
+	if o := back.endpointAt(silent).Call(ctx, engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.Cancelled {
 		t.Errorf("cancelled: %+v", o)
 	}
 }
@@ -181,7 +187,7 @@
 		}
 		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	})
-	ep := newTestBack().newEndpoint(address)
+	ep := newTestBack().endpointAt(address)
 	for _, body := range []string{"x", ""} {
 		mu.Lock()
 		seen = nil
@@ -251,7 +257,7 @@
 				}
 				return c.response
 			})
-			ep := newTestBack().newEndpoint(address)
+			ep := newTestBack().endpointAt(address)
 			o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute})
 			o.Latency = 0
 			if o != c.want {
@@ -296,7 +302,7 @@
 			sent <- true
 		}
 	}()
-	ep := newTestBack().newEndpoint(ln.Addr().String())
+	ep := newTestBack().endpointAt(ln.Addr().String())
 	if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}); o.Result != decide.Succeeded {
 		t.Fatalf("%+v", o)
 	}
@@ -315,7 +321,7 @@
 	var list []*endpoint
 	for range 3 {
 		address, _ := startEndpoint(t, func(*http.Request, string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
-		list = append(list, back.newEndpoint(address))
+		list = append(list, back.endpointAt(address))
 	}
 	idle := func() string {
 		back.pool.mu.Lock()
@@ -323,7 +329,7 @@
 		var b strings.Builder
 		n := 0
 		for c := back.pool.idle.first; c != nil; c = c.next {
-			b.WriteByte('a' + byte(slices.IndexFunc(list, func(t *endpoint) bool { return t.host == c.host })))
+			b.WriteByte('a' + byte(slices.IndexFunc(list, func(t *endpoint) bool { return t == c.endpoint })))
 			n++
 		}
 		if back.pool.openConns != n {
@@ -342,7 +348,7 @@
 			t.Errorf("idle: %q, want %q", got, step.want)
 		}
 	}
-	back.pool.releaseHost(list[0].host)
+	list[0].Release()
 	list[0].Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute}) // a call in flight while its endpoint is removed
 	if got := idle(); got != "c" {
 		t.Errorf("idle: %q", got)
@@ -360,22 +366,26 @@
 	}
 	back := newTestBack()
 	back.UpdateEndpoints(engine.List{Scope: decide.Snapshot, Endpoints: []engine.Endpoint{at("a", "127.0.0.1:1", decide.Active), at("b", "127.0.0.1:2", decide.Active)}})
-	a := back.endpoints["a"]
+	a, _ := back.endpoints.Named("a")
 	back.UpdateEndpoints(engine.List{Scope: decide.Delta, Endpoints: []engine.Endpoint{at("a", "127.0.0.1:1", decide.Draining), at("b", "127.0.0.1:3", decide.Active)}})
-	if back.endpoints["a"] != a || back.endpoints["b"].host.address != "127.0.0.1:3" {
-		t.Errorf("after the delta: %v", back.endpoints)
+	if now, _ := back.endpoints.Named("a"); now != a {
+		t.Error("after the delta: a is another incarnation")
+	}
+	if b, _ := back.endpoints.Named("b"); b.Address != "127.0.0.1:3" {
+		t.Errorf("after the delta: b is at %s", b.Address)
 	}
 	back.UpdateEndpoints(engine.List{Scope: decide.Delta, Endpoints: []engine.Endpoint{at("a", "", decide.Gone)}})
 	if back.Endpoint("a") != nil || back.Endpoint("b") == nil {
-		t.Errorf("after the removal of a: %v", back.endpoints)
+		t.Error("after the removal of a")
 	}
 	back.UpdateEndpoints(engine.List{Scope: decide.Snapshot})
-	if len(back.endpoints) != 0 {
-		t.Errorf("after an empty snapshot: %v", back.endpoints)
+	if n := back.endpoints.Len(); n != 0 {
+		t.Errorf("after an empty snapshot: %d endpoints", n)
 	}
 }
 
-// TestSharedAddress checks that endpoints at one address share its connections, which stay open until the last endpoint is removed.
+// TestSharedAddress checks that each endpoint at an address has connections of its own, which are closed with it: a connection was accepted by the
+// process that one endpoint's name stood for, and another endpoint's process may have the address by now.
 func TestSharedAddress(t *testing.T) {
 	address, conns := startEndpoint(t, func(*http.Request, string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
 	back := newTestBack()
@@ -390,16 +400,24 @@
 		}
 	}
 	call("a")
+	call("a")
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections of one endpoint, want 1", n)
+	}
 	list.Scope, list.Endpoints[0].State = decide.Delta, decide.Gone
 	back.UpdateEndpoints(list)
+	if back.pool.openConns != 0 {
+		t.Errorf("%d connections of an endpoint that is gone are left", back.pool.openConns)
+	}
 	call("b")
-	if n := conns.Load(); n != 1 {
-		t.Errorf("%d connections, want 1", n)
+	call("b")
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
 	}
 	list.Endpoints[1].State = decide.Gone
 	back.UpdateEndpoints(list)
-	if back.pool.openConns != 0 || len(back.pool.hosts) != 0 {
-		t.Errorf("%d connections to %d addresses are left, want none", back.pool.openConns, len(back.pool.hosts))
+	if back.pool.openConns != 0 || back.endpoints.Len() != 0 {
+		t.Errorf("%d connections of %d endpoints are left, want none", back.pool.openConns, back.endpoints.Len())
 	}
 }
 
@@ -427,7 +445,7 @@
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	}()
-	ep := newTestBack().newEndpoint(ln.Addr().String())
+	ep := newTestBack().endpointAt(ln.Addr().String())
 	for range 2 {
 		o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes(nil), Timeout: time.Minute})
 		if o.Result != decide.Succeeded || o.Latency < responseReadTimeout {
--- a/internal/back/httpcall/conn.go
+++ b/internal/back/httpcall/conn.go
@@ -19,11 +19,11 @@
 
 const maxResponseBytes = 64 << 10 // header and body; reading a longer response fails
 
-// conn is a connection to an address. It serves one call at a time.
+// conn is a connection to an endpoint. It serves one call at a time.
 type conn struct {
 	net.Conn
 	raw        syscall.RawConn
-	host       *host
+	endpoint   *endpoint // that it was opened for
 	r          *bufio.Reader
 	received   []byte           // all bytes since the call began
 	timedOut   bool             // the last read ended at its deadline
@@ -38,8 +38,8 @@
 	prev, next *conn // in the idle list
 }
 
-func newConn(raw net.Conn, h *host) *conn {
-	c := &conn{Conn: raw, host: h, idleSince: time.Now()}
+func newConn(raw net.Conn, e *endpoint) *conn {
+	c := &conn{Conn: raw, endpoint: e, idleSince: time.Now()}
 	c.r = bufio.NewReader(c)
 	if s, ok := raw.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn()
--- a/internal/back/httpcall/duplicate_test.go
+++ b/internal/back/httpcall/duplicate_test.go
@@ -64,7 +64,7 @@
 	for _, delay := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 12 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
 			t.Parallel()
-			ep := newDefaultBack().newEndpoint(startDuplicatingEndpoint(t, delay))
+			ep := newDefaultBack().endpointAt(startDuplicatingEndpoint(t, delay))
 			for number := 1; number <= 20; number++ {
 				want := decide.Succeeded
 				if number%2 == 0 {
@@ -84,7 +84,7 @@
 func TestLateDuplicateMarksAddressSuspect(t *testing.T) {
 	const delay = 50 * time.Millisecond
 	back := newDefaultBack()
-	ep := back.newEndpoint(startDuplicatingEndpoint(t, delay))
+	ep := back.endpointAt(startDuplicatingEndpoint(t, delay))
 	call := func(number int) decide.Result {
 		return ep.Call(t.Context(), engine.Attempt{ID: strconv.Itoa(number), Body: message.Bytes("x"), Timeout: time.Minute}).Result
 	}
@@ -177,7 +177,7 @@
 				t.Parallel()
 				endpoint := startCrossingEndpoint(t, limit, map[string]string{first: c.first, second: c.second})
 				b := New(Config{MaxConnections: 10, EndpointIdleTimeout: time.Minute})
-				ep := b.newEndpoint(endpoint.address)
+				ep := b.endpointAt(endpoint.address)
 				ep.Call(t.Context(), engine.Attempt{ID: first, Body: message.Bytes("x"), Timeout: time.Minute})
 				time.Sleep(pause)
 				if o := ep.Call(t.Context(), engine.Attempt{ID: second, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != c.want {
@@ -219,7 +219,7 @@
 	address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
 	b := New(Config{MaxConnections: 1, EndpointIdleTimeout: time.Minute})
 	b.pool.reuseDelay, b.pool.exhaustedReuseDelay = time.Hour, 0
-	ep := b.newEndpoint(address)
+	ep := b.endpointAt(address)
 	call := func() {
 		t.Helper()
 		if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
@@ -253,7 +253,7 @@
 	})
 	b := newDefaultBack()
 	b.pool.reuseDelay, b.pool.exhaustedReuseDelay = time.Hour, 0
-	ep := b.newEndpoint(address)
+	ep := b.endpointAt(address)
 	call := func(id string) {
 		if o := ep.Call(t.Context(), engine.Attempt{ID: id, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
 			t.Error(o.Result)
@@ -283,7 +283,7 @@
 		address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
 		b := newDefaultBack()
 		b.pool.reuseDelay = delay
-		ep := b.newEndpoint(address)
+		ep := b.endpointAt(address)
 		call := func() time.Time {
 			if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
 				t.Error(o.Result)
@@ -291,7 +291,7 @@
 			return time.Now()
 		}
 		first := call()
-		ep.host.connectTime = c.connectTime
+		ep.connectTime = c.connectTime
 		second := call()
 		if got := conns.Load(); got != c.wantConns {
 			t.Errorf("new connections take %v: %d connections, want %d", c.connectTime, got, c.wantConns)
@@ -308,16 +308,16 @@
 	address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
 	b := newDefaultBack()
 	b.pool.reuseDelay = maxReuseWait
-	ep := b.newEndpoint(address)
+	ep := b.endpointAt(address)
 	attempt := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}
 	ep.Call(t.Context(), attempt)
-	ep.host.connectTime = time.Second
+	ep.connectTime = time.Second
 	ctx, cancel := context.WithCancelCause(t.Context())
 	cancel(engine.ErrHandOver)
 	if o := ep.Call(ctx, attempt); o.Result != decide.NotSent {
 		t.Errorf("cancelled for a handover: %v", o.Result)
 	}
-	if got := conns.Load(); got != 1 || len(ep.host.idle) != 1 || b.pool.openConns != 1 {
-		t.Errorf("%d connections, %d idle, %d open", got, len(ep.host.idle), b.pool.openConns)
+	if got := conns.Load(); got != 1 || len(ep.idle) != 1 || b.pool.openConns != 1 {
+		t.Errorf("%d connections, %d idle, %d open", got, len(ep.idle), b.pool.openConns)
 	}
 }
--- a/internal/back/httpcall/handover.go
+++ b/internal/back/httpcall/handover.go
@@ -5,15 +5,16 @@
 	"net"
 	"time"
 
+	"scaleroute/internal/back/registry"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 )
 
 // IdleConn is an idle connection that is handed over to another process.
 type IdleConn struct {
-	Address string
-	Conn    net.Conn
-	Since   time.Time
+	Endpoint engine.EndpointIdentity // that it was opened for
+	Conn     net.Conn
+	Since    time.Time
 }
 
 // ReleaseIdle returns all idle connections for another process. Connections that become idle afterwards are closed.
@@ -25,26 +26,22 @@
 	for c := p.idle.first; c != nil; c = p.idle.first {
 		p.removeIdle(c)
 		p.openConns--
-		list = append(list, IdleConn{c.host.address, c.Conn, c.idleSince})
+		list = append(list, IdleConn{c.endpoint.EndpointIdentity, c.Conn, c.idleSince})
 	}
 	return list
 }
 
-// AdoptIdle adds idle connections of another process, given longest idle first. Connections to addresses without an endpoint,
-// and those beyond the limit, are closed.
+// AdoptIdle adds idle connections of another process, given longest idle first. Connections to endpoints that are not listed as they were when
+// the connection was opened, and those beyond the limit, are closed.
 func (b *Back) AdoptIdle(list []IdleConn) {
 	p := b.pool
 	for _, idle := range list {
-		p.mu.Lock()
-		h := p.hosts[idle.Address]
-		if p.openConns++; h == nil || p.openConns > p.maxConns {
-			p.openConns--
-			p.mu.Unlock()
+		e, isListed := b.endpoints.Identified(idle.Endpoint)
+		if !isListed || !p.adoptConn() {
 			idle.Conn.Close()
 			continue
 		}
-		p.mu.Unlock()
-		c := newConn(idle.Conn, h)
+		c := newConn(idle.Conn, e)
 		since := idle.Since
 		if now := time.Now(); since.After(now) { // the wall clock was set back in the meantime
 			since = now
@@ -58,19 +55,32 @@
 func (b *Back) Resume(ctx context.Context, name string, call *engine.InFlightCall, a engine.Attempt) (o decide.Outcome) {
 	b.pool.mu.Lock()
 	b.pool.openConns++
-	h := b.pool.hosts[call.Address]
-	if h == nil { // the endpoint is no longer listed, so its connection is not kept afterwards
-		h = &host{address: call.Address}
-	}
 	b.pool.mu.Unlock()
-	c := newConn(call.Conn, h)
+	e, isListed := b.endpoints.Identified(call.Endpoint)
+	if !isListed { // so its connection is not kept afterwards
+		e = b.newEndpoint(registry.NewIncarnation(call.Endpoint))
+		e.Withdraw()
+		e.Release()
+	}
+	c := newConn(call.Conn, e)
 	c.replay, c.retryAfter = call.Read, retryAfterParser{notify: a.OnRetryAfter}
 	c.SetDeadline(call.Deadline)
 	stopAbort := context.AfterFunc(ctx, c.abortCall)
-	(&endpoint{host: h, pool: b.pool}).awaitResponse(ctx, c, call.Began, call.Deadline, &a, stopAbort, &o)
+	e.awaitResponse(ctx, c, call.Began, call.Deadline, &a, stopAbort, &o)
 	return o
 }
 
+// adoptConn counts a connection that comes from another process, unless there are too many.
+func (p *pool) adoptConn() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.openConns >= p.maxConns {
+		return false
+	}
+	p.openConns++
+	return true
+}
+
 // detach stops counting a connection that is handed over to another process.
 func (p *pool) detach() {
 	p.mu.Lock()
--- a/internal/back/httpcall/handover_test.go
+++ b/internal/back/httpcall/handover_test.go
@@ -155,3 +155,55 @@
 		t.Errorf("%+v, served %d times", o, served.Load())
 	}
 }
+
+// TestWithdrawnBeforeFirstByte: a message is not written to an endpoint that was withdrawn or drains, however a list says so, while the call waited for a
+// connection or for its permission; and the next incarnation is called over connections of its own.
+func TestWithdrawnBeforeFirstByte(t *testing.T) {
+	for name, end := range map[string]func(e engine.Endpoint) engine.List{
+		"gone":                    func(e engine.Endpoint) engine.List { e.State = decide.Gone; return deltaOf(e) },
+		"draining":                func(e engine.Endpoint) engine.List { e.State = decide.Draining; return deltaOf(e) },
+		"missing from a snapshot": func(engine.Endpoint) engine.List { return engine.List{Scope: decide.Snapshot} },
+		"moved":                   func(e engine.Endpoint) engine.List { e.Address = "127.0.0.1:1"; return deltaOf(e) },
+		"other destination":       func(e engine.Endpoint) engine.List { e.Destination++; return deltaOf(e) },
+		"restarted":               func(e engine.Endpoint) engine.List { e.StartedMS++; return deltaOf(e) },
+		"gone and listed again": func(e engine.Endpoint) engine.List {
+			gone := e
+			gone.State = decide.Gone
+			return deltaOf(gone, e)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var served atomic.Int32
+			address, conns := startEndpoint(t, func(*http.Request, string) string {
+				served.Add(1)
+				return okResponse
+			})
+			b := newTestBack()
+			e := engine.Endpoint{Target: decide.Target{ID: "t", Destination: 7}, Address: address, StartedMS: 1}
+			b.UpdateEndpoints(engine.List{Scope: decide.Snapshot, Endpoints: []engine.Endpoint{e}})
+			ep := b.Endpoint("t")
+			var withheld []string
+			attempt := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute, OnWithheld: func(reason string) { withheld = append(withheld, reason) },
+				MayBegin: func() bool {
+					b.UpdateEndpoints(end(e))
+					return true
+				}}
+			if o := ep.Call(t.Context(), attempt); o.Result != decide.NotSent || served.Load() != 0 || len(withheld) != 1 {
+				t.Errorf("%+v, served %d times, withheld %q", o, served.Load(), withheld)
+			}
+			b.UpdateEndpoints(deltaOf(e))
+			attempt.MayBegin = nil
+			connsBefore := conns.Load()
+			if o := b.Endpoint("t").Call(t.Context(), attempt); o.Result != decide.Succeeded {
+				t.Fatalf("the next incarnation: %+v", o)
+			}
+			if isNew := b.Endpoint("t") != ep; isNew && conns.Load() == connsBefore {
+				t.Error("the next incarnation was called over the former one's connection")
+			}
+		})
+	}
+}
+
+func deltaOf(endpoints ...engine.Endpoint) engine.List {
+	return engine.List{Scope: decide.Delta, Endpoints: endpoints}
+}
--- a/internal/back/httpcall/pause_test.go
+++ b/internal/back/httpcall/pause_test.go
@@ -51,7 +51,7 @@
 					time.Sleep(time.Until(began.Add(2 * a.Timeout)))
 				}
 			}
-			o := newTestBack().newEndpoint(ln.Addr().String()).Call(ctx, a)
+			o := newTestBack().endpointAt(ln.Addr().String()).Call(ctx, a)
 			want := decide.TimedOut
 			switch {
 			case at == len(response):
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"scaleroute/internal/back/registry"
 )
 
 const (
@@ -18,10 +20,10 @@
 	// belongs to, so a duplicate of that response that arrives after the next request would be read as the next response.
 	// The delay covers how long behind its response an endpoint writes a duplicate, and how much longer the network takes to deliver it.
 	reuseDelay        = 200 * time.Millisecond
-	suspectReuseDelay = 2 * time.Second  // at an address that has sent unexpected data
-	suspectDuration   = 10 * time.Minute // how long an address stays suspect after unexpected data
+	suspectReuseDelay = 2 * time.Second  // at an endpoint that has sent unexpected data
+	suspectDuration   = 10 * time.Minute // how long an endpoint stays suspect after unexpected data
 	// exhaustedReuseDelay replaces reuseDelay where connections within their reuse delay have reached a limit: that of all connections, or
-	// maxDelayedConns of one address.
+	// maxDelayedConns of one endpoint.
 	exhaustedReuseDelay = 20 * time.Millisecond
 	maxDelayedConns     = 64
 
@@ -29,7 +31,7 @@
 	connectTimeWeight = 4          // a new connection counts for 1/4 of the smoothed time to connect
 )
 
-// pool keeps the connections to all addresses. It does not use net/http's Transport, which may reuse a connection before it checks
+// pool keeps the connections to all endpoints. It does not use net/http's Transport, which may reuse a connection before it checks
 // for data after the response, reads a duplicate of a response as the response to the next call, and does not expose the status line
 // of a response whose header is malformed. Requests are small and written by this package; responses are parsed by net/http.
 type pool struct {
@@ -38,7 +40,7 @@
 	connectTimeout    time.Duration // for a connection to be established; 0: the time-out of its call alone
 	dialControl       func(network, address string, c syscall.RawConn) error
 	reuseDelay        time.Duration // least time between a connection's last response and its next call
-	suspectReuseDelay time.Duration // the same at a suspect address
+	suspectReuseDelay time.Duration // the same at a suspect endpoint
 	// exhaustedReuseDelay is the same where the pool is exhausted.
 	exhaustedReuseDelay time.Duration
 
@@ -46,17 +48,34 @@
 	openConns  int
 	handedOver bool     // the idle connections have gone to another process; no connection is kept any more
 	idle       idleList // all idle connections, longest idle first
-	hosts      map[string]*host
 	timer      *time.Timer
 }
 
-// host is the state of one address. Several endpoints may share an address.
-type host struct {
-	address      string
-	endpoints    int           // at this address; with none, no idle connections are kept
+// endpoint is an endpoint with the connections that were opened for it. Another endpoint at its address has connections of its own.
+type endpoint struct {
+	*registry.Incarnation
+	pool *pool
+
+	// The pool's lock guards the rest.
+	isReleased   bool          // no idle connections are kept any more
 	idle         []*conn       // by the time of their last response, earliest first
-	connectTime  time.Duration // smoothed; failed attempts count as well; guarded by the pool's lock
-	suspectUntil time.Time     // the address has sent unexpected data; guarded by the pool's lock
+	connectTime  time.Duration // smoothed; failed attempts count as well
+	suspectUntil time.Time     // the endpoint has sent unexpected data
+}
+
+func (b *Back) newEndpoint(i *registry.Incarnation) *endpoint {
+	return &endpoint{Incarnation: i, pool: b.pool}
+}
+
+// Listing returns the incarnation.
+func (e *endpoint) Listing() *registry.Incarnation { return e.Incarnation }
+
+// Release closes the idle connections, and those that become idle later.
+func (e *endpoint) Release() {
+	e.pool.mu.Lock()
+	e.isReleased = true
+	e.pool.mu.Unlock()
+	e.pool.closeIdle(e)
 }
 
 // idleList links the idle connections to all addresses, longest idle first.
@@ -86,40 +105,13 @@
 	c.prev, c.next = nil, nil
 }
 
-// acquireHost adds an endpoint to the state of its address, which it creates if need be.
-func (p *pool) acquireHost(address string) *host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.hosts[address]
-	if h == nil {
-		h = &host{address: address}
-		p.hosts[address] = h
-	}
-	h.endpoints++
-	return h
-}
-
-// releaseHost removes an endpoint from the state of its address. With the last one, the state and its idle connections go.
-func (p *pool) releaseHost(h *host) {
-	p.mu.Lock()
-	h.endpoints--
-	last := h.endpoints == 0
-	if last {
-		delete(p.hosts, h.address)
-	}
-	p.mu.Unlock()
-	if last {
-		p.closeIdle(h)
-	}
-}
-
 // get returns an idle connection that may be reused, the most recently used first, or a new one. Beyond the limit, a new connection
-// displaces the one that has been idle longest, whatever its address.
-func (p *pool) get(ctx context.Context, h *host, timeLeft time.Duration) (*conn, error) {
+// displaces the one that has been idle longest, whatever its endpoint. Waiting ends when the endpoint is no longer called.
+func (p *pool) get(ctx context.Context, e *endpoint, timeLeft time.Duration) (*conn, error) {
 	start := time.Now()
-	for c, wait := p.takeIdle(h, timeLeft/2); c != nil; c, wait = p.takeIdle(h, 0) {
+	for c, wait := p.takeIdle(e, timeLeft/2); c != nil; c, wait = p.takeIdle(e, 0) {
 		if wait > 0 {
-			if err := waitFor(ctx, wait); err != nil {
+			if err := e.waitFor(ctx, wait); err != nil {
 				p.addIdle(c, c.idleSince)
 				return nil, err
 			}
@@ -133,11 +125,13 @@
 	if displaced := p.reserveConn(); displaced != nil {
 		p.close(displaced)
 	}
-	return p.dial(ctx, h, timeLeft-time.Since(start))
+	return p.dial(ctx, e, timeLeft-time.Since(start))
 }
 
-// waitFor waits for some time, or until the context ends, whose error it returns then.
-func waitFor(ctx context.Context, d time.Duration) error {
+// waitFor waits for some time, or until the context ends or the endpoint is no longer called.
+func (e *endpoint) waitFor(ctx context.Context, d time.Duration) error {
+	ctx, release := e.WhileCallable(ctx)
+	defer release()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -149,23 +143,25 @@
 }
 
 // dial opens a connection that reserveConn has counted.
-func (p *pool) dial(ctx context.Context, h *host, timeLeft time.Duration) (*conn, error) {
+func (p *pool) dial(ctx context.Context, e *endpoint, timeLeft time.Duration) (*conn, error) {
+	ctx, release := e.WhileCallable(ctx)
+	defer release()
 	dialer := net.Dialer{Timeout: p.dialTimeout(timeLeft), Control: p.dialControl}
 	start := time.Now()
-	raw, err := dialer.DialContext(ctx, "tcp", h.address)
+	raw, err := dialer.DialContext(ctx, "tcp", e.Address)
 	took := time.Since(start)
 	p.mu.Lock()
 	if err != nil {
 		p.openConns--
 	}
 	if ctx.Err() == nil {
-		h.connectTime += (took - h.connectTime) / connectTimeWeight
+		e.connectTime += (took - e.connectTime) / connectTimeWeight
 	}
 	p.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, h), nil
+	return newConn(raw, e), nil
 }
 
 // dialTimeout limits the time left for a call by the configured connect time-out. It is never 0, which net.Dialer takes as no time-out.
@@ -177,7 +173,7 @@
 }
 
 // reserveConn counts a connection that is about to be opened. Beyond the limit it removes and returns the one that has been idle longest,
-// whatever its address, which the caller closes.
+// whatever its endpoint, which the caller closes.
 func (p *pool) reserveConn() (displaced *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,61 +187,61 @@
 // removeIdle removes a connection from the idle lists and returns it. The caller holds the pool's lock.
 func (p *pool) removeIdle(c *conn) *conn {
 	p.idle.remove(c)
-	h := c.host
+	e := c.endpoint
 	i := 0 // mostly the one whose last response is longest ago
-	if h.idle[0] != c {
-		for i = h.countIdle(c.lastResponse) - 1; h.idle[i] != c; i-- {
+	if e.idle[0] != c {
+		for i = e.countIdle(c.lastResponse) - 1; e.idle[i] != c; i-- {
 		}
 	}
-	h.idle = slices.Delete(h.idle, i, i+1)
+	e.idle = slices.Delete(e.idle, i, i+1)
 	return c
 }
 
 // countIdle returns how many idle connections had their last response at the given time or before: the first ones of the list. The caller
 // holds the pool's lock.
-func (h *host) countIdle(until time.Time) int {
-	return sort.Search(len(h.idle), func(i int) bool { return h.idle[i].lastResponse.After(until) })
+func (e *endpoint) countIdle(until time.Time) int {
+	return sort.Search(len(e.idle), func(i int) bool { return e.idle[i].lastResponse.After(until) })
 }
 
-// takeIdle removes and returns an idle connection to an address whose reuse delay is over, or nil: the most recently used, so that those
+// takeIdle removes and returns an idle connection to an endpoint whose reuse delay is over, or nil: the most recently used, so that those
 // that are not needed expire. Where the pool is exhausted, it is the one whose last response is longest ago. Otherwise it may be one that the
 // caller must wait for, where the rest of its reuse delay is no longer than a new connection takes, and than maxWait.
-func (p *pool) takeIdle(h *host, maxWait time.Duration) (c *conn, wait time.Duration) {
+func (p *pool) takeIdle(e *endpoint, maxWait time.Duration) (c *conn, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(h.idle) == 0 {
+	if len(e.idle) == 0 {
 		return nil, 0
 	}
 	now := time.Now()
-	suspect := now.Before(h.suspectUntil)
+	suspect := now.Before(e.suspectUntil)
 	delay := p.reuseDelay
 	if suspect {
 		delay = p.suspectReuseDelay
 	}
-	if n := h.countIdle(now.Add(-delay)); n > 0 {
-		return p.removeIdle(h.idle[n-1]), 0
+	if n := e.countIdle(now.Add(-delay)); n > 0 {
+		return p.removeIdle(e.idle[n-1]), 0
 	}
-	longest := h.idle[0]
-	if !suspect && p.isExhausted(h, now) && now.Sub(longest.lastResponse) >= p.exhaustedReuseDelay {
+	longest := e.idle[0]
+	if !suspect && p.isExhausted(e, now) && now.Sub(longest.lastResponse) >= p.exhaustedReuseDelay {
 		return p.removeIdle(longest), 0
 	}
-	if left := delay - now.Sub(longest.lastResponse); left <= min(h.connectTime, maxReuseWait, maxWait) {
+	if left := delay - now.Sub(longest.lastResponse); left <= min(e.connectTime, maxReuseWait, maxWait) {
 		return p.removeIdle(longest), left
 	}
 	return nil, 0
 }
 
-// isExhausted reports whether connections within their reuse delay have reached the limit of one address, or are all that is idle where no
-// further connection may be opened. The caller holds the pool's lock, and has found no connection to the address whose reuse delay is over.
-func (p *pool) isExhausted(h *host, now time.Time) bool {
-	if len(h.idle) >= maxDelayedConns {
+// isExhausted reports whether connections within their reuse delay have reached the limit of one endpoint, or are all that is idle where no
+// further connection may be opened. The caller holds the pool's lock, and has found no connection to the endpoint whose reuse delay is over.
+func (p *pool) isExhausted(e *endpoint, now time.Time) bool {
+	if len(e.idle) >= maxDelayedConns {
 		return true
 	}
 	return p.openConns >= p.maxConns && p.idle.first != nil && now.Sub(p.idle.first.lastResponse) < p.reuseDelay
 }
 
 // isReusable reports whether an idle connection is still open and has received nothing since its last response. Bytes received since
-// would be read as the next response; they mark its address as suspect.
+// would be read as the next response; they mark its endpoint as suspect.
 func (p *pool) isReusable(c *conn) bool {
 	state := c.checkIdle()
 	if state == connHasData {
@@ -254,15 +250,15 @@
 	return state == connIdle
 }
 
-// markSuspect records that an address has sent data beyond the response to a call.
+// markSuspect records that an endpoint has sent data beyond the response to a call.
 func (p *pool) markSuspect(c *conn, when string) {
 	now := time.Now()
 	p.mu.Lock()
-	known := now.Before(c.host.suspectUntil)
-	c.host.suspectUntil = now.Add(suspectDuration)
+	known := now.Before(c.endpoint.suspectUntil)
+	c.endpoint.suspectUntil = now.Add(suspectDuration)
 	p.mu.Unlock()
 	if !known {
-		slog.Warn("an endpoint sends data beyond the response to a call: its connections are reused after a longer delay", "target", c.host.address, "came", when, "rest", p.suspectReuseDelay, "for", suspectDuration)
+		slog.Warn("an endpoint sends data beyond the response to a call: its connections are reused after a longer delay", "target", c.endpoint.Address, "came", when, "rest", p.suspectReuseDelay, "for", suspectDuration)
 	}
 }
 
@@ -278,14 +274,14 @@
 // addIdle adds a connection that has been idle since the given time, or closes it if it is no longer needed.
 func (p *pool) addIdle(c *conn, since time.Time) {
 	p.mu.Lock()
-	if c.host.endpoints == 0 || p.handedOver {
+	if c.endpoint.isReleased || p.handedOver {
 		p.mu.Unlock()
 		p.close(c)
 		return
 	}
 	c.idleSince = since
 	p.idle.push(c)
-	c.host.idle = slices.Insert(c.host.idle, c.host.countIdle(c.lastResponse), c)
+	c.endpoint.idle = slices.Insert(c.endpoint.idle, c.endpoint.countIdle(c.lastResponse), c)
 	if p.timer == nil {
 		p.timer = time.AfterFunc(p.idleTimeout, p.closeExpired)
 	}
@@ -311,10 +307,10 @@
 	}
 }
 
-// closeIdle closes the idle connections to an address.
-func (p *pool) closeIdle(h *host) {
+// closeIdle closes the idle connections to an endpoint.
+func (p *pool) closeIdle(e *endpoint) {
 	p.mu.Lock()
-	idle := slices.Clone(h.idle)
+	idle := slices.Clone(e.idle)
 	for _, c := range idle {
 		p.removeIdle(c)
 	}
--- a/internal/back/httpcall/retryafter_test.go
+++ b/internal/back/httpcall/retryafter_test.go
@@ -62,7 +62,7 @@
 			} {
 				var reported atomic.Int64
 				call := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute, OnRetryAfter: func(d time.Duration) { reported.Store(int64(d)) }}
-				o := newTestBack().newEndpoint(startSingleResponseEndpoint(t, response[:n], end)).Call(t.Context(), call)
+				o := newTestBack().endpointAt(startSingleResponseEndpoint(t, response[:n], end)).Call(t.Context(), call)
 				if want := n >= lineEnd; (reported.Load() == int64(wait)) != want || (o.RetryAfter > wait-5*time.Second) != want || o.RetryAfter > wait {
 					t.Errorf("%s, %s after byte %d %q: reported %v, outcome %+v", name, ending, n, response[max(0, n-12):n], time.Duration(reported.Load()), o)
 				}
@@ -93,7 +93,7 @@
 			t.Parallel()
 			finish := make(chan bool)
 			defer close(finish)
-			ep := newTestBack().newEndpoint(startSingleResponseEndpoint(t, response, func(*net.TCPConn) { <-finish }))
+			ep := newTestBack().endpointAt(startSingleResponseEndpoint(t, response, func(*net.TCPConn) { <-finish }))
 			reported, ended := make(chan time.Duration, 1), make(chan decide.Outcome, 1)
 			go func() {
 				ended <- ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute, OnRetryAfter: func(d time.Duration) { reported <- d }})
@@ -137,7 +137,7 @@
 		}
 	}
 	address, conns := startEndpoint(t, func(*http.Request, string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
-	ep := newTestBack().newEndpoint(address)
+	ep := newTestBack().endpointAt(address)
 	a := engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}
 	ep.Call(t.Context(), a)
 	p := ep.pool
@@ -168,7 +168,7 @@
 		}
 		io.WriteString(serverConn, response[cut:])
 		var reported atomic.Int64
-		o := newTestBack().Resume(t.Context(), "t", &engine.InFlightCall{Address: ln.Addr().String(), Conn: clientConn, Read: []byte(response[:cut]), Began: time.Now(), Deadline: time.Now().Add(time.Minute)},
+		o := newTestBack().Resume(t.Context(), "t", &engine.InFlightCall{Endpoint: engine.EndpointIdentity{Name: "t", Address: ln.Addr().String()}, Conn: clientConn, Read: []byte(response[:cut]), Began: time.Now(), Deadline: time.Now().Add(time.Minute)},
 			engine.Attempt{ID: "m", OnRetryAfter: func(d time.Duration) { reported.Store(int64(d)) }})
 		if time.Duration(reported.Load()) != time.Minute || o.Result != decide.Overloaded || o.RetryAfter != time.Minute {
 			t.Errorf("cut after byte %d: reported %v, %+v", cut, time.Duration(reported.Load()), o)
@@ -264,7 +264,7 @@
 		mu.Lock()
 		now, ran, calls = s, false, 0
 		mu.Unlock()
-		ep := newTestBack().newEndpoint(ln.Addr().String())
+		ep := newTestBack().endpointAt(ln.Addr().String())
 		a := engine.Attempt{ID: "m", Body: message.Bytes(body), Timeout: time.Minute}
 		if s.used {
 			if o := ep.Call(t.Context(), a); o.Result != decide.Succeeded {
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -14,10 +14,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"scaleroute/internal/back/registry"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 )
@@ -30,26 +30,25 @@
 	ConnectTimeout time.Duration // for a connection to be established
 }
 
-// Back knows the addresses of the endpoints and keeps connections to them.
+// Back keeps connections to the listed mail endpoints and makes calls over them.
 type Back struct {
 	config    Config
-	endpoints map[string]*endpoint
+	endpoints *registry.Registry[*endpoint]
 
 	mu    sync.Mutex
 	idle  []*conn     // to all endpoints, longest idle first
 	timer *time.Timer // set while any connection is idle
 }
 
-// endpoint is a mail endpoint at one address.
+// endpoint is a mail endpoint.
 type endpoint struct {
+	*registry.Incarnation
 	back     *Back
-	address  string // as in the endpoint list
 	hostPort string
 	lmtp     bool
 	from, to string
 
-	removed  bool        // no longer listed, so that no connection is kept; guarded by the back's lock
-	draining atomic.Bool // no new call is made, not even one that was decided on before
+	isReleased bool // no idle connections are kept any more; guarded by the back's lock
 }
 
 // conn is a connection to an endpoint on which the server has been greeted.
@@ -57,76 +56,51 @@
 	net.Conn
 	r          *bufio.Reader
 	lastUsed   time.Time
-	endpoint   *endpoint
-	pipelining bool   // the server offers PIPELINING (RFC 2920)
-	maxSize    int64  // largest message that the server accepts (RFC 1870); 0: no limit announced
-	offersSize bool   // the server offers SIZE
-	onWritten  func() // called once the message is written completely
-	needsReset bool   // the last transaction failed: the next one begins with RSET, so that the outcome of the failed one does not wait for it
+	endpoint   *endpoint // that it was opened for
+	pipelining bool      // the server offers PIPELINING (RFC 2920)
+	maxSize    int64     // largest message that the server accepts (RFC 1870); 0: no limit announced
+	offersSize bool      // the server offers SIZE
+	onWritten  func()    // called once the message is written completely
+	needsReset bool      // the last transaction failed: the next one begins with RSET, so that the outcome of the failed one does not wait for it
 }
 
 // New makes a Back without endpoints.
-func New(c Config) *Back { return &Back{config: c, endpoints: map[string]*endpoint{}} }
+func New(c Config) *Back {
+	b := &Back{config: c}
+	b.endpoints = registry.New(engine.IsMail, b.newEndpoint)
+	return b
+}
 
 // UpdateEndpoints applies an endpoint list or a delta from discovery. Endpoints of other backs are ignored.
-func (b *Back) UpdateEndpoints(l engine.List) {
-	complete := l.Scope == decide.Snapshot || l.Scope == decide.LastKnown
-	listed := map[string]bool{}
-	for _, e := range l.Endpoints {
-		old := b.endpoints[e.ID]
-		isMail := e.State != decide.Gone && engine.IsMail(e.Address)
-		if isMail && (old == nil || old.address != e.Address) {
-			ep, err := b.newEndpoint(e.Address)
-			if err != nil { // addresses in the configuration are validated, so this one comes from faulty discovery
-				slog.Error("invalid address of an endpoint", "endpoint", e.ID, "err", err)
-				isMail = false
-			} else {
-				b.remove(e.ID)
-				b.endpoints[e.ID] = ep
-			}
-		}
-		if !isMail {
-			b.remove(e.ID)
-		}
-		if ep := b.endpoints[e.ID]; ep != nil {
-			ep.draining.Store(e.State != decide.Active)
-		}
-		listed[e.ID] = true
-	}
-	for name := range b.endpoints {
-		if complete && !listed[name] {
-			b.remove(name)
-		}
-	}
-}
+func (b *Back) UpdateEndpoints(l engine.List) { b.endpoints.Update(l) }
 
-func (b *Back) newEndpoint(address string) (*endpoint, error) {
-	m, err := engine.ParseMailAddress(address)
+func (b *Back) newEndpoint(i *registry.Incarnation) (*endpoint, error) {
+	m, err := engine.ParseMailAddress(i.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &endpoint{back: b, address: address, hostPort: m.HostPort, lmtp: m.LMTP, from: m.From, to: m.To}, nil
-}
-
-// remove drops an endpoint. Calls in flight to it continue.
-func (b *Back) remove(name string) {
-	if e := b.endpoints[name]; e != nil {
-		delete(b.endpoints, name)
-		b.mu.Lock()
-		e.removed = true
-		b.mu.Unlock()
-		e.CloseIdle()
-	}
+	return &endpoint{Incarnation: i, back: b, hostPort: m.HostPort, lmtp: m.LMTP, from: m.From, to: m.To}, nil
 }
 
 // Endpoint returns the endpoint of that name, or nil.
 func (b *Back) Endpoint(name string) engine.Caller {
-	if e := b.endpoints[name]; e != nil {
+	if e, ok := b.endpoints.Named(name); ok {
 		return e
 	}
 	return nil
 }
 
+// Listing returns the incarnation.
+func (e *endpoint) Listing() *registry.Incarnation { return e.Incarnation }
+
+// Release closes the idle connections, and those that become idle later.
+func (e *endpoint) Release() {
+	e.back.mu.Lock()
+	e.isReleased = true
+	e.back.mu.Unlock()
+	e.CloseIdle()
+}
+
 // CloseIdle closes the idle connections to the endpoint, without a QUIT, whose reply it would have to wait for.
 func (e *endpoint) CloseIdle() {
 	e.back.mu.Lock()
@@ -171,11 +145,11 @@
 func (e *endpoint) putIdle(c *conn) {
 	e.back.mu.Lock()
 	defer e.back.mu.Unlock()
-	if e.removed {
+	if e.isReleased {
 		c.Close()
 		return
 	}
-	c.lastUsed, c.endpoint = time.Now(), e
+	c.lastUsed = time.Now()
 	c.SetDeadline(time.Time{})
 	b := e.back
 	b.idle = append(b.idle, c)
@@ -194,6 +168,7 @@
 	unusable  bool // the connection can't be used any more
 	retryable bool // an idle connection turned out unusable before the transaction began, which may be retried on another connection
 	err       error
+	refusal   registry.Refusal // why nothing of the message was written, though the connection was ready
 }
 
 func (f *failure) Error() string { return f.err.Error() }
@@ -216,24 +191,16 @@
 		var f *failure
 		if !reused {
 			if c, f = e.connect(ctx, &a, deadline); f != nil {
+				e.ReportWithheld(&a, f.refusal)
 				o.Result = f.result
 				return o
 			}
 		}
-		if ctx.Err() != nil || a.MayBegin != nil && !a.MayBegin() {
-			c.Close()
-			o.Result = decide.NotSent
-			return o
-		}
-		if e.draining.Load() { // set since the call was decided on; nothing of the message has been sent
-			e.putIdle(c)
-			o.Result = decide.NotSent
-			return o
-		}
 		c.onWritten = a.OnWritten
 		c.SetDeadline(deadline)
 		stopClose := context.AfterFunc(ctx, func() { c.Close() })
-		f = e.transact(c, mail, reused)
+		mayWrite := func() registry.Refusal { return e.MayWrite(ctx, &a, c.endpoint.Incarnation) }
+		f = e.transact(c, mail, reused, mayWrite)
 		notCancelled := stopClose()
 		switch {
 		case f == nil:
@@ -251,13 +218,14 @@
 					o.Result = decide.Cancelled
 				}
 			}
+			e.ReportWithheld(&a, f.refusal)
 			slog.Debug("mail was not delivered", "id", a.ID, "endpoint", e.hostPort, "err", f.err)
 		}
 		switch {
 		case !notCancelled || f != nil && f.unusable:
 			c.Close()
 		default:
-			c.needsReset = f != nil
+			c.needsReset = f != nil && f.refusal == registry.NotRefused
 			e.putIdle(c)
 		}
 		return o
@@ -271,15 +239,17 @@
 		limit = min(limit, a.ConnectTimeout)
 	}
 	dialer := net.Dialer{Timeout: max(limit, time.Millisecond)}
+	ctx, release := e.WhileCallable(ctx)
+	defer release()
 	raw, err := dialer.DialContext(ctx, "tcp", e.hostPort)
 	if err != nil {
 		result := decide.ConnectFailed
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || ctx.Err() != nil {
-			result = decide.NotSent // a shortage of file descriptors here or a cancelled call, and no failure of the endpoint
+			result = decide.NotSent // a shortage of file descriptors here, a cancelled call or a withdrawn endpoint, and no failure of the endpoint
 		}
-		return nil, &failure{result: result, err: err}
+		return nil, &failure{result: result, err: err, refusal: e.Refusal()}
 	}
-	c := &conn{Conn: raw, r: bufio.NewReaderSize(raw, maxLineBytes)}
+	c := &conn{Conn: raw, endpoint: e, r: bufio.NewReaderSize(raw, maxLineBytes)}
 	c.SetDeadline(deadline)
 	stopClose := context.AfterFunc(ctx, func() { raw.Close() })
 	f := e.greet(c)
@@ -289,7 +259,7 @@
 	if f != nil {
 		raw.Close()
 		if ctx.Err() != nil {
-			f.result = decide.NotSent
+			f.result, f.refusal = decide.NotSent, e.Refusal()
 		}
 		return nil, f
 	}
@@ -325,8 +295,11 @@
 	return nil
 }
 
-// transact runs the transaction of one message; nil means that the message is delivered.
-func (e *endpoint) transact(c *conn, mail []byte, reused bool) *failure {
+// errWithheld is the error of a transaction that mayWrite does not permit.
+var errWithheld = errors.New("the message may not be written any more")
+
+// transact runs the transaction of one message; nil means that the message is delivered. mayWrite is asked right before the first byte.
+func (e *endpoint) transact(c *conn, mail []byte, reused bool, mayWrite func() registry.Refusal) *failure {
 	if c.maxSize > 0 && int64(len(mail)) > c.maxSize {
 		return &failure{result: decide.Rejected, err: fmt.Errorf("the mail has %d bytes, but the server accepts %d", len(mail), c.maxSize)}
 	}
@@ -336,6 +309,9 @@
 		}
 		c.needsReset = false
 	}
+	if refusal := mayWrite(); refusal != registry.NotRefused {
+		return &failure{result: decide.NotSent, err: errWithheld, refusal: refusal}
+	}
 	from := fmt.Sprintf("MAIL FROM:<%s>", e.from)
 	if c.offersSize {
 		from += fmt.Sprintf(" SIZE=%d", len(mail))
@@ -343,7 +319,7 @@
 	to := fmt.Sprintf("RCPT TO:<%s>\r\n", e.to)
 	if c.pipelining {
 		if _, err := fmt.Fprintf(c, "%s\r\n%s", from, to); err != nil {
-			return &failure{decide.ConnectFailed, true, reused, err}
+			return &failure{result: decide.ConnectFailed, unusable: true, retryable: reused, err: err}
 		}
 		r, f := c.expect(stageMail)
 		if f != nil {
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -57,7 +57,7 @@
 
 // send starts a call once the journal has recorded that the call is about to be made.
 // An attempt for a message whose client has not received +OK waits for that.
-func (l *Engine) send(ctx context.Context, s decide.Send) {
+func (l *Engine) send(ctx context.Context, s pendingAttempt) {
 	e := l.entries[s.Message]
 	if e == nil {
 		slog.Error("an attempt was decided for an unknown message", "id", s.Message)
@@ -67,12 +67,11 @@
 		e.pending = append(e.pending, s)
 		return
 	}
-	caller := l.back.Endpoint(s.Target)
 	if l.accounting.fencedOff != "" { // decided before that, while it waited for the client's +OK or the fence
 		l.reportNotSent(e, s.Target)
 		return
 	}
-	if caller == nil || len(e.calls) == maxCallsPerMessage || e.completed {
+	if s.caller == nil || len(e.calls) == maxCallsPerMessage || e.completed {
 		slog.Error("a decided attempt can't be made", "id", s.Message, "target", s.Target, "out", len(e.calls))
 		l.reportNotSent(e, s.Target)
 		return
@@ -80,10 +79,10 @@
 	n := e.saved.Attempts
 	l.journal.RecordSending(s.Message)
 	call, cancel := context.WithCancelCause(ctx)
-	_, portable := caller.(Portable)
+	_, portable := s.caller.(Portable)
 	slot := l.accounting.beginCall(s.Target)
 	e.calls = append(e.calls, inFlight{n, cancel, portable, slot})
-	attempt, decided := Attempt{ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: n,
+	attempt, decided := Attempt{OnWithheld: l.counters.onWithheld, ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: n,
 		Body: e.saved.Body, Timeout: s.Timeout, OnWritten: l.counters.countRelayed, MayBegin: l.routeWaits.otherCheck}, time.Now()
 	wait := l.routeWaits.forEndpoint(s.Target)
 	if wait.callBegan(); wait != nil {
@@ -115,7 +114,7 @@
 			}
 			o := decide.Outcome{Result: decide.NotSent}
 			if call.Err() == nil {
-				o = caller.Call(call, attempt)
+				o = s.caller.Call(call, attempt)
 			}
 			reporter.report(&o)
 		}()
@@ -126,17 +125,30 @@
 // sendAllPending makes the attempts that waited for the fence or the journal and not for their client's +OK.
 func (l *Engine) sendAllPending(ctx context.Context) {
 	for _, e := range l.entries {
-		if !e.acked || e.completed || len(e.pending) == 0 {
-			continue
+		if e.acked && !e.completed {
+			l.sendPending(ctx, e)
 		}
-		pending := e.pending
-		e.pending = nil
-		for _, s := range pending {
-			l.send(ctx, s)
+	}
+}
+
+// sendPending makes the attempts of a message that could not be made before, unless their endpoint was withdrawn meanwhile.
+func (l *Engine) sendPending(ctx context.Context, e *entry) {
+	pending := e.pending
+	e.pending = nil
+	for _, s := range pending {
+		if s.caller != nil && s.caller != l.back.Endpoint(s.Target) {
+			slog.Info("message withheld", "id", s.Message, "target", s.Target, "destination", e.saved.Dest, "why", withdrawnWhilePending)
+			l.counters.onWithheld(withdrawnWhilePending)
+			l.reportNotSent(e, s.Target)
+			continue
 		}
+		l.send(ctx, s)
 	}
 }
 
+// withdrawnWhilePending is the reason for not making an attempt whose endpoint was withdrawn before the attempt could be made.
+const withdrawnWhilePending = "endpoint withdrawn while the attempt was pending"
+
 // callReporter reports to the loop how a call ended, or that it is handed over.
 type callReporter struct {
 	engine *Engine
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,7 +18,23 @@
 // Endpoint is one endpoint as a source reports it.
 type Endpoint struct {
 	decide.Target
-	Address string // in the form that its back parses
+	Address   string // in the form that its back parses
+	StartedMS int64  // when its process started, in Unix milliseconds; 0: long ago, or unknown
+	// AddressPinned marks an endpoint of operators, who name an address and not a process: it keeps the address whatever else is listed there.
+	AddressPinned bool
+}
+
+// EndpointIdentity identifies the process that an endpoint's name stands for. An address alone does not: another endpoint may have it later.
+type EndpointIdentity struct {
+	Name        string
+	Destination int
+	Address     string
+	StartedMS   int64
+}
+
+// Identity returns the endpoint's identity.
+func (e *Endpoint) Identity() EndpointIdentity {
+	return EndpointIdentity{Name: e.ID, Destination: e.Destination, Address: e.Address, StartedMS: e.StartedMS}
 }
 
 // List is an endpoint snapshot or delta from a source of endpoints.
@@ -65,6 +81,8 @@
 	// OnRetryAfter is called as soon as an answer is known to carry a retry-after time, even if the rest of the answer turns out to
 	// be malformed. From then on no call may begin. The outcome reports the time that is left. It may be nil.
 	OnRetryAfter func(time.Duration)
+	// OnWithheld is called with the reason if the message must not be written any more when its connection is ready. It may be nil.
+	OnWithheld func(reason string)
 }
 
 // Reply is the answer to a call.
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -14,16 +14,23 @@
 // entry is a message that the engine has not closed.
 type entry struct {
 	saved       *journal.MessageState
-	answer      chan<- reply  // where its client waits for the answer; nil once it is answered
-	unconfirmed chan<- reply  // the same while the message is accepted but not yet on disk
-	acked       bool          // the client has received +OK
-	pending     []decide.Send // attempts that can't be made yet, in order
-	sendBy      time.Time     // deadline for the first byte of the latest attempt; zero for none
-	calls       []inFlight    // at most two: an attempt and a hedged request
-	completed   bool          // answered, or its completion notice is due
-	counted     bool          // counted in Stats.Open
-	cost        int64         // bytes counted in fairShare
-	cap         intake.Cap    // the rule it is counted under, if any
+	answer      chan<- reply     // where its client waits for the answer; nil once it is answered
+	unconfirmed chan<- reply     // the same while the message is accepted but not yet on disk
+	acked       bool             // the client has received +OK
+	pending     []pendingAttempt // attempts that can't be made yet, in order
+	sendBy      time.Time        // deadline for the first byte of the latest attempt; zero for none
+	calls       []inFlight       // at most two: an attempt and a hedged request
+	completed   bool             // answered, or its completion notice is due
+	counted     bool             // counted in Stats.Open
+	cost        int64            // bytes counted in fairShare
+	cap         intake.Cap       // the rule it is counted under, if any
+}
+
+// pendingAttempt is a decided attempt, with the endpoint that its target's name stood for when it was decided: another endpoint may have the name by
+// the time that the attempt can be made.
+type pendingAttempt struct {
+	decide.Send
+	caller Caller // nil: none was listed
 }
 
 // inFlight is a call in flight.
--- a/internal/engine/handover.go
+++ b/internal/engine/handover.go
@@ -23,9 +23,9 @@
 
 // InFlightCall is a call in flight whose message is completely written, in the form that another process can resume.
 type InFlightCall struct {
-	Address  string
-	Conn     net.Conn // the connection; bytes already read from it are in Read
-	Read     []byte   // the part of the answer that was read
+	Endpoint EndpointIdentity // that the connection was opened for
+	Conn     net.Conn         // the connection; bytes already read from it are in Read
+	Read     []byte           // the part of the answer that was read
 	Began    time.Time
 	Deadline time.Time // time limit for the answer
 }
@@ -167,8 +167,7 @@
 	l.clock = time.Now().Add(-h.Clock - gap)
 	targetLists := make([]decide.TargetList, len(lists))
 	for i, v := range lists {
-		l.back.UpdateEndpoints(v)
-		targetLists[i] = l.targetList(v)
+		targetLists[i] = l.updateBack(v)
 	}
 	for _, d := range h.Destinations {
 		l.destinations[d] = true
--- a/internal/engine/intake.go
+++ b/internal/engine/intake.go
@@ -147,10 +147,6 @@
 	case e.saved.Completion != 0:
 		l.addNotice(e)
 	default:
-		pending := e.pending
-		e.pending = nil
-		for _, s := range pending {
-			l.send(ctx, s)
-		}
+		l.sendPending(ctx, e)
 	}
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -98,6 +98,7 @@
 
 	classes        map[string]decide.Class
 	routeWaits     routeWaits
+	addressOwners  addressOwners
 	destinations   map[int]bool // every destination that discovery has ever listed: it stays known while it has no endpoints
 	entries        map[string]*entry
 	notRepeatable  int // entries of classes whose messages must not run twice
@@ -141,6 +142,7 @@
 	l.counters.init(c.PublishStats, c.Settings.Classes, c.PreviousStats)
 	l.accounting.init(c.Accounting)
 	l.routeWaits.init(c.Settings.Kinds, l.clock, l.fenceCheck())
+	l.addressOwners.init()
 	return l, nil
 }
 
@@ -342,12 +344,18 @@
 	if v.Version != nil {
 		l.accounting.recordChange(*v.Version)
 	}
-	l.back.UpdateEndpoints(v)
-	event := l.targetList(v)
+	event := l.updateBack(v)
 	l.accounting.recordList(&event)
 	l.events = append(l.events, event)
 }
 
+// updateBack applies a list to the back, and returns it as an event for the Forwarder.
+func (l *Engine) updateBack(v List) decide.TargetList {
+	v = l.addressOwners.resolve(v)
+	l.back.UpdateEndpoints(v)
+	return l.targetList(v)
+}
+
 // targetList records the destinations and retry-after state of a list and returns the list as an event for the Forwarder.
 func (l *Engine) targetList(v List) decide.TargetList {
 	event := decide.TargetList{Scope: v.Scope, Targets: make([]decide.Target, len(v.Endpoints))}
@@ -411,7 +419,7 @@
 				e.sendBy = time.Now().Add(a.StartWithin)
 			}
 		}
-		l.send(ctx, a)
+		l.send(ctx, pendingAttempt{a, l.back.Endpoint(a.Target)})
 	case decide.Refuse:
 		l.completeUndelivered(a.Message, 'b', a.RetryAfter)
 	case decide.Fail:
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -241,10 +241,10 @@
 	}
 	e := &entry{saved: s}
 	l := &Engine{journal: j, back: &fakeBack{}, entries: map[string]*entry{"m": e}}
-	l.send(t.Context(), decide.Send{Message: "m", Target: "s1"})
+	l.send(t.Context(), pendingAttempt{Send: decide.Send{Message: "m", Target: "s1"}})
 	l.cancelAttempt(decide.Cancel{Message: "m", Attempt: 0})
 	l.handleAck(t.Context(), ackWritten{e, true})
-	l.send(t.Context(), decide.Send{Message: "m", Target: "gone"})
+	l.send(t.Context(), pendingAttempt{Send: decide.Send{Message: "m", Target: "gone"}})
 	want := []decide.Event{
 		decide.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: decide.NotSent},
 		decide.Outcome{Message: "m", Attempt: 1, Target: "gone", Result: decide.NotSent},
--- /dev/null
+++ b/internal/engine/pending_test.go
@@ -0,0 +1,61 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/journal"
+	"scaleroute/internal/message"
+)
+
+// renamedBack is a back whose only endpoint can be replaced.
+type renamedBack struct{ current Caller }
+
+func (*renamedBack) UpdateEndpoints(List)     {}
+func (b *renamedBack) Endpoint(string) Caller { return b.current }
+
+// namedCaller is a Caller that must not be called.
+type namedCaller struct {
+	t    *testing.T
+	name string
+}
+
+func (namedCaller) CloseIdle() {}
+func (c namedCaller) Call(context.Context, Attempt) decide.Outcome {
+	c.t.Errorf("the %s endpoint was called", c.name)
+	return decide.Outcome{Result: decide.NotSent}
+}
+
+// TestPendingAttemptKeepsItsEndpoint: an attempt that waits for its client's +OK is not made if its endpoint was withdrawn meanwhile, and does not go to
+// another one that has the name since.
+func TestPendingAttemptKeepsItsEndpoint(t *testing.T) {
+	for name, later := range map[string]Caller{"renamed": namedCaller{t, "later"}, "gone": nil} {
+		t.Run(name, func(t *testing.T) {
+			j := mustJournal(t, t.TempDir(), 3e6)
+			s := &journal.MessageState{ID: "m", Class: "note", Body: message.Bytes(nil)}
+			if _, err := j.Reserve(0); err != nil {
+				t.Fatal(err)
+			}
+			if err := j.RecordAccepted(s); err != nil {
+				t.Fatal(err)
+			}
+			back := &renamedBack{current: namedCaller{t, "former"}}
+			e := &entry{saved: s}
+			l := &Engine{journal: j, back: back, entries: map[string]*entry{"m": e}}
+			l.counters.init(false, nil, nil)
+			l.perform(t.Context(), decide.Send{Message: "m", Target: "s1"})
+			back.current = later
+			l.handleAck(t.Context(), ackWritten{e, true})
+			l.runEffects()
+			want := []decide.Event{decide.Outcome{Message: "m", Attempt: 0, Target: "s1", Result: decide.NotSent}}
+			if !slices.Equal(l.events, want) || len(e.calls) != 0 || s.PossiblyRan() {
+				t.Errorf("events %+v, %d calls in flight, journal entry %+v", l.events, len(e.calls), s)
+			}
+			if n := l.counters.withheld.snapshot()[withdrawnWhilePending]; n != 1 {
+				t.Errorf("%d counted as withheld", n)
+			}
+		})
+	}
+}
--- a/internal/engine/stats.go
+++ b/internal/engine/stats.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,10 +16,11 @@
 // failed, withdrawn or handed over.
 type Stats struct {
 	Classes       map[string]ClassStats
-	Relayed       uint64 // messages completely written to endpoints; each attempt counts
-	Open          int    // messages accepted and not completed
-	Listed        int    // listed endpoints
-	OutOfRotation int    // listed endpoints that are not called now: disabled, within a retry-after time, or failing
+	Relayed       uint64            // messages completely written to endpoints; each attempt counts
+	Open          int               // messages accepted and not completed
+	Withheld      map[string]uint64 // attempts whose message was not written once their connection was ready, by reason
+	Listed        int               // listed endpoints
+	OutOfRotation int               // listed endpoints that are not called now: disabled, within a retry-after time, or failing
 }
 
 // ClassStats counts the messages of one class by outcome.
@@ -38,6 +41,8 @@
 	classes      map[string]*ClassStats
 	relayed      atomic.Uint64
 	countRelayed func() // increments relayed
+	withheld     withheldCounts
+	onWithheld   func(reason string) // counts in withheld
 	open         int
 	changed      bool
 	publishedAt  time.Time // time of the last publication
@@ -52,15 +57,38 @@
 	}
 	if before != nil {
 		c.relayed.Store(before.Relayed)
+		c.withheld.byReason = maps.Clone(before.Withheld)
 		for name, t := range before.Classes {
 			t.Accepted, t.HandedOver = t.Accepted-t.HandedOver, 0 // handed-over messages are accepted again
 			c.classes[name] = &t
 		}
 	}
 	c.countRelayed = func() { c.relayed.Add(1) }
+	c.onWithheld = c.withheld.add
 	c.published.Store(&Stats{})
 }
 
+// withheldCounts counts the attempts whose message was not written, by reason. Backs report few reasons, as constants.
+type withheldCounts struct {
+	mu       sync.Mutex
+	byReason map[string]uint64
+}
+
+func (c *withheldCounts) add(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byReason == nil {
+		c.byReason = map[string]uint64{}
+	}
+	c.byReason[reason]++
+}
+
+func (c *withheldCounts) snapshot() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.byReason)
+}
+
 // class returns the counters of a class. For an unknown class they are discarded.
 func (c *counters) class(class string) *ClassStats {
 	c.changed = true
@@ -82,7 +110,7 @@
 	if left = maxStatsAge - now.Sub(c.publishedAt); left > 0 && !always {
 		return left
 	}
-	f := &Stats{Classes: make(map[string]ClassStats, len(c.classes)), Relayed: c.relayed.Load(), Open: c.open}
+	f := &Stats{Classes: make(map[string]ClassStats, len(c.classes)), Relayed: c.relayed.Load(), Withheld: c.withheld.snapshot(), Open: c.open}
 	for name, t := range c.classes {
 		f.Classes[name] = *t
 	}
--- a/internal/operator/pools.go
+++ b/internal/operator/pools.go
@@ -182,7 +182,7 @@
 			if e.Protocol != "" && e.Protocol != "http" {
 				address = engine.MailAddress{LMTP: e.Protocol == engine.LMTP, HostPort: address, From: p.Sender, To: p.Recipient}.String()
 			}
-			l.Endpoints = append(l.Endpoints, engine.Endpoint{Address: address,
+			l.Endpoints = append(l.Endpoints, engine.Endpoint{Address: address, AddressPinned: true,
 				Target: decide.Target{ID: e.Name, Destination: p.DestinationNumber(), Zone: e.Zone, State: state, Backup: e.Backup, Share: float64(e.Weight)}})
 		}
 	}
