Keep from a start without discovery what moved, or lost its address

Seen by callers: after a kill, with discovery down, a message went to the configured address of an endpoint that had moved, had another destination, or whose address another endpoint had, as the process before had been told.

Cause: the file of withdrawn endpoints named those that drained or were gone only; an endpoint that serves elsewhere, or that another one has displaced, was called where the configuration lists it.

Change: these are named in the file, too. Names that the configuration lists come first where the file is full, since a start without discovery calls no others; a name that it does not list no longer takes their room.

--- a/cmd/scaleroute/withdrawn_test.go
+++ b/cmd/scaleroute/withdrawn_test.go
@@ -48,3 +48,29 @@
 		})
 	}
 }
+
+// TestRestartKeepsOwnersOfAddresses: a process that starts while discovery is down does not call an endpoint at a configured address that another one has since.
+func TestRestartKeepsOwnersOfAddresses(t *testing.T) {
+	for name := range changesOfOwner("", "") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestEnv(t, func(http.ResponseWriter, string) {})
+			owner, reference := listenAndRecord(t), listenAndRecord(t)
+			w.endpoints = entryJSON("former", owner.address, formerDest, "SERVING", formerStart) + "," + entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart)
+			p := w.start()
+			changes := changesOfOwner(owner.address, w.target.Listener.Addr().String())[name]
+			for i := range changes {
+				changes[i].entries = append(changes[i].entries, entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart))
+			}
+			w.reportAll(p.connect(), changes)
+			w.discoveryHangs.Store(true)
+			p.kill()
+			c := w.start().connect()
+			c.mustEnqueue("for-former", "harmless", 200000)
+			reference.awaitReuse(c)
+			if wrong := owner.others(); len(wrong) > 0 {
+				t.Errorf("messages of destination %d came to an endpoint of destination %d: %v", formerDest, laterDest, wrong)
+			}
+		})
+	}
+}
--- a/internal/agent/withdrawn.go
+++ b/internal/agent/withdrawn.go
@@ -14,7 +14,8 @@
 
 // A forwarder that starts while discovery is unavailable has only the list of its configuration, which may be older than the last list that the previous
 // process received. An endpoint that was reported as draining or deleted must get no calls from the next process either, until discovery reports
-// otherwise. The state folder therefore keeps the names of these endpoints, and the index of the list that last changed them.
+// otherwise. Nor must one that has another address or destination since, or whose address has another endpoint: the configured address is that of another
+// process. The state folder therefore keeps the names of these endpoints, and the index of the list that last changed them.
 
 const (
 	withdrawnFileName = "withdrawn"
@@ -27,9 +28,53 @@
 type WithdrawnStore struct {
 	path       string
 	configured *List // the list of the configuration, which a start without discovery uses
+	index      *configuredIndex
 	saved      withdrawnRecord
 }
 
+// configuredIndex finds the entries of the configuration's list.
+type configuredIndex struct {
+	byName    map[string]*Endpoint
+	byAddress map[string][]*Endpoint
+}
+
+func newConfiguredIndex(l *List) *configuredIndex {
+	index := &configuredIndex{make(map[string]*Endpoint, len(l.Endpoints)), make(map[string][]*Endpoint, len(l.Endpoints))}
+	for i := range l.Endpoints {
+		e := &l.Endpoints[i]
+		index.byName[e.Name] = e
+		index.byAddress[e.Address] = append(index.byAddress[e.Address], e)
+	}
+	return index
+}
+
+func (x *configuredIndex) has(name string) bool { return x.byName[name] != nil }
+
+// current returns for each endpoint that a list is about whether it may be called as it is configured. Besides those that are listed, these are the
+// ones whose address a listed one has.
+func (x *configuredIndex) current(l *List) map[string]bool {
+	current := make(map[string]bool, len(l.Endpoints))
+	start := make(map[string]UnixMilli, len(l.Endpoints))
+	for i := range l.Endpoints {
+		e := &l.Endpoints[i]
+		configured := x.byName[e.Name]
+		current[e.Name] = e.isServing() && (configured == nil || configured.Address == e.Address && configured.Group == e.Group)
+		start[e.Name] = e.SinceMS
+	}
+	for i := range l.Endpoints {
+		owner := &l.Endpoints[i]
+		if owner.Status == Deleted {
+			continue
+		}
+		for _, e := range x.byAddress[owner.Address] {
+			if e.Name != owner.Name && max(e.SinceMS, start[e.Name]) < owner.SinceMS {
+				current[e.Name] = false
+			}
+		}
+	}
+	return current
+}
+
 type withdrawnRecord struct {
 	Index int64    `json:"index"`
 	Names []string `json:"names"` // the latest withdrawal last
@@ -78,10 +123,10 @@
 
 // Update applies a reported list. The endpoints that it withdraws are in the file when Update returns; a failure to write it is logged.
 func (w *WithdrawnStore) Update(l *List) {
-	serving := make(map[string]bool, len(l.Endpoints)) // whether each listed endpoint is serving, by name
-	for _, e := range l.Endpoints {
-		serving[e.Name] = e.isServing()
+	if w.index == nil {
+		w.index = newConfiguredIndex(w.configured)
 	}
+	isCurrent := w.index.current(l)
 	var names []string
 	added := map[string]bool{}
 	add := func(name string) {
@@ -90,24 +135,25 @@
 		}
 	}
 	for _, name := range w.saved.Names {
-		if !serving[name] {
+		if !isCurrent[name] {
 			add(name)
 		}
 	}
 	for _, e := range w.configured.Endpoints {
-		if _, listed := serving[e.Name]; l.Snapshot && e.isServing() && !listed { // gone, since a snapshot does not list it
+		current, isReported := isCurrent[e.Name]
+		if isMissing := l.Snapshot && e.isServing() && !isReported; isMissing || isReported && !current {
 			add(e.Name)
 		}
 	}
 	for _, e := range l.Endpoints {
-		if !serving[e.Name] {
+		if !isCurrent[e.Name] {
 			add(e.Name)
 		}
 	}
 	if slices.Equal(names, w.saved.Names) {
 		return
 	}
-	text, names := encodeWithdrawn(l.Index, names)
+	text, names := encodeWithdrawn(l.Index, names, w.index.has)
 	if err := w.save(text); err != nil {
 		slog.Error("withdrawn endpoints are not saved, and a start without discovery may call them: free space in NODE_STATE", "err", err)
 		return
@@ -115,18 +161,24 @@
 	w.saved = withdrawnRecord{l.Index, names}
 }
 
-// encodeWithdrawn encodes as many of the names as fit into the file, in preference the latest withdrawals. It returns the text and the names in it.
-func encodeWithdrawn(index int64, names []string) ([]byte, []string) {
+// encodeWithdrawn encodes as many of the names as fit into the file: first those that the configuration lists, which alone a start without discovery
+// calls, and of these the latest withdrawals. It returns the text and the names in it.
+func encodeWithdrawn(index int64, names []string, isConfigured func(name string) bool) ([]byte, []string) {
 	size := len(`{"index":,"names":[]}`) + len(fmt.Sprint(index))
-	kept := []string{}
-	for _, name := range slices.Backward(names) {
-		text, _ := json.Marshal(name) // can't fail for a string
-		if more := len(text) + len(","); size+more <= maxWithdrawnBytes {
-			size += more
-			kept = append(kept, name)
+	isKept := make(map[string]bool, len(names))
+	for _, configured := range []bool{true, false} {
+		for _, name := range slices.Backward(names) {
+			if isConfigured(name) != configured {
+				continue
+			}
+			text, _ := json.Marshal(name) // can't fail for a string
+			if more := len(text) + len(","); size+more <= maxWithdrawnBytes {
+				size += more
+				isKept[name] = true
+			}
 		}
 	}
-	slices.Reverse(kept)
+	kept := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !isKept[name] })
 	text, _ := json.Marshal(withdrawnRecord{index, kept})
 	return text, kept
 }
--- a/internal/agent/withdrawn_test.go
+++ b/internal/agent/withdrawn_test.go
@@ -136,3 +136,27 @@
 		t.Errorf("not written: %d drain, the newest: %t", n, newest)
 	}
 }
+
+// TestWithdrawnKeepsConfiguredNames: a configured endpoint that was withdrawn stays so after a restart, however many others were withdrawn since.
+func TestWithdrawnKeepsConfiguredNames(t *testing.T) {
+	folder := t.TempDir()
+	known := &List{Index: 1, Snapshot: true, Endpoints: []Endpoint{newEndpoint("configured", Serving)}}
+	w := OpenWithdrawnStore(folder, known)
+	w.Update(&List{Index: 2, Endpoints: []Endpoint{newEndpoint("configured", Deleted)}})
+	for i := range 500 {
+		w.Update(&List{Index: int64(i + 3), Endpoints: []Endpoint{newEndpoint(fmt.Sprintf("added-later-%05d", i), Deleted)}})
+	}
+	if e := OpenWithdrawnStore(folder, known).InitialList().Endpoints[0]; e.isServing() {
+		t.Error("the configured endpoint serves after a restart")
+	}
+}
+
+// TestSinceDoesNotSpoilList: a start that is no number, or out of range, counts as unknown.
+func TestSinceDoesNotSpoilList(t *testing.T) {
+	for text, want := range map[string]UnixMilli{`0`: 0, `1764900000123`: 1764900000123, `1764900000123.75`: 1764900000123, `1.5e3`: 1500, `-4`: 0, `"soon"`: 0, `null`: 0, `1e300`: 0, `{"a":[1]}`: 0} {
+		l, err := readList(strings.NewReader(`{"index":1,"endpoints":[{"name":"a","address":"127.0.0.1:1","status":"SERVING","since_ms":`+text+`}]}`), true)
+		if err != nil || len(l.Endpoints) != 1 || l.Endpoints[0].SinceMS != want {
+			t.Errorf("%s: %+v, %v; want %d", text, l, err, want)
+		}
+	}
+}
