Refuse requests that are read after their client has left

Cause: the front noticed that a client had left when it wrote an answer; a write to a connection that was closed in order succeeds once.

Change: before a message is handed to the engine the front asks the socket whether its peer has closed or ended its sending (poll, POLLRDHUP, no wait). If so the request is answered -BUSY: harmless where the client has only ended its sending. Such requests are counted and some logged.

--- a/cmd/scaleroute/address_reuse_test.go
+++ b/cmd/scaleroute/address_reuse_test.go
@@ -93,25 +93,47 @@
 	return list
 }
 
-// connecting returns how many connections to an address are being established on this machine.
-func connecting(t *testing.T, address string) (count int) {
+// tcpSocket is a TCP socket of this machine.
+type tcpSocket struct {
+	local, remote string // host:port
+	state         string // as in /proc/net/tcp
+}
+
+const tcpSynSent = "02" // a connection is being established
+
+// countSockets returns how many IPv4 sockets of this machine match.
+func countSockets(t *testing.T, matches func(tcpSocket) bool) (count int) {
 	t.Helper()
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var ip [4]byte
-	var port int
-	fmt.Sscanf(address, "%d.%d.%d.%d:%d", &ip[0], &ip[1], &ip[2], &ip[3], &port)
-	remote := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], port)
 	for _, line := range strings.Split(string(table), "\n") {
-		if fields := strings.Fields(line); len(fields) > 3 && fields[2] == remote && fields[3] == "02" {
+		fields := strings.Fields(line)
+		if len(fields) < 4 || fields[0] == "sl" {
+			continue
+		}
+		if matches(tcpSocket{decodeSocketAddress(fields[1]), decodeSocketAddress(fields[2]), fields[3]}) {
 			count++
 		}
 	}
 	return count
 }
 
+// decodeSocketAddress decodes an address of /proc/net/tcp, whose bytes are in the order of a little-endian number.
+func decodeSocketAddress(text string) string {
+	var ip [4]byte
+	var port int
+	fmt.Sscanf(text, "%02X%02X%02X%02X:%04X", &ip[3], &ip[2], &ip[1], &ip[0], &port)
+	return fmt.Sprintf("%d.%d.%d.%d:%d", ip[0], ip[1], ip[2], ip[3], port)
+}
+
+// connecting returns how many connections to an address are being established.
+func connecting(t *testing.T, address string) int {
+	t.Helper()
+	return countSockets(t, func(s tcpSocket) bool { return s.remote == address && s.state == tcpSynSent })
+}
+
 // changesOfOwner returns the ways in which discovery may report that an address has another endpoint: each as the lists in which it does.
 // Besides, the former endpoint's destination gets another endpoint, at otherAddress.
 func changesOfOwner(address, otherAddress string) map[string][]update {
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -33,6 +33,8 @@
 	// FinalReadGrace is how long a connection that is to be closed is still read, for a request that the client sends at the same moment.
 	FinalReadGrace   = 10 * time.Millisecond
 	acceptRetryDelay = 20 * time.Millisecond // after a failed accept
+	// departedLogInterval is how many requests of clients that have left share one log line.
+	departedLogInterval = 256
 
 	// After an error response the client's data is read for this long: closing
 	// the connection at once would reset it, which might lose the response.
@@ -59,6 +61,7 @@
 
 	draining  atomic.Bool   // PING is refused
 	stopping  atomic.Bool   // only connections that the kernel has queued are still accepted
+	departed  atomic.Uint64 // requests that were read after their client had closed its connection
 	connEnded chan struct{} // receives a value when a connection has ended
 
 	mu              sync.Mutex
@@ -334,7 +337,7 @@
 		if first {
 			readAt, first = s.readGap.sentAt(readAt), false
 		}
-		answer, written := s.answer(args, readAt)
+		answer, written := s.answer(raw, args, readAt)
 		_, err = io.WriteString(conn, answer)
 		if written != nil {
 			written(err == nil)
@@ -360,7 +363,7 @@
 }
 
 // answer processes a request and returns the response. If the second result is not nil, it is to be called with whether the response was written.
-func (s *Server) answer(args [][]byte, readAt time.Time) (string, func(bool)) {
+func (s *Server) answer(conn net.Conn, args [][]byte, readAt time.Time) (string, func(bool)) {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
 		if len(args) == 2 && !s.draining.Load() {
@@ -375,11 +378,22 @@
 		if err != nil {
 			return "-ERR " + err.Error() + "\r\n", nil
 		}
+		if hasDeparted(conn) { // asked as late as possible
+			s.countDeparted(m)
+			return "-BUSY\r\n", nil
+		}
 		return s.enqueue(m)
 	}
 	return "-ERR unknown command\r\n", nil
 }
 
+// countDeparted counts a request whose client has left, and logs some of them.
+func (s *Server) countDeparted(m *message.Message) {
+	if s.departed.Add(1)%departedLogInterval == 1 {
+		slog.Info("requests are refused since their clients have left", "id", m.ID, "count", s.departed.Load())
+	}
+}
+
 // enqueue submits a message and returns the response.
 func (s *Server) enqueue(m *message.Message) (string, func(bool)) {
 	answer := s.acceptor.Accept(m)
