Evict clients that are being served last when a crowd fills the connections

Cause: its connection rested 10 ms between two requests and was the only idle one, so it was the first to be evicted after 50 ms; it had to connect again behind the crowd.

--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -67,12 +67,14 @@
 	mu              sync.Mutex
 	conns           map[net.Conn]*connState
 	overloadedUntil time.Time // until then a new connection counts as having waited; see evict
-	closing         bool
-	drain           drainState
-	detach          detachState
-	readGap         readGap
-	wg              sync.WaitGroup
-	accepting       sync.WaitGroup // calls of Serve
+	// activeOverloadedUntil is the same for the eviction of active connections.
+	activeOverloadedUntil time.Time
+	closing               bool
+	drain                 drainState
+	detach                detachState
+	readGap               readGap
+	wg                    sync.WaitGroup
+	accepting             sync.WaitGroup // calls of Serve
 }
 
 // connState is the state of a connection.
