Have control servers pass on when an endpoint's process started

Cause: a catalog dropped since_ms, so that forwarders with partial lists could not tell which of two endpoints has an address; and with it in the entries, each whole list of discovery would have counted as a change of every entry.

Change: the record holds it (56 bytes in place of 48), lists to forwarders carry it, and the list file stores it behind a mark of its own; entries without one are stored as before. An older control server that reads a file with such marks reports it as corrupt and asks discovery for the whole list.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -13,10 +13,11 @@
 // noSlot marks the end of a chain.
 const noSlot slot = 1<<32 - 1
 
-// record is the stored form of an entry: 48 bytes, and the text.
+// record is the stored form of an entry: 56 bytes, and the text.
 type record struct {
 	text       string // name and address; empty: the slot is free
 	weight     float64
+	since      agent.UnixMilli
 	group      uint32
 	next, prev slot // in the chain of the partition's records; for a free slot, next is the next free one
 	nameLen    uint16
@@ -65,7 +66,7 @@
 func (s *store) endpoint(at slot) agent.Endpoint {
 	r := s.at(at)
 	return agent.Endpoint{Name: r.name(), Address: r.address(), Zone: s.zones.text(r.zone), Type: s.kinds.text(r.kind), Group: int(r.group),
-		Status: s.statuses.text(uint16(r.status)), Weight: r.weight}
+		Status: s.statuses.text(uint16(r.status)), Weight: r.weight, SinceMS: r.since}
 }
 
 // newRecord converts an entry to a record, which is in no chain yet.
@@ -82,7 +83,7 @@
 	if err != nil {
 		return record{}, err
 	}
-	return record{text: e.Name + e.Address, nameLen: uint16(len(e.Name)), weight: e.Weight, group: uint32(e.Group),
+	return record{text: e.Name + e.Address, nameLen: uint16(len(e.Name)), weight: e.Weight, since: e.SinceMS, group: uint32(e.Group),
 		zone: zone, kind: kind, status: uint8(status), next: noSlot, prev: noSlot}, nil
 }
 
--- a/internal/control/encode.go
+++ b/internal/control/encode.go
@@ -36,6 +36,10 @@
 		to = append(to, `,"weight":`...)
 		to = strconv.AppendFloat(to, e.Weight, 'g', -1, 64)
 	}
+	if e.SinceMS != 0 {
+		to = append(to, `,"since_ms":`...)
+		to = strconv.AppendInt(to, int64(e.SinceMS), 10)
+	}
 	return append(to, '}')
 }
 
--- a/internal/control/listfile.go
+++ b/internal/control/listfile.go
@@ -13,12 +13,16 @@
 )
 
 // The list file consists of listMagic, the version of the format, the index of the list, the highest index before discovery restarted its count,
-// the entries, each preceded by a byte of value 1, and a byte of value 0 followed by the number of entries. Numbers are varints; strings are
-// prefixed with their length.
+// the entries, and a byte of value 0 followed by the number of entries. Each entry is preceded by a byte of value 1, or 2 where the start of the
+// endpoint's process follows it. Numbers are varints; strings are prefixed with their length.
 const (
 	listMagic      = "scaleroute list\n"
 	listVersion    = 1
 	maxStringBytes = 4 << 10 // of one string
+
+	markEnd            = 0
+	markEntry          = 1
+	markEntryWithStart = 2
 )
 
 // errTruncated reports that a file ends early.
@@ -73,14 +77,14 @@
 func readEntries(from *bufio.Reader, put func(agent.Endpoint) error) error {
 	texts := stringReader{from: from, interned: map[string]string{}}
 	for count := uint64(0); ; count++ {
-		more, err := from.ReadByte()
+		mark, err := from.ReadByte()
 		if err != nil {
 			return truncatedError(err)
 		}
-		if more == 0 {
+		if mark == markEnd {
 			return checkCount(from, count)
 		}
-		e, err := readEntry(from, &texts)
+		e, err := readEntry(from, &texts, mark)
 		if err != nil {
 			return truncatedError(err)
 		}
@@ -101,7 +105,7 @@
 	return nil
 }
 
-func readEntry(from *bufio.Reader, texts *stringReader) (e agent.Endpoint, err error) {
+func readEntry(from *bufio.Reader, texts *stringReader, mark byte) (e agent.Endpoint, err error) {
 	for _, field := range []*string{&e.Name, &e.Address} {
 		if *field, err = texts.read(); err != nil {
 			return e, err
@@ -122,17 +126,31 @@
 	}
 	e.Group = int(group)
 	e.Weight = math.Float64frombits(binary.LittleEndian.Uint64(weight[:]))
+	if mark == markEntryWithStart {
+		start, err := binary.ReadUvarint(from)
+		e.SinceMS = agent.UnixMilli(start)
+		return e, err
+	}
 	return e, nil
 }
 
-// appendFileEntry appends an entry in the format that readEntry reads.
+// appendFileEntry appends the mark of an entry, and the entry in the format that readEntry reads.
 func appendFileEntry(to []byte, e *agent.Endpoint) []byte {
+	mark := byte(markEntry)
+	if e.SinceMS > 0 {
+		mark = markEntryWithStart
+	}
+	to = append(to, mark)
 	for _, text := range []string{e.Name, e.Address, e.Zone, e.Type, e.Status} {
 		to = binary.AppendUvarint(to, uint64(len(text)))
 		to = append(to, text...)
 	}
 	to = binary.AppendUvarint(to, uint64(e.Group))
-	return binary.LittleEndian.AppendUint64(to, math.Float64bits(e.Weight))
+	to = binary.LittleEndian.AppendUint64(to, math.Float64bits(e.Weight))
+	if mark == markEntryWithStart {
+		to = binary.AppendUvarint(to, uint64(e.SinceMS))
+	}
+	return to
 }
 
 // stringReader reads length-prefixed strings.
@@ -189,7 +207,7 @@
 		chunk = chunk[:0]
 		s.listMu.RLock()
 		next, more = s.list.VisitSlots(next, slotsPerLock, func(e agent.Endpoint) {
-			chunk = appendFileEntry(append(chunk, 1), &e)
+			chunk = appendFileEntry(chunk, &e)
 			count++
 		})
 		s.listMu.RUnlock()
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -32,7 +32,7 @@
 	s.listMu.RLock()
 	index := s.list.Index()
 	err := s.list.VisitChanges(&catalog.Scope{Whole: true}, before, func(e agent.Endpoint) {
-		entries = appendFileEntry(append(entries, 1), &e)
+		entries = appendFileEntry(entries, &e)
 		count++
 	})
 	s.listMu.RUnlock()
@@ -147,7 +147,7 @@
 	err := writeAtomically(s.stateDir.file(membersFileName), func(to *bufio.Writer) error {
 		text := append([]byte(membersMagic), membersVersion)
 		for _, name := range slices.Sorted(maps.Keys(zones)) {
-			text = appendFileEntry(append(text, 1), &agent.Endpoint{Name: name, Zone: zones[name]})
+			text = appendFileEntry(text, &agent.Endpoint{Name: name, Zone: zones[name]})
 		}
 		text = binary.AppendUvarint(append(text, 0), uint64(len(zones)))
 		_, err := to.Write(text)
--- a/internal/control/statedir_test.go
+++ b/internal/control/statedir_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -69,6 +70,35 @@
 	}
 }
 
+// TestStartOfEndpointIsKept: the start of an endpoint's process reaches the clients of a server, and outlasts a restart of it.
+func TestStartOfEndpointIsKept(t *testing.T) {
+	list := endpoints(20)
+	for i := range list {
+		list[i].SinceMS = agent.UnixMilli(1_764_900_000_000 + i)
+	}
+	list[3].SinceMS = 0
+	d := newFakeDiscovery(t, 7, list...)
+	options := testOptions(t, d.address())
+	s := startServer(t, options)
+	s.awaitIndex(7)
+	list[5].SinceMS++
+	index := d.change(list[5])
+	s.awaitIndex(index)
+	s.awaitPersisted(index)
+	was := s.get("/v1/servers")
+	if got := was.list.Endpoints; len(got) != len(list) || !slices.ContainsFunc(got, func(e agent.Endpoint) bool { return e == list[5] }) {
+		t.Errorf("%+v", got)
+	}
+	if err := s.stop(); err != nil {
+		t.Fatal(err)
+	}
+	again := startServer(t, options)
+	again.awaitIndex(index)
+	if is := again.get("/v1/servers"); is.text != was.text {
+		t.Errorf("was %sis  %s", was.text, is.text)
+	}
+}
+
 // TestCorruptList checks that a corrupt list file, however it is corrupt, is named in the log and that the whole list is requested from discovery.
 func TestCorruptList(t *testing.T) {
 	d := newFakeDiscovery(t, 7, endpoints(50)...)
