Soak new endpoints at old addresses, late connects, upgrades, signal series and crowds

After SIGTERM clients go on until 3.7 s are over, whether or not the process has ended. A call to a replaced endpoint's successor counts from the grace after the forwarder was told of either.

--- a/cmd/scaleroute/soak_test.go
+++ b/cmd/scaleroute/soak_test.go
@@ -20,6 +20,9 @@
 		{[]soak.Kind{soak.Clock, soak.Term, soak.Discovery, soak.Pause}, 13},
 		{[]soak.Kind{soak.Sick, soak.Resets, soak.Pieces, soak.Drain, soak.Disk}, 14},
 		{[]soak.Kind{soak.Replay, soak.Kill, soak.Term, soak.Disk}, 3},
+		{[]soak.Kind{soak.Replace, soak.Late, soak.Drain, soak.Pause, soak.Kill}, 12},
+		{[]soak.Kind{soak.Upgrade, soak.Crowd, soak.Replace, soak.Late}, 13},
+		{[]soak.Kind{soak.Series, soak.Crowd, soak.Late, soak.Replace}, 7},
 	} {
 		t.Run(string(c.kinds[0]), func(t *testing.T) {
 			t.Parallel()
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -10,6 +10,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"scaleroute/internal/standin"
 )
 
 // Way is a direction of an edge.
@@ -39,15 +41,17 @@
 
 // Edge is a relay of TCP connections to one address.
 type Edge struct {
-	ln net.Listener
-	of func(source net.Addr) *line // what leads a connection from there
-
-	mu     sync.Mutex
-	to     string
-	conns  map[*pair]struct{}
-	closed bool
-	wg     sync.WaitGroup
-	own    *line
+	address string
+	of      func(source net.Addr) *line // what leads a connection from there
+
+	mu      sync.Mutex
+	ln      net.Listener
+	stalled *standin.StalledListener // in place of ln; nil unless it is stalled
+	to      string
+	conns   map[*pair]struct{}
+	closed  bool
+	wg      sync.WaitGroup
+	own     *line
 }
 
 // line is what is wrong on the way from one place to another, by the lock of its own.
@@ -81,13 +85,50 @@
 }
 
 func newEdge(ln net.Listener, to string, own *line, of func(source net.Addr) *line) *Edge {
-	e := &Edge{ln: ln, of: of, to: to, conns: map[*pair]struct{}{}, own: own}
-	e.wg.Go(e.serve)
+	e := &Edge{address: ln.Addr().String(), ln: ln, of: of, to: to, conns: map[*pair]struct{}{}, own: own}
+	e.wg.Go(func() { e.serve(ln) })
 	return e
 }
 
 // Address is where it listens.
-func (e *Edge) Address() string { return e.ln.Addr().String() }
+func (e *Edge) Address() string { return e.address }
+
+// Stall has new connections neither come up nor fail until Open. With reset set, those that are open are reset, as by a process that ends.
+func (e *Edge) Stall(reset bool) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed || e.stalled != nil {
+		return nil
+	}
+	if reset {
+		for p := range e.conns {
+			p.reset()
+		}
+	}
+	e.ln.Close()
+	stalled, err := standin.Stall(e.address)
+	if err != nil {
+		return err
+	}
+	e.stalled = stalled
+	return nil
+}
+
+// Open ends Stall. Connections that are still being tried come up with their next SYN.
+func (e *Edge) Open() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed || e.stalled == nil {
+		return nil
+	}
+	ln, err := e.stalled.Open()
+	if err != nil {
+		return err
+	}
+	e.stalled, e.ln = nil, ln
+	e.wg.Go(func() { e.serve(ln) })
+	return nil
+}
 
 // To leads connections from now on elsewhere.
 func (e *Edge) To(address string) {
@@ -151,8 +192,11 @@
 		p.end()
 		p.reset()
 	}
-	e.mu.Unlock()
+	if e.stalled != nil {
+		e.stalled.Close()
+	}
 	e.ln.Close()
+	e.mu.Unlock()
 	e.wg.Wait()
 }
 
@@ -170,9 +214,9 @@
 	c.Close()
 }
 
-func (e *Edge) serve() {
+func (e *Edge) serve(ln net.Listener) {
 	for {
-		conn, err := e.ln.Accept()
+		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"scaleroute/internal/fleet"
@@ -29,6 +28,8 @@
 	resetShare     = 0.02 // of pieces
 	pieceBytes     = 7
 	replayPause    = 20 * time.Millisecond
+	connectTimeout = 1500 * time.Millisecond // longer than until a SYN is sent again
+	drainSlack     = 50 * time.Millisecond   // that the rules on sockets add to each time limit
 
 	// replayedMessages is how many messages are handed in again in one round.
 	replayedMessages = 40
@@ -71,13 +72,17 @@
 	mu     sync.Mutex
 	files  []map[Kind]string // what fails at each node, by kind
 	step   []string          // by how much its wall clock is set
-	steps  sync.WaitGroup
+	places []place
+	// replacements counts the endpoints that were replaced.
+	replacements int
+	steps        sync.WaitGroup
 }
 
 // Run plays the faults of a seed and judges what came of them.
 func Run(ctx context.Context, p Program, s Shape, seed uint64, list []Fault) (*Result, error) {
-	rig, err := fleet.New(fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Endpoints, Slots: 16, Left: s.Left, DiskMB: 3, Seed: seed,
-		Command: p.Command, Env: p.Env, Dir: p.Dir})
+	rig, err := fleet.New(fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Endpoints, Slots: 16, Left: s.Left, DiskMB: 3, Seed: seed, Grace: drainGrace, Connect: connectTimeout,
+		Inherited: slices.ContainsFunc(list, func(f Fault) bool { return f.Kind == Upgrade }),
+		Command:   p.Command, Env: p.Env, Dir: p.Dir})
 	if err != nil {
 		return nil, err
 	}
@@ -90,6 +95,7 @@
 	}
 	for _, e := range rig.World.Endpoints {
 		e.Set(healthy)
+		r.places = append(r.places, place{endpoint: e})
 	}
 	if err := rig.Start(ctx); err != nil {
 		return nil, err
@@ -150,11 +156,21 @@
 	case Folder:
 		return r.replaceFolder(f.Node)
 	case Kill:
-		return r.restart(ctx, f.Node, false, "")
+		return r.restart(ctx, f.Node, endByKill, "")
 	case Term:
-		return r.restart(ctx, f.Node, true, "")
+		return r.restart(ctx, f.Node, endBySIGTERM, "")
+	case Series:
+		return errors.Join(r.restart(ctx, f.Node, endBySeries, ""), r.restart(ctx, f.Node, endBySIGTERM, ""))
+	case Upgrade:
+		return r.upgrade(ctx, f.Node)
+	case Replace:
+		return r.replace(ctx, f)
+	case Late:
+		return r.late(ctx, f)
+	case Crowd:
+		r.crowd(ctx, f)
 	case Clock:
-		return r.restart(ctx, f.Node, false, f.How)
+		return r.restart(ctx, f.Node, endByKill, f.How)
 	case Repeats:
 		r.script(ctx, f, standin.Script{Latency: healthy.Latency, Jitter: healthy.Jitter, Errors: 0.02, Full: 0.02, Repeats: repeatShare, RepeatWithin: repeatWithin})
 	case Sick:
@@ -169,11 +185,7 @@
 		sleep(ctx, f.Lasts)
 		n.Discovery.Down(false)
 	case Drain:
-		e := r.rig.World.Endpoints[f.Place]
-		for _, state := range []string{standin.Draining, standin.Deleted, standin.Serving} {
-			r.rig.World.Set(state, e)
-			sleep(ctx, drainStep)
-		}
+		r.drain(ctx, f)
 	case Pause:
 		return r.pause(ctx, f.Node)
 	case Replay:
@@ -197,7 +209,7 @@
 
 // script has the endpoints of a destination behave otherwise for a while.
 func (r *run) script(ctx context.Context, f Fault, script standin.Script) {
-	endpoints := r.rig.World.Of(f.Place % r.shape.Destinations)
+	endpoints := r.endpointsOf(f.Place % r.shape.Destinations)
 	for _, e := range endpoints {
 		e.Set(script)
 	}
@@ -277,8 +289,17 @@
 	return n.Continue()
 }
 
+// ending is the way in which a process is ended.
+type ending int
+
+const (
+	endByKill ending = iota
+	endBySIGTERM
+	endBySeries // SIGTERM among other signals
+)
+
 // restart ends a node's process and starts the next one, with the wall clock set by a step between them.
-func (r *run) restart(ctx context.Context, node int, inOrder bool, step string) error {
+func (r *run) restart(ctx context.Context, node int, how ending, step string) error {
 	r.busy[node].Lock()
 	defer r.busy[node].Unlock()
 	sleep(ctx, time.Until(r.spare[node]))
@@ -286,14 +307,10 @@
 	p := n.Process()
 	ended := time.Now()
 	r.checkAlive(n, p)
-	if inOrder {
-		if err := p.Signal(syscall.SIGTERM); err != nil {
+	if how != endByKill {
+		if err := endInOrder(ctx, p, how == endBySeries); err != nil {
 			return err
 		}
-		select {
-		case <-p.Ended():
-		case <-time.After(killAfterTerm):
-		}
 	}
 	if err := n.Kill(); err != nil {
 		return err
@@ -338,7 +355,9 @@
 	for _, n := range r.rig.Nodes {
 		r.checkAlive(n, n.Process())
 	}
-	r.result.Verdict = r.rig.Check(standin.Rules)
+	rules := standin.Rules
+	rules.Drain, rules.AllowUntoldOwner = drainGrace+drainSlack, true
+	r.result.Verdict = r.rig.Check(rules)
 	for _, event := range r.rig.Events() {
 		r.result.Events = append(r.result.Events, event.String())
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -33,11 +33,16 @@
 	Accept    Kind = "accept"    // accept fails
 	Connect   Kind = "connect"   // connect fails
 	Replay    Kind = "replay"    // a client hands in ids of delivered messages again
+	Replace   Kind = "replace"   // a new endpoint, of another destination, starts at the address of one that has ended
+	Late      Kind = "late"      // connections to an endpoint come up late, while it drains or is gone
+	Upgrade   Kind = "upgrade"   // a process hands over to the next one
+	Series    Kind = "series"    // SIGTERM among other signals, SIGKILL 3.7 s later, a start, and SIGTERM again
+	Crowd     Kind = "crowd"     // hundreds of clients that never end a request
 )
 
 // Kinds lists all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay}
+	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd}
 }
 
 // Fault is one fault of a run.
@@ -47,7 +52,10 @@
 	Lasts time.Duration
 	Node  int    // of those that are about a forwarder
 	Place int    // the endpoint or destination of those that are about one
-	How   string // what fails, as a file of faults says it; for Clock the step
+	How   string // what fails, as a file of faults says it; for Clock the step; for others a variant
+
+	// Of Replace and Late: from its beginning until the lists report it, and until connections come up.
+	Reported, Opens time.Duration
 }
 
 // String describes the fault.
@@ -79,12 +87,18 @@
 	startMargin = 500 * time.Millisecond
 )
 
+// drainGrace is the shortest grace of the operators' settings.
+const drainGrace = 500 * time.Millisecond
+
 // Draw draws the faults of a run. Faults of one process that end it do not overlap.
 func Draw(s Shape, seed uint64) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 0x50a4))
 	kinds := slices.Clone(s.Kinds)
 	rng.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	kinds = kinds[:min(len(kinds), 1+rng.IntN(kindsOfRun))]
+	if slices.Contains(kinds, Upgrade) { // a handover is refused while the journal can't be kept, so that its end could not be told from a failure
+		kinds = slices.DeleteFunc(kinds, func(k Kind) bool { return k == Disk || k == Folder })
+	}
 	var list []Fault
 	for _, kind := range kinds {
 		for range 1 + rng.IntN(perKind) {
@@ -92,6 +106,10 @@
 				At:    startMargin + time.Duration(rng.Int64N(int64(s.Length-startMargin))),
 				Lasts: maxLast/10 + time.Duration(rng.Int64N(int64(maxLast)))}
 			f.How = draw(kind, rng)
+			if kind == Replace || kind == Late {
+				f.Reported = time.Duration(rng.Int64N(int64(maxReportDelay)))
+				f.Opens = minOpenDelay + time.Duration(rng.Int64N(int64(maxOpenDelay-minOpenDelay)))
+			}
 			if kind == Discovery {
 				f.Lasts = time.Duration(rng.Int64N(int64(maxSilence)))
 			}
@@ -124,6 +142,12 @@
 		return pick("-1h", "-3s", "-500ms", "3s", "1h")
 	case Accept:
 		return "accept " + pick("ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "EPROTO") + pick("", "@0.5")
+	case Replace:
+		return pick(orderTogether, orderTogether, orderLaterFirst, orderFormerFirst)
+	case Late:
+		return pick(lateDrain, lateGone, lateOnly)
+	case Crowd:
+		return pick(crowdHalf, crowdSlow, crowdFields, crowdSilent)
 	case Connect:
 		return "connect " + pick("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "ETIMEDOUT", "EHOSTUNREACH") + pick("", "@0.5")
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -120,11 +120,20 @@
 
 // Set tells the state of endpoints.
 func (d *Discovery) Set(state string, endpoints ...*Endpoint) {
+	states := make(map[*Endpoint]string, len(endpoints))
+	for _, e := range endpoints {
+		states[e] = state
+	}
+	d.SetAll(states)
+}
+
+// SetAll tells the states of several endpoints in one change, in any order.
+func (d *Discovery) SetAll(states map[*Endpoint]string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.index++
 	at := time.Now().Add(d.lag)
-	for _, e := range endpoints {
+	for e, state := range states {
 		d.entries[e.Name] = &entry{endpoint: e, status: state, index: d.index, at: at}
 	}
 	if d.lag > 0 {
@@ -158,7 +167,7 @@
 			address = d.where(e.endpoint)
 		}
 		l.Endpoints = append(l.Endpoints, listed{Name: e.endpoint.Name, Address: address, Zone: "a", Type: "std",
-			Group: e.endpoint.Group, Status: e.status, Weight: e.endpoint.Weight})
+			Group: e.endpoint.Group, Status: e.status, Weight: e.endpoint.Weight, SinceMS: e.endpoint.SinceMS})
 		told = append(told, Told{Endpoint: e.endpoint.Name, State: e.status})
 	}
 	return l, told
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -28,6 +28,8 @@
 	Group   int // its destination
 	Address string
 	Weight  float64
+	SinceMS int64     // when its process started, as discovery tells it; 0 for long ago
+	Former  *Endpoint // the one that had its address before; nil for none
 
 	script  atomic.Pointer[Script]
 	limited *window // of its destination
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -268,6 +268,8 @@
 	Altered func(destination int) bool
 	// Goals are the groups that a message may go to; nil where each goes to its destination.
 	Goals func(*Handed) []int
+	// AllowUntoldOwner allows calls to the new endpoint at an address for the one that had it before, until Drain after the forwarder was told of either.
+	AllowUntoldOwner bool
 	// PerAttempt tells that messages that may be repeated may be altered for each attempt anew.
 	PerAttempt bool
 }
