Log which lists came, and which endpoints they withdraw or have drain

Cause: the logs of the incident had no line between the start and the break: neither when a list came nor what it did to an endpoint could be told from them.

Change: one line for each list with entries (index, whole, entries); one for each endpoint that a list withdraws, has drain or has serve again, with destination, address, since_ms and reason, 16 a list at most and then their number. The tests of reused addresses share their set-up.

--- a/cmd/scaleroute/address_reuse_test.go
+++ b/cmd/scaleroute/address_reuse_test.go
@@ -217,8 +217,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := newTestEnv(t, func(http.ResponseWriter, string) {})
-			owner, reference := listenAndRecord(t), listenAndRecord(t)
-			w.endpoints = entryJSON("former", owner.address, formerDest, "SERVING", formerStart) + "," + entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart)
+			owner, reference := w.listFormerAndReference(listenAndRecord(t))
 			c := w.start().connect()
 			c.mustEnqueue("for-former", "unsafe", 200000)
 			owner.await("for-former")
@@ -235,6 +234,26 @@
 	}
 }
 
+// listFormerAndReference makes the initial list: the former endpoint at an address, and the reference endpoint.
+func (w *testEnv) listFormerAndReference(former *recorder) (owner, reference *recorder) {
+	reference = listenAndRecord(former.t)
+	w.endpoints = entryJSON("former", former.address, formerDest, "SERVING", formerStart) + "," + reference.listing()
+	return former, reference
+}
+
+// listing returns the list entry of the reference endpoint.
+func (r *recorder) listing() string {
+	return entryJSON("reference", r.address, referenceDest, "SERVING", formerStart)
+}
+
+// withEntry adds an entry to each list, so that whole lists keep it.
+func withEntry(list []update, entry string) []update {
+	for i := range list {
+		list[i].entries = append(list[i].entries, entry)
+	}
+	return list
+}
+
 // referenceDest is the destination of an endpoint that shows when connections may be used again.
 const referenceDest = 9
 
@@ -274,12 +293,8 @@
 						<-release
 					}
 				})
-				reference := listenAndRecord(t)
-				u.endpoints = entryJSON("former", owner.address, formerDest, "SERVING", formerStart) + "," + entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart)
-				changes := changesOfOwner(owner.address, u.target.Listener.Addr().String())[name]
-				for i := range changes {
-					changes[i].entries = append(changes[i].entries, entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart))
-				}
+				_, reference := u.listFormerAndReference(owner)
+				changes := withEntry(changesOfOwner(owner.address, u.target.Listener.Addr().String())[name], reference.listing())
 				old := u.launch()
 				old.awaitReady()
 				c := old.connect()
--- a/cmd/scaleroute/withdrawn_test.go
+++ b/cmd/scaleroute/withdrawn_test.go
@@ -55,14 +55,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := newTestEnv(t, func(http.ResponseWriter, string) {})
-			owner, reference := listenAndRecord(t), listenAndRecord(t)
-			w.endpoints = entryJSON("former", owner.address, formerDest, "SERVING", formerStart) + "," + entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart)
+			owner, reference := w.listFormerAndReference(listenAndRecord(t))
 			p := w.start()
-			changes := changesOfOwner(owner.address, w.target.Listener.Addr().String())[name]
-			for i := range changes {
-				changes[i].entries = append(changes[i].entries, entryJSON("reference", reference.address, referenceDest, "SERVING", formerStart))
-			}
-			w.reportAll(p.connect(), changes)
+			w.reportAll(p.connect(), withEntry(changesOfOwner(owner.address, w.target.Listener.Addr().String())[name], reference.listing()))
 			w.discoveryHangs.Store(true)
 			p.kill()
 			c := w.start().connect()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -218,6 +218,9 @@
 		slog.Warn("request to discovery failed", "err", err, "again_in", wait)
 	}
 	p.watch(ctx, index, p.fleet.newListBackoff(), warn, fetch, func(l *List) {
+		if len(l.Endpoints) > 0 {
+			slog.Info("endpoint list received", "index", l.Index, "whole", l.Snapshot, "entries", len(l.Endpoints))
+		}
 		p.recordLatest(l)
 		report(l)
 	})
--- a/internal/back/registry/incarnation.go
+++ b/internal/back/registry/incarnation.go
@@ -113,21 +113,21 @@
 	}
 }
 
-// setRefusal changes whether the endpoint is called. A withdrawn endpoint stays withdrawn.
-func (i *Incarnation) setRefusal(refusal Refusal) {
+// setRefusal changes whether the endpoint is called, and reports whether that has changed. A withdrawn endpoint stays withdrawn.
+func (i *Incarnation) setRefusal(refusal Refusal) (changed bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.refusal == Withdrawn {
-		return
+	if i.refusal == Withdrawn || i.refusal == refusal {
+		return false
 	}
 	i.refusal = refusal
-	if refusal == NotRefused {
-		return
-	}
-	for wait := range i.waits {
-		wait.cancel(ErrNotCallable)
+	if refusal != NotRefused {
+		for wait := range i.waits {
+			wait.cancel(ErrNotCallable)
+		}
+		i.waits = nil
 	}
-	i.waits = nil
+	return true
 }
 
 // Withdraw makes the endpoint refuse all messages from now on.
--- a/internal/back/registry/registry.go
+++ b/internal/back/registry/registry.go
@@ -10,8 +10,8 @@
 	"scaleroute/internal/engine"
 )
 
-// maxLoggedWithdrawals bounds the log lines of one list.
-const maxLoggedWithdrawals = 16
+// maxLoggedChanges bounds the log lines of one list.
+const maxLoggedChanges = 16
 
 // Endpoint is what a back keeps for an incarnation.
 type Endpoint interface {
@@ -64,7 +64,7 @@
 // Update applies an endpoint snapshot or delta.
 func (r *Registry[E]) Update(l engine.List) {
 	complete := l.Scope == decide.Snapshot || l.Scope == decide.LastKnown
-	log := &withdrawalLog{}
+	log := &changeLog{}
 	listed := map[string]bool{}
 	for i := range l.Endpoints {
 		e := &l.Endpoints[i]
@@ -93,14 +93,14 @@
 }
 
 // apply applies one entry of a list.
-func (r *Registry[E]) apply(e *engine.Endpoint, log *withdrawalLog) {
+func (r *Registry[E]) apply(e *engine.Endpoint, log *changeLog) {
 	current, isListed := r.Named(e.ID)
 	switch {
 	case e.State == decide.Gone:
 		r.withdraw(e.ID, "gone", log)
 		return
 	case isListed && e.State != decide.Active && e.Address == "": // the entry of a draining endpoint may lack everything but its name
-		current.Listing().setRefusal(Draining)
+		current.Listing().applyState(e.State, log)
 		return
 	case !r.handles(e.Address):
 		r.withdraw(e.ID, "not an address of this back", log)
@@ -123,11 +123,20 @@
 		r.mu.Unlock()
 		current = added
 	}
-	refusal := NotRefused
-	if e.State != decide.Active {
-		refusal = Draining
+	current.Listing().applyState(e.State, log)
+}
+
+// applyState applies the listed state of an endpoint that is not gone.
+func (i *Incarnation) applyState(state decide.TargetState, log *changeLog) {
+	if state != decide.Active {
+		if i.setRefusal(Draining) {
+			log.add(i, "draining", "listed so, or its address is another one's")
+		}
+		return
+	}
+	if i.setRefusal(NotRefused) {
+		log.add(i, "serving again", "listed so")
 	}
-	current.Listing().setRefusal(refusal)
 }
 
 // changeTo returns what makes an entry of a list another incarnation of the endpoint, or "". An entry whose start is unknown or older says
@@ -145,7 +154,7 @@
 }
 
 // withdraw removes an endpoint if it is listed. Calls in flight to it continue.
-func (r *Registry[E]) withdraw(name, reason string, log *withdrawalLog) {
+func (r *Registry[E]) withdraw(name, reason string, log *changeLog) {
 	e, ok := r.Named(name)
 	if !ok {
 		return
@@ -155,20 +164,20 @@
 	r.mu.Unlock()
 	e.Listing().Withdraw()
 	e.Release()
-	log.add(e.Listing(), reason)
+	log.add(e.Listing(), "withdrawn", reason)
 }
 
-// withdrawalLog logs the withdrawals of one list.
-type withdrawalLog struct{ count int }
+// changeLog logs the endpoints that one list withdraws, has drain or has serve again.
+type changeLog struct{ count int }
 
-func (w *withdrawalLog) add(i *Incarnation, reason string) {
-	if w.count++; w.count <= maxLoggedWithdrawals {
-		slog.Info("endpoint withdrawn", "target", i.Name, "destination", i.Destination, "address", i.hostPort(), "since_ms", i.StartedMS, "why", reason)
+func (l *changeLog) add(i *Incarnation, change, reason string) {
+	if l.count++; l.count <= maxLoggedChanges {
+		slog.Info("endpoint "+change, "target", i.Name, "destination", i.Destination, "address", i.hostPort(), "since_ms", i.StartedMS, "why", reason)
 	}
 }
 
-func (w *withdrawalLog) finish() {
-	if more := w.count - maxLoggedWithdrawals; more > 0 {
-		slog.Info("more endpoints withdrawn by the same list", "count", more)
+func (l *changeLog) finish() {
+	if more := l.count - maxLoggedChanges; more > 0 {
+		slog.Info("more endpoints changed by the same list", "count", more)
 	}
 }
