Count requests that waited on a held socket before a start from 400 ms ago

Cause: a request written while no process ran waited in the socket's queue, up to the 400 ms that its client waits; its time counted from when the next process read it.

--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -325,6 +325,8 @@
 	if previous != nil {
 		http.AdoptIdle(previous.idle)
 		clients.Adopt(previous.clients, previous.stopped)
+	} else if f.inherited != nil {
+		clients.ReadsAfterGap()
 	}
 	accepting.Go(func() { clients.Serve(ctx) })
 	if file := f.operators.current.PluginStatus; file != "" {
--- a/internal/front/resp2/handover.go
+++ b/internal/front/resp2/handover.go
@@ -61,7 +61,7 @@
 	return true
 }
 
-// During a handover no server reads, so that a request that arrives in this gap has less time left than it says. Its time of arrival is not known: a
+// During a handover, and before a start on a listening socket that outlasts the process, no server reads, so that a request that arrives in this gap has less time left than it says. Its time of arrival is not known: a
 // request that is there when this server begins is taken to have been sent when the other one stopped reading, but at most maxClientWait ago, since no
 // client waits for longer.
 const maxClientWait = 400 * time.Millisecond
@@ -82,6 +82,13 @@
 	return g.start
 }
 
+// ReadsAfterGap makes the requests that wait when this server begins count as sent long before, though at most maxClientWait: the listening socket is older than
+// this process, and nobody knows for how long it was not served. It is called before Serve, unless Adopt is.
+func (s *Server) ReadsAfterGap() {
+	now := time.Now()
+	s.readGap = readGap{now.Add(-maxClientWait), now}
+}
+
 // Adopt serves the connections of another server, which stopped reading at the time stopped. It is called before Serve.
 func (s *Server) Adopt(conns []DetachedConn, stopped time.Time) {
 	s.readGap = readGap{stopped, time.Now()}
