Soak whole lists at replaced addresses, and leave crowds out while a process is away

Change: a replacement may come in a whole list; a crowd or an upgrade is left out where there is no process. Comments of the package in plain terms.

--- a/internal/soak/membership.go
+++ b/internal/soak/membership.go
@@ -17,6 +17,7 @@
 	orderTogether    = "together"
 	orderLaterFirst  = "later first"
 	orderFormerFirst = "former first"
+	orderWholeList   = "whole list" // together, in a list of all endpoints
 )
 
 // How a connection that comes up late meets a change of its endpoint.
@@ -105,6 +106,9 @@
 		sleep(ctx, reportGap)
 		r.rig.World.Set(standin.Serving, successor)
 	default:
+		if f.How == orderWholeList {
+			r.rig.World.Whole()
+		}
 		r.rig.World.SetAll(map[*standin.Endpoint]string{former: standin.Deleted, successor: standin.Serving})
 	}
 	select {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -56,6 +56,9 @@
 	n := r.rig.Nodes[node]
 	old := n.Process()
 	r.checkAlive(n, old)
+	if old == nil {
+		return nil
+	}
 	next, err := n.Next()
 	if err != nil {
 		return err
@@ -70,7 +73,11 @@
 
 // crowd has more clients connect to a node than it serves, which never end a request, beside the usual ones.
 func (r *run) crowd(ctx context.Context, f Fault) {
-	address := r.rig.Nodes[f.Node].Process().Address()
+	process := r.rig.Nodes[f.Node].Process()
+	if process == nil { // it is being restarted
+		return
+	}
+	address := process.Address()
 	ctx, cancel := context.WithTimeout(ctx, f.Lasts)
 	defer cancel()
 	var clients sync.WaitGroup
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -47,14 +47,14 @@
 	Dir     string // for folders and files; it must exist and be empty
 }
 
-// Result is what a run came to.
+// Result is the outcome of a run.
 type Result struct {
 	Seed      uint64
 	Faults    []Fault
 	Verdict   *standin.Verdict
-	Open      int      // messages without an end
-	Broken    []string // beside rules: crashes, starts that took too long
-	Timelines []string // of some messages at fault
+	Open      int      // messages that are not completed
+	Broken    []string // failures besides broken rules: crashes and failed starts
+	Timelines []string // of some messages for which a rule was broken
 	Events    []string
 }
 
@@ -67,18 +67,18 @@
 	rig    *fleet.Rig
 	result *Result
 	dir    string
-	busy   []sync.Mutex // of each node: one fault that ends or stops its process at a time
-	spare  []time.Time  // until when a node must not be killed: its folder was replaced
+	busy   []sync.Mutex // per node: held by a fault that ends or stops its process
+	spare  []time.Time  // per node: it must not be killed before, since its folder was replaced
 	mu     sync.Mutex
-	files  []map[Kind]string // what fails at each node, by kind
-	step   []string          // by how much its wall clock is set
+	files  []map[Kind]string // per node: the line of its fault file by kind
+	step   []string          // per node: the offset of its wall clock
 	places []place
 	// replacements counts the endpoints that were replaced.
 	replacements int
 	steps        sync.WaitGroup
 }
 
-// Run plays the faults of a seed and judges what came of them.
+// Run injects the faults of a seed and checks the rules afterwards.
 func Run(ctx context.Context, p Program, s Shape, seed uint64, list []Fault) (*Result, error) {
 	rig, err := fleet.New(fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Endpoints, Slots: 16, Left: s.Left, DiskMB: 3, Seed: seed, Grace: drainGrace, Connect: connectTimeout,
 		Inherited: slices.ContainsFunc(list, func(f Fault) bool { return f.Kind == Upgrade }),
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	for _, n := range rig.Nodes {
-		n.Clients.At(n.Process().Address()) // no relay: what ends a connection is the process
+		n.Clients.At(n.Process().Address()) // without a relay, so that only the process ends a connection
 	}
 	over := make(chan struct{})
 	wait := rig.Load(s.Rate, clientsOfNode, bodyBytes, over)
@@ -118,7 +118,7 @@
 
 var healthy = standin.Script{Latency: 5 * time.Millisecond, Jitter: 40 * time.Millisecond}
 
-// play begins each fault at its time, and returns once all are over.
+// play begins each fault at its time, and returns once all have ended.
 func (r *run) play(ctx context.Context, list []Fault) error {
 	began := time.Now()
 	var failed error
@@ -145,7 +145,7 @@
 	return errors.Join(failed, ctx.Err())
 }
 
-// begin carries a fault out, to its end.
+// begin injects a fault and returns once it has ended.
 func (r *run) begin(ctx context.Context, f Fault) error {
 	n := r.rig.Nodes[f.Node]
 	switch f.Kind {
@@ -181,7 +181,7 @@
 	case Pieces:
 		r.setEdges(ctx, n.Edges("targets"), f, fleet.Fault{Piece: pieceBytes})
 	case Discovery:
-		n.Discovery.Down(true) // notices are still taken
+		n.Discovery.Down(true) // completion notices are still accepted
 		sleep(ctx, f.Lasts)
 		n.Discovery.Down(false)
 	case Drain:
@@ -194,7 +194,7 @@
 	return nil
 }
 
-// replay has a client hand in the ids of delivered messages again for a while, the latest first, in either class.
+// replay submits the ids of delivered messages again for a while, the latest first, in either class.
 func (r *run) replay(ctx context.Context, f Fault) {
 	n := r.rig.Nodes[f.Node]
 	for end := time.Now().Add(f.Lasts); time.Now().Before(end) && ctx.Err() == nil; {
@@ -207,7 +207,7 @@
 	}
 }
 
-// script has the endpoints of a destination behave otherwise for a while.
+// script changes the behaviour of a destination's endpoints for a while.
 func (r *run) script(ctx context.Context, f Fault, script standin.Script) {
 	endpoints := r.endpointsOf(f.Place % r.shape.Destinations)
 	for _, e := range endpoints {
@@ -219,10 +219,10 @@
 	}
 }
 
-// setEdges has something be wrong on edges for a while.
-func (r *run) setEdges(ctx context.Context, edges []*fleet.Edge, f Fault, wrong fleet.Fault) {
+// setEdges injects a network fault on edges for a while.
+func (r *run) setEdges(ctx context.Context, edges []*fleet.Edge, f Fault, networkFault fleet.Fault) {
 	for _, edge := range edges {
-		edge.Set(wrong)
+		edge.Set(networkFault)
 	}
 	sleep(ctx, f.Lasts)
 	for _, edge := range edges {
@@ -230,7 +230,7 @@
 	}
 }
 
-// sleep waits, and less once the run is to end.
+// sleep waits for some time, or until the run is cancelled.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -238,12 +238,12 @@
 	}
 }
 
-// faultFile is where a node's process reads what fails.
+// faultFile returns the path of the file from which a node's process reads the faults of its system calls.
 func (r *run) faultFile(node int) string {
 	return filepath.Join(r.dir, fmt.Sprintf("faults-%d", node+1))
 }
 
-// setFault says what fails at a node from now on.
+// setFault replaces one kind of fault of a node's system calls.
 func (r *run) setFault(node int, kind Kind, how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -261,7 +261,7 @@
 	}
 }
 
-// folderSafety is how long a process whose folder was replaced has to write what it holds anew before it may be killed.
+// folderSafety is how long a process whose folder was replaced may take to write its queue to the new one before it is killed.
 const folderSafety = 4 * time.Second
 
 // replaceFolder puts an empty folder in the place of a node's, under its process.
@@ -277,7 +277,7 @@
 	return os.Mkdir(folder, 0o700)
 }
 
-// pause stops a process for as long as it may be held up between two instructions.
+// pause stops a process for the longest time that the rules allow between two instructions.
 func (r *run) pause(ctx context.Context, node int) error {
 	r.busy[node].Lock()
 	defer r.busy[node].Unlock()
@@ -335,7 +335,7 @@
 	return nil
 }
 
-// checkAlive notes a process that has ended though nobody ended it.
+// checkAlive records a process that has ended by itself.
 func (r *run) checkAlive(n *fleet.Node, p *fleet.Process) {
 	if p == nil {
 		r.addBroken("%s has no process", n.Name)
@@ -350,7 +350,7 @@
 	r.result.Broken = append(r.result.Broken, fmt.Sprintf(format, values...))
 }
 
-// judge says from the records what the run came to.
+// judge checks the rules against the records of endpoints, clients and notices.
 func (r *run) judge() {
 	for _, n := range r.rig.Nodes {
 		r.checkAlive(n, n.Process())
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,6 +1,6 @@
-// Package soak runs several real forwarders under faults that a seed draws, and judges the rules from the records of the endpoints,
-// clients and notices alone: system calls that fail for a while, a wall clock that is set, folders that are replaced, endpoints that
-// answer twice, signals in series, edges that cut, delay and reset.
+// Package soak runs several real forwarders under faults drawn from a seed, and checks the rules against the records of the endpoints,
+// clients and notices alone. The faults are failing system calls, steps of the wall clock, replaced folders and addresses, duplicate
+// responses, late connections, restarts and upgrades, network faults and misbehaving clients.
 package soak
 
 import (
@@ -40,7 +40,7 @@
 	Crowd     Kind = "crowd"     // hundreds of clients that never end a request
 )
 
-// Kinds lists all kinds of faults.
+// Kinds returns all kinds of faults.
 func Kinds() []Kind {
 	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd}
 }
@@ -50,11 +50,11 @@
 	Kind  Kind
 	At    time.Duration
 	Lasts time.Duration
-	Node  int    // of those that are about a forwarder
-	Place int    // the endpoint or destination of those that are about one
-	How   string // what fails, as a file of faults says it; for Clock the step; for others a variant
+	Node  int    // the forwarder, for faults of one
+	Place int    // the endpoint or destination, for faults of one
+	How   string // the line of the fault file, the step for Clock, or a variant
 
-	// Of Replace and Late: from its beginning until the lists report it, and until connections come up.
+	// For Replace and Late: the time from the beginning until the lists report it, and until connections are established.
 	Reported, Opens time.Duration
 }
 
@@ -68,13 +68,13 @@
 	Forwarders   int
 	Destinations int
 	Endpoints    int           // of each destination
-	Length       time.Duration // while faults begin
-	Left         time.Duration // time of a message
-	Rate         float64       // messages a second, at each forwarder
-	Kinds        []Kind        // those that are drawn
+	Length       time.Duration // during which faults begin
+	Left         time.Duration // deadline of each message
+	Rate         float64       // messages per second at each forwarder
+	Kinds        []Kind        // kinds to draw from
 }
 
-// DefaultShape is a run of some 20 s.
+// DefaultShape returns a run of about 20 s.
 func DefaultShape() Shape {
 	return Shape{Forwarders: 3, Destinations: 4, Endpoints: 2, Length: 8 * time.Second, Left: 6 * time.Second, Rate: 40, Kinds: Kinds()}
 }
@@ -123,7 +123,7 @@
 	return list
 }
 
-// draw draws what fails.
+// draw draws the variant of a fault.
 func draw(kind Kind, rng *rand.Rand) string {
 	pick := func(list ...string) string { return list[rng.IntN(len(list))] }
 	switch kind {
@@ -143,7 +143,7 @@
 	case Accept:
 		return "accept " + pick("ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "EPROTO") + pick("", "@0.5")
 	case Replace:
-		return pick(orderTogether, orderTogether, orderLaterFirst, orderFormerFirst)
+		return pick(orderTogether, orderWholeList, orderLaterFirst, orderFormerFirst)
 	case Late:
 		return pick(lateDrain, lateGone, lateOnly)
 	case Crowd:
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -23,6 +23,7 @@
 	entries map[string]*entry
 	lag     time.Duration
 	down    bool
+	whole   int64                  // a watch from before this version is answered with the whole list
 	where   func(*Endpoint) string // where an endpoint is, for this forwarder; nil: at its address
 	calls   []time.Time            // for the list
 	changed chan struct{}          // closed at the next change
@@ -127,6 +128,13 @@
 	d.SetAll(states)
 }
 
+// Whole answers the watches that have not seen the next version with the whole list.
+func (d *Discovery) Whole() {
+	d.mu.Lock()
+	d.whole = d.index + 1
+	d.mu.Unlock()
+}
+
 // SetAll tells the states of several endpoints in one change, in any order.
 func (d *Discovery) SetAll(states map[*Endpoint]string) {
 	d.mu.Lock()
@@ -155,10 +163,18 @@
 // since collects what is newer than a version, or all.
 func (d *Discovery) since(from int64) (l list, told []Told) {
 	now := time.Now()
-	l = list{Index: from, Snapshot: from < 0, Endpoints: []listed{}}
+	l = list{Snapshot: from < 0 || from < d.whole && d.index >= d.whole, Endpoints: []listed{}}
 	l.Index = max(0, from)
 	for _, e := range d.entries {
-		if e.index <= from || e.at.After(now) || from < 0 && e.status == Deleted {
+		isNew := e.index > from
+		if !isNew && !l.Snapshot || e.at.After(now) {
+			continue
+		}
+		if l.Snapshot && e.status == Deleted { // told by its absence
+			if isNew && from >= 0 {
+				l.Index = max(l.Index, e.index)
+				told = append(told, Told{Endpoint: e.endpoint.Name, State: Deleted})
+			}
 			continue
 		}
 		l.Index = max(l.Index, e.index)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// Whole has every agent answer watches with the whole list at the next change.
+func (w *World) Whole() {
+	for _, m := range w.members {
+		m.Discovery.Whole()
+	}
+}
+
 // SetAll tells the states of several endpoints to every agent in one change.
 func (w *World) SetAll(states map[*Endpoint]string) {
 	for _, m := range w.members {
