--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -103,6 +103,7 @@
 		o.Result, o.Latency = e.connectResult(ctx, &a, err), time.Since(start)
 		return o
 	}
+	request := net.Buffers{e.requestHeader(&a, timeout, len(body)), body}
 	if refusal := e.MayWrite(ctx, &a, c.endpoint.Incarnation); refusal != registry.NotRefused { // asked as late as possible
 		e.ReportWithheld(&a, refusal)
 		e.pool.addIdle(c, c.idleSince) // nothing has been written to it, so its idle time continues
@@ -112,7 +113,6 @@
 	c.retryAfter = retryAfterParser{notify: a.OnRetryAfter}
 	c.SetDeadline(deadline)
 	stopAbort := context.AfterFunc(ctx, c.abortCall)
-	request := net.Buffers{e.requestHeader(&a, timeout, len(body)), body}
 	if _, err := request.WriteTo(c.Conn); err != nil { // the request is incomplete, so it can't run
 		stopAbort()
 		e.pool.close(c)
