Stall a listener without giving its address up

Cause: the address is one of those that the system gives to outgoing connections, too.

Change: the same socket is kept, with a backlog of 0 and its queue filled.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -105,8 +106,7 @@
 			p.reset()
 		}
 	}
-	e.ln.Close()
-	stalled, err := standin.Stall(e.address)
+	stalled, err := standin.StallListener(e.ln.(*net.TCPListener))
 	if err != nil {
 		return err
 	}
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	e.stalled, e.ln = nil, ln
+	e.stalled = nil
 	e.wg.Go(func() { e.serve(ln) })
 	return nil
 }
@@ -217,7 +217,7 @@
 func (e *Edge) serve(ln net.Listener) {
 	for {
 		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) { // closed, or stalled
 			return
 		}
 		if err != nil { // out of descriptors
--- a/internal/standin/stalled_listener.go
+++ b/internal/standin/stalled_listener.go
@@ -4,73 +4,69 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/netip"
-	"os"
-	"sync"
 	"syscall"
 	"time"
 )
 
 const (
 	stalledBacklog = 0   // the kernel admits one connection more than this
-	openBacklog    = 128 // once the listener is open
-	maxFillers     = 8   // connections that fill the accept queue
+	openBacklog    = 128 // once the listener is open again
+	maxFillers     = 32  // connections that fill the accept queue
 	fillerTimeout  = 50 * time.Millisecond
 )
 
 // StalledListener is a listening socket whose accept queue is full, so that connections to it neither are established nor fail. Once it is opened,
 // those that are still being tried are established with their next SYN, about a second after the one before.
 type StalledListener struct {
-	file    *os.File
-	address string
+	ln      *net.TCPListener
 	fillers []net.Conn
-	once    sync.Once
 }
 
 // Stall listens at an address, "127.0.0.1:0" for any port, and fills the accept queue.
 func Stall(address string) (*StalledListener, error) {
-	at, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, fmt.Errorf("stalled listener: %w", err)
-	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &StalledListener{file: os.NewFile(uintptr(fd), address)}
-	if err := s.listen(fd, at); err != nil {
-		s.file.Close()
-		return nil, fmt.Errorf("stalled listener at %s: %w", address, err)
-	}
-	if err := s.fill(); err != nil {
-		s.Close()
+	s, err := StallListener(ln.(*net.TCPListener))
+	if err != nil {
+		ln.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *StalledListener) listen(fd int, at netip.AddrPort) error {
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		return err
+// StallListener makes Accept of a listener fail with a deadline, and fills its accept queue.
+func StallListener(ln *net.TCPListener) (*StalledListener, error) {
+	s := &StalledListener{ln: ln}
+	err := ln.SetDeadline(time.Unix(1, 0))
+	if err == nil {
+		err = s.setBacklog(stalledBacklog)
 	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}); err != nil {
-		return err
+	if err == nil {
+		err = s.fill()
 	}
-	if err := syscall.Listen(fd, stalledBacklog); err != nil {
-		return err
+	if err != nil {
+		s.closeFillers()
+		return nil, fmt.Errorf("stalling the listener at %s: %w", s.Address(), err)
 	}
-	bound, err := syscall.Getsockname(fd)
+	return s, nil
+}
+
+func (s *StalledListener) setBacklog(backlog int) error {
+	raw, err := s.ln.SyscallConn()
 	if err != nil {
 		return err
 	}
-	s.address = netip.AddrPortFrom(at.Addr(), uint16(bound.(*syscall.SockaddrInet4).Port)).String()
-	return nil
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), backlog) })
+	return errors.Join(err, listenErr)
 }
 
 // fill connects until the accept queue is full and a connection is not established any more.
 func (s *StalledListener) fill() error {
 	for range maxFillers {
-		conn, err := net.DialTimeout("tcp", s.address, fillerTimeout)
+		conn, err := net.DialTimeout("tcp", s.Address(), fillerTimeout)
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			return nil
@@ -80,39 +76,46 @@
 		}
 		s.fillers = append(s.fillers, conn)
 	}
-	return fmt.Errorf("stalled listener at %s: %d connections do not fill its accept queue", s.address, maxFillers)
+	return fmt.Errorf("%d connections do not fill its accept queue", maxFillers)
+}
+
+func (s *StalledListener) closeFillers() {
+	for _, filler := range s.fillers {
+		filler.Close()
+	}
+	s.fillers = nil
 }
 
 // Address returns the address that it listens at.
-func (s *StalledListener) Address() string { return s.address }
+func (s *StalledListener) Address() string { return s.ln.Addr().String() }
 
-// Open empties the accept queue and returns a listener of the same socket. The StalledListener must not be used afterwards.
-func (s *StalledListener) Open() (ln net.Listener, err error) {
-	s.once.Do(func() {
-		defer s.file.Close()
-		if ln, err = net.FileListener(s.file); err != nil {
-			return
-		}
-		for _, filler := range s.fillers {
-			filler.Close()
-			var accepted net.Conn
-			if accepted, err = ln.Accept(); err != nil {
-				ln.Close()
+// Open returns the listener, ready to accept. Connections that were established while it was stalled are reset: besides those that filled the queue, one
+// of another client may be among them, which has written to a process that is no longer there.
+func (s *StalledListener) Open() (net.Listener, error) {
+	s.closeFillers()
+	return s.ln, errors.Join(s.resetQueued(), s.setBacklog(openBacklog), s.ln.SetDeadline(time.Time{}))
+}
+
+// resetQueued resets the connections in the accept queue.
+func (s *StalledListener) resetQueued() error {
+	raw, err := s.ln.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) {
+		for {
+			conn, _, err := syscall.Accept4(int(fd), syscall.SOCK_CLOEXEC)
+			if err != nil { // the queue is empty: the socket does not block
 				return
 			}
-			accepted.Close()
+			syscall.SetsockoptLinger(conn, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+			syscall.Close(conn)
 		}
-		err = syscall.Listen(int(s.file.Fd()), openBacklog)
 	})
-	return ln, err
 }
 
-// Close ends it, unless it was opened.
+// Close closes the listener.
 func (s *StalledListener) Close() {
-	s.once.Do(func() {
-		for _, filler := range s.fillers {
-			filler.Close()
-		}
-		s.file.Close()
-	})
+	s.closeFillers()
+	s.ln.Close()
 }
