Record that a message may run once its connection is ready, not before

Cause: the engine wrote the record of an attempt when it decided the attempt, and the call dialled after that. A restart takes a message with such a record for one that may have run.

Change: a call asks the loop for the record when its connection is ready, and writes its first byte once the record is as durable as configured (Attempt.RecordSending). Where a connection is idle the engine reserves it and records the attempt at once, as before. Mail asks after the server's 354. An attempt that the end of the process interrupted before it had a connection does not count. With group commit, effects that need no record no longer wait for a sync, so that a call waits for one sync as before. While the disk fails, a message that must not run twice is withheld when its connection is ready. Still one record a call before its first byte.

--- a/cmd/scaleroute/main_test.go
+++ b/cmd/scaleroute/main_test.go
@@ -109,22 +109,23 @@
 
 // testEnv runs fakes of discovery, the platform and one endpoint, and starts forwarder processes that use them.
 type testEnv struct {
-	t              testing.TB
-	discovery      *httptest.Server
-	target         *httptest.Server
-	state          string
-	diskMB         float64
-	maxSockets     int    // the configured limit of descriptors
-	program        string // the daemon; the test binary if empty
-	args           []string
-	env            []string
-	clientSocket   *os.File    // the clients' listening socket, if the platform holds it
-	endpoints      string      // the entries of the list, in place of the one endpoint
-	noInitialList  bool        // the configuration has an empty endpoint list
-	updates        []string    // the answers of discovery for the indexes from 2 on
-	updateAdded    chan bool   // closed when the next update is published
-	newestAsked    int         // the highest index that a forwarder has sent in a watch request
-	discoveryHangs atomic.Bool // discovery accepts requests and does not answer
+	t                testing.TB
+	discovery        *httptest.Server
+	target           *httptest.Server
+	state            string
+	diskMB           float64
+	connectTimeoutMS int    // of the configuration; 0: the usual one
+	maxSockets       int    // the configured limit of descriptors
+	program          string // the daemon; the test binary if empty
+	args             []string
+	env              []string
+	clientSocket     *os.File    // the clients' listening socket, if the platform holds it
+	endpoints        string      // the entries of the list, in place of the one endpoint
+	noInitialList    bool        // the configuration has an empty endpoint list
+	updates          []string    // the answers of discovery for the indexes from 2 on
+	updateAdded      chan bool   // closed when the next update is published
+	newestAsked      int         // the highest index that a forwarder has sent in a watch request
+	discoveryHangs   atomic.Bool // discovery accepts requests and does not answer
 
 	mu            sync.Mutex
 	calls         map[string]int
@@ -347,11 +348,11 @@
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d,"disk_mb":%v},"known":%s,
 		"settings":{"Azs":["a"],"Kinds":["std"],"Siblings":1,"Weights":"nominal","Discovery":"automatic","Tenants":[],
 		"FamilyInfo":{"Workers":8,"Late":"line","PerCall":[1],"SeparateRoutes":[false],"Carriage":[0.0]},
-		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":1500.0,"Cancel":true,"SecondCopies":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
+		"Limits":{"MaxOpen":100,"MaxAttempts":6,"ConnIdle":15000.0,"ConnectTimeout":%d.0,"Cancel":true,"SecondCopies":true,"MaxRetryAfter":3000.0,"RetryAfter":true},
 		"Invariants":{"Cold":100.0,"DrainGrace":1000.0,"Fall":3000.0,"StartCapacity":0.9,"TipMultiple":2.0},
 		"Classes":[{"Name":"harmless","Effect":"pure","OnTime":60000.0,"Deadline":300000.0,"Worth":1.0,"LateShare":0.4},
 		{"Name":"unsafe","Effect":"side_effect","OnTime":60000.0,"Deadline":300000.0,"Worth":3.0,"LateShare":0.4}]}}`,
-		w.discovery.Listener.Addr(), w.maxSockets, w.diskMB, known)
+		w.discovery.Listener.Addr(), w.maxSockets, w.diskMB, known, w.configuredConnectTimeoutMS())
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -98,15 +98,30 @@
 	if a.ConnectTimeout > 0 {
 		connectTimeout = min(connectTimeout, a.ConnectTimeout)
 	}
-	c, err := e.pool.get(ctx, e, connectTimeout)
+	c, isReserved := a.Connection.(*conn)
+	if !isReserved {
+		c, err = e.pool.get(ctx, e, connectTimeout)
+	}
 	if err != nil {
 		o.Result, o.Latency = e.connectResult(ctx, &a, err), time.Since(start)
 		return o
 	}
+	connected := time.Now()
+	refusal := e.RecordSending(ctx, &a, c.endpoint.Incarnation)
+	recordingTime := time.Since(connected) // belongs to the time limit of the call, but not to the endpoint's latency
+	start, timeout = start.Add(recordingTime), max(timeout-recordingTime, time.Millisecond)
+	if refusal == registry.NotRefused && c.isReused() && !e.pool.isReusable(c) { // closed by the endpoint since the last check
+		e.pool.close(c)
+		o.Result = decide.NotSent
+		return o
+	}
 	request := net.Buffers{e.requestHeader(&a, timeout, len(body)), body}
-	if refusal := e.MayWrite(ctx, &a, c.endpoint.Incarnation); refusal != registry.NotRefused { // asked as late as possible
+	if refusal == registry.NotRefused {
+		refusal = e.MayWrite(ctx, &a, c.endpoint.Incarnation) // asked as late as possible
+	}
+	if refusal != registry.NotRefused {
 		e.ReportWithheld(&a, refusal)
-		e.pool.addIdle(c, c.idleSince) // nothing has been written to it, so its idle time continues
+		c.Release() // nothing has been written to it
 		o.Result = decide.NotSent
 		return o
 	}
--- a/internal/back/httpcall/conn.go
+++ b/internal/back/httpcall/conn.go
@@ -47,6 +47,9 @@
 	return c
 }
 
+// isReused reports whether the connection has carried a call before.
+func (c *conn) isReused() bool { return !c.lastResponse.IsZero() }
+
 // Read reads from the connection, appends the bytes to received and fails once these exceed maxResponseBytes.
 func (c *conn) Read(b []byte) (int, error) {
 	left := maxResponseBytes - len(c.received)
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"scaleroute/internal/back/registry"
+	"scaleroute/internal/engine"
 )
 
 const (
@@ -112,12 +113,11 @@
 	for c, wait := p.takeIdle(e, timeLeft/2); c != nil; c, wait = p.takeIdle(e, 0) {
 		if wait > 0 {
 			if err := e.waitFor(ctx, wait); err != nil {
-				p.addIdle(c, c.idleSince)
+				c.Release()
 				return nil, err
 			}
 		}
-		// The timer that closes expired connections may run late, while the endpoint has closed its side on time.
-		if time.Since(c.idleSince) < p.idleTimeout && p.isReusable(c) {
+		if p.isUsable(c) {
 			return c, nil
 		}
 		p.close(c)
@@ -128,6 +128,26 @@
 	return p.dial(ctx, e, timeLeft-time.Since(start))
 }
 
+// ReserveConnection returns an idle connection that may be reused now, or nil if there is none.
+func (e *endpoint) ReserveConnection() engine.ReservedConnection {
+	for c, _ := e.pool.takeIdle(e, 0); c != nil; c, _ = e.pool.takeIdle(e, 0) {
+		if e.pool.isUsable(c) {
+			return c
+		}
+		e.pool.close(c)
+	}
+	return nil
+}
+
+// Release returns a reserved connection that no call was made on. Its idle time continues.
+func (c *conn) Release() { c.endpoint.pool.addIdle(c, c.idleSince) }
+
+// isUsable reports whether a connection that was taken from the idle ones can be used. The timer that closes expired connections may run late, while the
+// endpoint has closed its side on time.
+func (p *pool) isUsable(c *conn) bool {
+	return time.Since(c.idleSince) < p.idleTimeout && p.isReusable(c)
+}
+
 // waitFor waits for some time, or until the context ends or the endpoint is no longer called.
 func (e *endpoint) waitFor(ctx context.Context, d time.Duration) error {
 	ctx, release := e.WhileCallable(ctx)
--- a/internal/back/registry/incarnation.go
+++ b/internal/back/registry/incarnation.go
@@ -29,6 +29,7 @@
 	Draining        Refusal = "endpoint draining"
 	Withdrawn       Refusal = "endpoint withdrawn"
 	OtherConnection Refusal = "connection of another endpoint"
+	NotRecorded     Refusal = "not recorded in the journal"
 )
 
 // Incarnation is an endpoint for as long as its identity stays the same. Its methods may be called from any goroutine.
@@ -63,6 +64,15 @@
 	return i.Refusal() // last, since a list may be applied while MayBegin runs
 }
 
+// RecordSending has the journal record that a message may run, unless MayWrite refuses it already. It is called when the connection is ready. MayWrite
+// must be asked again right before the first byte, since the record takes time.
+func (i *Incarnation) RecordSending(ctx context.Context, a *engine.Attempt, owner *Incarnation) Refusal {
+	if refusal := i.MayWrite(ctx, a, owner); refusal != NotRefused || a.RecordSending == nil || a.RecordSending(ctx) {
+		return refusal
+	}
+	return NotRecorded
+}
+
 // Refusal returns why the endpoint is not called, or NotRefused.
 func (i *Incarnation) Refusal() Refusal {
 	i.mu.Lock()
@@ -79,7 +89,7 @@
 	if a.OnWithheld != nil {
 		a.OnWithheld(string(refusal))
 	}
-	if refusal != Cancelled && refusal != NotPermitted {
+	if refusal != Cancelled && refusal != NotPermitted && refusal != NotRecorded {
 		slog.Info("message withheld", "id", a.ID, "target", i.Name, "destination", i.Destination, "address", i.hostPort(), "since_ms", i.StartedMS, "why", refusal)
 	}
 }
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -199,8 +199,7 @@
 		c.onWritten = a.OnWritten
 		c.SetDeadline(deadline)
 		stopClose := context.AfterFunc(ctx, func() { c.Close() })
-		mayWrite := func() registry.Refusal { return e.MayWrite(ctx, &a, c.endpoint.Incarnation) }
-		f = e.transact(c, mail, reused, mayWrite)
+		f = e.transact(c, mail, reused, &permission{ctx, &a, e.Incarnation, c.endpoint.Incarnation})
 		notCancelled := stopClose()
 		switch {
 		case f == nil:
@@ -298,8 +297,30 @@
 // errWithheld is the error of a transaction that mayWrite does not permit.
 var errWithheld = errors.New("the message may not be written any more")
 
-// transact runs the transaction of one message; nil means that the message is delivered. mayWrite is asked right before the first byte.
-func (e *endpoint) transact(c *conn, mail []byte, reused bool, mayWrite func() registry.Refusal) *failure {
+// permission decides how far the transaction of an attempt may go.
+type permission struct {
+	ctx      context.Context
+	attempt  *engine.Attempt
+	endpoint *registry.Incarnation
+	owner    *registry.Incarnation // of the connection
+}
+
+// mayBegin is asked right before the first byte of the transaction.
+func (p *permission) mayBegin() registry.Refusal {
+	return p.endpoint.MayWrite(p.ctx, p.attempt, p.owner)
+}
+
+// mayWriteMessage is asked right before the first byte of the message itself, which the server may deliver from then on. The journal has recorded that
+// when mayWriteMessage returns.
+func (p *permission) mayWriteMessage() registry.Refusal {
+	if refusal := p.endpoint.RecordSending(p.ctx, p.attempt, p.owner); refusal != registry.NotRefused {
+		return refusal
+	}
+	return p.mayBegin()
+}
+
+// transact runs the transaction of one message; nil means that the message is delivered.
+func (e *endpoint) transact(c *conn, mail []byte, reused bool, permitted *permission) *failure {
 	if c.maxSize > 0 && int64(len(mail)) > c.maxSize {
 		return &failure{result: decide.Rejected, err: fmt.Errorf("the mail has %d bytes, but the server accepts %d", len(mail), c.maxSize)}
 	}
@@ -309,7 +330,7 @@
 		}
 		c.needsReset = false
 	}
-	if refusal := mayWrite(); refusal != registry.NotRefused {
+	if refusal := permitted.mayBegin(); refusal != registry.NotRefused {
 		return &failure{result: decide.NotSent, err: errWithheld, refusal: refusal}
 	}
 	from := fmt.Sprintf("MAIL FROM:<%s>", e.from)
@@ -346,6 +367,9 @@
 	if _, f := c.command(stageData, "DATA\r\n"); f != nil {
 		return f
 	}
+	if refusal := permitted.mayWriteMessage(); refusal != registry.NotRefused { // the server waits for the message, which only the end of the connection tells it of
+		return &failure{result: decide.NotSent, unusable: true, err: errWithheld, refusal: refusal}
+	}
 	if _, err := c.Write(mail); err != nil {
 		return &failure{result: decide.ConnectFailed, unusable: true, err: err}
 	}
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"scaleroute/internal/decide"
 	"scaleroute/internal/journal"
@@ -22,14 +21,15 @@
 // outcome whose number differs from its own, and would never release the attempt's
 // slot and message.
 func (l *Engine) reportNotSent(e *entry, target string) {
-	l.events = append(l.events, decide.Outcome{Message: e.saved.ID, Attempt: e.saved.Attempts, Target: target,
+	l.events = append(l.events, decide.Outcome{Message: e.saved.ID, Attempt: e.attempts, Target: target,
 		Result: decide.NotSent})
-	l.journal.RecordSending(e.saved.ID)
-	l.journal.RecordOutcome(e.saved.ID, false)
+	e.attempts++
+	l.recordOutcome(e.saved.ID, inFlight{}, false)
 }
 
-// completeCall records the outcome of a call in the journal, and completes the message if it needs no further call.
-func (l *Engine) completeCall(v callCompleted) {
+// completeCall records the outcome of a call in the journal, and completes the message if it needs no further call. A call without a connection that the
+// end of the loop has interrupted is not recorded: the next process must find its message as if the call had not begun.
+func (l *Engine) completeCall(ctx context.Context, v callCompleted) {
 	o := v.outcome
 	v.wait.callCompleted(&o)
 	v.slot.Complete(v.written && answered(o.Result), !v.written)
@@ -37,7 +37,7 @@
 	if e == nil {
 		return // completed meanwhile; the Forwarder still counts its call
 	}
-	e.removeCall(o.Attempt)
+	call := e.removeCall(o.Attempt)
 	if o.NoAnswerNeeded {
 		for _, c := range e.calls { // a hedged request is no longer needed
 			c.cancel(nil)
@@ -50,12 +50,15 @@
 		}
 		l.countOutcome(e, func(t *ClassStats) { t.Withdrawn++ })
 		l.closeMessage(e, outcome)
-	} else {
-		l.journal.RecordOutcome(o.Message, !neverRan(o.Result))
+		return
+	}
+	mayHaveRun := !neverRan(o.Result)
+	if wasInterrupted := ctx.Err() != nil && !call.recorded && !mayHaveRun; !wasInterrupted {
+		l.recordOutcome(o.Message, call, mayHaveRun)
 	}
 }
 
-// send starts a call once the journal has recorded that the call is about to be made.
+// send starts a call. If a connection is ready, the attempt is recorded in the journal before; otherwise the call asks for that once it has one.
 // An attempt for a message whose client has not received +OK waits for that.
 func (l *Engine) send(ctx context.Context, s pendingAttempt) {
 	e := l.entries[s.Message]
@@ -76,14 +79,15 @@
 		l.reportNotSent(e, s.Target)
 		return
 	}
-	n := e.saved.Attempts
-	l.journal.RecordSending(s.Message)
+	n := e.attempts
+	e.attempts++
 	call, cancel := context.WithCancelCause(ctx)
 	_, portable := s.caller.(Portable)
 	slot := l.accounting.beginCall(s.Target)
-	e.calls = append(e.calls, inFlight{n, cancel, portable, slot})
-	attempt, decided := Attempt{OnWithheld: l.counters.onWithheld, ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: n,
-		Body: e.saved.Body, Timeout: s.Timeout, OnWritten: l.counters.countRelayed, MayBegin: l.routeWaits.otherCheck}, time.Now()
+	e.calls = append(e.calls, inFlight{attempt: n, cancel: cancel, portable: portable, slot: slot})
+	attempt := Attempt{OnWithheld: l.counters.onWithheld, ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: n,
+		Body: e.saved.Body, Timeout: s.Timeout, OnWritten: l.counters.countRelayed, MayBegin: l.routeWaits.otherCheck,
+		Connection: reserveConnection(s.caller)}
 	wait := l.routeWaits.forEndpoint(s.Target)
 	if wait.callBegan(); wait != nil {
 		attempt.MayBegin, attempt.OnRetryAfter = wait.mayBegin, wait.extend
@@ -97,15 +101,7 @@
 	if l.limits != nil {
 		attempt.ConnectTimeout = l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.RouteName()).Connect
 	}
-	undo := func(ctx context.Context) {
-		o := decide.Outcome{Message: s.Message, Attempt: n, Target: s.Target, Result: decide.NotSent}
-		wait.addRemaining(&o)
-		l.receive(ctx, callCompleted{outcome: o, slot: slot, wait: wait})
-	}
 	run := func() {
-		if l.journal.Durability() == journal.Group { // it has waited for a journal sync
-			attempt.Timeout = max(time.Millisecond, attempt.Timeout-time.Since(decided))
-		}
 		go func() { // little stack is used before the call: growing the stack costs a tenth of a call
 			reporter := callReporter{engine: l, wait: wait, handedOver: handedOver{message: s.Message, endpoint: s.Target, attempt: n, slot: slot}}
 			attempt.HandOver = reporter.handOver
@@ -113,15 +109,39 @@
 				attempt.OnWritten = reporter.markWritten
 			}
 			o := decide.Outcome{Result: decide.NotSent}
-			if call.Err() == nil {
+			switch {
+			case call.Err() == nil:
 				o = s.caller.Call(call, attempt)
+			case attempt.Connection != nil:
+				attempt.Connection.Release()
 			}
 			reporter.report(&o)
 		}()
 	}
+	if attempt.Connection == nil {
+		attempt.RecordSending = func(ctx context.Context) bool { return l.recordSending(ctx, e, n) }
+		l.addEffect(effectFree, nil, run)
+		return
+	}
+	undo := func() {
+		attempt.Connection.Release()
+		o := decide.Outcome{Message: s.Message, Attempt: n, Target: s.Target, Result: decide.NotSent}
+		wait.addRemaining(&o)
+		l.receive(ctx, callCompleted{outcome: o, slot: slot, wait: wait})
+	}
+	e.findCall(n).recorded = true
+	l.journal.RecordSending(s.Message)
 	l.effects = append(l.effects, effect{kind: effectSend, entry: e, run: run, undo: undo})
 }
 
+// reserveConnection returns a connection to an endpoint that is ready, or nil.
+func reserveConnection(c Caller) ReservedConnection {
+	if reserver, ok := c.(ConnectionReserver); ok {
+		return reserver.ReserveConnection()
+	}
+	return nil
+}
+
 // sendAllPending makes the attempts that waited for the fence or the journal and not for their client's +OK.
 func (l *Engine) sendAllPending(ctx context.Context) {
 	for _, e := range l.entries {
@@ -185,7 +205,7 @@
 			l.addEffect(effectFree, nil, func() { o.cancel(nil) })
 		}
 	}
-	if n := c.Attempt - e.saved.Attempts; n >= 0 && n < len(e.pending) { // they are numbered in order, so all of them are dropped or none
+	if n := c.Attempt - e.attempts; n >= 0 && n < len(e.pending) { // they are numbered in order, so all of them are dropped or none
 		l.dropPending(e)
 	}
 }
--- a/internal/engine/effects.go
+++ b/internal/engine/effects.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
@@ -15,7 +14,7 @@
 const (
 	effectFree   effectKind = iota // nothing: the effect is independent of the journal
 	effectAccept                   // the message: its client is told that it was accepted
-	effectSend                     // the record of the attempt, unless the message is safe to repeat
+	effectSend                     // the record of the attempt, unless the message is safe to repeat: its connection may be written to
 	effectNotice                   // the completion, as long as a restart could still send the message
 )
 
@@ -24,7 +23,7 @@
 	kind  effectKind
 	entry *entry // the message concerned; nil with effectFree
 	run   func()
-	undo  func(context.Context) // replaces run if that is not possible; only for effectSend
+	undo  func() // replaces run if that is not possible; only for effectSend
 }
 
 // addEffect adds an effect that runs after the journal has been written.
@@ -41,9 +40,23 @@
 	l.effects = l.effects[:0]
 }
 
+// runFreeEffects runs the effects that need not wait for the journal, and leaves the others.
+func (l *Engine) runFreeEffects() {
+	waiting := l.effects[:0]
+	for _, effect := range l.effects {
+		if effect.kind == effectFree {
+			effect.run()
+		} else {
+			waiting = append(waiting, effect)
+		}
+	}
+	clear(l.effects[len(waiting):])
+	l.effects = waiting
+}
+
 // runWithoutJournal handles effects while the journal can't be written: no message is accepted, and no attempt is made that a restart must know
 // of.
-func (l *Engine) runWithoutJournal(ctx context.Context, effects []effect) {
+func (l *Engine) runWithoutJournal(effects []effect) {
 	now := time.Now()
 	for _, effect := range effects {
 		switch effect.kind {
@@ -53,7 +66,7 @@
 			if l.mayRepeat(effect.entry.saved.Class) {
 				effect.run()
 			} else {
-				effect.undo(ctx)
+				effect.undo()
 			}
 		case effectNotice:
 			if now.Before(effect.entry.saved.Deadline) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -64,6 +64,17 @@
 	CloseIdle()
 }
 
+// ConnectionReserver is a Caller that can reserve a connection that is ready, so that the attempt can be recorded in the journal before its call begins.
+type ConnectionReserver interface {
+	// ReserveConnection returns a connection that a message can be written to at once, or nil if a call has to wait for one. It does not block.
+	ReserveConnection() ReservedConnection
+}
+
+// ReservedConnection is a connection for one call.
+type ReservedConnection interface {
+	Release() // called if the call is not made
+}
+
 // Attempt is one attempt to deliver a message.
 type Attempt struct {
 	ID             string
@@ -78,6 +89,10 @@
 	HandOver       func(*InFlightCall) // receives a call that is handed over to another process; see Portable
 	OnWritten      func()              // called once the message is completely written; it does not block
 	MayBegin       func() bool         // called before the first byte is written; if it returns false, the call is not made. nil permits the call
+	Connection     ReservedConnection  // the connection to use; nil: the call finds one itself
+	// RecordSending records that the message may run from now on. It is called when the connection is ready, right before the first byte, and
+	// waits until the record is as durable as configured; if it returns false, the call is not made. nil: it is recorded already.
+	RecordSending func(context.Context) bool
 	// OnRetryAfter is called as soon as an answer is known to carry a retry-after time, even if the rest of the answer turns out to
 	// be malformed. From then on no call may begin. The outcome reports the time that is left. It may be nil.
 	OnRetryAfter func(time.Duration)
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -14,6 +14,7 @@
 // entry is a message that the engine has not closed.
 type entry struct {
 	saved       *journal.MessageState
+	attempts    int              // attempts decided so far, and not pending
 	answer      chan<- reply     // where its client waits for the answer; nil once it is answered
 	unconfirmed chan<- reply     // the same while the message is accepted but not yet on disk
 	acked       bool             // the client has received +OK
@@ -38,17 +39,32 @@
 	attempt  int
 	cancel   context.CancelCauseFunc
 	portable bool // it can be handed over to another process
+	recorded bool // the journal says that it may run
 	slot     *ledger.CallCounter
 }
 
-// removeCall removes a call from those in flight and releases its context.
-func (e *entry) removeCall(attempt int) {
+// findCall returns the call in flight of an attempt, or nil.
+func (e *entry) findCall(attempt int) *inFlight {
+	for i := range e.calls {
+		if e.calls[i].attempt == attempt {
+			return &e.calls[i]
+		}
+	}
+	return nil
+}
+
+// removeCall removes a call from those in flight, releases its context and returns it. One that is not in flight counts as recorded: it belongs to an
+// earlier message with the same ID.
+func (e *entry) removeCall(attempt int) (removed inFlight) {
+	removed.recorded = true
 	e.calls = slices.DeleteFunc(e.calls, func(c inFlight) bool {
 		if c.attempt == attempt {
 			c.cancel(nil)
+			removed = c
 		}
 		return c.attempt == attempt
 	})
+	return removed
 }
 
 // enqueue adds a message and counts it against its destination's share and limit.
--- a/internal/engine/handover.go
+++ b/internal/engine/handover.go
@@ -144,7 +144,7 @@
 
 // handOver completes the handover; it is the last action of the loop.
 func (l *Engine) handOver() error {
-	if err := l.flushAndSync(context.Background()); err != nil {
+	if err := l.flushAndSync(); err != nil {
 		return err
 	}
 	for _, e := range l.entries {
@@ -210,7 +210,7 @@
 	call, cancel := context.WithCancelCause(context.Background())
 	endpoint, p := from.Endpoint, from.InFlightCall
 	slot, wait := l.accounting.resumeCall(from), l.routeWaits.forEndpoint(endpoint)
-	e.calls = append(e.calls, inFlight{attempt, cancel, true, slot})
+	e.calls = append(e.calls, inFlight{attempt: attempt, cancel: cancel, portable: true, recorded: true, slot: slot})
 	wait.callBegan()
 	a := Attempt{ID: e.saved.ID, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: attempt}
 	l.addEffect(effectFree, nil, func() {
--- a/internal/engine/journal_failure.go
+++ b/internal/engine/journal_failure.go
@@ -38,7 +38,7 @@
 }
 
 // journalFailed records that the journal can't be written, and runs or undoes the waiting effects as far as that is possible without it.
-func (l *Engine) journalFailed(ctx context.Context, why error) {
+func (l *Engine) journalFailed(why error) {
 	if l.journalFailure.since.IsZero() {
 		now := time.Now()
 		l.journalFailure.since, l.journalFailure.pause = now, minResumePause
@@ -52,18 +52,18 @@
 	waiting := l.awaitingSync
 	l.awaitingSync = nil
 	for _, batch := range waiting {
-		l.runWithoutJournal(ctx, batch.effects)
+		l.runWithoutJournal(batch.effects)
 	}
 	effects := l.effects
 	l.effects = nil
-	l.runWithoutJournal(ctx, effects)
+	l.runWithoutJournal(effects)
 }
 
 // checkJournal checks that the journal's folder is still in place, and drives the recovery after a failure.
 func (l *Engine) checkJournal(ctx context.Context) {
 	if l.journalFailure.since.IsZero() {
 		if err := l.journal.CheckFolder(); err != nil {
-			l.journalFailed(ctx, err)
+			l.journalFailed(err)
 			return
 		}
 		l.journalFailure.timer.Reset(folderCheckInterval)
@@ -74,7 +74,7 @@
 		l.tryResume(ctx)
 	} else if err := l.journal.Rebuild(rebuildChunk); err != nil {
 		l.journalFailure.resume = time.Time{}
-		l.journalFailed(ctx, err)
+		l.journalFailed(err)
 		return
 	}
 	switch {
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -205,7 +205,7 @@
 			l.journal.RecordClosed(s.ID)
 			continue
 		}
-		e := &entry{saved: s, acked: true}
+		e := &entry{saved: s, acked: true, attempts: s.Attempts}
 		l.enqueue(e)
 		if s.Completion != 0 {
 			l.addNotice(e)
@@ -256,8 +256,8 @@
 		}
 		select {
 		case <-ctx.Done():
-			l.drainInbox()
-			return l.flushAndSync(ctx)
+			l.drainInbox(ctx)
+			return l.flushAndSync()
 		case <-syncTicks:
 			l.startSync()
 		case <-publishTicks: // also covers changes by the passage of time alone
@@ -279,11 +279,13 @@
 }
 
 // drainInbox records outcomes and acknowledgements that came too late for the Forwarder, and refuses messages that did.
-func (l *Engine) drainInbox() {
+func (l *Engine) drainInbox(ctx context.Context) {
 	for len(l.inbox) > 0 {
 		switch v := (<-l.inbox).(type) {
 		case callCompleted:
-			l.completeCall(v)
+			l.completeCall(ctx, v)
+		case sendingRequest:
+			v.permitted <- false
 		case acknowledged:
 			l.acknowledge(v)
 		case arrival:
@@ -298,8 +300,10 @@
 		l.admit(v)
 	case ackWritten:
 		l.handleAck(ctx, v)
+	case sendingRequest:
+		l.permitSending(v)
 	case callCompleted:
-		l.completeCall(v)
+		l.completeCall(ctx, v)
 		l.accounting.recordRetryAfter(&v.outcome, time.Now())
 		l.accounting.recordFailure(&v.outcome)
 		l.events = append(l.events, v.outcome)
@@ -334,7 +338,7 @@
 		l.recordHandover(v)
 	case syncCompleted:
 		l.syncing = false
-		l.completeSync(ctx, v.written, v.err)
+		l.completeSync(v.written, v.err)
 	case decide.Stopping:
 		l.events = append(l.events, v)
 	}
@@ -398,16 +402,18 @@
 	clear(l.arrived)
 	l.arrived = l.arrived[:0]
 	if err := l.journal.Flush(); err != nil {
-		l.journalFailed(ctx, err)
+		l.journalFailed(err)
 		return
 	}
-	if l.journal.Durability() == journal.Group && len(l.effects) > 0 {
+	if l.journal.Durability() != journal.Group {
+		l.runEffects()
+		return
+	}
+	if l.runFreeEffects(); len(l.effects) > 0 {
 		l.awaitingSync = append(l.awaitingSync, batch{l.journal.SyncTarget(), l.effects})
 		l.effects = nil
-		l.completeSync(ctx, 0, nil)
-		return
+		l.completeSync(0, nil)
 	}
-	l.runEffects()
 }
 
 func (l *Engine) perform(ctx context.Context, a decide.Action) {
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,32 +19,36 @@
 	dir    string
 	engine *Engine
 	calls  chan string // message ids in the order in which the endpoint receives them
+	stop   func()      // ends the loop and waits for its end
 }
 
 // testConfig is the configuration of an engine under test.
 type testConfig struct {
-	settings      decide.Settings
-	diskMB        float64
-	list          List
-	journal       journal.Options
-	mayFail       bool // Run may return an error
-	limits        func(class string, destination int, route string) Limits
-	onCall        func(endpoint string, a Attempt)
-	call          func(context.Context, Attempt) decide.Outcome // result of a call; nil makes every call succeed
-	onOutcome     func(MessageOutcome)
-	onQueueChange func(destination int, added bool)
-	publishStats  bool
-	accounting    *Accounting
-	notifier      CompletionNotifier // receives the completion notices
-	dir           string             // folder of the journal; empty for a temporary folder
+	settings decide.Settings
+	diskMB   float64
+	list     List
+	journal  journal.Options
+	mayFail  bool // Run may return an error
+	limits   func(class string, destination int, route string) Limits
+	onCall   func(endpoint string, a Attempt)
+	call     func(context.Context, Attempt) decide.Outcome // result of a call; nil makes every call succeed
+	// waitsForConnection leaves it to call to ask for the permission to write.
+	waitsForConnection bool
+	onOutcome          func(MessageOutcome)
+	onQueueChange      func(destination int, added bool)
+	publishStats       bool
+	accounting         *Accounting
+	notifier           CompletionNotifier // receives the completion notices
+	dir                string             // folder of the journal; empty for a temporary folder
 }
 
 // fakeBack is a Back without a network; by default every call succeeds immediately.
 type fakeBack struct {
-	names  map[string]bool
-	calls  chan string
-	onCall func(string, Attempt)
-	call   func(context.Context, Attempt) decide.Outcome
+	names              map[string]bool
+	calls              chan string
+	onCall             func(string, Attempt)
+	call               func(context.Context, Attempt) decide.Outcome
+	waitsForConnection bool
 }
 
 // fakeEndpoint is one of its endpoints.
@@ -66,6 +71,9 @@
 }
 
 func (b fakeEndpoint) Call(ctx context.Context, a Attempt) decide.Outcome {
+	if !b.waitsForConnection && !a.RecordSending(ctx) {
+		return decide.Outcome{Result: decide.NotSent}
+	}
 	if b.onCall != nil {
 		b.onCall(b.name, a)
 	}
@@ -108,7 +116,7 @@
 		t.Cleanup(func() { j.Close() })
 	}
 	l, err := New(Config{Settings: w.settings, Journal: j, SyncEvery: time.Millisecond, Limits: w.limits,
-		Back: &fakeBack{names: map[string]bool{}, calls: n.calls, onCall: w.onCall, call: w.call}, OnOutcome: w.onOutcome, OnQueueChange: w.onQueueChange, PublishStats: w.publishStats, Accounting: w.accounting, CompletionNotifiers: map[string]CompletionNotifier{"": w.notifier}})
+		Back: &fakeBack{names: map[string]bool{}, calls: n.calls, onCall: w.onCall, call: w.call, waitsForConnection: w.waitsForConnection}, OnOutcome: w.onOutcome, OnQueueChange: w.onQueueChange, PublishStats: w.publishStats, Accounting: w.accounting, CompletionNotifiers: map[string]CompletionNotifier{"": w.notifier}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,12 +125,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- l.Run(ctx) }()
-	t.Cleanup(func() {
+	n.stop = sync.OnceFunc(func() {
 		cancel()
 		if err := <-ended; err != nil && !w.mayFail {
 			t.Error(err)
 		}
 	})
+	t.Cleanup(n.stop)
 	return n
 }
 
--- /dev/null
+++ b/internal/engine/sending_test.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"scaleroute/internal/decide"
+	"scaleroute/internal/journal"
+)
+
+// connectingCalls is a Call that waits for a connection until release is closed, and then for the permission to write.
+type connectingCalls struct {
+	began   chan string
+	release chan bool
+	written chan string
+}
+
+func newConnectingCalls() *connectingCalls {
+	return &connectingCalls{began: make(chan string, 10), release: make(chan bool), written: make(chan string, 10)}
+}
+
+func (c *connectingCalls) call(ctx context.Context, a Attempt) decide.Outcome {
+	c.began <- a.ID
+	select {
+	case <-c.release:
+	case <-ctx.Done():
+		return decide.Outcome{Result: decide.ConnectFailed}
+	}
+	if !a.RecordSending(ctx) {
+		return decide.Outcome{Result: decide.NotSent}
+	}
+	c.written <- a.ID
+	<-ctx.Done()
+	return decide.Outcome{Result: decide.Cancelled}
+}
+
+// TestJournalWhileConnecting: a message whose connection was still being established counted as one that may have run.
+func TestJournalWhileConnecting(t *testing.T) {
+	calls := newConnectingCalls()
+	n := startEngine(t, func(w *testConfig) {
+		w.waitsForConnection = true
+		w.call = calls.call
+	})
+	n.engine.Accept(note("m")).ConfirmWritten(true)
+	<-calls.began
+	n.engine.Accept(note("next")) // in a later step than the beginning of the call
+	if s := n.onDisk(t)["m"]; s.Attempts != 0 || s.PossiblyRan() {
+		t.Errorf("journal entry before the connection is ready: %+v", s)
+	}
+	close(calls.release)
+	<-calls.written
+	if s := n.onDisk(t)["m"]; s.Attempts != 1 || !s.InFlight {
+		t.Errorf("journal entry when the first byte may leave: %+v", s)
+	}
+}
+
+// TestStopWhileConnecting: a call that the end of the process interrupted before it had a connection counted as a failed attempt, so that the next process
+// did not send the message before its retry budget allowed one.
+func TestStopWhileConnecting(t *testing.T) {
+	for range 20 { // the outcome comes before or after the end of the loop
+		calls := newConnectingCalls()
+		n := startEngine(t, func(w *testConfig) {
+			w.waitsForConnection = true
+			w.call = calls.call
+		})
+		n.engine.Accept(note("m")).ConfirmWritten(true)
+		<-calls.began
+		n.stop()
+		if s := n.onDisk(t)["m"]; s.Attempts != 0 || s.PossiblyRan() {
+			t.Fatalf("journal entry after the stop: %+v", s)
+		}
+	}
+}
+
+// failingFS is a folder whose files can't be written while it fails.
+type failingFS struct {
+	journal.FS
+	fails atomic.Bool
+}
+
+type failingFile struct {
+	journal.File
+	fs *failingFS
+}
+
+func (f *failingFS) Open(name string, create bool) (journal.File, error) {
+	file, err := f.FS.Open(name, create)
+	return failingFile{file, f}, err
+}
+
+func (f failingFile) WriteAt(b []byte, offset int64) (int, error) {
+	if f.fs.fails.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.WriteAt(b, offset)
+}
+
+// TestDiskFailsWhileConnecting: when a connection is ready but the journal can't be written, a message that must not run twice is not sent before the
+// journal works again, and one that may be repeated is sent at once.
+func TestDiskFailsWhileConnecting(t *testing.T) {
+	for name, effect := range map[string]decide.Effect{"may be repeated": decide.Idempotent, "must not run twice": decide.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			calls := newConnectingCalls()
+			fs := &failingFS{FS: journal.DirFS(t.TempDir())}
+			n := startEngine(t, func(w *testConfig) {
+				w.waitsForConnection, w.mayFail = true, true
+				w.call = calls.call
+				w.settings.Classes[0].Effect = effect
+				w.journal = journal.Options{FS: fs}
+			})
+			n.engine.Accept(note("m")).ConfirmWritten(true)
+			<-calls.began
+			fs.fails.Store(true)
+			close(calls.release)
+			if effect == decide.Idempotent {
+				<-calls.written
+				return
+			}
+			for n.engine.JournalFailing().IsZero() { // until the loop has met the failure, which answers the request of the call
+				select {
+				case id := <-calls.written:
+					t.Fatalf("%s was written without its record", id)
+				default:
+				}
+			}
+			fs.fails.Store(false)
+			<-calls.written
+		})
+	}
+}
--- a/internal/engine/sync.go
+++ b/internal/engine/sync.go
@@ -1,9 +1,6 @@
 package engine
 
-import (
-	"context"
-	"slices"
-)
+import "slices"
 
 // batch is a list of effects that may run once the journal is synced up to written.
 type batch struct {
@@ -12,13 +9,13 @@
 }
 
 // flushAndSync flushes and syncs the end of the journal, and runs the effects that waited for that.
-func (l *Engine) flushAndSync(ctx context.Context) error {
+func (l *Engine) flushAndSync() error {
 	if l.journal.Failure() != nil && l.journal.Resume() == nil { // last attempt to resume writing
 		for l.journal.Rebuilding() && l.journal.Rebuild(rebuildChunk) == nil {
 		}
 	}
 	if err := l.journal.Flush(); err != nil {
-		l.journalFailed(ctx, err)
+		l.journalFailed(err)
 		return err
 	}
 	written, sync := l.journal.PrepareSync()
@@ -26,7 +23,7 @@
 	if sync != nil {
 		err = sync()
 	}
-	l.completeSync(ctx, written, err)
+	l.completeSync(written, err)
 	return l.journal.Failure()
 }
 
@@ -42,9 +39,9 @@
 }
 
 // completeSync runs the effects that waited for this sync.
-func (l *Engine) completeSync(ctx context.Context, written int64, err error) {
+func (l *Engine) completeSync(written int64, err error) {
 	if err := l.journal.FinishSync(written, err); err != nil {
-		l.journalFailed(ctx, err)
+		l.journalFailed(err)
 		return
 	}
 	n := 0
