Keep a record of the endpoints that may be called, in place of withdrawn names

Cause: the folder kept the names of withdrawn endpoints in 1,536 bytes, some 116 names; the earliest beyond that were dropped without a word, and what was dropped was called. The need grew with each replacement.

Change: the folder has a record of the endpoints that may be called by the last lists, by hashes of name, destination and address (internal/agent/callable*.go). What the configuration lists and the record does not have is not called before discovery answers, so a record without room for all permits fewer calls, and says so. The file has its full size from the start and is written over where there is no room for a new one. A record that is cut off or spoilt permits no call before discovery answers: the file before counted as missing then, and all of the configuration was called. The file of older programs is read until there is a record. Lists whose numbering restarted below the configuration's index are heeded as well.

--- a/cmd/scaleroute/partial.go
+++ b/cmd/scaleroute/partial.go
@@ -81,7 +81,7 @@
 		slog.Warn("control servers have not sent this forwarder's part of the endpoint list: starting with the configured list", "endpoints", len(configured.Endpoints), "err", err)
 	}
 	known, changed := follower.StartDelivery()
-	p.forwarder.withdrawn.Update(&agent.List{Index: known.Index, Endpoints: changed})
+	p.forwarder.callable.Update(&agent.List{Index: known.Index, Endpoints: changed})
 	return &known
 }
 
@@ -127,7 +127,7 @@
 	}
 	if len(update.Changed) > 0 {
 		list := &agent.List{Index: update.Index, Endpoints: update.Changed}
-		p.forwarder.withdrawn.Update(list)
+		p.forwarder.callable.Update(list)
 		sources.updateFromDiscovery(list)
 	}
 }
@@ -201,7 +201,7 @@
 		update = sources.updateFromDiscovery
 	}
 	f.platform.Watch(ctx, known, func(list *agent.List) {
-		f.withdrawn.Update(list)
+		f.callable.Update(list)
 		update(list)
 	})
 }
--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -57,7 +57,7 @@
 	hup       <-chan os.Signal
 	settings  decide.Settings // the platform's settings with those of operators applied
 	platform  *agent.Platform
-	withdrawn *agent.WithdrawnStore
+	callable  *agent.CallableStore
 
 	inherited     net.Listener // the clients' socket that the platform passes on; nil if it does not
 	identity      takeover.Identity
@@ -175,11 +175,17 @@
 }
 
 func (f *forwarder) openJournalOnce() (*journal.Journal, error) {
-	disk, memory := int64(f.config.Limits.DiskMB*1e6)-f.fleet.ledgerSize(), int64(f.config.Limits.MemoryMB)<<20
+	_, reserved := f.callableRecord()
+	disk, memory := int64(f.config.Limits.DiskMB*1e6)-f.fleet.ledgerSize()-reserved, int64(f.config.Limits.MemoryMB)<<20
 	return journal.Open(f.config.StateDir, journal.Options{FS: folderFS(f.config.StateDir), DiskLimit: disk, MemoryLimit: memory * queueMemoryPercent / 100, CompletedIDBytes: journal.CompletedIDBytes(disk, memory),
 		Durability: operator.Durabilities[f.operators.current.Journal.Durability], AllowExtras: f.operators.file != ""})
 }
 
+// callableRecord returns how many endpoints the record of callable endpoints may have, and the bytes that the journal must leave for it.
+func (f *forwarder) callableRecord() (limit int, reserved int64) {
+	return agent.RecordLimit(len(f.config.InitialList.Endpoints), int64(f.config.Limits.DiskMB*1e6))
+}
+
 // newBack returns the back that makes all calls, and the part of it that makes calls over HTTP.
 func (f *forwarder) newBack() (back engine.Back, http *httpcall.Back) {
 	set := &f.settings
@@ -212,8 +218,9 @@
 	if f.operators.logSteps {
 		configuration.OnStep = steplog.NewWriter(os.Stderr).Step
 	}
-	f.withdrawn = agent.OpenWithdrawnStore(f.config.StateDir, &f.config.InitialList)
-	list := f.withdrawn.InitialList()
+	recordLimit, _ := f.callableRecord()
+	f.callable = agent.OpenCallableStore(f.config.StateDir, &f.config.InitialList, recordLimit)
+	list := f.callable.InitialList()
 	lists := []engine.List{list.ToEngineList(decide.LastKnown)}
 	if f.partial != nil {
 		list = f.partial.start(list, previous, j)
@@ -221,7 +228,7 @@
 		defer f.partial.releaseRecovered()
 	} else if known = f.initialList(previous); known != nil {
 		lists = append(lists, known.ToEngineList(decide.Snapshot))
-		f.withdrawn.Update(known)
+		f.callable.Update(known)
 		list = known
 	} else if f.settings.MustSubscribe && len(list.Endpoints) > 0 {
 		known = list // to subscribe for the changes since then is less work than to fetch the whole list
--- a/internal/scale/node.go
+++ b/internal/scale/node.go
@@ -138,23 +138,23 @@
 
 // wholeList watches the whole list, as a forwarder without a scope does.
 type wholeList struct {
-	platform  *agent.Platform
-	withdrawn *agent.WithdrawnStore // what was withdrawn, in a file; nil: it is not kept
+	platform *agent.Platform
+	callable *agent.CallableStore // what may be called after a restart, in a file; nil: it is not kept
 }
 
-// newWholeList makes one. A folder is where a forwarder would keep which endpoints were withdrawn; empty: that is not kept.
+// newWholeList makes one. A folder is where a forwarder would keep which endpoints may be called; empty: that is not kept.
 func newWholeList(address, folder string) source {
 	w := &wholeList{platform: agent.New(address, agent.Fleet{})}
 	if folder != "" {
-		w.withdrawn = agent.OpenWithdrawnStore(folder, &agent.List{})
+		w.callable = agent.OpenCallableStore(folder, &agent.List{}, agent.MaxRecordedInMargin)
 	}
 	return w
 }
 
 func (w *wholeList) watch(ctx context.Context, to *Node) {
 	w.platform.Watch(ctx, nil, func(l *agent.List) {
-		if w.withdrawn != nil {
-			w.withdrawn.Update(l)
+		if w.callable != nil {
+			w.callable.Update(l)
 		}
 		to.apply(l.Index, l.EngineUpdate())
 	})
