Soak restarts while connections come up and while most endpoints were replaced

Judged by two more rules: what a process was told in time holds for the next one, and a start gives up no messages that it found untried.

--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -29,6 +30,7 @@
 	MemoryMB     int
 	Seed         uint64
 	MustAsk      bool  // discovery has to be asked
+	FirstList    bool  // each start is configured with the list of the forwarder's first start, as an old one
 	Inherited    bool  // each forwarder's socket for clients is held for it, and outlasts its processes
 	Mesh         *Mesh // each gossips through it; nil: as operators have set. Closed with the rig
 
@@ -72,7 +74,8 @@
 	cpu     time.Duration // of those that have ended
 	peakKB  int64
 	starts  int
-	touched time.Time // its folder was, then: it does not tell of what was before, and what it held is gone
+	first   json.RawMessage // the list of the first configuration
+	touched time.Time       // its folder was, then: it does not tell of what was before, and what it held is gone
 }
 
 // Event is something that was done to the fleet, or seen of it.
@@ -292,6 +295,12 @@
 	r := n.rig
 	c := standin.Config{Name: n.Name, Forwarders: r.Forwarders, Discovery: n.List.Address(), MustAsk: r.MustAsk, Slots: max(8, r.Slots), Sockets: 1024,
 		MemoryMB: max(64, r.MemoryMB), DiskMB: max(3, r.DiskMB), Left: r.Left, DrainGrace: r.Grace, ConnectTimeout: r.Connect, Seed: r.Seed + uint64(n.number)<<20 + uint64(n.starts)}
+	if r.FirstList {
+		if n.first == nil {
+			n.first = n.Discovery.List()
+		}
+		c.Known = n.first
+	}
 	file := filepath.Join(r.Dir, n.Name, "config.json")
 	if err := replace(file, c.For(n.Member)); err != nil {
 		return nil, err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -75,14 +75,15 @@
 	places []place
 	// replacements counts the endpoints that were replaced.
 	replacements int
+	uncalled     []*standin.Endpoint // endpoints that no message is for
 	steps        sync.WaitGroup
 }
 
 // Run injects the faults of a seed and checks the rules afterwards.
 func Run(ctx context.Context, p Program, s Shape, seed uint64, list []Fault) (*Result, error) {
 	rig, err := fleet.New(fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Endpoints, Slots: 16, Left: s.Left, DiskMB: 3, Seed: seed, Grace: drainGrace, Connect: connectTimeout,
-		Inherited: slices.ContainsFunc(list, func(f Fault) bool { return f.Kind == Upgrade }),
-		Command:   p.Command, Env: p.Env, Dir: p.Dir})
+		Inherited: hasKind(list, Upgrade), FirstList: hasKind(list, Outage),
+		Command: p.Command, Env: p.Env, Dir: p.Dir})
 	if err != nil {
 		return nil, err
 	}
@@ -97,6 +98,9 @@
 		e.Set(healthy)
 		r.places = append(r.places, place{endpoint: e})
 	}
+	if hasKind(list, Outage) {
+		r.uncalled = rig.World.AddUncalled(uncalledEndpoints)
+	}
 	if err := rig.Start(ctx); err != nil {
 		return nil, err
 	}
@@ -171,6 +175,10 @@
 		r.crowd(ctx, f)
 	case Clock:
 		return r.restart(ctx, f.Node, endByKill, f.How)
+	case Connecting:
+		return r.connecting(ctx, f)
+	case Outage:
+		return r.outage(ctx, f)
 	case Repeats:
 		r.script(ctx, f, standin.Script{Latency: healthy.Latency, Jitter: healthy.Jitter, Errors: 0.02, Full: 0.02, Repeats: repeatShare, RepeatWithin: repeatWithin})
 	case Sick:
@@ -357,7 +365,11 @@
 	}
 	rules := standin.Rules
 	rules.Drain, rules.AllowUntoldOwner = drainGrace+drainSlack, true
+	rules.ToldOutlastsRestart = !hasKind(r.result.Faults, Folder) // the folder has what was told
 	r.result.Verdict = r.rig.Check(rules)
+	if !hasKind(r.result.Faults, losesWrittenBytes...) {
+		r.judgeUntried()
+	}
 	for _, event := range r.rig.Events() {
 		r.result.Events = append(r.result.Events, event.String())
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -38,11 +38,15 @@
 	Upgrade   Kind = "upgrade"   // a process hands over to the next one
 	Series    Kind = "series"    // SIGTERM among other signals, SIGKILL 3.7 s later, a start, and SIGTERM again
 	Crowd     Kind = "crowd"     // hundreds of clients that never end a request
+	// Connecting is an end of a process while no connection to a destination comes up, and a start after they do.
+	Connecting Kind = "connecting"
+	// Outage is an end of a process while the agent is silent, after most of the listed endpoints have been replaced, and one or two starts meanwhile.
+	Outage Kind = "outage"
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd}
+	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd, Connecting, Outage}
 }
 
 // Fault is one fault of a run.
@@ -146,6 +150,10 @@
 		return pick(orderTogether, orderWholeList, orderLaterFirst, orderFormerFirst)
 	case Late:
 		return pick(lateDrain, lateGone, lateOnly)
+	case Connecting:
+		return pick(endKill, endTerm)
+	case Outage:
+		return pick(endKill, endTerm, endKillTwice)
 	case Crowd:
 		return pick(crowdHalf, crowdSlow, crowdFields, crowdSilent)
 	case Connect:
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -33,7 +33,7 @@
 		h := handed[c.ID]
 		if h == nil {
 			v.say(&v.WrongGroup, "%s was called with %s, which no client has handed in", c.Endpoint.Name, c.ID)
-		} else if goals := limits.goals(h); !slices.Contains(goals, c.Endpoint.Group) && !(limits.AllowUntoldOwner && !l.knewOwner(c, limits.Drain)) {
+		} else if goals := limits.goals(h); !slices.Contains(goals, c.Endpoint.Group) && !(limits.AllowUntoldOwner && !l.knewOwner(c, limits)) {
 			v.say(&v.WrongGroup, "%s is for %d and went to %s of %d", c.ID, goals, c.Endpoint.Name, c.Endpoint.Group)
 		}
 	}
@@ -45,15 +45,14 @@
 
 // knewOwner reports whether a call began longer than the grace after its process was told that the endpoint has its address, or that the one before has
 // lost it.
-func (l *Log) knewOwner(c *Call, grace time.Duration) bool {
+func (l *Log) knewOwner(c *Call, limits Limits) bool {
 	former := c.Endpoint.Former
 	if former == nil {
 		return true
 	}
-	since := l.since(c.First)
 	return slices.ContainsFunc(l.told, func(t Told) bool {
 		isAboutOwner := t.Endpoint == c.Endpoint.Name && t.State == Serving || t.Endpoint == former.Name && t.State != Serving
-		return isAboutOwner && !t.At.Before(since) && c.First.Sub(t.At) > grace
+		return isAboutOwner && l.remembers(&t, c, limits) && c.First.Sub(t.At) > limits.Drain
 	})
 }
 
@@ -273,6 +272,21 @@
 	return start
 }
 
+// toldMargin is how long before the end of a process something must have been told for the next one to know it.
+const toldMargin = 100 * time.Millisecond
+
+// remembers reports whether the process that made a call knows what was told before: what it was told itself, and if that outlasts restarts what the ones
+// before it were told in time.
+func (l *Log) remembers(t *Told, c *Call, limits Limits) bool {
+	for _, r := range l.starts {
+		isEarlierLife := t.At.Before(r.Gone) && r.Gone.Before(c.First)
+		if isEarlierLife && (!limits.ToldOutlastsRestart || t.At.After(r.Ended.Add(-toldMargin))) {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *Log) checkDrains(v *Verdict, limits Limits) {
 	told := map[string][]Told{}
 	for _, t := range l.told {
@@ -281,14 +295,13 @@
 	for _, c := range l.calls {
 		// When the last change that closed it was told first: by discovery in this life, and by hand in any.
 		var by [2]time.Time
-		since := l.since(c.First)
 		for _, t := range told[c.Endpoint.Name] {
 			closed := &by[0]
 			if t.Hand {
 				closed = &by[1]
 			}
 			switch {
-			case t.At.After(c.First) || !t.Hand && t.At.Before(since):
+			case t.At.After(c.First) || !t.Hand && !l.remembers(&t, c, limits):
 			case t.State == Serving:
 				*closed = time.Time{}
 			case closed.IsZero():
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -97,6 +97,18 @@
 	return d.index
 }
 
+// List is the whole list as it is now.
+func (d *Discovery) List() json.RawMessage {
+	d.mu.Lock()
+	l, _ := d.since(-1)
+	d.mu.Unlock()
+	text, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // plain values: it can't be
+	}
+	return text
+}
+
 // Calls are when the list was asked for.
 func (d *Discovery) Calls() []time.Time {
 	d.mu.Lock()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -270,6 +270,8 @@
 	Goals func(*Handed) []int
 	// AllowUntoldOwner allows calls to the new endpoint at an address for the one that had it before, until Drain after the forwarder was told of either.
 	AllowUntoldOwner bool
+	// ToldOutlastsRestart tells that what a process was told holds for the next ones, until they are told otherwise.
+	ToldOutlastsRestart bool
 	// PerAttempt tells that messages that may be repeated may be altered for each attempt anew.
 	PerAttempt bool
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -83,6 +83,15 @@
 	return w, nil
 }
 
+// AddUncalled lists more endpoints, of destinations that no message is for. Nothing listens at their address.
+func (w *World) AddUncalled(n int) (added []*Endpoint) {
+	for i := range n {
+		added = append(added, &Endpoint{Name: fmt.Sprintf("u-%05d", i), Group: w.shape.Destinations + i, Address: "127.0.0.1:1", Weight: w.shape.Weight})
+	}
+	w.Set(Serving, added...)
+	return added
+}
+
 // Join adds a forwarder to the world, whose agent knows all endpoints. All forwarders join before any runs.
 func (w *World) Join() (*Member, error) {
 	if len(w.members) == mostMembers {
@@ -217,8 +226,9 @@
 	Seed     uint64
 	Weights  string // what the weights of endpoints mean; default nothing
 
-	DrainGrace     time.Duration // default 1 s
-	ConnectTimeout time.Duration // default 1 s
+	Known          json.RawMessage // the list of the configuration; default the present one
+	DrainGrace     time.Duration   // default 1 s
+	ConnectTimeout time.Duration   // default 1 s
 }
 
 // The classes in this world.
@@ -248,9 +258,9 @@
 	class := func(name, effect string, worth float64) map[string]any {
 		return map[string]any{"Name": name, "Effect": effect, "OnTime": ms / 4, "Deadline": ms, "Worth": worth, "LateShare": 0.4}
 	}
-	w.Discovery.mu.Lock()
-	known, _ := w.Discovery.since(-1)
-	w.Discovery.mu.Unlock()
+	if c.Known == nil {
+		c.Known = w.Discovery.List()
+	}
 	if c.Discovery == "" {
 		c.Discovery = w.Discovery.Address()
 	}
@@ -267,7 +277,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "seed": fmt.Sprintf("%016x", c.Seed),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": c.MemoryMB, "sockets": c.Sockets, "disk_mb": c.DiskMB},
-		"known":  known,
+		"known":  c.Known,
 		"settings": map[string]any{
 			"Azs": []string{"a"}, "Kinds": []string{"std"}, "Siblings": c.Forwarders, "Weights": c.Weights, "Discovery": mode,
 			"Tenants": []string{}, "Locality": "a",
