--- a/cmd/scaleroute/soak_test.go
+++ b/cmd/scaleroute/soak_test.go
@@ -23,6 +23,8 @@
 		{[]soak.Kind{soak.Replace, soak.Late, soak.Drain, soak.Pause, soak.Kill}, 12},
 		{[]soak.Kind{soak.Upgrade, soak.Crowd, soak.Replace, soak.Late}, 13},
 		{[]soak.Kind{soak.Series, soak.Crowd, soak.Late, soak.Replace}, 7},
+		{[]soak.Kind{soak.Connecting, soak.Outage, soak.Pause}, 6},
+		{[]soak.Kind{soak.Pause, soak.Connecting}, 5},
 	} {
 		t.Run(string(c.kinds[0]), func(t *testing.T) {
 			t.Parallel()
--- a/internal/back/registry/registry_test.go
+++ b/internal/back/registry/registry_test.go
@@ -139,3 +139,27 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// TestRecordSending: a message that may not be written in the first place is not recorded, and one that can't be recorded is not written.
+func TestRecordSending(t *testing.T) {
+	i := NewIncarnation(engine.EndpointIdentity{Name: "a", Address: "x"})
+	asked, permits := 0, true
+	attempt := &engine.Attempt{RecordSending: func(context.Context) bool {
+		asked++
+		return permits
+	}}
+	if got := i.RecordSending(t.Context(), attempt, i); got != NotRefused || asked != 1 {
+		t.Errorf("%q, asked %d times", got, asked)
+	}
+	permits = false
+	if got := i.RecordSending(t.Context(), attempt, i); got != NotRecorded || asked != 2 {
+		t.Errorf("without a record: %q, asked %d times", got, asked)
+	}
+	if got := i.RecordSending(t.Context(), &engine.Attempt{}, i); got != NotRefused {
+		t.Errorf("recorded already: %q", got)
+	}
+	i.Withdraw()
+	if got := i.RecordSending(t.Context(), attempt, i); got != Withdrawn || asked != 2 {
+		t.Errorf("withdrawn: %q, asked %d times", got, asked)
+	}
+}
--- a/internal/engine/sending_test.go
+++ b/internal/engine/sending_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"scaleroute/internal/decide"
 	"scaleroute/internal/journal"
@@ -130,3 +132,48 @@
 		})
 	}
 }
+
+// TestHedgeWhileConnecting: while a hedged request has no connection yet, the journal knows of the first call alone; a hedged request that never gets one leaves
+// the message as one that may have run.
+func TestHedgeWhileConnecting(t *testing.T) {
+	hedging, release := make(chan bool, 1), make(chan bool)
+	n := startEngine(t, func(w *testConfig) {
+		w.settings.Hedging, w.settings.MayCancel, w.settings.Weights = true, true, decide.NoWeights
+		w.settings.Limits = func(string, int, string) decide.Limits { return decide.Limits{HedgeDelay: 20 * time.Millisecond} }
+		w.list.Endpoints = append(w.list.Endpoints, Endpoint{Target: decide.Target{ID: "s2", Destination: 7}})
+		w.waitsForConnection = true
+		w.call = func(ctx context.Context, a Attempt) decide.Outcome {
+			if a.ID == "m" && a.Number == 1 { // the hedged request
+				hedging <- true
+				<-release
+				return decide.Outcome{Result: decide.ConnectFailed}
+			}
+			if !a.RecordSending(ctx) {
+				return decide.Outcome{Result: decide.NotSent}
+			}
+			if a.ID == "m" {
+				<-ctx.Done()
+				return decide.Outcome{Result: decide.Cancelled}
+			}
+			return decide.Outcome{Result: decide.Succeeded, NoAnswerNeeded: true, Latency: time.Millisecond}
+		}
+	})
+	for i := range 30 { // first attempts: hedged requests may be a fifth of them
+		n.engine.Accept(note(fmt.Sprint("plain", i))).ConfirmWritten(true)
+	}
+	for len(n.onDisk(t)) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n.engine.Accept(note("m")).ConfirmWritten(true)
+	<-hedging
+	if s := n.onDisk(t)["m"]; s.Attempts != 1 || !s.InFlight {
+		t.Errorf("while the hedged request has no connection: %+v", s)
+	}
+	close(release)
+	for n.onDisk(t)["m"].Attempts < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if s := n.onDisk(t)["m"]; !s.PossiblyRan() {
+		t.Errorf("after the hedged request got no connection: %+v", s)
+	}
+}
