--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"scaleroute/internal/decide"
 	"scaleroute/internal/journal"
@@ -88,6 +89,7 @@
 	attempt := Attempt{OnWithheld: l.counters.onWithheld, ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: n,
 		Body: e.saved.Body, Timeout: s.Timeout, OnWritten: l.counters.countRelayed, MayBegin: l.routeWaits.otherCheck,
 		Connection: reserveConnection(s.caller)}
+	decided := time.Now()
 	wait := l.routeWaits.forEndpoint(s.Target)
 	if wait.callBegan(); wait != nil {
 		attempt.MayBegin, attempt.OnRetryAfter = wait.mayBegin, wait.extend
@@ -102,6 +104,9 @@
 		attempt.ConnectTimeout = l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.RouteName()).Connect
 	}
 	run := func() {
+		if l.journal.Durability() == journal.Group { // it may have waited for a journal sync
+			attempt.Timeout = max(time.Millisecond, attempt.Timeout-time.Since(decided))
+		}
 		go func() { // little stack is used before the call: growing the stack costs a tenth of a call
 			reporter := callReporter{engine: l, wait: wait, handedOver: handedOver{message: s.Message, endpoint: s.Target, attempt: n, slot: slot}}
 			attempt.HandOver = reporter.handOver
