--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -365,7 +365,8 @@
 	}
 	rules := standin.Rules
 	rules.Drain, rules.AllowUntoldOwner = drainGrace+drainSlack, true
-	rules.ToldOutlastsRestart = !hasKind(r.result.Faults, Folder) // the folder has what was told
+	// Otherwise each start is configured with the present list, or has lost the folder with what was told.
+	rules.ToldOutlastsRestart = hasKind(r.result.Faults, Outage) && !hasKind(r.result.Faults, Folder)
 	r.result.Verdict = r.rig.Check(rules)
 	if !hasKind(r.result.Faults, losesWrittenBytes...) {
 		r.judgeUntried()
