--- a/internal/agent/callable_test.go
+++ b/internal/agent/callable_test.go
@@ -319,25 +319,35 @@
 	}
 }
 
-// BenchmarkOpenCallableStore measures what the record costs a start with 3,200 endpoints, all of which were replaced.
+// BenchmarkOpenCallableStore measures what the record costs a start whose configured endpoints were all replaced.
 func BenchmarkOpenCallableStore(b *testing.B) {
-	folder := b.TempDir()
-	known := &List{Index: 1, Snapshot: true, Endpoints: manyEndpoints("a", 3200)}
-	limit, _ := RecordLimit(len(known.Endpoints), 3e6)
-	OpenCallableStore(folder, known, limit).Update(&List{Index: 2, Snapshot: true, Endpoints: manyEndpoints("b", 3200)})
-	for b.Loop() {
-		OpenCallableStore(folder, known, limit).InitialList()
+	for _, size := range []int{30, 480, 3200} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			folder := b.TempDir()
+			known := &List{Index: 1, Snapshot: true, Endpoints: manyEndpoints("a", size)}
+			limit, reserved := RecordLimit(size, 3e6)
+			OpenCallableStore(folder, known, limit).Update(&List{Index: 2, Snapshot: true, Endpoints: manyEndpoints("b", size)})
+			for b.Loop() {
+				OpenCallableStore(folder, known, limit).InitialList()
+			}
+			b.ReportMetric(float64(recordBytes(limit)), "record-B")
+			b.ReportMetric(float64(reserved), "reserved-B")
+		})
 	}
 }
 
-// BenchmarkUpdateCallableStore measures a change of one of 3,200 endpoints, which writes the record.
+// BenchmarkUpdateCallableStore measures a change of one endpoint, which writes the record.
 func BenchmarkUpdateCallableStore(b *testing.B) {
-	known := &List{Index: 1, Snapshot: true, Endpoints: manyEndpoints("a", 3200)}
-	limit, _ := RecordLimit(len(known.Endpoints), 3e6)
-	store := OpenCallableStore(b.TempDir(), known, limit)
-	store.Update(known)
-	for n := int64(2); b.Loop(); n++ {
-		store.Update(&List{Index: n, Endpoints: withStatus(known.Endpoints[:1], []string{Serving, Draining}[n%2])})
+	for _, size := range []int{30, 480, 3200} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			known := &List{Index: 1, Snapshot: true, Endpoints: manyEndpoints("a", size)}
+			limit, _ := RecordLimit(size, 3e6)
+			store := OpenCallableStore(b.TempDir(), known, limit)
+			store.Update(known)
+			for n := int64(2); b.Loop(); n++ {
+				store.Update(&List{Index: n, Endpoints: withStatus(known.Endpoints[:1], []string{Serving, Draining}[n%2])})
+			}
+		})
 	}
 }
 
