--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -90,18 +90,14 @@
 	body, err := a.Body.Load()
 	if err != nil {
 		slog.Error("a message body can't be read", "id", a.ID, "err", err)
+		if a.Connection != nil {
+			a.Connection.Release()
+		}
 		o.Result = decide.NotSent
 		return o
 	}
 	deadline := start.Add(timeout)
-	connectTimeout := timeout
-	if a.ConnectTimeout > 0 {
-		connectTimeout = min(connectTimeout, a.ConnectTimeout)
-	}
-	c, isReserved := a.Connection.(*conn)
-	if !isReserved {
-		c, err = e.pool.get(ctx, e, connectTimeout)
-	}
+	c, err := e.connectionFor(ctx, &a)
 	if err != nil {
 		o.Result, o.Latency = e.connectResult(ctx, &a, err), time.Since(start)
 		return o
@@ -143,6 +139,18 @@
 	return o
 }
 
+// connectionFor returns the connection that is reserved for an attempt, or waits for one.
+func (e *endpoint) connectionFor(ctx context.Context, a *engine.Attempt) (*conn, error) {
+	if c, isReserved := a.Connection.(*conn); isReserved {
+		return c, nil
+	}
+	timeout := a.Timeout
+	if a.ConnectTimeout > 0 {
+		timeout = min(timeout, a.ConnectTimeout)
+	}
+	return e.pool.get(ctx, e, timeout)
+}
+
 // connectResult returns the result of a call for which there was no connection.
 func (e *endpoint) connectResult(ctx context.Context, a *engine.Attempt, err error) decide.Result {
 	switch {
--- a/internal/back/httpcall/sending_test.go
+++ b/internal/back/httpcall/sending_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,6 +61,11 @@
 	}
 }
 
+// unreadableBody is a body on a disk that fails.
+type unreadableBody struct{ message.Bytes }
+
+func (unreadableBody) Load() ([]byte, error) { return nil, syscall.EIO }
+
 // TestReservedConnection: an idle connection is reserved without waiting, used by the call that it was reserved for, and idle again after its release. A call
 // whose reserved connection the endpoint has closed since is not sent.
 func TestReservedConnection(t *testing.T) {
@@ -91,8 +97,12 @@
 	if o := e.Call(t.Context(), attempt); o.Result != decide.Succeeded || conns.Load() != 1 {
 		t.Errorf("%+v over %d connections", o, conns.Load())
 	}
-	attempt.Connection = reserve()
-	attempt.Connection.(*conn).Conn.(*net.TCPConn).CloseRead() // as if the endpoint had closed it
+	attempt.Connection, attempt.Body = reserve(), unreadableBody{}
+	if o := e.Call(t.Context(), attempt); o.Result != decide.NotSent {
+		t.Errorf("without its body: %+v", o)
+	}
+	attempt.Connection, attempt.Body = reserve(), message.Bytes("x") // which that call has released
+	attempt.Connection.(*conn).Conn.(*net.TCPConn).CloseRead()       // as if the endpoint had closed it
 	if o := e.Call(t.Context(), attempt); o.Result != decide.NotSent || b.pool.openConns != 0 {
 		t.Errorf("closed since it was reserved: %+v, %d connections", o, b.pool.openConns)
 	}
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"scaleroute/internal/decide"
 	"scaleroute/internal/journal"
@@ -80,71 +79,7 @@
 		l.reportNotSent(e, s.Target)
 		return
 	}
-	n := e.attempts
-	e.attempts++
-	call, cancel := context.WithCancelCause(ctx)
-	_, portable := s.caller.(Portable)
-	slot := l.accounting.beginCall(s.Target)
-	e.calls = append(e.calls, inFlight{attempt: n, cancel: cancel, portable: portable, slot: slot})
-	attempt := Attempt{OnWithheld: l.counters.onWithheld, ID: s.Message, Class: e.saved.Class, Destination: e.saved.Extras.RequestedDestination(e.saved.Dest), Number: n,
-		Body: e.saved.Body, Timeout: s.Timeout, OnWritten: l.counters.countRelayed, MayBegin: l.routeWaits.otherCheck,
-		Connection: reserveConnection(s.caller)}
-	decided := time.Now()
-	wait := l.routeWaits.forEndpoint(s.Target)
-	if wait.callBegan(); wait != nil {
-		attempt.MayBegin, attempt.OnRetryAfter = wait.mayBegin, wait.extend
-	}
-	if !e.sendBy.IsZero() {
-		attempt.MayBegin = beginBefore(e.sendBy, attempt.MayBegin)
-	}
-	if x := e.saved.Extras; x != nil {
-		attempt.Header = x.Header
-	}
-	if l.limits != nil {
-		attempt.ConnectTimeout = l.limits(e.saved.Class, e.saved.Dest, e.saved.Extras.RouteName()).Connect
-	}
-	run := func() {
-		if l.journal.Durability() == journal.Group { // it may have waited for a journal sync
-			attempt.Timeout = max(time.Millisecond, attempt.Timeout-time.Since(decided))
-		}
-		go func() { // little stack is used before the call: growing the stack costs a tenth of a call
-			reporter := callReporter{engine: l, wait: wait, handedOver: handedOver{message: s.Message, endpoint: s.Target, attempt: n, slot: slot}}
-			attempt.HandOver = reporter.handOver
-			if slot != nil {
-				attempt.OnWritten = reporter.markWritten
-			}
-			o := decide.Outcome{Result: decide.NotSent}
-			switch {
-			case call.Err() == nil:
-				o = s.caller.Call(call, attempt)
-			case attempt.Connection != nil:
-				attempt.Connection.Release()
-			}
-			reporter.report(&o)
-		}()
-	}
-	if attempt.Connection == nil {
-		attempt.RecordSending = func(ctx context.Context) bool { return l.recordSending(ctx, e, n) }
-		l.addEffect(effectFree, nil, run)
-		return
-	}
-	undo := func() {
-		attempt.Connection.Release()
-		o := decide.Outcome{Message: s.Message, Attempt: n, Target: s.Target, Result: decide.NotSent}
-		wait.addRemaining(&o)
-		l.receive(ctx, callCompleted{outcome: o, slot: slot, wait: wait})
-	}
-	e.findCall(n).recorded = true
-	l.journal.RecordSending(s.Message)
-	l.effects = append(l.effects, effect{kind: effectSend, entry: e, run: run, undo: undo})
-}
-
-// reserveConnection returns a connection to an endpoint that is ready, or nil.
-func reserveConnection(c Caller) ReservedConnection {
-	if reserver, ok := c.(ConnectionReserver); ok {
-		return reserver.ReserveConnection()
-	}
-	return nil
+	l.start(ctx, l.prepareCall(ctx, e, s))
 }
 
 // sendAllPending makes the attempts that waited for the fence or the journal and not for their client's +OK.
