--- a/cmd/scaleroute/connecting_test.go
+++ b/cmd/scaleroute/connecting_test.go
@@ -18,7 +18,7 @@
 // The restarts while connections come up late.
 const (
 	connectTimeoutMS = 20000 // longer than a planned stop
-	untriedMessages  = 6
+	untriedMessages  = 16
 )
 
 // connectingEnv is a test environment whose one endpoint accepts no connection until open is called.
@@ -112,20 +112,22 @@
 		t.Fatal(err)
 	}
 	for _, c := range []struct {
-		name    string
-		args    []string
-		signals []syscall.Signal
+		name           string
+		connectTimeout int // in milliseconds
+		args           []string
+		signals        []syscall.Signal
 	}{
-		{"SIGKILL", nil, []syscall.Signal{syscall.SIGKILL}},
-		{"SIGTERM", nil, []syscall.Signal{syscall.SIGTERM}},
-		{"SIGKILL twice", nil, []syscall.Signal{syscall.SIGKILL, syscall.SIGKILL}},
-		{"SIGKILL with group commit", []string{"-operators", group}, []syscall.Signal{syscall.SIGKILL}},
-		{"SIGTERM with group commit", []string{"-operators", group}, []syscall.Signal{syscall.SIGTERM}},
+		{"SIGKILL", connectTimeoutMS, nil, []syscall.Signal{syscall.SIGKILL}},
+		{"SIGTERM", connectTimeoutMS, nil, []syscall.Signal{syscall.SIGTERM}},
+		{"SIGTERM and connect time-outs", defaultConnectTimeoutMS, nil, []syscall.Signal{syscall.SIGTERM}},
+		{"SIGKILL twice", connectTimeoutMS, nil, []syscall.Signal{syscall.SIGKILL, syscall.SIGKILL}},
+		{"SIGKILL with group commit", connectTimeoutMS, []string{"-operators", group}, []syscall.Signal{syscall.SIGKILL}},
+		{"SIGTERM with group commit", connectTimeoutMS, []string{"-operators", group}, []syscall.Signal{syscall.SIGTERM}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			w := newConnectingEnv(t)
-			w.args = append(w.args, c.args...)
+			w.args, w.connectTimeoutMS = append(w.args, c.args...), c.connectTimeout
 			p := w.start()
 			ids := w.enqueueUntried(p, "unsafe", "harmless")
 			for n, signal := range c.signals {
