Let the record of callable endpoints grow with the configuration

With more than 4,096 configured endpoints a start without discovery called only those. The record now has room for a quarter more than the configuration lists, as far as 1/16 of the folder allows (TestRecordLimit). Entries at one address are linked rather than in a slice each.

--- a/internal/agent/callable_record.go
+++ b/internal/agent/callable_record.go
@@ -27,8 +27,11 @@
 	recordHeaderBytes = len(recordMagic) + 4 + 4 + 8 + 8
 	endpointIDBytes   = 8
 
-	// maxRecorded is how many endpoints a record has at most: those of the largest fleets (3,200), and some that take the place of others.
-	maxRecorded = 4096
+	// usualRecorded is how many endpoints a record may have, unless the configuration is small or very large: those of fleets with 3,200 endpoints, and some
+	// that take the place of others.
+	usualRecorded = 4096
+	// maxRecorded is the same in any case.
+	maxRecorded = 1 << 20
 	// MaxRecordedInMargin is the same for a small configuration. The record and its successor then fit, beside the endpoints disabled by an operator,
 	// into what the journal leaves of the folder (16 KiB).
 	MaxRecordedInMargin = 180
@@ -40,11 +43,12 @@
 // its margin, given how many endpoints the configuration lists and the folder's limit in bytes. Besides those of the configuration there is room for the
 // ones that a newer configuration may list.
 func RecordLimit(configuredEndpoints int, folderLimit int64) (limit int, reserved int64) {
-	large := int64(2 * recordBytes(maxRecorded))
-	if 2*configuredEndpoints <= MaxRecordedInMargin || large > folderLimit/maxRecordShare {
+	fitting := (int(folderLimit/maxRecordShare/2) - recordHeaderBytes) / endpointIDBytes
+	limit = min(max(usualRecorded, configuredEndpoints+configuredEndpoints/4), maxRecorded, fitting)
+	if 2*configuredEndpoints <= MaxRecordedInMargin || limit <= MaxRecordedInMargin {
 		return MaxRecordedInMargin, 0
 	}
-	return maxRecorded, large
+	return limit, int64(2 * recordBytes(limit))
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/internal/agent/callable_set.go
+++ b/internal/agent/callable_set.go
@@ -22,8 +22,8 @@
 // hundred thousand endpoints.
 type callableSet struct {
 	byName    map[uint64]*callableEntry
-	byAddress map[uint64][]*callableEntry // of the endpoints that are not deleted
-	callable  int                         // how many entries may be called
+	byAddress map[uint64]*callableEntry // the first at each address; the others follow by sibling
+	callable  int                       // how many entries may be called
 }
 
 // callableEntry is an endpoint in force.
@@ -33,10 +33,11 @@
 	start      UnixMilli // of its process
 	isServing  bool
 	isCallable bool // it serves, and no process that started later has its address
+	sibling    *callableEntry
 }
 
 func newCallableSet(l *List) *callableSet {
-	s := &callableSet{byName: make(map[uint64]*callableEntry, len(l.Endpoints)), byAddress: make(map[uint64][]*callableEntry, len(l.Endpoints))}
+	s := &callableSet{byName: make(map[uint64]*callableEntry, len(l.Endpoints)), byAddress: make(map[uint64]*callableEntry, len(l.Endpoints))}
 	s.apply(l.Endpoints)
 	return s
 }
@@ -74,7 +75,7 @@
 		return s.setCallable(former, false)
 	}
 	s.byName[name] = entry
-	s.byAddress[entry.address] = append(s.byAddress[entry.address], entry)
+	entry.sibling, s.byAddress[entry.address] = s.byAddress[entry.address], entry
 	touched[entry.address] = struct{}{}
 	if former != nil && former.id == entry.id { // whether it may be called is compared once its address is assigned
 		entry.isCallable = former.isCallable
@@ -85,27 +86,27 @@
 
 // leaveAddress removes an entry from those at its address.
 func (s *callableSet) leaveAddress(entry *callableEntry) {
-	others := s.byAddress[entry.address]
-	if len(others) == 1 {
-		delete(s.byAddress, entry.address)
-		return
-	}
-	kept := make([]*callableEntry, 0, len(others)-1)
-	for _, other := range others {
-		if other != entry {
-			kept = append(kept, other)
+	first := s.byAddress[entry.address]
+	switch {
+	case first != entry:
+		for first.sibling != entry {
+			first = first.sibling
 		}
+		first.sibling = entry.sibling
+	case entry.sibling != nil:
+		s.byAddress[entry.address] = entry.sibling
+	default:
+		delete(s.byAddress, entry.address)
 	}
-	s.byAddress[entry.address] = kept
 }
 
 // assignAddress decides which of the endpoints at an address may be called: those that serve, unless another one's process started later.
 func (s *callableSet) assignAddress(address uint64) (changed bool) {
 	var latest UnixMilli
-	for _, entry := range s.byAddress[address] {
+	for entry := s.byAddress[address]; entry != nil; entry = entry.sibling {
 		latest = max(latest, entry.start)
 	}
-	for _, entry := range s.byAddress[address] {
+	for entry := s.byAddress[address]; entry != nil; entry = entry.sibling {
 		if s.setCallable(entry, entry.isServing && entry.start >= latest) {
 			changed = true
 		}
--- a/internal/agent/callable_test.go
+++ b/internal/agent/callable_test.go
@@ -213,6 +213,27 @@
 	}
 }
 
+// TestRecordLimit: the record and its successor stay within their share of the folder, and small configurations take none of the journal's room.
+func TestRecordLimit(t *testing.T) {
+	for _, c := range []struct {
+		configured int
+		folder     int64
+		limit      int
+	}{
+		{0, 3e6, MaxRecordedInMargin}, {90, 3e6, MaxRecordedInMargin}, {91, 3e6, usualRecorded}, {3200, 3e6, usualRecorded}, {3200, 500e3, 1947}, {3200, 40e3, MaxRecordedInMargin},
+		{3200, 0, MaxRecordedInMargin}, {20000, 3e6, 11713}, {20000, 500e6, 25000}, {10e6, 1e12, maxRecorded},
+	} {
+		limit, reserved := RecordLimit(c.configured, c.folder)
+		want := int64(0)
+		if limit != MaxRecordedInMargin {
+			want = int64(2 * recordBytes(limit))
+		}
+		if limit != c.limit || reserved != want || reserved > c.folder/maxRecordShare {
+			t.Errorf("%d endpoints, %d bytes: limit %d, %d reserved; want %d, %d", c.configured, c.folder, limit, reserved, c.limit, want)
+		}
+	}
+}
+
 // TestSpoiltRecord: after a record that is cut off, has a flipped bit or can't be read, no configured endpoint is called before discovery answers; the next
 // list replaces it.
 func TestSpoiltRecord(t *testing.T) {
