Heed a report that an endpoint serves again however late before a kill

The judge leaves out what came in the last 100 ms of a process, since it may not have been received, and then heeded the earlier report alone. Such a report now only ever permits calls (a case of TestToldOutlastsRestart).

--- a/internal/standin/restarts_test.go
+++ b/internal/standin/restarts_test.go
@@ -15,11 +15,12 @@
 		outlast bool
 		want    int
 	}{
-		"told in time":          {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}}, true, 1},
-		"the rule is off":       {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}}, false, 0},
-		"told as it was killed": {[]Told{{Endpoint: "one", State: Deleted, At: at(950)}}, true, 0},
-		"told otherwise since":  {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}, {Endpoint: "one", State: Serving, At: at(2100)}}, true, 0},
-		"told the new process":  {[]Told{{Endpoint: "one", State: Deleted, At: at(2100)}}, false, 1},
+		"told in time":                    {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}}, true, 1},
+		"the rule is off":                 {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}}, false, 0},
+		"told as it was killed":           {[]Told{{Endpoint: "one", State: Deleted, At: at(950)}}, true, 0},
+		"told otherwise since":            {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}, {Endpoint: "one", State: Serving, At: at(2100)}}, true, 0},
+		"told otherwise as it was killed": {[]Told{{Endpoint: "one", State: Deleted, At: at(500)}, {Endpoint: "one", State: Serving, At: at(950)}}, true, 0},
+		"told the new process":            {[]Told{{Endpoint: "one", State: Deleted, At: at(2100)}}, false, 1},
 	} {
 		l := &Log{handed: []*Handed{{ID: "m", Destination: 1, Sent: at(3900), Deadline: at(9000), Answer: Taken, Answered: at(3901), Last: true}}, told: c.told,
 			calls:  []*Call{{ID: "m", Endpoint: endpoint, First: at(4000), Last: at(4000), Ended: at(4010), Status: 200, Ran: Yes}},
