Name file and remedy in the record's log lines, and test a kill around the first byte

Need: three log lines said what is lost without the file or what to do, and one of them was logged as a warning when all was well again. Change: each line names the file and the remedy; TestKillBeforeFirstByte starts the next process on the folder as a kill leaves it: before the record the message that must not run twice is sent, after it the message is reported as failed and not sent.

--- a/internal/agent/callable.go
+++ b/internal/agent/callable.go
@@ -38,8 +38,8 @@
 	partial bool                   // not all endpoints that may be called are recorded
 }
 
-// OpenCallableStore reads the record in a folder, or creates it. configured is the list of the configuration, and limit is from RecordLimit. If the record can't be read, no configured endpoint is called
-// before discovery answers: which of them were withdrawn is not known.
+// OpenCallableStore reads the record in a folder, or creates it. configured is the list of the configuration, and limit is from RecordLimit. If the
+// record can't be read, no configured endpoint is called before discovery answers: which of them were withdrawn is not known.
 func OpenCallableStore(folder string, configured *List, limit int) *CallableStore {
 	store := &CallableStore{folder: folder, configured: configured, digest: digestOf(configured), limit: limit}
 	saved, err := readRecord(store.path())
@@ -49,7 +49,7 @@
 		store.set = newCallableSet(store.InitialList())
 		store.save(configured.Index) // a file that is there can be written over on a full disk
 	case err != nil:
-		slog.Error("which endpoints were withdrawn before this start is not known: no configured endpoint is called until discovery answers, and the record is rewritten then", "file", store.path(), "err", err)
+		slog.Error("which endpoints were withdrawn before this start is not known: no configured endpoint is called until discovery answers, which also replaces the file; to call all of them now, stop the process and remove the file", "file", store.path(), "err", err)
 		store.mayCall = func(*Endpoint) bool { return false }
 	case saved.configured != store.digest && saved.index <= configured.Index: // the configuration is at least as recent
 	default:
@@ -80,7 +80,7 @@
 		err = json.NewDecoder(io.LimitReader(file, maxWithdrawnBytes)).Decode(&withdrawn)
 	}
 	if err != nil {
-		slog.Error("which endpoints were withdrawn before this start is not known: no configured endpoint is called until discovery answers", "file", path, "err", err)
+		slog.Error("which endpoints were withdrawn before this start is not known: no configured endpoint is called until discovery answers; to call all of them now, stop the process and remove this file and callable", "file", path, "err", err)
 		return func(*Endpoint) bool { return false }
 	}
 	if withdrawn.Index <= s.configured.Index {
@@ -138,7 +138,7 @@
 	}
 	if err := writeRecord(s.path(), encodeRecord(index, s.digest, ids, s.limit)); err != nil {
 		s.saved, s.stale = nil, true
-		slog.Error("which endpoints may be called is not recorded, and a start without discovery may call withdrawn ones: free space in NODE_STATE", "err", err)
+		slog.Error("which endpoints may be called is not recorded, and a start without discovery may call withdrawn ones: free space in NODE_STATE", "file", s.path(), "err", err)
 		return
 	}
 	if s.stale {
@@ -165,10 +165,19 @@
 	}
 	if isPartial != s.partial {
 		s.partial = isPartial
-		slog.Warn("whether all endpoints that may be called are recorded has changed: a start without discovery calls recorded ones only", "all", !isPartial, "targets", s.set.callable, "recorded", len(ids), "limit", s.limit)
+		s.logPartial(len(ids))
 	}
 	return ids
 }
 
+// logPartial logs that the record has no room for all endpoints that may be called, or has room for them again.
+func (s *CallableStore) logPartial(recorded int) {
+	if !s.partial {
+		slog.Info("all endpoints that may be called are recorded again", "file", s.path(), "targets", recorded)
+		return
+	}
+	slog.Warn("not all endpoints that may be called fit into their record, and a start without discovery calls the recorded ones only: list the present endpoints in the configuration (known), or raise disk_mb", "file", s.path(), "targets", s.set.callable, "recorded", recorded, "limit", s.limit)
+}
+
 // isServing reports whether an endpoint accepts calls.
 func (e *Endpoint) isServing() bool { return e.Status != Draining && e.Status != Deleted }
--- a/internal/engine/sending_test.go
+++ b/internal/engine/sending_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -177,3 +178,57 @@
 		t.Errorf("after the hedged request got no connection: %+v", s)
 	}
 }
+
+// notices is a CompletionNotifier that passes completion notices on.
+type notices chan Completion
+
+func (n notices) NotifyCompletion(c Completion) { n <- c }
+
+// TestKillBeforeFirstByte: the next process is started on the folder as a kill leaves it between the readiness of a connection and the first byte of a message
+// that must not run twice. Before the record the message is sent; after it the message is reported as failed and not sent.
+func TestKillBeforeFirstByte(t *testing.T) {
+	for _, isRecorded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("recorded=%t", isRecorded), func(t *testing.T) {
+			calls := newConnectingCalls()
+			n := startEngine(t, func(w *testConfig) {
+				w.waitsForConnection, w.call = true, calls.call
+				w.settings.Classes[0].Effect = decide.AtMostOnce
+			})
+			n.engine.Accept(note("m")).ConfirmWritten(true)
+			<-calls.began
+			if isRecorded {
+				close(calls.release)
+				<-calls.written // the call may write its first byte, and has not
+			} else {
+				n.engine.Accept(note("next")) // in a later step than the beginning of the call
+			}
+			folder := t.TempDir()
+			if err := os.CopyFS(folder, os.DirFS(n.dir)); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(notices, 10)
+			next := startEngine(t, func(w *testConfig) {
+				w.dir, w.notifier = folder, ended
+				w.settings.Classes[0].Effect = decide.AtMostOnce
+			})
+			for limit := time.After(time.Minute); ; {
+				select {
+				case c := <-ended:
+					if !isRecorded || c.ID != "m" || !c.Failed || len(next.calls) > 0 {
+						t.Errorf("%+v, %d calls", c, len(next.calls))
+					}
+					return
+				case id := <-next.calls:
+					if isRecorded {
+						t.Errorf("%s was sent", id)
+					}
+					if id == "m" {
+						return
+					}
+				case <-limit:
+					t.Fatal("neither sent nor ended")
+				}
+			}
+		})
+	}
+}
