Let endpoint lists take effect while their record is written to a slow disk

What callers saw: a forwarder with control servers refused all messages (-BUSY 200) that arrived while it wrote which endpoints may be called, if the disk took over 250 ms; with the whole list, drains and new endpoints took effect late.

Cause: a list was recorded before it took effect, and messages wait until received lists are in effect.

Change: CallableStore applies lists in memory and writes the record in a goroutine, several lists at a time if need be. Watches confirm a list by the index of their next call once it is recorded, as before.

--- a/cmd/scaleroute/partial.go
+++ b/cmd/scaleroute/partial.go
@@ -61,7 +61,7 @@
 // start returns the list that a new serving generation starts with: the one that the previous process handed over, or what control servers answer within
 // initialPartTimeout, or else the configured list. No call begins before that. The destinations of recovered messages are requested as well.
 func (p *partialList) start(configured *agent.List, previous *handoverState, j *journal.Journal) *agent.List {
-	follower := control.NewFollower(control.FollowerConfig{Client: p.client, Limits: p.limits, FleetSize: p.forwarder.settings.Forwarders, Deliver: p.deliver})
+	follower := control.NewFollower(control.FollowerConfig{Client: p.client, Limits: p.limits, FleetSize: p.forwarder.settings.Forwarders, Deliver: p.deliver, AwaitRecorded: func() { p.forwarder.callable.AwaitRecorded() }})
 	p.follower.Store(follower)
 	p.recovered = nil
 	if previous != nil && previous.partialList != nil && follower.Resume(*previous.partialList) {
@@ -127,8 +127,8 @@
 	}
 	if len(update.Changed) > 0 {
 		list := &agent.List{Index: update.Index, Endpoints: update.Changed}
-		p.forwarder.callable.Update(list)
 		sources.updateFromDiscovery(list)
+		p.forwarder.callable.Apply(list)
 	}
 }
 
@@ -194,15 +194,17 @@
 func (f *forwarder) followList(ctx context.Context, known *agent.List, e *engine.Engine) {
 	if f.partial != nil {
 		f.partial.follower.Load().Run(ctx)
+		f.callable.AwaitRecorded()
 		return
 	}
 	update := func(list *agent.List) { e.UpdateEndpoints(list.EngineUpdate()) }
 	if sources := f.operators.sources; sources != nil {
 		update = sources.updateFromDiscovery
 	}
+	f.platform.AwaitRecorded = f.callable.AwaitRecorded
 	f.platform.Watch(ctx, known, func(list *agent.List) {
-		f.callable.Update(list)
 		update(list)
+		f.callable.Apply(list)
 	})
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,6 +105,10 @@
 
 // Platform follows discovery's endpoint list and delivers completion notices to the platform.
 type Platform struct {
+	// AwaitRecorded returns once the reported lists are recorded for the next process. Watch then confirms to discovery that it has them, by the index of
+	// its next call. It is set before Watch; nil: they are not recorded.
+	AwaitRecorded func()
+
 	fleet Fleet
 
 	mu             sync.Mutex
@@ -295,6 +299,9 @@
 		for _, waiter := range waiters {
 			close(waiter)
 		}
+		if p.AwaitRecorded != nil {
+			p.AwaitRecorded()
+		}
 	}
 }
 
--- a/internal/control/client/follower.go
+++ b/internal/control/client/follower.go
@@ -21,6 +21,9 @@
 	FleetSize int
 	// Deliver receives each update, in order, from one goroutine at a time. It may block.
 	Deliver func(partial.Update)
+	// AwaitRecorded returns once the delivered updates are recorded for the next process. The watch then confirms to the server that it has them. nil: they
+	// are not recorded.
+	AwaitRecorded func()
 	// WatchHold is the time for which a server may hold its answer to a watch; 0 means DefaultWatchHold.
 	WatchHold time.Duration
 }
@@ -356,6 +359,9 @@
 		for _, refreshed := range refreshes {
 			close(refreshed)
 		}
+		if f.AwaitRecorded != nil {
+			f.AwaitRecorded()
+		}
 	case <-ctx.Done():
 	}
 	return nil
