Keep slow list calls and make others beside them, decided by one policy without I/O

What callers saw: with a discovery that took over 2 s for an answer, no change was learnt.

Cause: one call at a time, each given up after 2 s (2.5 s where the list is requested), so that a slow answer was lost each time; a start gave its first call up after 0.5 s.

Change: listPolicy is told of answers, refusals, silence, parts of answers and time, and decides when to call and what to give up; listFollower owns it and makes the calls. Whole lists, watches, the first call of a start and Stream go through it. A call without an answer for 0.9 s has another one beside it, up to 8; it is given up after 6 s. Larger fleets whose list is requested back off first, as before. In TestSilentWatch calls overlap now, so that its variables are read after the calls have ended.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,19 +24,16 @@
 )
 
 // The platform's standing test counts a change as received 6 s after the watch that should have carried it fell silent, or 2 s after the end of
-// that watch's hold time if that is later. Where a request costs discovery nothing, the hold time is the one at which the two limits coincide. A watch
-// without a response is abandoned halfway through the 2 s, which leaves time for another request.
+// that watch's hold time if that is later. Where a request costs discovery nothing, the hold time is the one at which the two limits coincide.
 const (
 	receiptLimit          = 6 * time.Second
 	receiptLimitAfterHold = 2 * time.Second
 	pushedHold            = receiptLimit - receiptLimitAfterHold
 	subscribedHold        = 20 * time.Second // where discovery works on each request
-	holdMargin            = receiptLimitAfterHold / 2
 )
 
 const (
-	listTimeout           = 2 * time.Second
-	subscribedListTimeout = 5 * time.Second / 2    // where discovery works on each request: a refusal may take 2 s to arrive, and says more than a timeout
+	subscribedListTimeout = 5 * time.Second / 2    // after which a request counts as failed where discovery works on each: a refusal may take 2 s to arrive, and says more than silence
 	noticeTimeout         = 100 * time.Millisecond // of the first attempt; doubled after each timeout
 	maxNoticeTimeout      = time.Second
 	maxListBytes          = 64 << 20 // of a list
@@ -116,9 +114,12 @@
 	latestIndex    int64               // the index of that report
 	client         *discoveryClient
 	pending        []notice
-	cancelWait     func()            // cancels the watch's call in flight or its back-off; nil while there is neither
 	refreshWaiters []chan<- struct{} // each is closed once a call that begins after its registration was answered
+	refreshQueued  chan struct{}     // signals that there are such
 	noticeQueued   chan struct{}
+	dialContext    func(ctx context.Context, network, address string) (net.Conn, error) // to discovery's next address; nil: the usual one
+
+	follower *listFollower // of FetchSnapshot, whose calls Watch continues; nil: none
 }
 
 // discoveryClient sends requests to one address of discovery, until SetAddress replaces it.
@@ -138,11 +139,11 @@
 
 // New returns a Platform for discovery's address, host:port. fleet describes the forwarders that share it.
 func New(address string, fleet Fleet) *Platform {
-	return &Platform{fleet: fleet, client: newDiscoveryClient(address), noticeQueued: make(chan struct{}, 1)}
+	return &Platform{fleet: fleet, client: newDiscoveryClient(address, nil), noticeQueued: make(chan struct{}, 1), refreshQueued: make(chan struct{}, 1)}
 }
 
-func newDiscoveryClient(address string) *discoveryClient {
-	c := &discoveryClient{base: "http://" + address, httpClient: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+func newDiscoveryClient(address string, dialContext func(ctx context.Context, network, address string) (net.Conn, error)) *discoveryClient {
+	c := &discoveryClient{base: "http://" + address, httpClient: &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dialContext}}}
 	c.replaced, c.markReplaced = context.WithCancel(context.Background())
 	return c
 }
@@ -163,7 +164,7 @@
 		p.mu.Unlock()
 		return
 	}
-	p.client = newDiscoveryClient(address)
+	p.client = newDiscoveryClient(address, p.dialContext)
 	p.mu.Unlock()
 	slog.Info("discovery address changed", "address", address)
 	old.markReplaced()
@@ -193,13 +194,20 @@
 	return err
 }
 
-// FetchSnapshot fetches the endpoint snapshot within limit. It returns nil where the forwarder has to subscribe (Fleet.MustSubscribe): the watch
-// reports what has changed since the last known list, and forwarders that start together must not request the list twice each.
+// FetchSnapshot fetches the endpoint snapshot within limit. A call without an answer by then goes on, and Watch continues it. It returns nil where the
+// forwarder has to subscribe (Fleet.MustSubscribe): the watch reports what has changed since the last known list, and forwarders that start together must
+// not request the list twice each.
 func (p *Platform) FetchSnapshot(limit time.Duration) (*List, error) {
 	if p.fleet.MustSubscribe {
 		return nil, nil
 	}
-	return p.currentClient().requestList(context.Background(), "/v1/servers", true, limit)
+	if p.follower != nil {
+		p.follower.stop()
+	}
+	p.follower = p.newWatchFollower(-1)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return p.follower.first(ctx)
 }
 
 // Watch reports each change after the list known, until ctx ends. Without a known list, and after a change of discovery's address, it begins with a
@@ -211,17 +219,15 @@
 		index = known.Index
 		p.recordLatest(known)
 	}
-	fetch := func(ctx context.Context, c *discoveryClient, at *watchPosition, wait bool) (*List, error) {
-		l, err := c.fetchList(ctx, at.from, p.fleet.holdTime(), p.fleet.callTimeout(), wait)
-		if err == nil {
-			err = at.accept(l.Index, l.Snapshot)
+	follower := p.follower
+	p.follower = nil
+	if follower == nil || follower.at.latest != index {
+		if follower != nil {
+			follower.stop()
 		}
-		return l, err
-	}
-	warn := func(err error, wait time.Duration) {
-		slog.Warn("request to discovery failed", "err", err, "again_in", wait)
+		follower = p.newWatchFollower(index)
 	}
-	p.watch(ctx, index, p.fleet.newListBackoff(), warn, fetch, func(l *List) {
+	follower.run(ctx, func(l *List) {
 		if len(l.Endpoints) > 0 {
 			slog.Info("endpoint list received", "index", l.Index, "whole", l.Snapshot, "entries", len(l.Endpoints))
 		}
@@ -230,6 +236,17 @@
 	})
 }
 
+// newWatchFollower returns a follower that decodes each list as a whole, and may have several calls in flight.
+func (p *Platform) newWatchFollower(index int64) *listFollower {
+	fetch := func(ctx context.Context, c *discoveryClient, at *watchPosition, held bool, progress func()) (*List, error) {
+		return c.requestList(ctx, listPath(at.from, p.fleet.holdTime(), held), at.from < 0, progress)
+	}
+	warn := func(err error, wait time.Duration) {
+		slog.Warn("request to discovery failed", "err", err, "again_in", wait)
+	}
+	return newListFollower(p, index, p.fleet.listTiming(), p.fleet.newListBackoff(), fetch, warn)
+}
+
 // watchPosition is the progress of a watch.
 type watchPosition struct {
 	from          int64 // changes after this index are requested; -1: the snapshot
@@ -254,90 +271,18 @@
 	return fmt.Errorf("list: version %d is older than version %d, which was reported before: the snapshot is requested, and an older one is ignored unless discovery returns it twice", index, at.latest)
 }
 
-// fetchFunc makes one call for the changes after a position.
-type fetchFunc func(ctx context.Context, c *discoveryClient, at *watchPosition, wait bool) (*List, error)
-
-// watch makes one call after another and passes each list to report, and each failure to warn, with the delay until the next call.
-func (p *Platform) watch(ctx context.Context, index int64, retry backoff, warn func(error, time.Duration), fetch fetchFunc, report func(*List)) {
-	at, previous := startingAt(index), p.currentClient()
-	failing := false // where discovery works on each call: the previous one failed or timed out, so the next one is to be answered without a hold
-	previous.sleep(ctx, time.Duration(p.fleet.random()*float64(p.fleet.initialSpread())))
-	for ctx.Err() == nil {
-		client := p.currentClient()
-		if client != previous {
-			at, previous = startingAt(-1), client
-			retry.reset()
-		}
-		call, done, waiters := p.beginCall(ctx)
-		began := time.Now()
-		held := len(waiters) == 0 && at.from >= 0 && !failing
-		l, err := fetch(call, client, &at, held)
-		if err != nil {
-			p.requeueWaiters(waiters)
-			if client.replaced.Err() == nil && call.Err() == nil {
-				wait := p.fleet.retryDelay(&retry, time.Since(began), err)
-				if held && time.Since(began) >= p.fleet.holdTime() { // the watch fell silent: a longer delay would exceed the receipt limit
-					retry.reset()
-					wait = min(wait, time.Duration(p.fleet.random()*float64(reopenDelay)))
-				}
-				failing = p.fleet.MustSubscribe
-				warn(err, wait)
-				if p.fleet.MustSubscribe { // discovery works on each call, so that Refresh does not cut the back-off short
-					client.sleep(ctx, wait)
-				} else {
-					client.sleep(call, wait)
-				}
-			}
-			done()
-			continue
-		}
-		done()
-		retry.reset()
-		failing = false
-		at = startingAt(l.Index)
-		report(l)
-		for _, waiter := range waiters {
-			close(waiter)
-		}
-		if p.AwaitRecorded != nil {
-			p.AwaitRecorded()
-		}
-	}
-}
-
-// beginCall prepares the watch's next call. The call's context ends when Refresh is called. The returned waiters belong to earlier calls of Refresh.
-func (p *Platform) beginCall(ctx context.Context) (call context.Context, done func(), waiters []chan<- struct{}) {
-	call, cancel := context.WithCancel(ctx)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	waiters, p.refreshWaiters = p.refreshWaiters, nil
-	p.cancelWait = cancel
-	return call, func() {
-		p.mu.Lock()
-		p.cancelWait = nil
-		p.mu.Unlock()
-		cancel()
-	}, waiters
-}
-
-// requeueWaiters registers waiters again after a failed call.
-func (p *Platform) requeueWaiters(waiters []chan<- struct{}) {
-	p.mu.Lock()
-	p.refreshWaiters = append(p.refreshWaiters, waiters...)
-	p.mu.Unlock()
-}
-
 // Refresh has the watch request the current state in place of waiting for a change. It returns once a list has been reported from a call that began
 // afterwards.
 func (p *Platform) Refresh(ctx context.Context) error {
 	reported := make(chan struct{})
 	p.mu.Lock()
 	p.refreshWaiters = append(p.refreshWaiters, reported)
-	if p.cancelWait != nil {
-		p.cancelWait()
-	}
 	p.mu.Unlock()
 	select {
+	case p.refreshQueued <- struct{}{}:
+	default:
+	}
+	select {
 	case <-reported:
 		return nil
 	case <-ctx.Done():
@@ -345,15 +290,6 @@
 	}
 }
 
-// fetchList requests the snapshot if from is negative, and else the changes after that index. With wait set, discovery may hold the request for up to
-// hold until there are changes; otherwise the response is due at once, within limit.
-func (c *discoveryClient) fetchList(ctx context.Context, from int64, hold, limit time.Duration, wait bool) (*List, error) {
-	if from >= 0 && wait {
-		limit = hold + holdMargin
-	}
-	return c.requestList(ctx, listPath(from, hold, wait), from < 0, limit)
-}
-
 // listPath returns the path of a request for the snapshot, or for changes.
 func listPath(from int64, hold time.Duration, wait bool) string {
 	switch {
@@ -365,14 +301,15 @@
 	return "/v1/servers"
 }
 
-// requestList sends the request. With whole set, the response counts as a snapshot whatever it says.
-func (c *discoveryClient) requestList(ctx context.Context, path string, whole bool, limit time.Duration) (*List, error) {
+// requestList sends the request, and calls progress whenever a part of the response arrived. With whole set, the response counts as a snapshot whatever it
+// says.
+func (c *discoveryClient) requestList(ctx context.Context, path string, whole bool, progress func()) (*List, error) {
 	var l *List
-	err := c.do(ctx, limit, http.MethodGet, path, nil, func(status int, body io.Reader) (err error) {
+	err := c.do(ctx, maxListDuration, http.MethodGet, path, nil, func(status int, body io.Reader) (err error) {
 		if status != http.StatusOK {
 			return &statusError{status}
 		}
-		limited := &io.LimitedReader{R: body, N: maxListBytes}
+		limited := &io.LimitedReader{R: &progressReader{from: body, progress: progress}, N: maxListBytes}
 		l, err = readList(limited, whole)
 		if err != nil && limited.N <= 0 {
 			return fmt.Errorf("more than %d MiB", maxListBytes>>20)
--- a/internal/agent/backoff.go
+++ b/internal/agent/backoff.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -24,8 +23,8 @@
 	// maxRetryInterval is the longest time from the beginning of a failed call to the beginning of the next one: a change counts as received 6 s after
 	// discovery had it and could be reached, whatever failed before.
 	maxRetryInterval = receiptLimit - reopenDelay
-	// overloadRefusals consecutive refusals, or twice as many calls without a response, are taken as overload of discovery by a fleet that is too
-	// large for each forwarder to be answered within maxRetryInterval. Discovery would stay overloaded if all of them kept on calling at that rate.
+	// overloadRefusals consecutive refusals, or twice as many calls without a response, are taken as overload of discovery by a fleet that is too large for
+	// each forwarder to be answered within maxRetryInterval. It would stay overloaded if all forwarders kept on calling at that rate.
 	overloadRefusals = 4
 )
 
@@ -70,14 +69,6 @@
 	return pushedHold
 }
 
-// callTimeout is the timeout of a call that does not wait for changes.
-func (f Fleet) callTimeout() time.Duration {
-	if f.MustSubscribe {
-		return subscribedListTimeout
-	}
-	return listTimeout
-}
-
 // newListBackoff returns the back-off for list calls.
 func (f Fleet) newListBackoff() backoff {
 	if !f.MustSubscribe {
@@ -86,27 +77,27 @@
 	return backoff{initial: max(initialBackoff, f.initialSpread()), max: max(maxSubscribedBackoff, 4*f.initialCallPeriod()), random: f.random}
 }
 
-// retryDelay returns the delay after a list call that failed with err; took is the duration of that call.
-func (f Fleet) retryDelay(b *backoff, took time.Duration, err error) time.Duration {
+// retryDelay returns the delay after a list call that failed; took is the duration of that call.
+func (f Fleet) retryDelay(b *backoff, took time.Duration, how listFailure) time.Duration {
 	delay := b.nextDelay()
 	if !f.MustSubscribe {
 		return delay
 	}
-	b.overloadScore += overloadScore(err)
+	b.overloadScore += overloadScore(how)
 	limit := maxRetryInterval - min(took, subscribedListTimeout)
-	if b.ceiling <= limit || f.initialCallPeriod() > maxRetryInterval && b.overloadScore >= 2*overloadRefusals {
+	isOverloaded := b.overloadScore >= 2*overloadRefusals
+	if b.ceiling <= limit || f.initialCallPeriod() > maxRetryInterval && isOverloaded {
 		return delay
 	}
 	return time.Duration((1 + b.random()) / 2 * float64(limit))
 }
 
-// overloadScore rates a failed call as a sign that discovery is overloaded: a refusal counts twice as much as a timeout, and a failed connection not at all.
-func overloadScore(err error) int {
-	var refusal *statusError
-	switch {
-	case errors.As(err, &refusal):
+// overloadScore rates a failed call as a sign that discovery is overloaded: a refusal counts twice as much as no answer, and a failed connection not at all.
+func overloadScore(how listFailure) int {
+	switch how {
+	case listRefused:
 		return 2
-	case errors.Is(err, context.DeadlineExceeded):
+	case listSilent:
 		return 1
 	}
 	return 0
--- a/internal/agent/silence_test.go
+++ b/internal/agent/silence_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,13 +24,14 @@
 	t.Helper()
 	network := &memoryListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	var calls atomic.Int32
+	var answering sync.WaitGroup
 	go func() {
 		for {
 			conn, err := network.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
+			answering.Go(func() {
 				defer conn.Close()
 				for in := bufio.NewReader(conn); ; {
 					r, err := http.ReadRequest(in)
@@ -38,10 +40,11 @@
 					}
 					answer(int(calls.Add(1)), r, conn)
 				}
-			}()
+			})
 		}
 	}()
 	p = New("discovery:1", fleet)
+	p.dialContext = network.dial
 	p.client.httpClient.Transport.(*http.Transport).DialContext = network.dial
 	logs := slog.Default()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
@@ -49,6 +52,7 @@
 		slog.SetDefault(logs)
 		close(network.closed)
 		p.client.httpClient.CloseIdleConnections()
+		answering.Wait() // also calls that were given up
 	}
 }
 
@@ -69,9 +73,11 @@
 				synctest.Test(t, func(t *testing.T) {
 					fleet.Random = func() float64 { return 1 }
 					var silent, wait time.Duration
-					began, calls := time.Now(), 0
+					began := time.Now()
+					var calls atomic.Int32 // calls overlap
 					p, stop := newScriptedPlatform(t, fleet, func(n int, r *http.Request, conn net.Conn) {
-						if calls = n; n > 1 {
+						calls.Store(int32(n))
+						if n > 1 {
 							conn.Write([]byte(text))
 							return
 						}
@@ -92,17 +98,18 @@
 						}
 						cancel()
 					})
-					late := time.Since(began) - silent - 6*time.Second
+					took := time.Since(began)
+					stop()
+					late := took - silent - 6*time.Second
 					if fleet.MustSubscribe { // discovery works on each call: as late as the standing test allows
-						late = time.Since(began) - silent - max(6*time.Second, wait+2*time.Second)
+						late = took - silent - max(6*time.Second, wait+2*time.Second)
 					}
 					if late > 0 {
 						t.Errorf("%s, silent after byte %d: in force %v after it counts as received", name, cut, late)
 					}
-					if calls != 2 {
-						t.Errorf("%s, silent after byte %d: %d calls", name, cut, calls)
+					if n := calls.Load(); n != 2 {
+						t.Errorf("%s, silent after byte %d: %d calls", name, cut, n)
 					}
-					stop()
 				})
 			}
 		}
--- /dev/null
+++ b/internal/agent/slow_list_test.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// slowDiscovery answers list calls late. An answer has what was known when its call arrived, or when its hold ended. Version 42 is known from changeAt on,
+// and before that there is version 41.
+type slowDiscovery struct {
+	latency  time.Duration
+	changeAt time.Time
+}
+
+func (d *slowDiscovery) answer(_ int, r *http.Request, conn net.Conn) {
+	var held int
+	fmt.Sscan(r.URL.Query().Get("hold_ms"), &held)
+	if until := time.Until(d.changeAt); r.URL.Query().Get("from") == "41" && until > 0 {
+		time.Sleep(min(until, time.Duration(held)*time.Millisecond))
+	}
+	index := 41
+	if !time.Now().Before(d.changeAt) {
+		index = 42
+	}
+	time.Sleep(d.latency)
+	fmt.Fprint(conn, okResponse(fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[]}`, index, !r.URL.Query().Has("from"))))
+}
+
+var answerTimes = []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 2100 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond, 5 * time.Second}
+
+// watchUntilChange watches a list until version 42 is reported, and returns when that was.
+func watchUntilChange(t *testing.T, p *Platform, known *List) time.Time {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var reported time.Time
+	p.Watch(ctx, known, func(l *List) {
+		if l.Index == 42 {
+			reported = time.Now()
+			cancel()
+		}
+	})
+	if reported.IsZero() {
+		t.Error("the change was not reported within a minute")
+	}
+	return reported
+}
+
+// TestSlowAnswers guards against calls that were given up after 2 s, each of them, so that a discovery that took longer for an answer told nothing. A change is
+// in force within 6 s, wherever it falls between two answers, in a watch that goes on and in one that begins.
+func TestSlowAnswers(t *testing.T) {
+	for name, fleet := range map[string]Fleet{"pushed": {Forwarders: 300}, "requested": {Forwarders: 10, MustSubscribe: true, ResubscribeInterval: 10 * time.Second}} {
+		for _, latency := range answerTimes {
+			for _, known := range []*List{nil, {Index: 41}} {
+				t.Run(fmt.Sprintf("%s, %v, known %t", name, latency, known != nil), func(t *testing.T) {
+					for offset := 10 * time.Second; offset < 22*time.Second; offset += 670 * time.Millisecond {
+						synctest.Test(t, func(t *testing.T) {
+							fleet.Random = func() float64 { return 1 }
+							d := &slowDiscovery{latency: latency, changeAt: time.Now().Add(offset)}
+							p, stop := newScriptedPlatform(t, fleet, d.answer)
+							defer stop()
+							if late := watchUntilChange(t, p, known).Sub(d.changeAt); late > receiptLimit {
+								t.Errorf("a change after %v: in force %v later", offset, late)
+							}
+						})
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestSlowAnswersAfterReload is the same for a change of the address: what the new one has is in force 4 s later, if it answers by then, or else with its first
+// answer. Where the list is requested, the first call may be refused.
+func TestSlowAnswersAfterReload(t *testing.T) {
+	for name, fleet := range map[string]Fleet{"pushed": {Forwarders: 300}, "requested": {Forwarders: 300, MustSubscribe: true, ResubscribeInterval: 10 * time.Second}} {
+		for _, latency := range answerTimes {
+			for _, refusals := range []int{0, 1} {
+				t.Run(fmt.Sprintf("%s, %v, %d refusals", name, latency, refusals), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						fleet.Random = func() float64 { return 1 }
+						former := &slowDiscovery{changeAt: time.Now().Add(time.Hour)}
+						d := &slowDiscovery{latency: latency}
+						refused := 0
+						p, stop := newScriptedPlatform(t, fleet, func(n int, r *http.Request, conn net.Conn) {
+							switch {
+							case r.Host == "discovery:1":
+								former.answer(n, r, conn)
+							case refused < refusals:
+								refused++
+								fmt.Fprint(conn, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+							default:
+								d.answer(n, r, conn)
+							}
+						})
+						defer stop()
+						var moved time.Time
+						time.AfterFunc(10*time.Second, func() {
+							moved = time.Now()
+							p.SetAddress("discovery:2")
+						})
+						limit := max(receiptLimitAfterReload, latency)
+						if refusals > 0 {
+							limit = max(limit, receiptLimitAfterReload-reopenDelay+latency)
+						}
+						if late := watchUntilChange(t, p, &List{Index: 41}).Sub(moved); late > limit {
+							t.Errorf("in force %v after the reload", late)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestSlowFirstAnswer guards against a start that gives its first call up: the watch continues it, and has the answer when the call does.
+func TestSlowFirstAnswer(t *testing.T) {
+	for _, latency := range answerTimes {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			d := &slowDiscovery{latency: latency, changeAt: began}
+			p, stop := newScriptedPlatform(t, Fleet{Forwarders: 300}, d.answer)
+			defer stop()
+			known, err := p.FetchSnapshot(500 * time.Millisecond)
+			if (err == nil) != (latency < 500*time.Millisecond) || time.Since(began) > 500*time.Millisecond {
+				t.Errorf("%v: %v after %v", latency, err, time.Since(began))
+			}
+			if known != nil {
+				return
+			}
+			if took := watchUntilChange(t, p, nil).Sub(began); took > latency {
+				t.Errorf("%v: in force %v after the start", latency, took)
+			}
+		})
+	}
+}
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -36,9 +36,11 @@
 const maxReordered = 1 << 16
 
 const (
-	maxStreamDuration  = 10 * time.Minute // a call is cancelled after this, even while data arrives
-	maxStreamBackoff   = time.Second      // between two calls
-	failureLogInterval = 30 * time.Second // between two log lines about consecutive failures
+	maxListDuration        = 10 * time.Minute // a call is cancelled after this, even while data arrives
+	maxStreamBackoff       = time.Second      // between two calls
+	streamFirstByteTimeout = 2 * time.Second  // until the first byte of changes
+	streamHoldMargin       = time.Second      // the same, counted from the end of a watch's hold
+	failureLogInterval     = 30 * time.Second // between two log lines about consecutive failures
 )
 
 // errStreamIdle is the cause of the cancellation of a call that has received no data for too long.
@@ -47,23 +49,24 @@
 // Stream is Watch for lists of any size: it continues from an index, or begins with a snapshot if that is -1. Entries are passed on as they are read, so
 // that the sink has received a part of a truncated list.
 func (p *Platform) Stream(ctx context.Context, index int64, limits StreamLimits, sink Sink) {
-	fetch := func(ctx context.Context, c *discoveryClient, at *watchPosition, wait bool) (*List, error) {
+	fetch := func(ctx context.Context, c *discoveryClient, at *watchPosition, held bool, _ func()) (*List, error) {
 		firstByte := limits.FirstByteTimeout
 		if at.from >= 0 {
-			firstByte = listTimeout
-			if wait {
-				firstByte = p.fleet.holdTime() + holdMargin
+			firstByte = streamFirstByteTimeout
+			if held {
+				firstByte = p.fleet.holdTime() + streamHoldMargin
 			}
 		}
 		reader := &listReader{wholeRequested: at.from < 0, accept: at.accept, sink: sink}
-		if err := c.stream(ctx, listPath(at.from, p.fleet.holdTime(), wait), firstByte, limits, reader); err != nil {
+		if err := c.stream(ctx, listPath(at.from, p.fleet.holdTime(), held), firstByte, limits, reader); err != nil {
 			return nil, fmt.Errorf("list: %w", err)
 		}
 		return &List{Index: reader.index, Snapshot: reader.wholeRequested || reader.snapshot}, nil
 	}
+	timing := listTiming{hold: p.fleet.holdTime(), maxCalls: 1, firstCallMax: p.fleet.initialSpread()} // one at a time: the sink takes one list at a time
 	retry := backoff{initial: initialBackoff, max: maxStreamBackoff, random: p.fleet.random}
 	var failures failureLog
-	p.watch(ctx, index, retry, failures.warn, fetch, func(*List) {
+	newListFollower(p, index, timing, retry, fetch, failures.warn).run(ctx, func(*List) {
 		failures.recovered()
 		sink.Commit()
 	})
@@ -97,9 +100,9 @@
 	defer cancel(nil)
 	idle := time.AfterFunc(firstByte, func() { cancel(errStreamIdle) })
 	defer idle.Stop()
-	err := c.do(ctx, maxStreamDuration, http.MethodGet, path, nil, func(status int, body io.Reader) error {
+	err := c.do(ctx, maxListDuration, http.MethodGet, path, nil, func(status int, body io.Reader) error {
 		if status != http.StatusOK {
-			return fmt.Errorf("status %d", status)
+			return &statusError{status}
 		}
 		limited := &io.LimitedReader{R: &progressReader{from: body, progress: func() { idle.Reset(limits.IdleTimeout) }}, N: limits.MaxBytes}
 		err := r.read(jsontext.NewDecoder(limited, streamOptions))
