Take refusals as overload of discovery only if it has worked on one of the calls

Cause: any four refusals counted as overload. One that comes at once costs discovery nothing, and to call again within 5.5 s does not keep it down.

Change: the back-off exceeds 5.5 s only if one of the failures in a row was a refusal that took over 1 s, or a call without an answer. Four refusals in all are needed, as before.

--- a/internal/agent/backoff.go
+++ b/internal/agent/backoff.go
@@ -24,7 +24,8 @@
 	// discovery had it and could be reached, whatever failed before.
 	maxRetryInterval = receiptLimit - reopenDelay
 	// overloadRefusals consecutive refusals, or twice as many calls without a response, are taken as overload of discovery by a fleet that is too large for
-	// each forwarder to be answered within maxRetryInterval. It would stay overloaded if all forwarders kept on calling at that rate.
+	// each forwarder to be answered within maxRetryInterval, if discovery has worked on one of these calls. It would stay overloaded if all forwarders kept on
+	// calling at that rate. Refusals that all come at once cost it nothing.
 	overloadRefusals = 4
 )
 
@@ -84,14 +85,19 @@
 		return delay
 	}
 	b.overloadScore += overloadScore(how)
+	b.workedInVain = b.workedInVain || how == listSilent || how == listRefused && took > promptRefusal
 	limit := maxRetryInterval - min(took, subscribedListTimeout)
-	isOverloaded := b.overloadScore >= 2*overloadRefusals
-	if b.ceiling <= limit || f.initialCallPeriod() > maxRetryInterval && isOverloaded {
+	if b.ceiling <= limit || f.initialCallPeriod() > maxRetryInterval && b.showsOverload() {
 		return delay
 	}
 	return time.Duration((1 + b.random()) / 2 * float64(limit))
 }
 
+// showsOverload reports whether the consecutive failures are taken as overload of discovery.
+func (b *backoff) showsOverload() bool {
+	return b.workedInVain && b.overloadScore >= 2*overloadRefusals
+}
+
 // overloadScore rates a failed call as a sign that discovery is overloaded: a refusal counts twice as much as no answer, and a failed connection not at all.
 func overloadScore(how listFailure) int {
 	switch how {
@@ -109,6 +115,7 @@
 	max           time.Duration
 	ceiling       time.Duration  // of the last delay; doubled by each failure, up to max
 	overloadScore int            // the sum over the consecutive failures, as rated by the function overloadScore
+	workedInVain  bool           // discovery has worked on one of these calls, as far as can be seen
 	random        func() float64 // from 0 to 1
 }
 
@@ -119,7 +126,7 @@
 }
 
 // reset starts over after a success.
-func (b *backoff) reset() { b.ceiling, b.overloadScore = 0, 0 }
+func (b *backoff) reset() { b.ceiling, b.overloadScore, b.workedInVain = 0, 0, false }
 
 // sleep waits for d, until ctx ends, or until the client is replaced.
 func (c *discoveryClient) sleep(ctx context.Context, d time.Duration) {
--- a/internal/agent/retry_test.go
+++ b/internal/agent/retry_test.go
@@ -111,3 +111,30 @@
 		})
 	}
 }
+
+// TestChangeAfterPromptRefusals guards against a back-off of up to 30 s in large fleets after refusals that cost discovery nothing: however many there were in
+// a row from the first call on, a change is in force within 6 s after discovery answers.
+func TestChangeAfterPromptRefusals(t *testing.T) {
+	for _, forwarders := range []int{1, 24, 60, 80, 300, 900} {
+		t.Run(fmt.Sprint(forwarders, " forwarders"), func(t *testing.T) {
+			for refusals := 1; refusals <= 40; refusals++ {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := Fleet{Forwarders: forwarders, MustSubscribe: true, ResubscribeInterval: 10 * time.Second, Random: func() float64 { return 1 }}
+					var reachable time.Time
+					p, stop := newScriptedPlatform(t, fleet, func(n int, r *http.Request, conn net.Conn) {
+						if n <= refusals {
+							reachable = time.Now()
+							failureModes["refused"](r, conn)
+							return
+						}
+						fmt.Fprint(conn, okResponse(`{"index":42,"snapshot":true,"endpoints":[]}`))
+					})
+					defer stop()
+					if late := watchUntilChange(t, p, &List{Index: 41}).Sub(reachable); late > receiptLimit {
+						t.Errorf("%d refusals: in force %v after discovery could be reached", refusals, late)
+					}
+				})
+			}
+		})
+	}
+}
