--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -179,6 +179,8 @@
 		return r.connecting(ctx, f)
 	case Outage:
 		return r.outage(ctx, f)
+	case Lists:
+		return r.lists(ctx, f)
 	case Repeats:
 		r.script(ctx, f, standin.Script{Latency: healthy.Latency, Jitter: healthy.Jitter, Errors: 0.02, Full: 0.02, Repeats: repeatShare, RepeatWithin: repeatWithin})
 	case Sick:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -42,11 +42,13 @@
 	Connecting Kind = "connecting"
 	// Outage is an end of a process while the agent is silent, after most of the listed endpoints have been replaced, and one or two starts meanwhile.
 	Outage Kind = "outage"
+	// Lists is an agent that answers list calls late, or refuses them, while an endpoint begins to drain.
+	Lists Kind = "lists"
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd, Connecting, Outage}
+	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd, Connecting, Outage, Lists}
 }
 
 // Fault is one fault of a run.
@@ -58,7 +60,8 @@
 	Place int    // the endpoint or destination, for faults of one
 	How   string // the line of the fault file, the step for Clock, or a variant
 
-	// For Replace and Late: the time from the beginning until the lists report it, and until connections are established.
+	// For Replace and Late: the time from the beginning until the lists report it, and until connections are established. For Lists: the time until the change,
+	// and the time for an answer.
 	Reported, Opens time.Duration
 }
 
@@ -114,6 +117,10 @@
 				f.Reported = time.Duration(rng.Int64N(int64(maxReportDelay)))
 				f.Opens = minOpenDelay + time.Duration(rng.Int64N(int64(maxOpenDelay-minOpenDelay)))
 			}
+			if kind == Lists {
+				f.Opens = minAnswerTime + time.Duration(rng.Int64N(int64(maxAnswerTime-minAnswerTime)))
+				f.Reported = time.Duration(rng.Int64N(int64(maxLast)))
+			}
 			if kind == Discovery {
 				f.Lasts = time.Duration(rng.Int64N(int64(maxSilence)))
 			}
@@ -154,6 +161,8 @@
 		return pick(endKill, endTerm)
 	case Outage:
 		return pick(endKill, endTerm, endKillTwice)
+	case Lists:
+		return pick(listsSlow, listsRefused, listsMoved)
 	case Crowd:
 		return pick(crowdHalf, crowdSlow, crowdFields, crowdSilent)
 	case Connect:
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -23,6 +23,8 @@
 	entries map[string]*entry
 	lag     time.Duration
 	down    bool
+	delay   time.Duration          // of the answer to each list call
+	refuse  bool                   // list calls are answered with 503
 	whole   int64                  // a watch from before this version is answered with the whole list
 	where   func(*Endpoint) string // where an endpoint is, for this forwarder; nil: at its address
 	calls   []time.Time            // for the list
@@ -131,6 +133,20 @@
 	d.mu.Unlock()
 }
 
+// Delay has it take so long for the answer to each list call. An answer has what was known when it began.
+func (d *Discovery) Delay(delay time.Duration) {
+	d.mu.Lock()
+	d.delay = delay
+	d.mu.Unlock()
+}
+
+// Refuse has it answer list calls with 503.
+func (d *Discovery) Refuse(refuse bool) {
+	d.mu.Lock()
+	d.refuse = refuse
+	d.mu.Unlock()
+}
+
 // Set tells the state of endpoints.
 func (d *Discovery) Set(state string, endpoints ...*Endpoint) {
 	states := make(map[*Endpoint]string, len(endpoints))
@@ -214,7 +230,12 @@
 	}
 	d.mu.Lock()
 	d.calls = append(d.calls, time.Now())
+	refuse := d.refuse
 	d.mu.Unlock()
+	if refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	end := time.NewTimer(hold)
 	defer end.Stop()
 	for {
@@ -223,14 +244,14 @@
 		down, changed := d.down, d.changed
 		d.mu.Unlock()
 		if !down && (from < 0 || len(l.Endpoints) > 0) {
-			d.write(w, l, told)
+			d.write(w, r, l, told)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end.C:
 			if !down {
-				d.write(w, l, told)
+				d.write(w, r, l, told)
 				return
 			}
 		case <-r.Context().Done():
@@ -241,7 +262,18 @@
 	}
 }
 
-func (d *Discovery) write(w http.ResponseWriter, l list, told []Told) {
+// write answers a list call, unless the caller leaves before.
+func (d *Discovery) write(w http.ResponseWriter, r *http.Request, l list, told []Told) {
+	d.mu.Lock()
+	delay := d.delay
+	d.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return
+	case <-d.over:
+		return
+	}
 	text, err := json.Marshal(l)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"hash/maphash"
 	"slices"
@@ -455,6 +456,27 @@
 	}
 }
 
+// AwaitTold waits until a state of an endpoint has been written to the forwarder, not before a time, and reports whether that was by the deadline.
+func (l *Log) AwaitTold(ctx context.Context, endpoint, state string, from, deadline time.Time) bool {
+	for ctx.Err() == nil {
+		isTold := false
+		l.EachTold(func(t Told) {
+			isTold = isTold || t.Endpoint == endpoint && t.State == state && !t.At.Before(from) && !t.At.After(deadline)
+		})
+		if isTold {
+			return true
+		}
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(toldPollInterval)
+	}
+	return false
+}
+
+// toldPollInterval is how often AwaitTold looks.
+const toldPollInterval = 5 * time.Millisecond
+
 // Add adds what another record's verdict says.
 func (v *Verdict) Add(o *Verdict) {
 	for _, p := range [][2]*int{{&v.Handed, &o.Handed}, {&v.Delivered, &o.Delivered}, {&v.Refused, &o.Refused}, {&v.Failed, &o.Failed}, {&v.Late, &o.Late},
