--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,7 +47,7 @@
 const defaultHandshakeCost = "0.06"
 
 // reservedDescriptors is the number of descriptors kept for other uses: the listener, the journal and
-// its successor, discovery, completion notices, the Go runtime, and a client that waits until there is room for its
+// its successor, up to 8 list calls to discovery, completion notices, the Go runtime, and a client that waits until there is room for its
 // connection. Client connections get two fifths of all descriptors (a third of all carry requests);
 // calls and idle connections to endpoints get the rest.
 const reservedDescriptors = 24
