Use no connection again within its rest, also where connections have run out

Cause: where all connections were open, or an endpoint had 64 at rest, a connection counted as rested 20 ms after an answer in place of 200 ms, which is less than what the network adds to a copy.

Change: a new connection takes the place of the resting one that was used last, of the endpoint's or of all; it is reset, so that its port is free. TestExhaustedPoolReusesConnections asserted the reuse and is replaced by TestExhaustedPoolReplacesConnections, which allows none and counts the open ones; TestDelayedConnectionsOfAddressAreBounded counts the open ones and asserts that none is used again.

--- a/internal/back/httpcall/call.go
+++ b/internal/back/httpcall/call.go
@@ -45,13 +45,12 @@
 // New makes a Back without endpoints.
 func New(c Config) *Back {
 	b := &Back{pool: &pool{
-		maxConns:            c.MaxConnections,
-		idleTimeout:         idleTimeoutFor(c.EndpointIdleTimeout),
-		connectTimeout:      c.ConnectTimeout,
-		dialControl:         c.DialControl,
-		reuseDelay:          reuseDelay,
-		suspectReuseDelay:   suspectReuseDelay,
-		exhaustedReuseDelay: exhaustedReuseDelay,
+		maxConns:          c.MaxConnections,
+		idleTimeout:       idleTimeoutFor(c.EndpointIdleTimeout),
+		connectTimeout:    c.ConnectTimeout,
+		dialControl:       c.DialControl,
+		reuseDelay:        reuseDelay,
+		suspectReuseDelay: suspectReuseDelay,
 	}}
 	isHTTP := func(address string) bool { return !engine.IsMail(address) }
 	b.endpoints = registry.New(isHTTP, func(i *registry.Incarnation) (*endpoint, error) { return b.newEndpoint(i), nil })
--- a/internal/back/httpcall/duplicate_test.go
+++ b/internal/back/httpcall/duplicate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -155,7 +156,8 @@
 }
 
 // TestDuplicateResponseCrossesNextRequest guards against a duplicate of a response that is under way while the next request is, and would
-// be read as the response to it: a message that its endpoint rejected counted as delivered, and one that ran was sent again.
+// be read as the response to it: a message that its endpoint rejected counted as delivered, and one that ran was sent again. That was so for longer where the
+// pool had no connection left to open.
 func TestDuplicateResponseCrossesNextRequest(t *testing.T) {
 	const (
 		limit         = 400 * time.Millisecond
@@ -173,17 +175,19 @@
 		"failed, then delivered":     {errorResponse, okResponse, decide.Succeeded},
 	} {
 		for _, pause := range []time.Duration{0, 21 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 180 * time.Millisecond} {
-			t.Run(name+" after "+pause.String(), func(t *testing.T) {
-				t.Parallel()
-				endpoint := startCrossingEndpoint(t, limit, map[string]string{first: c.first, second: c.second})
-				b := New(Config{MaxConnections: 10, EndpointIdleTimeout: time.Minute})
-				ep := b.endpointAt(endpoint.address)
-				ep.Call(t.Context(), engine.Attempt{ID: first, Body: message.Bytes("x"), Timeout: time.Minute})
-				time.Sleep(pause)
-				if o := ep.Call(t.Context(), engine.Attempt{ID: second, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != c.want {
-					t.Errorf("the second call: %v, want %v", o.Result, c.want)
-				}
-			})
+			for _, limitOfConnections := range []int{10, 1} {
+				t.Run(fmt.Sprintf("%s after %v, %d connections", name, pause, limitOfConnections), func(t *testing.T) {
+					t.Parallel()
+					endpoint := startCrossingEndpoint(t, limit, map[string]string{first: c.first, second: c.second})
+					b := New(Config{MaxConnections: limitOfConnections, EndpointIdleTimeout: time.Minute})
+					ep := b.endpointAt(endpoint.address)
+					ep.Call(t.Context(), engine.Attempt{ID: first, Body: message.Bytes("x"), Timeout: time.Minute})
+					time.Sleep(pause)
+					if o := ep.Call(t.Context(), engine.Attempt{ID: second, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != c.want {
+						t.Errorf("the second call: %v, want %v", o.Result, c.want)
+					}
+				})
+			}
 		}
 	}
 }
@@ -213,29 +217,23 @@
 	}
 }
 
-// TestExhaustedPoolReusesConnections guards against a connection for each call where the limit of connections is reached, and against the
-// reuse within the delay at an address that has sent duplicates.
-func TestExhaustedPoolReusesConnections(t *testing.T) {
+// TestExhaustedPoolReplacesConnections guards against the reuse of a connection within its delay where the limit of connections is reached, and against more
+// connections than the limit: a new one takes the place of the idle one, whether or not its address has sent duplicates.
+func TestExhaustedPoolReplacesConnections(t *testing.T) {
 	address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
 	b := New(Config{MaxConnections: 1, EndpointIdleTimeout: time.Minute})
-	b.pool.reuseDelay, b.pool.exhaustedReuseDelay = time.Hour, 0
+	b.pool.reuseDelay, b.pool.suspectReuseDelay = time.Hour, time.Hour
 	ep := b.endpointAt(address)
-	call := func() {
-		t.Helper()
+	for n := int32(1); n <= 4; n++ {
 		if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
 			t.Fatal(o.Result)
 		}
-	}
-	call()
-	call()
-	if got := conns.Load(); got != 1 {
-		t.Errorf("%d connections for two calls, want 1", got)
-	}
-	b.pool.markSuspect(b.pool.idle.first, "in this test")
-	b.pool.suspectReuseDelay = time.Hour
-	call()
-	if got := conns.Load(); got != 2 || b.pool.openConns != 1 {
-		t.Errorf("%d connections, %d of them open, want 2 and 1", got, b.pool.openConns)
+		if got := conns.Load(); got != n || b.pool.openConns != 1 {
+			t.Errorf("%d connections after %d calls, %d of them open, want %d and 1", got, n, b.pool.openConns, n)
+		}
+		if n == 2 {
+			b.pool.markSuspect(b.pool.idle.first, "in this test")
+		}
 	}
 }
 
@@ -252,7 +250,7 @@
 		return okResponse
 	})
 	b := newDefaultBack()
-	b.pool.reuseDelay, b.pool.exhaustedReuseDelay = time.Hour, 0
+	b.pool.reuseDelay = time.Hour
 	ep := b.endpointAt(address)
 	call := func(id string) {
 		if o := ep.Call(t.Context(), engine.Attempt{ID: id, Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
@@ -266,9 +264,12 @@
 	calls.Wait()
 	for range laterCalls {
 		call("later")
+		if got := b.pool.openConns; got != maxDelayedConns {
+			t.Errorf("%d connections are open, want %d", got, maxDelayedConns)
+		}
 	}
-	if got := conns.Load(); got != maxDelayedConns {
-		t.Errorf("%d connections, want %d", got, maxDelayedConns)
+	if got := conns.Load(); got != maxDelayedConns+laterCalls {
+		t.Errorf("%d connections were opened, want %d: none may be used again", got, maxDelayedConns+laterCalls)
 	}
 }
 
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -23,10 +23,9 @@
 	reuseDelay        = 200 * time.Millisecond
 	suspectReuseDelay = 2 * time.Second  // at an endpoint that has sent unexpected data
 	suspectDuration   = 10 * time.Minute // how long an endpoint stays suspect after unexpected data
-	// exhaustedReuseDelay replaces reuseDelay where connections within their reuse delay have reached a limit: that of all connections, or
-	// maxDelayedConns of one endpoint.
-	exhaustedReuseDelay = 20 * time.Millisecond
-	maxDelayedConns     = 64
+	// maxDelayedConns bounds the connections to one endpoint that are within their reuse delay. Beyond it, and where all connections are open, a new one takes
+	// the place of one that is idle.
+	maxDelayedConns = 64
 
 	maxReuseWait      = reuseDelay // a call waits no longer for a connection to be reusable
 	connectTimeWeight = 4          // a new connection counts for 1/4 of the smoothed time to connect
@@ -42,8 +41,6 @@
 	dialControl       func(network, address string, c syscall.RawConn) error
 	reuseDelay        time.Duration // least time between a connection's last response and its next call
 	suspectReuseDelay time.Duration // the same at a suspect endpoint
-	// exhaustedReuseDelay is the same where the pool is exhausted.
-	exhaustedReuseDelay time.Duration
 
 	mu         sync.Mutex
 	openConns  int
@@ -106,8 +103,8 @@
 	c.prev, c.next = nil, nil
 }
 
-// get returns an idle connection that may be reused, the most recently used first, or a new one. Beyond the limit, a new connection
-// displaces the one that has been idle longest, whatever its endpoint. Waiting ends when the endpoint is no longer called.
+// get returns an idle connection that may be reused, the most recently used first, or a new one. Beyond a limit, a new connection
+// displaces an idle one. Waiting ends when the endpoint is no longer called.
 func (p *pool) get(ctx context.Context, e *endpoint, timeLeft time.Duration) (*conn, error) {
 	start := time.Now()
 	for c, wait := p.takeIdle(e, timeLeft/2); c != nil; c, wait = p.takeIdle(e, 0) {
@@ -122,8 +119,8 @@
 		}
 		p.close(c)
 	}
-	if displaced := p.reserveConn(); displaced != nil {
-		p.close(displaced)
+	if displaced := p.reserveConn(e); displaced != nil {
+		p.closeDisplaced(displaced)
 	}
 	return p.dial(ctx, e, timeLeft-time.Since(start))
 }
@@ -192,18 +189,38 @@
 	return max(timeLeft, time.Millisecond)
 }
 
-// reserveConn counts a connection that is about to be opened. Beyond the limit it removes and returns the one that has been idle longest,
-// whatever its endpoint, which the caller closes.
-func (p *pool) reserveConn() (displaced *conn) {
+// reserveConn counts a connection to an endpoint that is about to be opened. Beyond a limit it removes and returns an idle one, which the caller closes.
+func (p *pool) reserveConn(e *endpoint) (displaced *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openConns++
-	if p.openConns > p.maxConns && p.idle.first != nil {
-		return p.removeIdle(p.idle.first)
+	switch {
+	case len(e.idle) >= maxDelayedConns:
+		return p.removeIdle(e.idle[len(e.idle)-1])
+	case p.openConns > p.maxConns && p.idle.first != nil:
+		return p.removeIdle(p.leastUseful())
 	}
 	return nil
 }
 
+// leastUseful returns the connection that has been idle longest, if its reuse delay is over and it is still not needed; otherwise the one that was used last,
+// since the others may be reused sooner. The caller holds the pool's lock.
+func (p *pool) leastUseful() *conn {
+	longest, now := p.idle.first, time.Now()
+	if now.Sub(longest.lastResponse) >= p.delayOf(longest.endpoint, now) {
+		return longest
+	}
+	return p.idle.last
+}
+
+// delayOf returns the reuse delay of an endpoint's connections. The caller holds the pool's lock.
+func (p *pool) delayOf(e *endpoint, now time.Time) time.Duration {
+	if now.Before(e.suspectUntil) {
+		return p.suspectReuseDelay
+	}
+	return p.reuseDelay
+}
+
 // removeIdle removes a connection from the idle lists and returns it. The caller holds the pool's lock.
 func (p *pool) removeIdle(c *conn) *conn {
 	p.idle.remove(c)
@@ -224,8 +241,8 @@
 }
 
 // takeIdle removes and returns an idle connection to an endpoint whose reuse delay is over, or nil: the most recently used, so that those
-// that are not needed expire. Where the pool is exhausted, it is the one whose last response is longest ago. Otherwise it may be one that the
-// caller must wait for, where the rest of its reuse delay is no longer than a new connection takes, and than maxWait.
+// that are not needed expire. Otherwise it may be one that the caller must wait for, where the rest of its reuse delay is no longer than a new
+// connection takes, and than maxWait.
 func (p *pool) takeIdle(e *endpoint, maxWait time.Duration) (c *conn, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -233,33 +250,17 @@
 		return nil, 0
 	}
 	now := time.Now()
-	suspect := now.Before(e.suspectUntil)
-	delay := p.reuseDelay
-	if suspect {
-		delay = p.suspectReuseDelay
-	}
+	delay := p.delayOf(e, now)
 	if n := e.countIdle(now.Add(-delay)); n > 0 {
 		return p.removeIdle(e.idle[n-1]), 0
 	}
 	longest := e.idle[0]
-	if !suspect && p.isExhausted(e, now) && now.Sub(longest.lastResponse) >= p.exhaustedReuseDelay {
-		return p.removeIdle(longest), 0
-	}
 	if left := delay - now.Sub(longest.lastResponse); left <= min(e.connectTime, maxReuseWait, maxWait) {
 		return p.removeIdle(longest), left
 	}
 	return nil, 0
 }
 
-// isExhausted reports whether connections within their reuse delay have reached the limit of one endpoint, or are all that is idle where no
-// further connection may be opened. The caller holds the pool's lock, and has found no connection to the endpoint whose reuse delay is over.
-func (p *pool) isExhausted(e *endpoint, now time.Time) bool {
-	if len(e.idle) >= maxDelayedConns {
-		return true
-	}
-	return p.openConns >= p.maxConns && p.idle.first != nil && now.Sub(p.idle.first.lastResponse) < p.reuseDelay
-}
-
 // isReusable reports whether an idle connection is still open and has received nothing since its last response. Bytes received since
 // would be read as the next response; they mark its endpoint as suspect.
 func (p *pool) isReusable(c *conn) bool {
@@ -346,3 +347,12 @@
 	p.openConns--
 	p.mu.Unlock()
 }
+
+// closeDisplaced closes an idle connection whose place another one takes. Its call is over, so it may be reset, and does not keep its port for another minute:
+// where connections are displaced, there are many of them.
+func (p *pool) closeDisplaced(c *conn) {
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		tcp.SetLinger(0) // fails only if it is closed already
+	}
+	p.close(c)
+}
