Give the load test doubled answers, and name the kinds to play a broken seed again

Need: the price of connections where answers come twice could not be measured with scaleroute-lab run; and the command that a broken seed of the soak prints drew other faults when kinds had been named.

--- a/cmd/scaleroute-lab/main.go
+++ b/cmd/scaleroute-lab/main.go
@@ -39,6 +39,7 @@
 	Sockets       int           `name:"sockets" default:"8192" help:"descriptors that the program may use"`
 	Memory        int           `name:"memory" default:"1024" help:"MB of memory that the program is told of"`
 	Latency       time.Duration `name:"latency" default:"10ms" help:"time that an endpoint takes to answer, and up to as much again"`
+	Doubled       float64       `name:"doubled" help:"share of answers that an endpoint writes a second time, up to 25 ms behind the first"`
 	Sick          float64       `name:"sick" default:"0.2" help:"share of destinations that are sick"`
 	Sickness      string        `name:"sickness" default:"mixed" help:"kind of sickness: ${sicknesses}"`
 	From          time.Duration `name:"sick-from" default:"0" help:"they are sick from then on"`
--- a/cmd/scaleroute-lab/run.go
+++ b/cmd/scaleroute-lab/run.go
@@ -10,6 +10,9 @@
 	"scaleroute/internal/standin"
 )
 
+// doubledWithin is how long behind an answer its second copy may come.
+const doubledWithin = 25 * time.Millisecond
+
 // run plays one world.
 func run(ctx context.Context, o *options) (*report, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.Limit)
@@ -38,7 +41,7 @@
 	}
 	defer world.Close()
 	s := &session{options: o, program: p, operators: set, world: world, progress: progress,
-		healthy: standin.Script{Latency: o.Latency, Jitter: o.Latency}, report: &report{options: o, rules: standin.Rules}}
+		healthy: standin.Script{Latency: o.Latency, Jitter: o.Latency, Repeats: o.Doubled, RepeatWithin: doubledWithin}, report: &report{options: o, rules: standin.Rules}}
 	defer s.stopProgram()
 	if err := s.startProgram(); err != nil {
 		return nil, err
--- a/cmd/scaleroute-lab/soak.go
+++ b/cmd/scaleroute-lab/soak.go
@@ -146,7 +146,11 @@
 	if !result.IsBroken() {
 		return
 	}
-	fmt.Fprintf(out, "    again: scaleroute-lab soak --from %d --seeds 1\n", result.Seed)
+	again := fmt.Sprintf("scaleroute-lab soak --from %d --seeds 1", result.Seed)
+	if len(c.Kinds) > 0 { // a seed draws other faults from other kinds
+		again += " --kinds " + strings.Join(c.Kinds, ",")
+	}
+	fmt.Fprintln(out, "    again:", again)
 	for _, text := range slices.Concat(result.Broken, v.Examples, result.Timelines, result.Events) {
 		fmt.Fprintln(out, "    "+strings.ReplaceAll(text, "\n", "\n        "))
 	}
