Soak doubled answers while processes have no connection left to open

Change: the fault kind scarce has endpoints write a quarter of their answers again, up to 40 ms behind, and leaves each process 9 connections to endpoints.

--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -32,6 +33,7 @@
 	MustAsk      bool  // discovery has to be asked
 	FirstList    bool  // each start is configured with the list of the forwarder's first start, as an old one
 	Inherited    bool  // each forwarder's socket for clients is held for it, and outlasts its processes
+	Sockets      int   // descriptors of a forwarder; 0: 1024
 	Mesh         *Mesh // each gossips through it; nil: as operators have set. Closed with the rig
 
 	Command []string      // the daemon; the operators' file is added
@@ -293,7 +295,7 @@
 // Next starts a process on the forwarder's folder, beside one that may run: that is an upgrade. It does not wait until it serves.
 func (n *Node) Next() (*Process, error) {
 	r := n.rig
-	c := standin.Config{Name: n.Name, Forwarders: r.Forwarders, Discovery: n.List.Address(), MustAsk: r.MustAsk, Slots: max(8, r.Slots), Sockets: 1024,
+	c := standin.Config{Name: n.Name, Forwarders: r.Forwarders, Discovery: n.List.Address(), MustAsk: r.MustAsk, Slots: max(8, r.Slots), Sockets: cmp.Or(r.Sockets, 1024),
 		MemoryMB: max(64, r.MemoryMB), DiskMB: max(3, r.DiskMB), Left: r.Left, DrainGrace: r.Grace, ConnectTimeout: r.Connect, Seed: r.Seed + uint64(n.number)<<20 + uint64(n.starts)}
 	if r.FirstList {
 		if n.first == nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -25,11 +25,14 @@
 	drainStep      = 700 * time.Millisecond
 	repeatShare    = 0.25
 	repeatWithin   = 12 * time.Millisecond
-	resetShare     = 0.02 // of pieces
-	pieceBytes     = 7
-	replayPause    = 20 * time.Millisecond
-	connectTimeout = 1500 * time.Millisecond // longer than until a SYN is sent again
-	drainSlack     = 50 * time.Millisecond   // that the rules on sockets add to each time limit
+	// lateRepeatWithin has copies come later than the network usually delays them, and scarceSockets leaves a process 9 connections to endpoints.
+	lateRepeatWithin = 40 * time.Millisecond
+	scarceSockets    = 72
+	resetShare       = 0.02 // of pieces
+	pieceBytes       = 7
+	replayPause      = 20 * time.Millisecond
+	connectTimeout   = 1500 * time.Millisecond // longer than until a SYN is sent again
+	drainSlack       = 50 * time.Millisecond   // that the rules on sockets add to each time limit
 
 	// replayedMessages is how many messages are handed in again in one round.
 	replayedMessages = 40
@@ -82,7 +85,7 @@
 // Run injects the faults of a seed and checks the rules afterwards.
 func Run(ctx context.Context, p Program, s Shape, seed uint64, list []Fault) (*Result, error) {
 	rig, err := fleet.New(fleet.Shape{Forwarders: s.Forwarders, Destinations: s.Destinations, Targets: s.Endpoints, Slots: 16, Left: s.Left, DiskMB: 3, Seed: seed, Grace: drainGrace, Connect: connectTimeout,
-		Inherited: hasKind(list, Upgrade), FirstList: hasKind(list, Outage),
+		Inherited: hasKind(list, Upgrade), Sockets: socketsFor(list), FirstList: hasKind(list, Outage),
 		Command: p.Command, Env: p.Env, Dir: p.Dir})
 	if err != nil {
 		return nil, err
@@ -120,6 +123,14 @@
 	return r.result, nil
 }
 
+// socketsFor returns how many descriptors the processes of a run have; 0 for the usual number.
+func socketsFor(list []Fault) int {
+	if hasKind(list, Scarce) {
+		return scarceSockets
+	}
+	return 0
+}
+
 var healthy = standin.Script{Latency: 5 * time.Millisecond, Jitter: 40 * time.Millisecond}
 
 // play begins each fault at its time, and returns once all have ended.
@@ -183,6 +194,8 @@
 		return r.lists(ctx, f)
 	case Repeats:
 		r.script(ctx, f, standin.Script{Latency: healthy.Latency, Jitter: healthy.Jitter, Errors: 0.02, Full: 0.02, Repeats: repeatShare, RepeatWithin: repeatWithin})
+	case Scarce:
+		r.script(ctx, f, standin.Script{Latency: healthy.Latency, Jitter: healthy.Jitter, Errors: 0.1, Full: 0.1, Repeats: repeatShare, RepeatWithin: lateRepeatWithin})
 	case Sick:
 		scripts := []standin.Script{{Silent: true}, {Refusing: true}, {Errors: 1}, {Full: 1, Wait: time.Second}, {ResetLast: 0.5}, {ResetFirst: 0.5}}
 		r.script(ctx, f, scripts[f.Place%len(scripts)])
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -44,11 +44,13 @@
 	Outage Kind = "outage"
 	// Lists is an agent that answers list calls late, or refuses them, while an endpoint begins to drain.
 	Lists Kind = "lists"
+	// Scarce is answers that come twice while processes have no connection left to open.
+	Scarce Kind = "scarce"
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
-	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd, Connecting, Outage, Lists}
+	return []Kind{Disk, Folder, Kill, Term, Clock, Repeats, Sick, Resets, Pieces, Discovery, Drain, Pause, Accept, Connect, Replay, Replace, Late, Upgrade, Series, Crowd, Connecting, Outage, Lists, Scarce}
 }
 
 // Fault is one fault of a run.
