--- a/cmd/scaleroute/soak_test.go
+++ b/cmd/scaleroute/soak_test.go
@@ -26,6 +26,7 @@
 		{[]soak.Kind{soak.Connecting, soak.Outage, soak.Pause}, 6},
 		{[]soak.Kind{soak.Pause, soak.Connecting}, 5},
 		{[]soak.Kind{soak.Lists, soak.Drain, soak.Term}, 6},
+		{[]soak.Kind{soak.Scarce, soak.Kill}, 3},
 	} {
 		t.Run(string(c.kinds[0]), func(t *testing.T) {
 			t.Parallel()
