End list calls that nobody waits for, and let no trickling answer hold others up

Control servers gave a request for changes up after 2 s, as forwarders did, so that a slower discovery told them nothing then.

Change: a cancelled call drops its result; an answer that still arrives 6 s after it was due holds no further call up; control servers wait 6 s for the first byte of changes. The log line of a call without an answer names discovery's address and when the next call is.

Evidence: on the code before, TestStopWithManyCancelledCalls ends in a deadlock and TestTrickledAnswers has no list in ten minutes; both pass. The control servers' time has no test.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,7 +33,7 @@
 )
 
 const (
-	subscribedListTimeout = 5 * time.Second / 2    // after which a request counts as failed where discovery works on each: a refusal may take 2 s to arrive, and says more than silence
+	subscribedListTimeout = 5 * time.Second / 2    // after which another request follows, with a back-off, where discovery works on each: a refusal may take 2 s to arrive, and says more than silence
 	noticeTimeout         = 100 * time.Millisecond // of the first attempt; doubled after each timeout
 	maxNoticeTimeout      = time.Second
 	maxListBytes          = 64 << 20 // of a list
--- a/internal/agent/list_follower.go
+++ b/internal/agent/list_follower.go
@@ -24,7 +24,7 @@
 	client  *discoveryClient
 	at      watchPosition
 	calls   map[int]*runningCall // in flight
-	results chan listResult      // has room for the results of all calls in flight, and of those that are being cancelled
+	results chan listResult      // of calls that were not cancelled
 	running sync.WaitGroup
 	waiters []refreshWaiter
 }
@@ -52,7 +52,7 @@
 // newListFollower returns a follower that continues from an index, or begins with a snapshot if that is -1.
 func newListFollower(p *Platform, index int64, timing listTiming, retry backoff, fetch fetchFunc, warn func(error, time.Duration)) *listFollower {
 	return &listFollower{platform: p, policy: newListPolicy(p.fleet, timing, retry, index >= 0), fetch: fetch, warn: warn, started: time.Now(), client: p.currentClient(), at: startingAt(index),
-		calls: map[int]*runningCall{}, results: make(chan listResult, 2*maxListCalls)}
+		calls: map[int]*runningCall{}, results: make(chan listResult, maxListCalls)}
 }
 
 func (f *listFollower) now() time.Duration { return time.Since(f.started) }
@@ -110,7 +110,7 @@
 	}
 	step := f.policy.advance(f.now())
 	for _, id := range step.giveUp {
-		f.warn(fmt.Errorf("list: no answer: %w", context.DeadlineExceeded), 0)
+		f.warn(fmt.Errorf("list: no answer from %s for too long: %w", f.client.base, context.DeadlineExceeded), max(0, f.policy.nextAt-f.now()))
 		f.cancel(id)
 	}
 	if step.begin != nil {
@@ -145,7 +145,10 @@
 	f.running.Go(func() {
 		defer cancel()
 		l, err := f.fetch(ctx, client, &at, c.held, progress)
-		f.results <- listResult{c.id, l, at, err}
+		select {
+		case f.results <- listResult{c.id, l, at, err}:
+		case <-ctx.Done(): // nobody waits for it: stop must not either
+		}
 	})
 }
 
--- a/internal/agent/list_policy.go
+++ b/internal/agent/list_policy.go
@@ -10,9 +10,9 @@
 // are durations since any one moment. It has one owner, listFollower.
 //
 // A call without an answer is not given up as soon as it is late, since a slow answer is lost by that each time. Another call is made beside it instead: at
-// once where the list is pushed and calls cost nothing, and after a back-off where discovery works on each call. The first answer counts; calls that began
+// once where the list is pushed and calls cost nothing, and in small fleets; after a back-off in larger ones where discovery works on each call. The first answer counts; calls that began
 // before the answered one are given up, and those that began after it go on, since they may know more. Beside an answer that is arriving there is one other
-// call at most, since more of them would only slow each other down.
+// call at most, since more of them would only slow each other down; after slowestAnswer it holds no further call up.
 type listPolicy struct {
 	fleet  Fleet
 	timing listTiming
@@ -26,7 +26,7 @@
 	refresh    bool          // a call that begins from now on was requested
 	retrying   bool          // nextAt is the end of a back-off
 	silent     bool          // a call was given up since the last answer
-	cutOver    time.Duration // when another address came into use; negative: never
+	movedAt    time.Duration // when another address came into use; negative: never
 }
 
 // listTiming has the times of list calls.
@@ -65,6 +65,7 @@
 	due      time.Duration // when another call is made beside it; never: it was made
 	giveUpAt time.Duration
 	partAt   time.Duration // when a part of its answer last arrived; negative: not yet
+	slowAt   time.Duration // from then on an answer that is still arriving holds no other call up
 }
 
 // listFailure says how a list call failed.
@@ -85,7 +86,7 @@
 
 // newListPolicy returns the policy of a process that starts now. Lists are requested whole until one is known.
 func newListPolicy(fleet Fleet, timing listTiming, retry backoff, listKnown bool) *listPolicy {
-	return &listPolicy{fleet: fleet, timing: timing, retry: retry, listKnown: listKnown, cutOver: -1, nextAt: time.Duration(fleet.random() * float64(timing.firstCallMax))}
+	return &listPolicy{fleet: fleet, timing: timing, retry: retry, listKnown: listKnown, movedAt: -1, nextAt: time.Duration(fleet.random() * float64(timing.firstCallMax))}
 }
 
 // listTiming returns the times of the list calls of a Watch.
@@ -138,17 +139,18 @@
 	}
 	if p.timing.maxCalls > 1 { // otherwise the call has limits of its own
 		c.due, c.giveUpAt = answerDue+margin, answerDue+p.timing.giveUp
+		c.slowAt = c.giveUpAt
 	}
 	p.calls = append(p.calls, c)
 	p.nextAt, p.refresh, p.retrying = never, false, false
 	return &c
 }
 
-// arrivingUntil returns until when an answer counts as arriving if nothing more of it does.
+// arrivingUntil returns until when an answer counts as arriving, and holds other calls up, if nothing more of it does.
 func (p *listPolicy) arrivingUntil() (until time.Duration) {
 	for _, c := range p.calls {
 		if c.partAt >= 0 {
-			until = max(until, c.partAt+overdueAfter)
+			until = max(until, min(c.partAt+overdueAfter, c.slowAt))
 		}
 	}
 	return until
@@ -183,7 +185,7 @@
 
 // schedule sets when the next call begins. Another address that came into use is called again before what it has counts as received.
 func (p *listPolicy) schedule(now, at time.Duration) {
-	if last := p.cutOver + receiptLimitAfterReload - reopenDelay; p.cutOver >= 0 && now < last {
+	if last := p.movedAt + receiptLimitAfterReload - reopenDelay; p.movedAt >= 0 && now < last {
 		at = min(at, last)
 	}
 	p.nextAt, p.retrying = min(p.nextAt, at), true
@@ -287,6 +289,6 @@
 	p.calls = nil
 	p.retry.reset()
 	p.listKnown, p.promptNext, p.silent, p.retrying = false, false, false, false
-	p.nextAt, p.cutOver = now, now
+	p.nextAt, p.movedAt = now, now
 	return giveUp
 }
--- a/internal/agent/slow_list_test.go
+++ b/internal/agent/slow_list_test.go
@@ -138,3 +138,42 @@
 		})
 	}
 }
+
+// TestTrickledAnswers guards against answers that arrive in parts without end, which held all other calls up for minutes: after 6 s calls are made beside them.
+func TestTrickledAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		p, stop := newScriptedPlatform(t, Fleet{Forwarders: 300}, func(n int, _ *http.Request, conn net.Conn) {
+			if n > 2 {
+				fmt.Fprint(conn, okResponse(`{"index":42,"snapshot":true,"endpoints":[]}`))
+				return
+			}
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
+			for {
+				if _, err := conn.Write([]byte(" ")); err != nil {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+		defer stop()
+		if took := watchUntilChange(t, p, nil).Sub(began); took > slowestAnswer+2*overdueAfter {
+			t.Errorf("in force after %v", took)
+		}
+	})
+}
+
+// TestStopWithManyCancelledCalls guards against a follower whose end waits for calls that wait for it to take their results.
+func TestStopWithManyCancelledCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, stop := newScriptedPlatform(t, Fleet{Forwarders: 300}, waitForCloseOf)
+		defer stop()
+		f := p.newWatchFollower(41)
+		for id := range 5 * maxListCalls {
+			f.begin(listCall{id: id})
+		}
+		f.stop()
+	})
+}
+
+func waitForCloseOf(_ int, r *http.Request, conn net.Conn) { waitForClose(r, conn) }
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -38,7 +38,7 @@
 const (
 	maxListDuration        = 10 * time.Minute // a call is cancelled after this, even while data arrives
 	maxStreamBackoff       = time.Second      // between two calls
-	streamFirstByteTimeout = 2 * time.Second  // until the first byte of changes
+	streamFirstByteTimeout = slowestAnswer    // until the first byte of changes
 	streamHoldMargin       = time.Second      // the same, counted from the end of a watch's hold
 	failureLogInterval     = 30 * time.Second // between two log lines about consecutive failures
 )
