Read the addresses of gossip members from events, not while memberlist writes them

Node.Join, Members and PruneReports read the nodes that Memberlist.Members returns; memberlist writes their addresses again with each alive message, under a lock that the reader does not have.

Change: a roster takes members over from memberlist's events, which are called under that lock, and is what the three functions read.

--- a/internal/gossip/host/host.go
+++ b/internal/gossip/host/host.go
@@ -31,14 +31,14 @@
 	config    Config
 	cluster   *memberlist.Memberlist
 	queue     *memberlist.TransmitLimitedQueue
+	roster    *roster
 	rng       *rand.Rand // guarded by mu
 	closeOnce sync.Once
 
-	mu             sync.Mutex
-	ownReport      []byte                  // this member's latest report
-	desired        []byte                  // the desired version in force
-	reports        map[string]storedReport // by nodeName: the latest report of each other process, for members that join
-	knownAddresses map[string]string       // by name: the addresses of all members that have ever been alive
+	mu        sync.Mutex
+	ownReport []byte                  // this member's latest report
+	desired   []byte                  // the desired version in force
+	reports   map[string]storedReport // by nodeName: the latest report of each other process, for members that join
 }
 
 const (
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{config: config, rng: rand.New(rand.NewPCG(config.Seed, 0x90551)), reports: map[string]storedReport{}, knownAddresses: map[string]string{}}
+	n := &Node{config: config, roster: newRoster(), rng: rand.New(rand.NewPCG(config.Seed, 0x90551)), reports: map[string]storedReport{}}
 	m := memberlist.DefaultLANConfig()
 	// When the endpoint list changes, every member sends a report and every member passes all reports on. With the library's defaults for 200 members (12 transmissions of each
 	// report, to 3 members 5 times a second) this took longer than a member may be out of date. With 6 transmissions a report reaches 99.75% of the members: each member
@@ -72,7 +72,7 @@
 	}
 	m.Name = nodeName(config.Name, config.Started)
 	m.BindAddr, m.BindPort, m.AdvertiseAddr, m.AdvertisePort = listenHost, listenPort, advertisedHost, advertisedPort
-	m.Delegate, m.SecretKey = (*delegate)(n), config.Key
+	m.Delegate, m.Events, m.SecretKey = (*delegate)(n), n.roster, config.Key
 	m.Logger = log.New(io.Discard, "", 0) // members that join and leave are reported by the audit
 	netTransport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{listenHost}, BindPort: listenPort, Logger: m.Logger})
 	if err != nil {
@@ -123,28 +123,8 @@
 // Join contacts a member that is not alive in this member's view: one of the configured addresses or one that was alive earlier. It is called periodically, so that the halves
 // of a partitioned fleet find each other again, and a member that was suspended rejoins.
 func (n *Node) Join() {
-	present := map[string]bool{}
-	for _, peer := range n.cluster.Members() {
-		present[peer.Address()] = true
-		n.mu.Lock()
-		if len(n.knownAddresses) < maxKnown {
-			n.knownAddresses[strings.SplitN(peer.Name, "/", 2)[0]] = peer.Address()
-		}
-		n.mu.Unlock()
-	}
-	var absent []string
-	for _, a := range n.config.Join {
-		if !present[a] && a != n.config.Listen && a != n.config.Advertise {
-			absent = append(absent, a)
-		}
-	}
-	n.mu.Lock()
-	for _, a := range n.knownAddresses {
-		if !present[a] {
-			absent = append(absent, a)
-		}
-	}
-	n.mu.Unlock()
+	isOwn := func(address string) bool { return address == n.config.Listen || address == n.config.Advertise }
+	absent := n.roster.absent(n.config.Join, isOwn)
 	if len(absent) == 0 {
 		return
 	}
@@ -156,8 +136,8 @@
 
 // Members returns the living members, including this one.
 func (n *Node) Members() (list []gossip.Member) {
-	for _, peer := range n.cluster.Members() {
-		name, started, ok := strings.Cut(peer.Name, "/")
+	for _, node := range n.roster.aliveNodes() {
+		name, started, ok := strings.Cut(node, "/")
 		at, err := strconv.ParseInt(started, 36, 64)
 		if ok && err == nil {
 			list = append(list, gossip.Member{Name: name, Started: at})
@@ -285,8 +265,8 @@
 // PruneReports deletes the reports of processes that are no longer alive.
 func (n *Node) PruneReports() {
 	present := map[string]bool{}
-	for _, peer := range n.cluster.Members() {
-		present[peer.Name] = true
+	for _, node := range n.roster.aliveNodes() {
+		present[node] = true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gossip/host/host_test.go
+++ b/internal/gossip/host/host_test.go
@@ -162,3 +162,36 @@
 	returned.await(t, "n4 sees all members after its return", func() bool { returned.node.Join(); return len(returned.node.Members()) == 6 })
 	returned.await(t, "n4 receives the desired version", func() bool { _, w := returned.received(""); return w.Gen == 4 })
 }
+
+// TestMembersAreReadWhileGossipArrives guards against a data race: the addresses of members were read while memberlist wrote them, as each alive message of a
+// member has it do. Only the race detector sees it.
+func TestMembersAreReadWhileGossipArrives(t *testing.T) {
+	first := startTestNode(t, "n0", freeAddress(t), nil)
+	second := startTestNode(t, "n1", freeAddress(t), nil, first.addr)
+	first.await(t, "n0 sees n1", func() bool { return len(first.node.Members()) == 2 })
+	updated := make(chan error, 1)
+	go func() {
+		for range 20 {
+			if err := second.node.cluster.UpdateNode(0); err != nil { // sends an alive message with a new incarnation
+				updated <- err
+				return
+			}
+		}
+		close(updated)
+	}()
+	for {
+		select {
+		case err, failed := <-updated:
+			if failed {
+				t.Fatal(err)
+			}
+			return
+		default:
+		}
+		first.node.Join()
+		first.node.PruneReports()
+		if got := len(first.node.Members()); got != 2 {
+			t.Fatalf("n0 sees %d members, want 2", got)
+		}
+	}
+}
