Pass gossip reports on 8 times in small fleets, so that drains get through lost packets

Cause: in fleets below a hundred a report is transmitted 4 times, to members drawn by chance, and members that were just lost count among them. With half of eight members cut off and three packets in ten lost, three reporters miss a member directly with 0.6^3, and all the others that pass reports on with 0.35: one time in twelve. Then only the repeated reports arrive, 0.3 and 0.9 s later (2 and 6 s outside tests).

Change: in fleets of up to 32 members a report is transmitted 8 times.

--- a/internal/gossip/host/host.go
+++ b/internal/gossip/host/host.go
@@ -45,7 +45,12 @@
 	maxKnown     = 4096 // reports, and addresses
 	leaveTimeout = 200 * time.Millisecond
 
+	retransmitMult    = 2  // transmissions of a broadcast for each digit of the fleet's size
 	minBroadcastNodes = 99 // in a smaller fleet, a report is transmitted as often as in one of this size: 4 times
+
+	// In a fleet of up to smallFleet members few others pass a report on, so it is transmitted as often as in one of smallFleetNodes: 8 times.
+	smallFleet      = 32
+	smallFleetNodes = 9_999
 )
 
 // New starts to listen. It contacts no other members: see Join.
@@ -64,7 +69,7 @@
 	// report, to 3 members 5 times a second) this took longer than a member may be out of date. With 6 transmissions a report reaches 99.75% of the members: each member
 	// receives it 6 times on average, and a fraction of e^-6 never does. In fleets below a hundred members 4 transmissions reach 98%. A member sends its report twice more
 	// after the first has spread (member.go of the forwarder), and a report that is still missed arrives with the next push/pull synchronization.
-	m.RetransmitMult, m.GossipInterval, m.GossipNodes = 2, 100*time.Millisecond, 5
+	m.RetransmitMult, m.GossipInterval, m.GossipNodes = retransmitMult, 100*time.Millisecond, 5
 	m.EnableCompression = false // digests are incompressible, and compressing them costs more than all other work
 	if config.ShortTimeouts {
 		m.ProbeInterval, m.ProbeTimeout, m.SuspicionMult, m.GossipInterval, m.PushPullInterval = 200*time.Millisecond, 100*time.Millisecond, 2, 50*time.Millisecond, 2*time.Second
@@ -80,12 +85,7 @@
 	}
 	m.Transport = &transport{netTransport, &net.TCPAddr{IP: net.ParseIP(listenHost)}}
 	m.DeadNodeReclaimTime = time.Second // a restarted process has a different node name
-	n.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: m.RetransmitMult, NumNodes: func() int {
-		if n.cluster == nil {
-			return minBroadcastNodes
-		}
-		return max(minBroadcastNodes, n.cluster.NumMembers())
-	}}
+	n.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmitMult, NumNodes: n.broadcastNodes}
 	if n.cluster, err = memberlist.Create(m); err != nil {
 		netTransport.Shutdown()
 		return nil, fmt.Errorf("gossip: can't start the member at %s: %w", config.Listen, err)
@@ -93,6 +93,15 @@
 	return n, nil
 }
 
+// broadcastNodes returns the size of the fleet from which memberlist derives how often a broadcast is transmitted.
+func (n *Node) broadcastNodes() int {
+	members := n.roster.size()
+	if members <= smallFleet {
+		return smallFleetNodes
+	}
+	return max(minBroadcastNodes, members)
+}
+
 // transport opens connections from the address at which this member listens, as its packets are sent from there. On a machine with several addresses, the others recognize
 // the member by this address.
 type transport struct {
--- a/internal/gossip/host/host_test.go
+++ b/internal/gossip/host/host_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"scaleroute/internal/gossip"
 	"scaleroute/internal/straggler"
 	"scaleroute/internal/version"
@@ -195,3 +197,23 @@
 		}
 	}
 }
+
+// TestReportTransmissions guards against drains that other forwarders report and that arrive late: in a small fleet of which half is cut off and that loses
+// three packets in ten, one report in twelve reached a member only when it was sent again.
+func TestReportTransmissions(t *testing.T) {
+	for members, want := range map[int]int{1: 8, 8: 8, smallFleet: 8, smallFleet + 1: 4, 99: 4, 100: 6, 300: 6} {
+		n := &Node{roster: newRoster()}
+		n.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmitMult, NumNodes: n.broadcastNodes}
+		for i := range members {
+			n.roster.NotifyJoin(&memberlist.Node{Name: nodeName(fmt.Sprint("n", i), time.Unix(0, 0))})
+		}
+		n.BroadcastReport([]byte("report"))
+		got := 0
+		for len((*delegate)(n).GetBroadcasts(0, 1400)) > 0 {
+			got++
+		}
+		if got != want {
+			t.Errorf("%d members: a report is transmitted %d times, want %d", members, got, want)
+		}
+	}
+}
--- a/internal/gossip/host/roster.go
+++ b/internal/gossip/host/roster.go
@@ -41,6 +41,13 @@
 	delete(r.alive, node.Name)
 }
 
+// size returns the number of living members.
+func (r *roster) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.alive)
+}
+
 // aliveNodes returns the node names of the living members, including this one.
 func (r *roster) aliveNodes() []string {
 	r.mu.Lock()
