Log no wait of 292 years when the next list call depends on those in flight

Cause: the list policy has no time for the next call while the latest one is not overdue, and the log took its mark for never as a time.

Change: the line has the wait, or 0, and in_flight: how many other calls are awaited.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -241,8 +241,8 @@
 	fetch := func(ctx context.Context, c *discoveryClient, at *watchPosition, held bool, progress func()) (*List, error) {
 		return c.requestList(ctx, listPath(at.from, p.fleet.holdTime(), held), at.from < 0, progress)
 	}
-	warn := func(err error, wait time.Duration) {
-		slog.Warn("request to discovery failed", "err", err, "again_in", wait)
+	warn := func(err error, next nextCall) {
+		slog.Warn("request to discovery failed", "err", err, "again_in", next.wait, "in_flight", next.inFlight)
 	}
 	return newListFollower(p, index, p.fleet.listTiming(), p.fleet.newListBackoff(), fetch, warn)
 }
--- a/internal/agent/list_follower.go
+++ b/internal/agent/list_follower.go
@@ -18,7 +18,7 @@
 	platform *Platform
 	policy   *listPolicy
 	fetch    fetchFunc
-	warn     func(err error, wait time.Duration)
+	warn     func(err error, next nextCall)
 
 	started time.Time // the policy's time 0
 	client  *discoveryClient
@@ -35,6 +35,12 @@
 	progress atomic.Int64 // when a part of the answer last arrived; 0: not yet
 }
 
+// nextCall says for the log what comes after a failed call.
+type nextCall struct {
+	wait     time.Duration // until the next call begins; 0 also if that depends on the calls in flight
+	inFlight int           // other calls whose answers are still awaited
+}
+
 // listResult is what became of a call.
 type listResult struct {
 	id   int
@@ -50,7 +56,7 @@
 }
 
 // newListFollower returns a follower that continues from an index, or begins with a snapshot if that is -1.
-func newListFollower(p *Platform, index int64, timing listTiming, retry backoff, fetch fetchFunc, warn func(error, time.Duration)) *listFollower {
+func newListFollower(p *Platform, index int64, timing listTiming, retry backoff, fetch fetchFunc, warn func(error, nextCall)) *listFollower {
 	return &listFollower{platform: p, policy: newListPolicy(p.fleet, timing, retry, index >= 0), fetch: fetch, warn: warn, started: time.Now(), client: p.currentClient(), at: startingAt(index),
 		calls: map[int]*runningCall{}, results: make(chan listResult, maxListCalls)}
 }
@@ -110,7 +116,7 @@
 	}
 	step := f.policy.advance(f.now())
 	for _, id := range step.giveUp {
-		f.warn(fmt.Errorf("list: no answer from %s for too long: %w", f.client.base, context.DeadlineExceeded), max(0, f.policy.nextAt-f.now()))
+		f.warn(fmt.Errorf("list: no answer from %s for too long: %w", f.client.base, context.DeadlineExceeded), f.nextCall())
 		f.cancel(id)
 	}
 	if step.begin != nil {
@@ -204,7 +210,15 @@
 	if len(f.waiters) > 0 {
 		f.policy.promptNext = true
 	}
-	f.warn(err, max(0, f.policy.nextAt-f.now()))
+	f.warn(err, f.nextCall())
+}
+
+// nextCall says when discovery is called again.
+func (f *listFollower) nextCall() nextCall {
+	if f.policy.nextAt == never {
+		return nextCall{inFlight: len(f.policy.calls)}
+	}
+	return nextCall{wait: max(0, f.policy.nextAt-f.now()), inFlight: len(f.policy.calls)}
 }
 
 // takeWaiters takes over the waiters of Refresh.
--- a/internal/agent/slow_list_test.go
+++ b/internal/agent/slow_list_test.go
@@ -177,3 +177,26 @@
 }
 
 func waitForCloseOf(_ int, r *http.Request, conn net.Conn) { waitForClose(r, conn) }
+
+// TestFailedCallLogsNextCall guards against a log line that says that discovery is called again in 292 years: it was written when the next call depended on
+// those in flight.
+func TestFailedCallLogsNextCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, stop := newScriptedPlatform(t, Fleet{Forwarders: 8}, waitForCloseOf)
+		defer stop()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := p.newWatchFollower(-1)
+		failures := 0
+		f.warn = func(err error, next nextCall) {
+			failures++
+			if next.wait > time.Minute || next.wait == 0 && next.inFlight == 0 {
+				t.Errorf("after failure %d (%v): %+v", failures, err, next)
+			}
+		}
+		f.run(ctx, func(*List) {})
+		if failures == 0 {
+			t.Error("no call has failed")
+		}
+	})
+}
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -78,7 +78,7 @@
 	lastLogged time.Time
 }
 
-func (f *failureLog) warn(err error, _ time.Duration) {
+func (f *failureLog) warn(err error, _ nextCall) {
 	f.count++
 	if f.count > 1 && time.Since(f.lastLogged) < failureLogInterval {
 		return
