--- a/internal/ci/knownred.go
+++ b/internal/ci/knownred.go
@@ -1,6 +1,7 @@
 // Package ci judges a run of the module's tests: it reads what go test -json writes, and lets the run pass if nothing failed but the tests of a short list.
 //
 // The list, KNOWN-RED.txt, names tests that fail for a real fault which is not fixed yet. They run as all others do; their failure alone is passed over, and printed.
+// It may name scripts as well, which run after the tests.
 package ci
 
 import (
@@ -10,16 +11,20 @@
 	"io"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
 	maxEntries   = 20
 	maxListBytes = 16 << 10
 
-	lineFormat = "PACKAGE.TestName | command and seed | what was seen | issue N"
+	maxStatedDuration = time.Hour // of a script
+
+	lineFormat = "PACKAGE.TestName or SCRIPT.sh DURATION | command and seed | what was seen | issue N"
 	lineFields = 4
 )
 
@@ -34,16 +39,25 @@
 	return t.Package == other.Package && (t.Name == other.Name || strings.HasPrefix(other.Name, t.Name+"/"))
 }
 
-// Entry is a line of the list: a test that is known to fail.
+// Entry is a line of the list: a test or a script that is known to fail.
 type Entry struct {
-	Test    TestID
-	Command string // that shows the failure, with its seed
-	Seen    string // what it showed
+	Test    TestID  // the zero value for a script
+	Script  *Script // nil for a test
+	Command string  // that shows the failure, with its seed
+	Seen    string  // what it showed
 	Issue   int
 	File    string
 	Line    int
 }
 
+// Name names the test or the script.
+func (e Entry) Name() string {
+	if e.Script != nil {
+		return e.Script.Path
+	}
+	return e.Test.String()
+}
+
 // fault says what is wrong with the entry.
 func (e Entry) fault(what, remedy string) *ListError {
 	return &ListError{File: e.File, Line: e.Line, What: what, Remedy: remedy}
@@ -86,7 +100,7 @@
 	if len(text) == 0 {
 		return nil, nil
 	}
-	firstLine := map[TestID]int{}
+	firstLine := map[string]int{}
 	for i, line := range strings.Split(string(text), "\n") {
 		entry, err := parseEntry(line)
 		entry.File, entry.Line = file, i+1
@@ -98,19 +112,20 @@
 			faults = append(faults, entry.fault(err.Error(), "write "+lineFormat))
 			continue
 		}
-		if first := firstLine[entry.Test]; first != 0 {
-			faults = append(faults, entry.fault(fmt.Sprintf("%s stands in line %d already", entry.Test, first), "delete one of the two"))
+		if first := firstLine[entry.Name()]; first != 0 {
+			faults = append(faults, entry.fault(fmt.Sprintf("%s stands in line %d already", entry.Name(), first), "delete one of the two"))
 			continue
 		}
-		firstLine[entry.Test] = entry.Line
+		firstLine[entry.Name()] = entry.Line
 		entries = append(entries, entry)
 	}
 	return entries, faults
 }
 
 var (
-	testPattern  = regexp.MustCompile(`^([^\s|]+?)\.((?:Test|Fuzz|Example)[^\s|]*)$`)
-	issuePattern = regexp.MustCompile(`^issue ([1-9][0-9]{0,8})$`)
+	testPattern   = regexp.MustCompile(`^([^\s|]+?)\.((?:Test|Fuzz|Example)[^\s|]*)$`)
+	scriptPattern = regexp.MustCompile(`^(\S+\.sh)\s+(\S+)$`)
+	issuePattern  = regexp.MustCompile(`^issue ([1-9][0-9]{0,8})$`)
 )
 
 func parseEntry(line string) (Entry, error) {
@@ -121,13 +136,16 @@
 	for i := range fields {
 		fields[i] = strings.TrimSpace(fields[i])
 	}
-	test := testPattern.FindStringSubmatch(fields[0])
-	if test == nil {
-		return Entry{}, fmt.Errorf("%q is no test with its package's import path", fields[0])
+	entry, err := parseSubject(fields[0])
+	if err != nil {
+		return Entry{}, err
 	}
 	if fields[1] == "" {
 		return Entry{}, errors.New("no command")
 	}
+	if entry.Script != nil && !strings.Contains(fields[1], entry.Script.Path) {
+		return Entry{}, fmt.Errorf("the command does not run %s", entry.Script.Path)
+	}
 	if fields[2] == "" {
 		return Entry{}, errors.New("nothing is said of what was seen")
 	}
@@ -139,5 +157,22 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	return Entry{Test: TestID{test[1], test[2]}, Command: fields[1], Seen: fields[2], Issue: number}, nil
+	entry.Command, entry.Seen, entry.Issue = fields[1], fields[2], number
+	return entry, nil
+}
+
+// parseSubject reads the first field: a test with its package's import path, or a script with the time that it takes.
+func parseSubject(field string) (Entry, error) {
+	if script := scriptPattern.FindStringSubmatch(field); script != nil {
+		duration, err := time.ParseDuration(script[2])
+		if err != nil || duration <= 0 || duration > maxStatedDuration || !filepath.IsLocal(script[1]) {
+			return Entry{}, fmt.Errorf("%q is no path below the list's folder with the time that the script takes, as in review/1/run.sh 20s", field)
+		}
+		return Entry{Script: &Script{filepath.Clean(script[1]), duration}}, nil
+	}
+	test := testPattern.FindStringSubmatch(field)
+	if test == nil {
+		return Entry{}, fmt.Errorf("%q is no test with its package's import path, and no script with the time that it takes", field)
+	}
+	return Entry{Test: TestID{test[1], test[2]}}, nil
 }
--- a/internal/ci/testverdict/main.go
+++ b/internal/ci/testverdict/main.go
@@ -1,4 +1,5 @@
-// Command testverdict runs the command that it is given, which has go test run, and passes if nothing failed but the tests that a list names.
+// Command testverdict runs the command that it is given, which has go test run, and passes if nothing failed but the tests that a list names. Scripts that
+// the list names are run after them.
 //
 //	go tool testverdict [-known-red FILE] COMMAND [ARGUMENT...]
 //
@@ -30,7 +31,7 @@
 func run(args []string, out, errs io.Writer) int {
 	flags := flag.NewFlagSet("testverdict", flag.ContinueOnError)
 	flags.SetOutput(errs)
-	list := flags.String("known-red", "KNOWN-RED.txt", "the `file` of tests that are known to fail")
+	list := flags.String("known-red", "KNOWN-RED.txt", "the `file` of tests and scripts that are known to fail")
 	if err := flags.Parse(args); err != nil {
 		return statusNotRun
 	}
@@ -50,6 +51,7 @@
 		fmt.Fprintln(errs, "testverdict:", err)
 		return statusNotRun
 	}
+	ci.NewScriptRunner(*list, out).Judge(verdict, known)
 	verdict.Print(out)
 	if !verdict.OK() {
 		return statusFailed
--- a/internal/ci/testverdict/main_test.go
+++ b/internal/ci/testverdict/main_test.go
@@ -30,6 +30,9 @@
 			t.Fatal(err)
 		}
 	}
+	if err := os.WriteFile(filepath.Join(dir, "fail.sh"), []byte("#!/bin/sh\nexit 1\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
 	t.Chdir(dir)
 	for _, c := range []struct {
 		command string
@@ -41,6 +44,8 @@
 		{"go test ./red", "", statusFailed, []string{"FAIL: m/red.TestRed/case failed\nFAIL\n1 passed, 1 failed\n"}},
 		{"go test ./red", "m/red.TestGreen | command | cause | issue 7", statusFailed, []string{"KNOWN-RED.txt:1: m/red.TestGreen passes; delete the line\n"}},
 		{"go test ./red", "m/red.TestRed", statusFailed, []string{"KNOWN-RED.txt:1: 1 fields, 4 are needed; write"}},
+		{"go test ./red", "m/red.TestRed | command | cause | issue 7\nfail.sh 1s | ./fail.sh | lost | issue 8", statusOK, []string{"known red, passed over: fail.sh: lost; seen by: ./fail.sh (issue 8)\nok\n1 passed, 1 failed\n"}},
+		{"go test ./red", "m/red.TestRed | command | cause | issue 7\nnone.sh 1s | ./none.sh | lost | issue 8", statusFailed, []string{"FAIL: KNOWN-RED.txt:2: there is no script none.sh; "}},
 		{"go test ./build", "m/build.TestRed | command | cause | issue 7", statusFailed, []string{"undefined: undefined", "FAIL: m/build: build failed\n", "0 passed, 1 failed\n"}},
 		{"go test ./panics", "m/panics.TestRed | command | cause | issue 7", statusFailed, []string{"panic: oh", "FAIL: m/panics: outside of a test: panic: oh"}},
 		{"go test ./exits", "m/exits.TestRed | command | cause | issue 7", statusFailed, []string{"FAIL: m/exits: outside of a test: panic: later\n"}},
--- a/internal/ci/verdict.go
+++ b/internal/ci/verdict.go
@@ -13,13 +13,14 @@
 	Skipped int
 
 	KnownRed []Entry // failed, and were passed over
+	NotRun   []Entry // scripts that take too long to be run here
 	Faults   []error // why the run as a whole failed; none if it passed
 }
 
 // OK tells whether the run as a whole passed.
 func (v *Verdict) OK() bool { return len(v.Faults) == 0 }
 
-// Judge weighs a run against the list. exitStatus is that of go test.
+// Judge weighs a run of the tests against the list. ScriptRunner.Judge adds the scripts. exitStatus is that of go test.
 func Judge(run *Run, known []Entry, exitStatus int) *Verdict {
 	v := &Verdict{}
 	hasFailed := false
@@ -30,7 +31,9 @@
 		hasFailed = hasFailed || p.outcome != passed && p.outcome != skipped
 	}
 	for _, entry := range known {
-		v.judgeEntry(run, entry)
+		if entry.Script == nil {
+			v.judgeEntry(run, entry)
+		}
 	}
 	if v.Passed+v.Failed == 0 {
 		v.addFault("no test was run")
@@ -156,7 +159,10 @@
 func (v *Verdict) Print(out io.Writer) {
 	fmt.Fprintln(out)
 	for _, entry := range v.KnownRed {
-		fmt.Fprintf(out, "known red, passed over: %s: %s; seen by: %s (issue %d)\n", entry.Test, entry.Seen, entry.Command, entry.Issue)
+		fmt.Fprintf(out, "known red, passed over: %s: %s; seen by: %s (issue %d)\n", entry.Name(), entry.Seen, entry.Command, entry.Issue)
+	}
+	for _, entry := range v.NotRun {
+		fmt.Fprintf(out, "known red, not run here: %s (%v): %s; seen by: %s (issue %d)\n", entry.Name(), entry.Script.Duration, entry.Seen, entry.Command, entry.Issue)
 	}
 	for _, fault := range v.Faults {
 		fmt.Fprintln(out, "FAIL:", fault)
