Begin no call to an endpoint that drains while the attempt waits for its client's +OK

Cause: an attempt that waits for its client's +OK, or for the fence, was checked for an endpoint that is withdrawn or replaced, not for one that drains. It was begun under the list that has the drain, and the audit log counted it so; its message was withheld at the last check before the first byte.

Change: such an attempt is withheld when its turn comes, and not begun. Its outcome is the same (not sent).

--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -61,6 +61,8 @@
 	suspectUntil time.Time     // the endpoint has sent unexpected data
 }
 
+var _ engine.Withholder = (*endpoint)(nil)
+
 func (b *Back) newEndpoint(i *registry.Incarnation) *endpoint {
 	return &endpoint{Incarnation: i, pool: b.pool}
 }
--- a/internal/back/registry/incarnation.go
+++ b/internal/back/registry/incarnation.go
@@ -80,6 +80,9 @@
 	return i.refusal
 }
 
+// WithheldReason implements engine.Withholder.
+func (i *Incarnation) WithheldReason() string { return string(i.Refusal()) }
+
 // ReportWithheld counts and logs that a message was not written though its connection was ready, or was being opened. It does nothing with
 // NotRefused, and logs nothing that is part of normal service.
 func (i *Incarnation) ReportWithheld(a *engine.Attempt, refusal Refusal) {
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -51,6 +51,8 @@
 	isReleased bool // no idle connections are kept any more; guarded by the back's lock
 }
 
+var _ engine.Withholder = (*endpoint)(nil)
+
 // conn is a connection to an endpoint on which the server has been greeted.
 type conn struct {
 	net.Conn
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -91,14 +91,15 @@
 	}
 }
 
-// sendPending makes the attempts of a message that could not be made before, unless their endpoint was withdrawn meanwhile.
+// sendPending makes the attempts of a message that could not be made before, unless their endpoint was withdrawn or drains meanwhile: those do not begin, so
+// that the audit log has no call under the list that has the drain.
 func (l *Engine) sendPending(ctx context.Context, e *entry) {
 	pending := e.pending
 	e.pending = nil
 	for _, s := range pending {
-		if s.caller != nil && s.caller != l.back.Endpoint(s.Target) {
-			slog.Info("message withheld", "id", s.Message, "target", s.Target, "destination", e.saved.Dest, "why", withdrawnWhilePending)
-			l.counters.onWithheld(withdrawnWhilePending)
+		if reason := l.withheldReason(s); reason != "" {
+			slog.Info("message withheld", "id", s.Message, "target", s.Target, "destination", e.saved.Dest, "why", reason)
+			l.counters.onWithheld(reason)
 			l.reportNotSent(e, s.Target)
 			continue
 		}
@@ -109,6 +110,20 @@
 // withdrawnWhilePending is the reason for not making an attempt whose endpoint was withdrawn before the attempt could be made.
 const withdrawnWhilePending = "endpoint withdrawn while the attempt was pending"
 
+// withheldReason says why a pending attempt is not made any more, or "".
+func (l *Engine) withheldReason(s pendingAttempt) string {
+	if s.caller == nil {
+		return ""
+	}
+	if s.caller != l.back.Endpoint(s.Target) {
+		return withdrawnWhilePending
+	}
+	if w, ok := s.caller.(Withholder); ok {
+		return w.WithheldReason()
+	}
+	return ""
+}
+
 // callReporter reports to the loop how a call ended, or that it is handed over.
 type callReporter struct {
 	engine *Engine
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -64,6 +64,12 @@
 	CloseIdle()
 }
 
+// Withholder is a Caller whose endpoint may be withdrawn or drain while an attempt waits.
+type Withholder interface {
+	// WithheldReason says why no message may be written to the endpoint, or "". It does not block.
+	WithheldReason() string
+}
+
 // ConnectionReserver is a Caller that can reserve a connection that is ready, so that the attempt can be recorded in the journal before its call begins.
 type ConnectionReserver interface {
 	// ReserveConnection returns a connection that a message can be written to at once, or nil if a call has to wait for one. It does not block.
