Look at the socket for repeated mail replies, before the final dot and before reuse

Need: a copy of an earlier 250 that arrived after the 354 was taken for the reply to the final dot: a message that the server then rejected counted as delivered.

Cause: the check for replies that come before the dot looked at the reader's buffer, not at the socket; idle connections were not looked at before their next use.

Change: the look at a socket that HTTP has is a package for both. Data before the dot ends the connection, and the message has not run; an idle connection with data is dropped for another one.

--- a/internal/back/httpcall/conn.go
+++ b/internal/back/httpcall/conn.go
@@ -11,9 +11,9 @@
 	"os"
 	"runtime"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"scaleroute/internal/back/socket"
 	"scaleroute/internal/engine"
 )
 
@@ -22,7 +22,7 @@
 // conn is a connection to an endpoint. It serves one call at a time.
 type conn struct {
 	net.Conn
-	raw        syscall.RawConn
+	probe      socket.Probe
 	endpoint   *endpoint // that it was opened for
 	r          *bufio.Reader
 	received   []byte           // all bytes since the call began
@@ -33,17 +33,13 @@
 	idleSince  time.Time
 	// lastResponse is when the last response was read; zero if this process has made no call on the connection.
 	lastResponse time.Time
-	probeBuffer  [1]byte
 
 	prev, next *conn // in the idle list
 }
 
 func newConn(raw net.Conn, e *endpoint) *conn {
-	c := &conn{Conn: raw, endpoint: e, idleSince: time.Now()}
+	c := &conn{Conn: raw, probe: socket.NewProbe(raw), endpoint: e, idleSince: time.Now()}
 	c.r = bufio.NewReader(c)
-	if s, ok := raw.(syscall.Conn); ok {
-		c.raw, _ = s.SyscallConn()
-	}
 	return c
 }
 
@@ -65,7 +61,9 @@
 	}
 	n, err := c.Conn.Read(b[:min(len(b), left)])
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		if available := c.readAvailable(b[:min(len(b), left)]); available > 0 {
+		// Where the process was stopped or waited for a core, it may find the deadline passed and the response there at once: the response came in
+		// time, and says what became of the message.
+		if available := c.probe.ReadAvailable(b[:min(len(b), left)]); available > 0 {
 			n, err = available, nil
 		}
 	}
@@ -75,16 +73,6 @@
 	return n, err
 }
 
-// readAvailable reads the bytes that have already arrived when a deadline has passed. Where the process was stopped or waited for a core,
-// it may find the deadline passed and the response there at once: the response came in time, and says what became of the message.
-func (c *conn) readAvailable(b []byte) (n int) {
-	if c.raw == nil || len(b) == 0 {
-		return 0
-	}
-	c.raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) }) // the socket is non-blocking
-	return n
-}
-
 // readResponse reads a complete response, after any 1xx responses, and returns when its first byte came, or when waiting for it ended.
 // The body is discarded, except for its beginning where the caller wants a reply.
 func (c *conn) readResponse(ctx context.Context, deadline time.Time, reply *engine.Reply) (resp *http.Response, firstByte time.Time, err error) {
@@ -170,32 +158,6 @@
 	}
 }
 
-// connState is the state of an idle connection.
-type connState int
-
-const (
-	connIdle connState = iota
-	connClosed
-	connHasData // bytes have arrived since the last response
-)
-
-// checkIdle returns the state of an idle connection, without blocking.
-func (c *conn) checkIdle() connState {
-	if c.raw == nil {
-		return connClosed
-	}
-	var count int
-	var readErr error
-	err := c.raw.Control(func(fd uintptr) { count, readErr = syscall.Read(int(fd), c.probeBuffer[:]) })
-	switch {
-	case err == nil && readErr == syscall.EAGAIN:
-		return connIdle
-	case err == nil && readErr == nil && count > 0:
-		return connHasData
-	}
-	return connClosed
-}
-
 // hasStatus200 reports whether the status line of a response, after any 1xx responses, is complete and has the status 200.
 func hasStatus200(received []byte) bool {
 	status, _ := parseStatusLine(received)
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"scaleroute/internal/back/registry"
+	"scaleroute/internal/back/socket"
 	"scaleroute/internal/engine"
 )
 
@@ -266,11 +267,11 @@
 // isReusable reports whether an idle connection is still open and has received nothing since its last response. Bytes received since
 // would be read as the next response; they mark its endpoint as suspect.
 func (p *pool) isReusable(c *conn) bool {
-	state := c.checkIdle()
-	if state == connHasData {
+	state := c.probe.State()
+	if state == socket.HasData {
 		p.markSuspect(c, "on an idle connection")
 	}
-	return state == connIdle
+	return state == socket.Quiet
 }
 
 // markSuspect records that an endpoint has sent data beyond the response to a call.
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"scaleroute/internal/back/registry"
+	"scaleroute/internal/back/socket"
 	"scaleroute/internal/decide"
 	"scaleroute/internal/engine"
 )
@@ -56,6 +57,7 @@
 // conn is a connection to an endpoint on which the server has been greeted.
 type conn struct {
 	net.Conn
+	probe      socket.Probe
 	r          *bufio.Reader
 	lastUsed   time.Time
 	endpoint   *endpoint // that it was opened for
@@ -115,6 +117,24 @@
 	})
 }
 
+// hasReply reports whether bytes of a reply that no command explains have arrived. They can't be told from the reply to the next command. The
+// connection can't be used any more then.
+func (c *conn) hasReply() bool {
+	return c.r.Buffered() > 0 || c.probe.State() == socket.HasData
+}
+
+// takeReusable removes and returns an idle connection to the endpoint on which nothing has arrived since its last reply, or nil. Those that are closed, or
+// have data such as a second copy of that reply, are dropped.
+func (e *endpoint) takeReusable() *conn {
+	for {
+		c := e.takeIdle()
+		if c == nil || c.r.Buffered() == 0 && c.probe.State() == socket.Quiet {
+			return c
+		}
+		c.Close()
+	}
+}
+
 // takeIdle removes and returns the endpoint's most recently used idle connection within the idle time-out, or nil.
 func (e *endpoint) takeIdle() *conn {
 	e.back.mu.Lock()
@@ -188,7 +208,7 @@
 	deadline := start.Add(a.Timeout)
 	mail := compose(&a, e.from, e.to, body, start)
 	for {
-		c := e.takeIdle()
+		c := e.takeReusable()
 		reused := c != nil
 		var f *failure
 		if !reused {
@@ -250,7 +270,7 @@
 		}
 		return nil, &failure{result: result, err: err, refusal: e.Refusal()}
 	}
-	c := &conn{Conn: raw, endpoint: e, r: bufio.NewReaderSize(raw, maxLineBytes)}
+	c := &conn{Conn: raw, probe: socket.NewProbe(raw), endpoint: e, r: bufio.NewReaderSize(raw, maxLineBytes)}
 	c.SetDeadline(deadline)
 	stopClose := context.AfterFunc(ctx, func() { raw.Close() })
 	f := e.greet(c)
@@ -375,7 +395,7 @@
 	if _, err := c.Write(mail); err != nil {
 		return &failure{result: decide.ConnectFailed, unusable: true, err: err}
 	}
-	if c.r.Buffered() > 0 { // a reply that came too early can't be told from the reply to the message
+	if c.hasReply() { // a reply that came too early can't be told from the reply to the message
 		return &failure{result: decide.ConnectFailed, unusable: true, err: fmt.Errorf("%w: sent before the end of the message", errInvalidReply)}
 	}
 	// The message is handed over only with the last byte of the final dot: a server that has not received that byte must not deliver it
--- a/internal/back/smtpcall/smtpcall_test.go
+++ b/internal/back/smtpcall/smtpcall_test.go
@@ -176,6 +176,40 @@
 	}
 }
 
+// TestRepeatedReplies guards against a second copy of a reply that is taken for the reply to a later command: for that to the final dot, so that a message
+// which the server rejects counts as delivered.
+func TestRepeatedReplies(t *testing.T) {
+	for _, offer := range [][]string{nil, {"PIPELINING"}} {
+		var rejects atomic.Bool
+		m, b := startServer(t, engine.SMTP, offer, func(stage standin.MailStage, _ string) *standin.MailDo {
+			if stage == standin.MailDot && rejects.Load() {
+				return &standin.MailDo{Say: "550 never\r\n"}
+			}
+			return nil
+		})
+		repeat := func() { m.Interject("250 2.1.5 ok\r\n") }
+		if o := send(b, "first", "x", time.Second); o.Result != decide.Succeeded {
+			t.Fatalf("%+v", o)
+		}
+		repeat()
+		if o := send(b, "idle", "x", time.Second); o.Result != decide.Succeeded || m.Connections() != 2 {
+			t.Errorf("%v, after a copy on the idle connection: %+v, %d connections", offer, o, m.Connections())
+		}
+		rejects.Store(true)
+		o := b.Endpoint("m").Call(t.Context(), engine.Attempt{ID: "rejected", Body: message.Bytes("x"), Timeout: time.Second, RecordSending: func(context.Context) bool {
+			repeat() // the server waits for the message
+			return true
+		}})
+		if ran, _ := m.Ran("rejected"); o.Result != decide.ConnectFailed || ran != 0 {
+			t.Errorf("%v, after a copy before the message: %+v, delivered %d times", offer, o, ran)
+		}
+		rejects.Store(false)
+		if o := send(b, "next", "x", time.Second); o.Result != decide.Succeeded {
+			t.Errorf("%v, the next message: %+v", offer, o)
+		}
+	}
+}
+
 // TestSizeLimit checks that no transaction begins for a message larger than the server's announced SIZE.
 func TestSizeLimit(t *testing.T) {
 	m, b := startServer(t, engine.SMTP, []string{"SIZE 5000"}, nil)
--- a/internal/standin/mail.go
+++ b/internal/standin/mail.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// Interject writes a text to all connections, whatever stage they are at.
+func (m *Mail) Interject(text string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.conns {
+		fmt.Fprint(c, text) // one that ends meanwhile has nobody to read it
+	}
+}
+
 // Ran is how often a message took effect, and what it held.
 func (m *Mail) Ran(id string) (times int, body string) {
 	m.mu.Lock()
@@ -204,7 +213,10 @@
 		}
 		if n += len(line); cut != nil && n > cut.After {
 			fmt.Fprint(c, cut.Say)
-			return !cut.Drop
+			if cut.Drop {
+				return false
+			}
+			cut = nil
 		}
 		lines = append(lines, strings.TrimSuffix(line, "\r\n"))
 	}
