Let idle endpoint connections use descriptors that clients leave unused

Change: the front reports the number of client connections; idle connections to endpoints may stand on three quarters of the clients' descriptors less those in use. When clients come, idle connections are closed before the next client is accepted. Calls in flight keep to the endpoints' part, by the slots.

--- a/internal/back/httpcall/duplicate_test.go
+++ b/internal/back/httpcall/duplicate_test.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// TestBorrowedConnections: idle connections beyond the limit are kept while the descriptors for them are lent, and closed at once when they are needed back.
+func TestBorrowedConnections(t *testing.T) {
+	address, conns := startEndpoint(t, func(*http.Request, string) string { return okResponse })
+	b := New(Config{MaxConnections: 1, EndpointIdleTimeout: time.Minute})
+	b.pool.reuseDelay = time.Hour
+	ep := b.endpointAt(address)
+	for _, step := range []struct{ borrowed, calls, open int }{{0, 2, 1}, {3, 5, 4}, {2, 0, 3}, {2, 1, 3}, {0, 0, 1}, {0, 1, 1}, {1, 1, 2}} {
+		b.SetBorrowed(step.borrowed)
+		for range step.calls {
+			if o := ep.Call(t.Context(), engine.Attempt{ID: "m", Body: message.Bytes("x"), Timeout: time.Minute}); o.Result != decide.Succeeded {
+				t.Fatal(o.Result)
+			}
+		}
+		if got := b.pool.openConns; got != step.open || len(ep.idle) != step.open {
+			t.Errorf("%+v: %d connections are open, %d of them idle", step, got, len(ep.idle))
+		}
+	}
+	if got := conns.Load(); got != 10 {
+		t.Errorf("%d connections for 10 calls", got)
+	}
+}
+
 // TestDelayedConnectionsOfAddressAreBounded guards against ever more connections to an address that answers fast and gets many calls.
 func TestDelayedConnectionsOfAddressAreBounded(t *testing.T) {
 	const laterCalls = 10
--- a/internal/back/httpcall/pool.go
+++ b/internal/back/httpcall/pool.go
@@ -45,6 +45,7 @@
 
 	mu         sync.Mutex
 	openConns  int
+	borrowed   int      // idle connections that may be open beyond maxConns
 	handedOver bool     // the idle connections have gone to another process; no connection is kept any more
 	idle       idleList // all idle connections, longest idle first
 	timer      *time.Timer
@@ -200,7 +201,7 @@
 	switch {
 	case len(e.idle) >= maxDelayedConns:
 		return p.removeIdle(e.idle[len(e.idle)-1])
-	case p.openConns > p.maxConns && p.idle.first != nil:
+	case p.openConns > p.maxConns+p.borrowed && p.idle.first != nil:
 		return p.removeIdle(p.leastUseful())
 	}
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,12 +49,18 @@
 // reservedDescriptors is the number of descriptors kept for other uses: the listener, the journal and
 // its successor, up to 8 list calls to discovery, completion notices, the Go runtime, and a client that waits until there is room for its
 // connection. Client connections get two fifths of all descriptors (a third of all carry requests);
-// calls and idle connections to endpoints get the rest.
+// calls and idle connections to endpoints get the rest, and idle ones also most of what clients leave unused.
 const reservedDescriptors = 24
 
 // MaxClientConnections returns the maximum number of connections from all clients together.
 func (l Limits) MaxClientConnections() int { return l.Sockets * 2 / 5 }
 
+// SpareClientConnections returns how many descriptors for clients are free while so many client connections are open, less a quarter of all that stays for
+// those that come next.
+func (l Limits) SpareClientConnections(open int) int {
+	return max(0, l.MaxClientConnections()*3/4-open)
+}
+
 // MaxEndpointConnections returns the maximum number of connections to endpoints, including idle ones.
 func (l Limits) MaxEndpointConnections() int {
 	return l.Sockets - l.MaxClientConnections() - reservedDescriptors
--- a/internal/front/resp2/evict.go
+++ b/internal/front/resp2/evict.go
@@ -56,6 +56,7 @@
 		return false
 	}
 	s.conns[conn] = &connState{idle: true, since: now}
+	s.reportConnections()
 	s.wg.Add(1)
 	return true
 }
--- a/internal/front/resp2/evict_test.go
+++ b/internal/front/resp2/evict_test.go
@@ -245,3 +245,36 @@
 	near.Close()
 	server.wg.Wait()
 }
+
+// TestConnectionCount: each change of the number of connections is reported, in order, with those that have ended.
+func TestConnectionCount(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(ln, 8, acceptorFunc(func(*message.Message) engine.Answer { return engine.Answer{} }))
+	counts := make(chan int, 16)
+	server.OnConnections = func(count int) { counts <- count }
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(t.Context()) }()
+	var open []net.Conn
+	for _, want := range []int{1, 2, 3, 2, 1, 0} {
+		if want > len(open) {
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, conn)
+		} else {
+			open[len(open)-1].Close()
+			open = open[:len(open)-1]
+		}
+		if got := <-counts; got != want {
+			t.Errorf("%d connections reported, want %d", got, want)
+		}
+	}
+	server.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/resp2/handover.go
+++ b/internal/front/resp2/handover.go
@@ -115,6 +115,7 @@
 		detached.Conn.SetDeadline(time.Time{})
 		s.mu.Lock()
 		s.conns[detached.Conn] = &connState{idle: true, used: detached.Used, since: time.Now(), unread: detached.Unread}
+		s.reportConnections()
 		s.wg.Add(1)
 		s.mu.Unlock()
 		go func() {
--- a/internal/front/resp2/server.go
+++ b/internal/front/resp2/server.go
@@ -59,6 +59,10 @@
 	// HandoverEnabled has the bytes of a request kept while it is read, so that Detach can return them. It is set before Serve.
 	HandoverEnabled bool
 
+	// OnConnections is called with the number of open connections whenever it changes, in the order of the changes. It must not call the Server, and delays
+	// new connections while it runs. It is set before Adopt and Serve; nil: not called.
+	OnConnections func(count int)
+
 	draining  atomic.Bool   // PING is refused
 	stopping  atomic.Bool   // only connections that the kernel has queued are still accepted
 	departed  atomic.Uint64 // requests that were read after their client had closed its connection
@@ -279,6 +283,13 @@
 	state.evicted = false
 }
 
+// reportConnections tells OnConnections the number of connections. The server is locked.
+func (s *Server) reportConnections() {
+	if s.OnConnections != nil {
+		s.OnConnections(len(s.conns))
+	}
+}
+
 // handle serves a connection until it ends or is kept for a handover.
 func (s *Server) handle(raw net.Conn) {
 	s.mu.Lock()
@@ -291,6 +302,7 @@
 		}
 		s.mu.Lock()
 		delete(s.conns, raw)
+		s.reportConnections()
 		s.mu.Unlock()
 		select {
 		case s.connEnded <- struct{}{}:
