--- a/internal/agent/slow_list_test.go
+++ b/internal/agent/slow_list_test.go
@@ -200,3 +200,45 @@
 		}
 	})
 }
+
+// TestChangeDuringSlowAnswer: discovery takes 4 s for each answer, and a change that comes a second after the one that is being answered is in force before it
+// counts as received, 6 s later. Found by the soak.
+func TestChangeDuringSlowAnswer(t *testing.T) {
+	const answerTime, firstChange, secondChange, firstIndex = 4 * time.Second, time.Second, 2 * time.Second, 41
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		index := func() int {
+			switch elapsed := time.Since(began); {
+			case elapsed < firstChange:
+				return firstIndex
+			case elapsed < secondChange:
+				return firstIndex + 1
+			}
+			return firstIndex + 2
+		}
+		p, stop := newScriptedPlatform(t, Fleet{Forwarders: 8}, func(_ int, r *http.Request, conn net.Conn) {
+			var from, hold int
+			fmt.Sscan(r.URL.Query().Get("from"), &from)
+			fmt.Sscan(r.URL.Query().Get("hold_ms"), &hold)
+			for end := time.Now().Add(time.Duration(hold) * time.Millisecond); index() <= from && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
+			answer := okResponse(fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[{"name":"a","group":3,"status":"DRAINING"}]}`, index()))
+			time.Sleep(answerTime)
+			conn.Write([]byte(answer))
+		})
+		defer stop()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		var received time.Duration
+		p.Watch(ctx, &List{Index: firstIndex}, func(l *List) {
+			if l.Index == firstIndex+2 {
+				received = time.Since(began)
+				cancel()
+			}
+		})
+		if late := received - secondChange - receiptLimit; received == 0 || late > 0 {
+			t.Errorf("in force after %v, %v after it counts as received", received, late)
+		}
+	})
+}
