End what a listed script leaves behind, and run its test's scripts by sh

And TestScripts failed once: "Text file busy", since a case that starts a process inherits another case's script while that is written.

Change: the process group is killed after each run. The test's scripts are run by sh; each end of a script is asserted as before.

Measured: the new case, a script that leaves sleep behind, fails without the change ("still runs").

--- a/internal/ci/script.go
+++ b/internal/ci/script.go
@@ -114,12 +114,16 @@
 	defer cancel()
 	cmd := exec.CommandContext(ctx, "sh", "-c", entry.Command)
 	cmd.Dir = r.Folder
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // so that what it has started ends with it
-	cmd.Cancel = func() error { return syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) }
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	killGroup := func() error { return syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) }
+	cmd.Cancel = killGroup
 	cmd.WaitDelay = killDelay
 	tail := &tailBuffer{limit: maxScriptOutput}
 	cmd.Stdout, cmd.Stderr = tail, tail
 	err = cmd.Run()
+	if cmd.Process != nil {
+		killGroup() // what it has left behind; fails if there is nothing
+	}
 	var exit *exec.ExitError
 	switch {
 	case ctx.Err() != nil:
--- a/internal/ci/script_test.go
+++ b/internal/ci/script_test.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// TestScripts runs scripts that end in each way. A script that fails once in five runs stays listed; one that passes five times has to leave.
+// TestScripts runs scripts that end in each way, by sh: one that was just written can be busy, since another case that starts a process meanwhile inherits its file.
+// A script that fails once in five runs stays listed; one that passes five times has to leave.
 func TestScripts(t *testing.T) {
 	const countRuns = "echo run >> runs\n"
 	for _, c := range []struct {
@@ -28,6 +29,7 @@
 		{name: "could not run", text: countRuns + "echo no rig >&2; exit 2", runs: 1, fault: "LIST:3: a/run.sh could not run: status 2; build what it needs", output: "no rig\n"},
 		{name: "ended by a signal", text: countRuns + "kill -9 $$", runs: 1, fault: "LIST:3: a/run.sh: signal: killed; correct"},
 		{name: "hangs", text: countRuns + "echo stuck; sleep 600 & wait", runs: 1, duration: time.Millisecond, fault: "LIST:3: a/run.sh: ended after 2.002s, since its line says 1ms; correct", output: "stuck\n"},
+		{name: "leaves a process behind", text: countRuns + "sleep 600 >/dev/null 2>&1 & echo $! > child; exit 1", runs: 1, red: 1},
 		{name: "takes a minute", text: countRuns + "exit 1", duration: time.Minute, notRun: 1},
 		{name: "absent", fault: "LIST:3: there is no script a/run.sh; write"},
 		{name: "not executable", text: "exit 1", mode: 0o600, fault: "LIST:3: a/run.sh is not executable; chmod"},
@@ -60,7 +62,7 @@
 				runner.slack = 2 * time.Second
 			}
 			v := &Verdict{}
-			runner.Judge(v, []Entry{{Test: TestID{"m/a", "TestOne"}}, {Script: &Script{"a/run.sh", duration}, Command: "exec a/run.sh", File: "LIST", Line: 3}})
+			runner.Judge(v, []Entry{{Test: TestID{"m/a", "TestOne"}}, {Script: &Script{"a/run.sh", duration}, Command: "exec sh a/run.sh", File: "LIST", Line: 3}})
 			if runs := countLines(filepath.Join(folder, "runs")); runs != c.runs || len(v.KnownRed) != c.red || len(v.NotRun) != c.notRun {
 				t.Errorf("%d runs, %+v", runs, v)
 			}
@@ -70,6 +72,9 @@
 			case c.fault != "" && (len(v.Faults) != 1 || !strings.HasPrefix(v.Faults[0].Error(), c.fault)):
 				t.Errorf("%v, want %s", v.Faults, c.fault)
 			}
+			if child, err := os.ReadFile(filepath.Join(folder, "child")); err == nil && isRunning(strings.TrimSpace(string(child))) {
+				t.Errorf("process %s still runs", child)
+			}
 			if out.String() != c.output {
 				t.Errorf("printed %q", out.String())
 			}
@@ -77,6 +82,18 @@
 	}
 }
 
+// isRunning tells whether a process exists that is not merely waiting for its parent to note its end.
+func isRunning(id string) bool {
+	for range 100 { // a signal takes effect a little later
+		status, err := os.ReadFile(filepath.Join("/proc", id, "stat"))
+		if err != nil || strings.Contains(string(status), ") Z ") {
+			return false
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return true
+}
+
 func countLines(file string) int {
 	text, err := os.ReadFile(file)
 	if err != nil {
