--- a/cmd/scaleroute/run.go
+++ b/cmd/scaleroute/run.go
@@ -299,7 +299,9 @@
 	}
 	clients := resp2.New(ln, f.config.Limits.MaxClientConnections(), intake)
 	clients.HandoverEnabled = f.inherited != nil
-	clients.OnConnections = func(count int) { http.SetBorrowed(f.config.Limits.SpareClientConnections(count)) }
+	lendSpareDescriptors := func(clients int) { http.SetBorrowed(f.config.Limits.SpareClientConnections(clients)) }
+	lendSpareDescriptors(0)
+	clients.OnConnections = lendSpareDescriptors
 	if previous != nil && previous.drained {
 		clients.Drain()
 	}
@@ -336,9 +338,6 @@
 	} else if f.inherited != nil {
 		clients.CountFromArrival()
 	}
-	if previous == nil {
-		http.SetBorrowed(f.config.Limits.SpareClientConnections(0))
-	}
 	accepting.Go(func() { clients.Serve(ctx) })
 	if file := f.operators.current.PluginStatus; file != "" {
 		all.Go(func() { f.operators.plugins.Publish(ctx, file, publishInterval) })
--- a/internal/back/httpcall/borrowed.go
+++ b/internal/back/httpcall/borrowed.go
@@ -1,7 +1,7 @@
 package httpcall
 
-// SetBorrowed sets how many idle connections may be open beyond MaxConnections, for as long as others do not need their descriptors. When it returns, no
-// more than that are open.
+// SetBorrowed sets how many connections may be open beyond MaxConnections, for as long as nobody else needs their descriptors. Before it returns, idle
+// connections beyond that are closed. Calls in flight are not: their caller bounds them by MaxConnections.
 func (b *Back) SetBorrowed(count int) {
 	p := b.pool
 	for _, c := range p.setBorrowed(count) {
--- a/internal/back/smtpcall/smtpcall.go
+++ b/internal/back/smtpcall/smtpcall.go
@@ -49,7 +49,9 @@
 	lmtp     bool
 	from, to string
 
-	isReleased bool // no idle connections are kept any more; guarded by the back's lock
+	// The back's lock guards the rest.
+	isReleased bool      // no idle connections are kept any more
+	warnedAt   time.Time // when warnUnexpectedReply has logged last
 }
 
 var _ engine.Withholder = (*endpoint)(nil)
@@ -123,6 +125,20 @@
 	return c.r.Buffered() > 0 || c.probe.State() == socket.HasData
 }
 
+// unexpectedReplyInterval is the least time between two log lines about unexpected replies of an endpoint.
+const unexpectedReplyInterval = 10 * time.Minute
+
+// warnUnexpectedReply logs that the server has sent a reply that no command explains.
+func (e *endpoint) warnUnexpectedReply() {
+	e.back.mu.Lock()
+	defer e.back.mu.Unlock()
+	if now := time.Now(); e.warnedAt.IsZero() || now.Sub(e.warnedAt) >= unexpectedReplyInterval {
+		e.warnedAt = now
+		slog.Warn("a mail server sends replies that no command explains, before the end of a message: the message is tried again; see whether something in front of the server repeats its replies",
+			"target", e.Name, "address", e.hostPort, "not_logged_again_for", unexpectedReplyInterval)
+	}
+}
+
 // takeReusable removes and returns an idle connection to the endpoint on which nothing has arrived since its last reply, or nil. Those that are closed, or
 // have data such as a second copy of that reply, are dropped.
 func (e *endpoint) takeReusable() *conn {
@@ -395,7 +411,8 @@
 	if _, err := c.Write(mail); err != nil {
 		return &failure{result: decide.ConnectFailed, unusable: true, err: err}
 	}
-	if c.hasReply() { // a reply that came too early can't be told from the reply to the message
+	if c.hasReply() { // it came too early, and can't be told from the reply to the message
+		e.warnUnexpectedReply()
 		return &failure{result: decide.ConnectFailed, unusable: true, err: fmt.Errorf("%w: sent before the end of the message", errInvalidReply)}
 	}
 	// The message is handed over only with the last byte of the final dot: a server that has not received that byte must not deliver it
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -240,14 +240,7 @@
 // received +OK gets its outcome, and that the next attempt has the next number, as in
 // the Forwarder.
 func TestNotSentCountsAsAttempt(t *testing.T) {
-	j := mustJournal(t, t.TempDir(), 3e6)
-	s := &journal.MessageState{ID: "m", Class: "note", Body: message.Bytes(nil)}
-	if _, err := j.Reserve(0); err != nil {
-		t.Fatal(err)
-	}
-	if err := j.RecordAccepted(s); err != nil {
-		t.Fatal(err)
-	}
+	j, s := journalWithMessage(t)
 	e := &entry{saved: s}
 	l := &Engine{journal: j, back: &fakeBack{}, entries: map[string]*entry{"m": e}}
 	l.send(t.Context(), pendingAttempt{Send: decide.Send{Message: "m", Target: "s1"}})
--- a/internal/engine/pending_test.go
+++ b/internal/engine/pending_test.go
@@ -10,6 +10,20 @@
 	"scaleroute/internal/message"
 )
 
+// journalWithMessage returns a journal that has accepted the message m, and what it knows of that.
+func journalWithMessage(t *testing.T) (*journal.Journal, *journal.MessageState) {
+	t.Helper()
+	j := mustJournal(t, t.TempDir(), 3e6)
+	s := &journal.MessageState{ID: "m", Class: "note", Body: message.Bytes(nil)}
+	if _, err := j.Reserve(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.RecordAccepted(s); err != nil {
+		t.Fatal(err)
+	}
+	return j, s
+}
+
 // renamedBack is a back whose only endpoint can be replaced.
 type renamedBack struct{ current Caller }
 
@@ -40,14 +54,7 @@
 // that waits for its client's +OK, or for the fence, is not begun if its endpoint drains meanwhile.
 func TestPendingAttemptOfDrainingEndpoint(t *testing.T) {
 	for _, drains := range []bool{false, true} {
-		j := mustJournal(t, t.TempDir(), 3e6)
-		s := &journal.MessageState{ID: "m", Class: "note", Body: message.Bytes(nil)}
-		if _, err := j.Reserve(0); err != nil {
-			t.Fatal(err)
-		}
-		if err := j.RecordAccepted(s); err != nil {
-			t.Fatal(err)
-		}
+		j, s := journalWithMessage(t)
 		reason := ""
 		e := &entry{saved: s}
 		l := &Engine{journal: j, back: &renamedBack{current: drainingCaller{namedCaller{t, "draining"}, &reason}}, entries: map[string]*entry{"m": e}}
@@ -75,14 +82,7 @@
 func TestPendingAttemptKeepsItsEndpoint(t *testing.T) {
 	for name, later := range map[string]Caller{"renamed": namedCaller{t, "later"}, "gone": nil} {
 		t.Run(name, func(t *testing.T) {
-			j := mustJournal(t, t.TempDir(), 3e6)
-			s := &journal.MessageState{ID: "m", Class: "note", Body: message.Bytes(nil)}
-			if _, err := j.Reserve(0); err != nil {
-				t.Fatal(err)
-			}
-			if err := j.RecordAccepted(s); err != nil {
-				t.Fatal(err)
-			}
+			j, s := journalWithMessage(t)
 			back := &renamedBack{current: namedCaller{t, "former"}}
 			e := &entry{saved: s}
 			l := &Engine{journal: j, back: back, entries: map[string]*entry{"m": e}}
